Run control work behind an executor that tests can replace

Cause: coordination ran only on real goroutines, so failures could not be brought about in a fixed order. Change: control.Executor with the loop as the real one, and a virtual-time executor among the stand-ins that kills and freezes daemons; placement moves behind a planner with typed input and plan. Ruled out: running histories on goroutines in virtual time, since the order of goroutines differs between runs.

--- a/internal/batch/flush.go
+++ b/internal/batch/flush.go
@@ -16,27 +16,34 @@
 	"github.com/bambooyard/bambooyard/shard"
 )
 
-// place starts pending tasks on VMs with room, in the order of place.Before.
+// place carries out the planner's plan.
 func (o *owner) place(now time.Time) {
-	var pending []place.Demand
-	for id, t := range o.state.Tasks {
-		if t.State == charts.TaskPending {
-			pending = append(pending, place.Demand{
-				Task: string(id), Resources: t.Spec.Resources, DeadlineUnixMS: t.Spec.DeadlineUnixMS, Urgent: t.Spec.Urgent,
-			})
-		}
+	plan := o.planner.Plan(o.planInput(now))
+	for _, r := range plan.Rejections {
+		o.record(shard.Record{Event: charts.TaskReject, Task: shard.TaskID(r.Task), Reason: r.Reason})
 	}
-	sort.Slice(pending, func(i, j int) bool { return place.Before(pending[i], pending[j]) })
-	machines := o.machines()
-	for _, d := range pending {
-		i := place.BestFit(machines, d)
-		if i < 0 {
-			continue
+	for _, e := range plan.Evictions {
+		o.record(shard.Record{Event: charts.TaskEvict, Task: shard.TaskID(e.Task), Reason: e.Reason})
+	}
+	for _, s := range plan.Starts {
+		o.start(now, shard.TaskID(s.Task), s.Machine)
+	}
+}
+
+func (o *owner) planInput(now time.Time) place.Input {
+	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines()}
+	for id, t := range o.state.Tasks {
+		d := place.Demand{
+			Task: string(id), Resources: t.Spec.Resources, DeadlineUnixMS: t.Spec.DeadlineUnixMS, Urgent: t.Spec.Urgent,
 		}
-		if o.start(now, shard.TaskID(d.Task), machines[i].Name) {
-			machines[i].Free = machines[i].Free.Sub(d.Resources)
+		switch t.State {
+		case charts.TaskPending:
+			in.Pending = append(in.Pending, d)
+		case charts.TaskRunning:
+			in.Running = append(in.Running, place.Running{Demand: d, Machine: t.VM, StartedUnixMS: t.StartByUnixMS})
 		}
 	}
+	return in
 }
 
 func (o *owner) machines() []place.Machine {
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -16,7 +16,7 @@
 
 // Options are the settings of a Manager.
 type Options struct {
-	Loop    *control.Loop
+	Loop    control.Executor
 	Table   platform.Table
 	Workers platform.Workers
 	Log     log.Interface
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -14,6 +14,7 @@
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/inventory"
+	"github.com/bambooyard/bambooyard/place"
 	"github.com/bambooyard/bambooyard/shard"
 )
 
@@ -47,6 +48,7 @@
 	head    head
 	version platform.Version
 	state   *shard.State
+	planner *place.Planner
 	// records are applied but not yet written; orders wait for that write.
 	records []shard.Record
 	orders  []platform.StartOrder
@@ -65,6 +67,8 @@
 		log:   opts.Log.WithField("shard", name),
 		phase: charts.Shard.Initial(),
 		vms:   map[string]inventory.VM{},
+
+		planner: place.NewPlanner(),
 	}
 }
 
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -18,7 +18,7 @@
 
 // Options are the settings of a Follower.
 type Options struct {
-	Loop    *control.Loop
+	Loop    control.Executor
 	Table   platform.Table
 	Objects platform.ObjectStore
 	Log     log.Interface
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -18,6 +18,19 @@
 // ErrStopped reports that the loop has ended.
 var ErrStopped = errors.New("the control loop has stopped")
 
+// Executor runs control work. Loop is the real one; tests use one in virtual
+// time.
+type Executor interface {
+	// Post runs fn on the control goroutine later. It reports false, without
+	// waiting, when too much waits already or the executor has stopped.
+	Post(fn func()) bool
+	// Every runs fn on the control goroutine at each interval.
+	Every(interval time.Duration, fn func(now time.Time))
+	// Go runs work elsewhere and then the function that it returns on the
+	// control goroutine.
+	Go(work func(ctx context.Context) (then func()))
+}
+
 // Loop runs posted functions one at a time. It is safe for concurrent use.
 type Loop struct {
 	queue   chan func()
@@ -112,13 +125,21 @@
 	}()
 }
 
-// Async runs work on a goroutine of its own and then done on the loop. The
-// result is lost only when the loop stops.
-func Async[T any](l *Loop, work func(ctx context.Context) (T, error), done func(T, error)) {
+// Go implements Executor.
+func (l *Loop) Go(work func(ctx context.Context) (then func())) {
 	l.workers.Add(1)
 	go func() {
 		defer l.workers.Done()
-		result, err := work(l.ctx)
-		_ = l.Do(l.ctx, func() { done(result, err) })
+		then := work(l.ctx)
+		_ = l.Do(l.ctx, then)
 	}()
 }
+
+// Async runs work off the control goroutine and then done on it. The result
+// is lost only when the executor stops.
+func Async[T any](x Executor, work func(ctx context.Context) (T, error), done func(T, error)) {
+	x.Go(func(ctx context.Context) func() {
+		result, err := work(ctx)
+		return func() { done(result, err) }
+	})
+}
--- /dev/null
+++ b/internal/fake/clock.go
@@ -0,0 +1,157 @@
+package fake
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Clock runs functions in virtual time, one at a time and in a fixed order, so
+// that a history is the same on every run with the same seed.
+type Clock struct {
+	now    time.Time
+	events eventHeap
+	number uint64
+	rand   *rand.Rand
+}
+
+// NewClock returns a clock at a fixed time whose delays are drawn from seed.
+func NewClock(seed uint64) *Clock {
+	return &Clock{
+		now:  time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		rand: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Now returns the virtual time.
+func (c *Clock) Now() time.Time { return c.now }
+
+// Rand returns the clock's source of random numbers.
+func (c *Clock) Rand() *rand.Rand { return c.rand }
+
+// After runs fn once the given time has passed.
+func (c *Clock) After(d time.Duration, fn func()) {
+	c.number++
+	heap.Push(&c.events, event{c.now.Add(d), c.number, fn})
+}
+
+// Run runs everything that is due within d and moves the time on by d.
+func (c *Clock) Run(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.events) > 0 && !c.events[0].at.After(end) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.fn()
+	}
+	c.now = end
+}
+
+type event struct {
+	at     time.Time
+	number uint64 // order among events of the same time
+	fn     func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].number < h[j].number
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// Executor is a control.Executor in virtual time: the control goroutine of one
+// daemon, which can be killed or frozen.
+type Executor struct {
+	clock *Clock
+	// MaxDelay bounds the time that a call takes in each direction.
+	maxDelay time.Duration
+	dead     bool
+	frozen   bool
+	held     []func()
+}
+
+// NewExecutor returns the control goroutine of one daemon. Calls take up to
+// maxDelay in each direction.
+func NewExecutor(clock *Clock, maxDelay time.Duration) *Executor {
+	return &Executor{clock: clock, maxDelay: maxDelay}
+}
+
+// Kill ends the daemon: nothing runs any more, but calls that have left it
+// still take effect.
+func (x *Executor) Kill() { x.dead = true }
+
+// Freeze holds everything that the daemon should run until Thaw.
+func (x *Executor) Freeze() { x.frozen = true }
+
+// Thaw runs what was held, in order, at the present time.
+func (x *Executor) Thaw() {
+	x.frozen = false
+	held := x.held
+	x.held = nil
+	for _, fn := range held {
+		x.clock.After(0, func() { x.run(fn) })
+	}
+}
+
+func (x *Executor) run(fn func()) {
+	switch {
+	case x.dead:
+	case x.frozen:
+		x.held = append(x.held, fn)
+	default:
+		fn()
+	}
+}
+
+func (x *Executor) delay() time.Duration {
+	return time.Duration(x.clock.rand.Int64N(int64(x.maxDelay) + 1))
+}
+
+// Post implements control.Executor.
+func (x *Executor) Post(fn func()) bool {
+	x.clock.After(0, func() { x.run(fn) })
+	return !x.dead
+}
+
+// Every implements control.Executor. Ticks that fall into a freeze are lost
+// but for one.
+func (x *Executor) Every(interval time.Duration, fn func(now time.Time)) {
+	pending := false
+	var tick func()
+	tick = func() {
+		if x.dead {
+			return
+		}
+		if !pending {
+			pending = true
+			x.run(func() { pending = false; fn(x.clock.now) })
+		}
+		x.clock.After(interval, tick)
+	}
+	x.clock.After(interval, tick)
+}
+
+// Go implements control.Executor: work takes effect after one delay and its
+// result arrives after another.
+func (x *Executor) Go(work func(ctx context.Context) (then func())) {
+	x.clock.After(x.delay(), func() {
+		then := work(context.Background())
+		x.clock.After(x.delay(), func() { x.run(then) })
+	})
+}
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -21,7 +21,7 @@
 
 // Options are the settings of a Keeper.
 type Options struct {
-	Loop  *control.Loop
+	Loop  control.Executor
 	Table platform.Table
 	// Self names this daemon; its ID, expiry and revision are kept by the Keeper.
 	Self membership.Session
