Give the planner the task's job, member, kind and the VM's place

Cause: the planner saw only sizes and deadlines, so it could neither honour quotas, avoided services and racks, nor learn by kind. Ruled out: handing it the shard's state, which would bind the decision to the record's layout. Change: place.Input, Machine, Demand, Running and Start carry the fields; observations of ends, usage and latency have types; internal/batch/input.go fills what the document and the record know. Conclusion: the recovery test passes as before.

--- a/internal/batch/flush.go
+++ b/internal/batch/flush.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sort"
 	"time"
 
 	"github.com/apex/log"
@@ -12,7 +11,6 @@
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/platform"
-	"github.com/bambooyard/bambooyard/place"
 	"github.com/bambooyard/bambooyard/shard"
 )
 
@@ -30,32 +28,6 @@
 	}
 }
 
-func (o *owner) planInput(now time.Time) place.Input {
-	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines()}
-	for id, t := range o.state.Tasks {
-		d := place.Demand{
-			Task: string(id), Resources: t.Spec.Resources, DeadlineUnixMS: t.Spec.DeadlineUnixMS, Urgent: t.Spec.Urgent,
-		}
-		switch t.State {
-		case charts.TaskPending:
-			in.Pending = append(in.Pending, d)
-		case charts.TaskRunning:
-			in.Running = append(in.Running, place.Running{Demand: d, Machine: t.VM, StartedUnixMS: t.StartByUnixMS})
-		}
-	}
-	return in
-}
-
-func (o *owner) machines() []place.Machine {
-	machines := make([]place.Machine, 0, len(o.vms))
-	for name, vm := range o.vms {
-		free := vm.Usable().Sub(o.state.Committed[name])
-		machines = append(machines, place.Machine{Name: name, Free: free, Draining: vm.Draining})
-	}
-	sort.Slice(machines, func(i, j int) bool { return machines[i].Name < machines[j].Name })
-	return machines
-}
-
 func (o *owner) start(now time.Time, id shard.TaskID, vm string) bool {
 	t := o.state.Tasks[id]
 	until := o.promise(now, vm)
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -71,6 +71,7 @@
 			m.owners[name] = o
 		}
 		o.setVMs(vms)
+		o.site = newSite(name, doc)
 	}
 }
 
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -43,6 +43,7 @@
 	log   log.Interface
 	phase chart.State
 	vms   map[string]inventory.VM
+	site  site
 	busy  bool // a table operation is in progress
 
 	head    head
--- /dev/null
+++ b/place/order.go
@@ -0,0 +1,31 @@
+package place
+
+// Before reports whether a is placed before b: urgent work first, then the
+// earliest deadline, then the task's name. Work without a deadline comes last.
+func Before(a, b Demand) bool {
+	if a.Urgent != b.Urgent {
+		return a.Urgent
+	}
+	if a.DeadlineUnixMS != b.DeadlineUnixMS {
+		if a.DeadlineUnixMS == 0 || b.DeadlineUnixMS == 0 {
+			return b.DeadlineUnixMS == 0
+		}
+		return a.DeadlineUnixMS < b.DeadlineUnixMS
+	}
+	return a.Task < b.Task
+}
+
+// BestFit returns the index of the machine that would keep the least free
+// processor time after the task, or -1 if the task fits on none.
+func BestFit(machines []Machine, d Demand) int {
+	best := -1
+	for i, m := range machines {
+		if m.Draining || !d.Resources.Fits(m.Free) {
+			continue
+		}
+		if best < 0 || m.Free.MilliProcessors < machines[best].Free.MilliProcessors {
+			best = i
+		}
+	}
+	return best
+}
--- a/place/plan.go
+++ b/place/plan.go
@@ -2,53 +2,6 @@
 
 import "sort"
 
-// Running is a task that occupies a machine.
-type Running struct {
-	Demand
-	Machine string
-	// StartedUnixMS is when the attempt started, in milliseconds since 1970 UTC.
-	StartedUnixMS int64
-}
-
-// Input is everything that a plan depends on. A plan does not change it.
-type Input struct {
-	// NowUnixMS is the time in milliseconds since 1970 UTC.
-	NowUnixMS int64
-	Machines  []Machine
-	Pending   []Demand
-	Running   []Running
-}
-
-// Start is a task to be started.
-type Start struct{ Task, Machine string }
-
-// Eviction is a running task to be stopped with a checkpoint.
-type Eviction struct {
-	Task   string
-	Reason string
-}
-
-// Rejection is a task that can never run.
-type Rejection struct {
-	Task   string
-	Reason string
-}
-
-// Throttle limits a running task to a share of its processors.
-type Throttle struct {
-	Task string
-	// PerMille is the share in thousandths.
-	PerMille int
-}
-
-// Plan is what to do now.
-type Plan struct {
-	Starts     []Start
-	Evictions  []Eviction
-	Rejections []Rejection
-	Throttles  []Throttle
-}
-
 // Planner plans one shard. It keeps what it has learned between plans and is
 // not safe for concurrent use.
 type Planner struct{}
@@ -73,3 +26,12 @@
 	}
 	return plan
 }
+
+// ObserveEnd learns from the end of an attempt.
+func (p *Planner) ObserveEnd(TaskEnd) {}
+
+// ObserveUsage learns from a measurement of a running task.
+func (p *Planner) ObserveUsage(TaskUsage) {}
+
+// ObserveLatency learns from a measurement of a quick service.
+func (p *Planner) ObserveLatency(ServiceLatency) {}
