Plan by corrected run times, quotas, faults and an index

Cause: the planner was first come by deadline on a linear best fit. It kept no quota, started nothing for urgent work on full VMs, and left a VM shrunk below its commitments as it was. Ruled out: a static segment tree over the VMs, which finds a first fit but not the tightest; ordering by declared run times, which demotes the wrong tasks. Change: queue by urgency, latest start from learned run times, and member share; a treap by free processors with the most memory and accelerators of each subtree; evictions for urgent work and for shrunk VMs; quarantine with probes; jobs that can never run are rejected with field, value and reason.

--- a/place/observe.go
+++ b/place/observe.go
@@ -18,6 +18,7 @@
 // TaskEnd is what is known of an attempt at its end.
 type TaskEnd struct {
 	Task    string
+	Job     string
 	Member  string
 	Kind    string
 	Machine string
--- a/place/plan.go
+++ b/place/plan.go
@@ -1,37 +1,146 @@
 package place
 
-import "sort"
+import (
+	"math"
+
+	"github.com/bambooyard/bambooyard/inventory"
+)
 
 // Planner plans one shard. It keeps what it has learned between plans and is
 // not safe for concurrent use.
-type Planner struct{}
+type Planner struct {
+	corrections  *corrections
+	interference *interference
+	faults       *faults
+	// throttles is the limit of each throttled task in thousandths.
+	throttles map[string]int
+	// evicted is the tasks evicted by the present plan.
+	evicted   map[string]bool
+	nowUnixMS int64
+}
 
 // NewPlanner returns a planner that has learned nothing.
-func NewPlanner() *Planner { return &Planner{} }
+func NewPlanner() *Planner {
+	return &Planner{
+		corrections:  newCorrections(),
+		interference: newInterference(),
+		faults:       newFaults(),
+		throttles:    map[string]int{},
+	}
+}
 
-// Plan starts pending tasks, in the order of Before, on the machines that fit
-// them best.
+// ObserveEnd learns from the end of an attempt. Each attempt is told once.
+func (p *Planner) ObserveEnd(e TaskEnd) {
+	p.corrections.observeEnd(&e)
+	p.faults.observeEnd(&e)
+}
+
+// ObserveUsage learns from a measurement of a running task.
+func (p *Planner) ObserveUsage(u TaskUsage) { p.corrections.observeUsage(&u) }
+
+// ObserveLatency learns from a measurement of a quick service.
+func (p *Planner) ObserveLatency(l ServiceLatency) { p.interference.observe(&l) }
+
+// FailureIsFinal tells whether a task whose failure was observed should end as
+// failed, with the reason, rather than be tried on another VM.
+func (p *Planner) FailureIsFinal(task string) (reason string, final bool) {
+	return p.faults.final(task)
+}
+
+// Plan tells which tasks to reject, evict, throttle and start now.
 func (p *Planner) Plan(in Input) Plan {
-	pending := append([]Demand(nil), in.Pending...)
-	sort.Slice(pending, func(i, j int) bool { return Before(pending[i], pending[j]) })
-	machines := append([]Machine(nil), in.Machines...)
+	p.nowUnixMS = in.NowUnixMS
+	p.evicted = map[string]bool{}
+	in.Running = p.withThrottles(in.Running)
 	var plan Plan
-	for _, d := range pending {
-		i := BestFit(machines, d)
-		if i < 0 {
+	var pending []Demand
+	plan.Rejections, pending = reject(&in)
+	cl := newCluster(&in, p.corrections)
+	p.interference.remember(cl, in.NowUnixMS)
+	p.faults.prune(&in, cl)
+	p.repair(&in, cl, &plan)
+	p.react(&in, cl, &plan)
+	p.startAll(&in, cl, pending, &plan)
+	return plan
+}
+
+// withThrottles returns the running tasks with the limits that this planner
+// has set, and forgets the limits of others.
+func (p *Planner) withThrottles(running []Running) []Running {
+	if len(p.throttles) == 0 {
+		return running
+	}
+	known := make(map[string]bool, len(p.throttles))
+	limited := append([]Running(nil), running...)
+	for i := range limited {
+		if perMille, ok := p.throttles[limited[i].Task]; ok {
+			limited[i].ThrottlePerMille = perMille
+			known[limited[i].Task] = true
+		}
+	}
+	keep(p.throttles, known)
+	return limited
+}
+
+// startAll starts what fits, in order, and makes room for urgent work.
+func (p *Planner) startAll(in *Input, cl *cluster, pending []Demand, plan *Plan) {
+	held := newHoldings(in)
+	live := cl.live()
+	refused := map[shape]bool{}
+	for _, d := range queue(pending, in, p.corrections, held, cl.largest) {
+		d.anywhere = len(d.FailedOn)+len(p.faults.tasks[d.Task]) >= live
+		if !held.allows(&d.Demand) || live == 0 {
+			continue
+		}
+		key, plain := p.shapeOf(&d)
+		if plain && refused[key] {
 			continue
 		}
-		machines[i].Free = machines[i].Free.Sub(d.Resources)
-		plan.Starts = append(plan.Starts, Start{Task: d.Task, Machine: machines[i].Name})
+		c, ok := p.choose(cl, &d)
+		switch {
+		case ok:
+			held.take(&d.Demand)
+			cl.start(c.machine, &d.Demand, d.size, c.perMille)
+			p.limit(d.Task, c.perMille)
+			plan.Starts = append(plan.Starts, Start{Task: d.Task, Machine: cl.machines[c.machine].Name, ThrottlePerMille: c.perMille})
+		case d.Urgent:
+			held.take(&d.Demand)
+			p.makeRoom(in, cl, &d, plan)
+		case plain:
+			refused[key] = true
+		}
 	}
-	return plan
 }
 
-// ObserveEnd learns from the end of an attempt.
-func (p *Planner) ObserveEnd(TaskEnd) {}
+func (p *Planner) limit(task string, perMille int) {
+	if perMille > 0 {
+		p.throttles[task] = perMille
+	} else {
+		delete(p.throttles, task)
+	}
+}
 
-// ObserveUsage learns from a measurement of a running task.
-func (p *Planner) ObserveUsage(TaskUsage) {}
+// shape is all of a task that decides whether some machine takes it.
+type shape struct {
+	kind  string
+	avoid string
+	size  inventory.Resources
+}
 
-// ObserveLatency learns from a measurement of a quick service.
-func (p *Planner) ObserveLatency(ServiceLatency) {}
+// shapeOf returns a task's shape, and whether tasks of that shape are alike:
+// urgent tasks and those with failures are not.
+func (p *Planner) shapeOf(d *candidate) (shape, bool) {
+	plain := !d.Urgent && len(d.FailedOn) == 0 && len(p.faults.tasks[d.Task]) == 0
+	avoid := ""
+	for _, service := range d.Avoid {
+		avoid += service + "\x00"
+	}
+	return shape{d.Kind, avoid, d.size}, plain
+}
+
+func deadlineOf(d *Demand) int64 {
+	if d.DeadlineUnixMS == 0 {
+		return math.MaxInt64
+	}
+	return d.DeadlineUnixMS
+}
