--- a/place/interference.go
+++ b/place/interference.go
@@ -15,7 +15,7 @@
 	learningRate = 0.25
 	// baselineWeight is the part of an error that the latency without batch
 	// takes up when tasks were running.
-	baselineWeight = 0.1
+	baselineWeight = 0.02
 	// exploredObservations is how often a pair must be measured to be known.
 	exploredObservations = 5
 	// exploreShare is the share of a VM that a kind may take beside a service
