Report service-level burn over windows and daemons

Cause: the report covered one daemon since its start, and a daemon's counts ended with it. Ruled out: a table row for each count (writes grow with series), and asking every daemon for each report (counts of a replaced daemon are lost). Change: counts in one-minute and one-hour buckets, latency histograms by the hour, one object for each daemon and hour overwritten every 10 s if it changed, old hours rolled up in one epoch-free transaction that checks the rows it read. Burn rates over 5 min, 1 h, 6 h and 3 d with page and ticket alerts; table, JSON, and an HTML page with plots. A caller's own mistake uses no budget. Before: 1 of 3 daemons in the report. After: the quick start compares the report with the requests it sent to three daemons, and they are equal; twenty replaced daemons with lost replies keep every count (TestCountsOutliveDaemons). Conclusion: reports lag other daemons by at most the flush interval.

--- a/burn/burn.go
+++ b/burn/burn.go
@@ -1,14 +1,13 @@
 // Package burn counts requests against the services' objectives and reports
-// how much of each error budget has been used.
+// how fast each error budget is used, over several windows.
+//
+// A Ledger holds the counts of one daemon in buckets of time. Ledgers of many
+// daemons merge into one, from which a report is made.
 package burn
 
-import (
-	"sort"
+import "fmt"
 
-	"github.com/bambooyard/bambooyard/rules"
-)
-
-// Outcome classifies one request for its objective.
+// Outcome classifies one request or task for its objective.
 type Outcome uint8
 
 const (
@@ -20,22 +19,50 @@
 	OutcomeRefused
 	// OutcomeFailed is a request that failed or may have run.
 	OutcomeFailed
-	outcomes
+	// OutcomeEvicted is an attempt of a batch task that was stopped for other work.
+	OutcomeEvicted
+
+	// Outcomes is the number of outcomes.
+	Outcomes = iota
 )
 
+var outcomeNames = [Outcomes]string{"good", "late", "refused", "failed", "evicted"}
+
 // String returns the outcome's name in reports.
 func (o Outcome) String() string {
-	return [...]string{"good", "late", "refused", "failed"}[o]
+	if int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("outcome(%d)", uint8(o))
+	}
+	return outcomeNames[o]
 }
 
+// BatchService is the service name under which batch tasks are counted.
+const BatchService = "batch"
+
 // Series names what is counted together.
 type Series struct {
 	Service string `json:"service"`
 	Member  string `json:"member"`
 }
 
+// Less orders series by service and then by member.
+func (s Series) Less(o Series) bool {
+	if s.Service != o.Service {
+		return s.Service < o.Service
+	}
+	return s.Member < o.Member
+}
+
 // Counts is a number of requests by outcome.
-type Counts [outcomes]int64
+type Counts [Outcomes]int64
+
+// Add returns the sum of two counts.
+func (c Counts) Add(o Counts) Counts {
+	for i := range c {
+		c[i] += o[i]
+	}
+	return c
+}
 
 // Total returns the number of requests.
 func (c Counts) Total() int64 {
@@ -48,42 +75,3 @@
 
 // Bad returns the number of requests that used error budget.
 func (c Counts) Bad() int64 { return c.Total() - c[OutcomeGood] }
-
-// Line is one line of a report.
-type Line struct {
-	Series
-	Objective rules.Objective `json:"objective"`
-	Counts    Counts          `json:"counts"`
-	// Burn is the share of bad requests over the share that the objective
-	// allows: 1 uses the budget exactly.
-	Burn float64 `json:"burn"`
-}
-
-// Report returns a line for each objective and series it covers.
-func Report(objectives []rules.Objective, counts map[Series]Counts) []Line {
-	var lines []Line
-	for _, o := range objectives {
-		for s, c := range counts {
-			if s.Service != o.Service || (o.Member != "" && o.Member != s.Member) {
-				continue
-			}
-			lines = append(lines, Line{Series: s, Objective: o, Counts: c, Burn: rate(c, o.Target)})
-		}
-	}
-	sort.Slice(lines, func(i, j int) bool {
-		a, b := lines[i], lines[j]
-		if a.Service != b.Service {
-			return a.Service < b.Service
-		}
-		return a.Member < b.Member
-	})
-	return lines
-}
-
-func rate(c Counts, target float64) float64 {
-	total := c.Total()
-	if total == 0 {
-		return 0
-	}
-	return float64(c.Bad()) / float64(total) / (1 - target)
-}
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -1,31 +1,55 @@
 package burn
 
 import (
-	"maps"
 	"sync"
+	"time"
+
+	"github.com/bambooyard/bambooyard/rules"
 )
 
-// Recorder counts requests. It is safe for concurrent use.
+// Recorder counts requests from many goroutines into one ledger.
 type Recorder struct {
-	mu     sync.Mutex
-	counts map[Series]Counts
+	mu         sync.Mutex
+	ledger     *Ledger
+	objectives []rules.Objective
 }
 
 // NewRecorder returns a recorder without counts.
-func NewRecorder() *Recorder { return &Recorder{counts: map[Series]Counts{}} }
+func NewRecorder() *Recorder { return &Recorder{ledger: NewLedger()} }
+
+// SetObjectives replaces the objectives that tell late answers from good ones.
+func (r *Recorder) SetObjectives(objectives []rules.Objective) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.objectives = objectives
+}
+
+// Observe counts one request. A good answer that took longer than its
+// objective allows is counted as late.
+func (r *Recorder) Observe(o Observation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Outcome == OutcomeGood {
+		objective := objectiveOf(r.objectives, o.Series)
+		if objective != nil && o.Latency > time.Duration(objective.LatencyMS)*time.Millisecond {
+			o.Outcome = OutcomeLate
+		}
+	}
+	r.ledger.Observe(o)
+}
 
-// Record counts one request.
-func (r *Recorder) Record(s Series, o Outcome) {
+// Snapshot returns a copy of the counts.
+func (r *Recorder) Snapshot() *Ledger {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c := r.counts[s]
-	c[o]++
-	r.counts[s] = c
+	out := NewLedger()
+	out.Merge(r.ledger)
+	return out
 }
 
-// Counts returns a copy of the counts.
-func (r *Recorder) Counts() map[Series]Counts {
+// Drop forgets the hours before start, which are kept elsewhere.
+func (r *Recorder) Drop(start time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.counts)
+	r.ledger.Drop(start)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/internal/burnstore"
 	"github.com/bambooyard/bambooyard/internal/claims"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/entry"
@@ -46,6 +48,7 @@
 		newController,
 		newEntry,
 		newOperator,
+		newBurnStore,
 	),
 	fx.Invoke(run),
 )
@@ -66,14 +69,30 @@
 	})
 }
 
-func newOperator(c *controller, client *platform.Client, p *traffic.Publisher, b *burn.Recorder, r metrics.Registry) *operator.Server {
+func newOperator(c *controller, client *platform.Client, p *traffic.Publisher, b *burnstore.Store, r metrics.Registry) *operator.Server {
 	return operator.NewServer(operator.Options{
-		Table: client, Objects: client.Objects(), Publisher: p, Burn: b, Metrics: r, Now: time.Now,
+		Table: client, Objects: client.Objects(), Publisher: p, Burn: burnReport(b, p), Metrics: r, Now: time.Now,
 		Status:   c.status,
 		Announce: func() { c.loop.Post(c.config.Check) },
 	})
 }
 
+func newBurnStore(client *platform.Client, r *burn.Recorder) *burnstore.Store {
+	return burnstore.NewStore(burnstore.Options{
+		Table: client, Objects: client.Objects(), Recorder: r, Instance: rand.Text(), Now: time.Now,
+	})
+}
+
+func burnReport(store *burnstore.Store, p *traffic.Publisher) operator.BurnReport {
+	return func(ctx context.Context) (burn.Report, *burn.Ledger, error) {
+		ledger, err := store.Load(ctx)
+		if err != nil {
+			return burn.Report{}, nil, err
+		}
+		return burn.NewReport(ledger, p.Load().Document.Rules.Objectives, time.Now()), ledger, nil
+	}
+}
+
 // parts are what run starts and stops.
 type parts struct {
 	fx.In
@@ -85,6 +104,9 @@
 	Claims     *claims.Grouper
 	Entry      *entry.Server
 	Operator   *operator.Server
+	Burn       *burnstore.Store
+	Recorder   *burn.Recorder
+	Publisher  *traffic.Publisher
 	Shutdown   fx.Shutdowner
 }
 
@@ -102,6 +124,7 @@
 			go peers.Serve()
 			go p.Loop.Run()
 			p.Controller.start()
+			p.keepBurn()
 			return errors.Join(
 				serve(callers, p.Settings.CallerAddress, p),
 				serve(operators, p.Settings.OperatorAddress, p),
@@ -149,6 +172,7 @@
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	p.Claims.Close()
+	err = errors.Join(err, p.Burn.Flush(ctx))
 	err = errors.Join(err, operators.Shutdown(ctx), peers.Close())
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
 	p.Controller.pool.Close()
--- a/internal/entry/quick.go
+++ b/internal/entry/quick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
 	"io"
 	mathrand "math/rand/v2"
@@ -270,18 +271,31 @@
 
 // count records the request for the burn report.
 func (s *Server) count(q call, err error) {
-	if q.service == nil {
+	if q.service == nil || isCallerFault(err) {
 		return
 	}
-	series := burn.Series{Service: q.serviceName, Member: q.member}
+	now := s.opts.Now()
+	o := burn.Observation{
+		At:      now,
+		Series:  burn.Series{Service: q.serviceName, Member: q.member},
+		Latency: now.Sub(q.arrived),
+	}
 	switch {
-	case err == nil && s.opts.Now().After(q.deadline):
-		s.opts.Burn.Record(series, burn.OutcomeLate)
+	case err == nil && now.After(q.deadline):
+		o.Outcome = burn.OutcomeLate
 	case err == nil:
-		s.opts.Burn.Record(series, burn.OutcomeGood)
+		o.Outcome = burn.OutcomeGood
 	case verdict.Of(err) == verdict.NotRun:
-		s.opts.Burn.Record(series, burn.OutcomeRefused)
+		o.Outcome = burn.OutcomeRefused
 	default:
-		s.opts.Burn.Record(series, burn.OutcomeFailed)
+		o.Outcome = burn.OutcomeFailed
 	}
+	s.opts.Burn.Observe(o)
+}
+
+// isCallerFault reports a refusal for a mistake in the request itself, which
+// uses no error budget.
+func isCallerFault(err error) bool {
+	var e *verdict.RequestError
+	return errors.As(err, &e) && e.Verdict == verdict.NotRun && e.Status >= 400 && e.Status < 500
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,7 +13,6 @@
 	"github.com/gin-gonic/gin"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/configsync"
 	"github.com/bambooyard/bambooyard/internal/platform"
@@ -31,7 +30,7 @@
 	Table     platform.Table
 	Objects   platform.ObjectStore
 	Publisher *traffic.Publisher
-	Burn      *burn.Recorder
+	Burn      BurnReport
 	Metrics   metrics.Registry
 	Now       func() time.Time
 	// Status returns the daemon's control state.
@@ -72,6 +71,7 @@
 	r.GET("/metrics", s.metrics)
 	r.GET("/v1/status", s.status)
 	r.GET("/v1/burn", s.burn)
+	r.GET("/v1/burn.html", s.burnPage)
 	r.GET("/v1/config", s.getConfig)
 	r.PUT("/v1/config", s.putConfig)
 	r.GET("/v1/config/adoption", s.adoption)
@@ -101,11 +101,6 @@
 	c.JSON(http.StatusOK, status)
 }
 
-func (s *Server) burn(c *gin.Context) {
-	objectives := s.opts.Publisher.Load().Document.Rules.Objectives
-	c.JSON(http.StatusOK, burn.Report(objectives, s.opts.Burn.Counts()))
-}
-
 // Config is a document with its head.
 type Config struct {
 	Head document.Head `json:"head"`
--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -8,6 +8,8 @@
 	ConfigHeadKey = "config/head"
 	// SessionPrefix begins the rows of the daemons' sessions.
 	SessionPrefix = "sessions/"
+	// BurnPrefix begins the rows that name the stored burn counts.
+	BurnPrefix = "burn/"
 	// JobPrefix begins the rows of accepted jobs.
 	JobPrefix = "jobs/"
 )
@@ -46,3 +48,9 @@
 func InboxKey(shard, member, key string) string {
 	return InboxPrefix(shard) + member + "/" + key
 }
+
+// BurnKey is the row of one part of an hour's burn counts. The hour is in
+// seconds since 1970 UTC.
+func BurnKey(hour int64, part string) string {
+	return fmt.Sprintf("%s%012d/%s", BurnPrefix, hour, part)
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -88,8 +88,15 @@
 
 echo "== status"
 bin/bambooyard status
-echo "== burn report"
-bin/bambooyard report burn
+echo "== burn report, over all daemons"
+counted() {
+  bin/bambooyard report burn > "$work/burn"
+  grep -Eq "^stock-check +conservators +3 +0 +0 +0 +0 " "$work/burn" && grep -Eq "^reorder +conservators +2 +0 +0 +0 +0 " "$work/burn"
+}
+until_true "the burn report differs from the requests that were sent" counted
+cat "$work/burn"
+bin/bambooyard report burn --output html > "$work/burn.html"
+expect "$work/burn.html" "</html>"
 
 echo "== graceful stop"
 for pid in "${pids[@]}"; do
