Expose metrics of requests, the control goroutine and the runtime

Cause: /metrics was empty. Ruled out: counting in the handlers, since the burn report sees each request already. Change: an observer between the callers' interface and the burn report counts outcomes and latencies; the control loop counts its functions and their time. A test holds docs/METRICS.md to the registry.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,28 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	workers sync.WaitGroup
+
+	functions atomic.Int64
+	busy      atomic.Int64 // nanoseconds
+}
+
+// Stats says how much the loop has done.
+type Stats struct {
+	// Waiting is the number of functions in the queue.
+	Waiting int64
+	// Functions is the number of functions that have run.
+	Functions int64
+	// Busy is the time that they took.
+	Busy time.Duration
+}
+
+// Stats returns how much the loop has done so far.
+func (l *Loop) Stats() Stats {
+	return Stats{
+		Waiting:   int64(len(l.queue)),
+		Functions: l.functions.Load(),
+		Busy:      time.Duration(l.busy.Load()),
+	}
 }
 
 // NewLoop returns a loop that is not yet running.
@@ -57,13 +80,20 @@
 	for {
 		select {
 		case fn := <-l.queue:
-			fn()
+			l.run(fn)
 		case <-l.ctx.Done():
 			return
 		}
 	}
 }
 
+func (l *Loop) run(fn func()) {
+	began := time.Now()
+	fn()
+	l.functions.Add(1)
+	l.busy.Add(int64(time.Since(began)))
+}
+
 // Stop ends the loop and waits for it and its workers.
 func (l *Loop) Stop() {
 	l.cancel()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,8 +49,9 @@
 		newEntry,
 		newOperator,
 		newBurnStore,
+		newRequestMetrics,
 	),
-	fx.Invoke(run),
+	fx.Invoke(registerControl, run),
 )
 
 func newPlatform(s settings.Settings) *platform.Client {
@@ -61,9 +62,9 @@
 
 func newClaims(client *platform.Client) *claims.Grouper { return claims.NewGrouper(client) }
 
-func newEntry(c *controller, p *traffic.Publisher, g *claims.Grouper, t *target.Client, b *burn.Recorder, l log.Interface) *entry.Server {
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Grouper, t *target.Client, m *requestMetrics, l log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
-		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(), Burn: b, Jobs: jobs{c}, Log: l,
+		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(), Observer: m, Jobs: jobs{c}, Log: l,
 		Now:     time.Now,
 		Session: func() string { return c.settings.Name },
 	})
--- /dev/null
+++ b/internal/daemon/metrics_test.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/internal/control"
+)
+
+// Every metric is explained in docs/METRICS.md, and nothing else is.
+func TestMetricsAreDocumented(t *testing.T) {
+	is := is.New(t)
+	registry := metrics.NewRegistry()
+	newRequestMetrics(burn.NewRecorder(), registry)
+	is.NoErr(registerControl(control.NewLoop(), registry))
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	is.NoErr(err)
+	documented := map[string]bool{}
+	for _, line := range strings.Split(string(page), "\n") {
+		if cells := strings.Split(line, "`"); strings.HasPrefix(line, "| `") {
+			documented[cells[1]] = true
+		}
+	}
+	registry.Each(func(name string, _ any) {
+		if strings.HasPrefix(name, "runtime.") {
+			return
+		}
+		is.True(documented[name]) // the metric is not in docs/METRICS.md
+		delete(documented, name)
+	})
+	is.Equal(len(documented), 0) // docs/METRICS.md names metrics that do not exist
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,7 +32,7 @@
 	Claims    *claims.Grouper
 	Targets   *target.Client
 	Gates     *Gates
-	Burn      *burn.Recorder
+	Observer  Observer
 	Jobs      Jobs
 	Log       log.Interface
 	Now       func() time.Time
@@ -40,6 +40,11 @@
 	Session func() string
 }
 
+// Observer is told of each request that has ended. It is safe for concurrent use.
+type Observer interface {
+	Observe(o burn.Observation)
+}
+
 // Server serves callers. It is safe for concurrent use.
 type Server struct{ opts Options }
 
--- a/internal/entry/quick.go
+++ b/internal/entry/quick.go
@@ -290,7 +290,7 @@
 	default:
 		o.Outcome = burn.OutcomeFailed
 	}
-	s.opts.Burn.Observe(o)
+	s.opts.Observer.Observe(o)
 }
 
 // isCallerFault reports a refusal for a mistake in the request itself, which
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -89,6 +89,7 @@
 
 func (s *Server) metrics(c *gin.Context) {
 	c.Header("Content-Type", "application/json")
+	metrics.CaptureRuntimeMemStatsOnce(s.opts.Metrics)
 	metrics.WriteJSONOnce(s.opts.Metrics, c.Writer)
 }
 
