--- a/burn/ledger.go
+++ b/burn/ledger.go
@@ -6,14 +6,15 @@
 	"time"
 )
 
-// Lengths of the buckets, and how long each kind is kept.
+// Lengths of the buckets, and the ages at which each kind is merged into the
+// next or dropped. Each is kept for a little longer than the window that needs it.
 const (
-	shortBucket = time.Minute
-	longBucket  = time.Hour
-	// shortKept is the age at which one-minute buckets are merged into hours.
-	shortKept = 7 * time.Hour
-	// longKept is the age at which hours are dropped.
-	longKept = 73 * time.Hour
+	shortBucket  = time.Minute
+	shortKept    = 70 * time.Minute
+	middleBucket = 10 * time.Minute
+	middleKept   = 7 * time.Hour
+	longBucket   = time.Hour
+	longKept     = 73 * time.Hour
 )
 
 // Bucket is the counts of one span of time.
@@ -81,20 +82,35 @@
 	return b
 }
 
-// Compact merges old minutes into hours and drops old hours.
+// Compact merges old buckets into longer ones and drops those that no window
+// needs.
 func (l *Ledger) Compact(now time.Time) {
 	for key, b := range l.buckets {
-		age := now.Sub(b.Start)
+		length := lengthAt(now.Sub(b.Start))
 		switch {
-		case age > longKept:
+		case length == 0:
 			delete(l.buckets, key)
-		case b.Length == shortBucket && age > shortKept:
+		case length > b.Length:
 			delete(l.buckets, key)
-			l.bucket(b.Start.Truncate(longBucket), longBucket).add(b)
+			l.bucket(b.Start.Truncate(length), length).add(b)
 		}
 	}
 }
 
+// lengthAt returns the length of the buckets of an age, or zero past the last window.
+func lengthAt(age time.Duration) time.Duration {
+	switch {
+	case age > longKept:
+		return 0
+	case age > middleKept:
+		return longBucket
+	case age > shortKept:
+		return middleBucket
+	default:
+		return shortBucket
+	}
+}
+
 func (b *Bucket) add(o *Bucket) {
 	for s, c := range o.Counts {
 		b.Counts[s] = b.Counts[s].Add(c)
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -47,6 +47,13 @@
 	return out
 }
 
+// Compact merges old counts into longer spans of time.
+func (r *Recorder) Compact(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ledger.Compact(now)
+}
+
 // Drop forgets the hours before start, which are kept elsewhere.
 func (r *Recorder) Drop(start time.Time) {
 	r.mu.Lock()
--- a/internal/burnstore/store.go
+++ b/internal/burnstore/store.go
@@ -61,6 +61,7 @@
 func (s *Store) Flush(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.opts.Recorder.Compact(s.opts.Now())
 	ledger := s.opts.Recorder.Snapshot()
 	for _, hour := range ledger.Hours() {
 		if err := s.flushHour(ctx, hour, ledger.Hour(hour)); err != nil {
