--- /dev/null
+++ b/internal/control/loop_test.go
@@ -0,0 +1,57 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/control"
+)
+
+func TestResultsArriveOnTheLoopAndTicksAreNotQueuedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := control.NewLoop()
+		go l.Run()
+		ticks, results := 0, 0 // only the loop writes them
+		l.Every(time.Second, func(time.Time) {
+			ticks++
+			time.Sleep(2500 * time.Millisecond) // slower than the interval
+		})
+		control.Async(l, func(context.Context) (int, error) { return 7, nil }, func(n int, err error) {
+			is.NoErr(err)
+			results += n
+		})
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		l.Stop()
+		is.Equal(results, 7)
+		is.Equal(ticks, 4) // the loop was never left with a backlog
+	})
+}
+
+func TestFullLoopRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	l := control.NewLoop() // not running
+	posted := 0
+	for l.Post(func() {}) {
+		posted++
+	}
+	is.True(posted > 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errors.Is(l.Do(ctx, func() {}), context.Canceled))
+}
+
+func TestStoppedLoopRunsNothing(t *testing.T) {
+	is := is.New(t)
+	l := control.NewLoop()
+	go l.Run()
+	l.Stop()
+	is.True(!l.Post(func() { t.Error("ran after the stop") }))
+	is.Equal(l.Do(context.Background(), func() {}), control.ErrStopped)
+}
