Drill failures in separate processes

Cause: failures were brought about only within one process. Ruled out: a simulator of a cluster; the drill uses the daemons, the stand-ins' fault switches and signals.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint generate quickstart bench
+.PHONY: build test lint generate quickstart drill bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,5 +15,8 @@
 quickstart: build
 	bash scripts/quickstart.sh
 
+drill: build
+	bash scripts/drill.sh
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
