Tell at submission that a job can never run, list and watch jobs

Cause: a job that no VM could hold was accepted and waited for ever; the shard was chosen by hash alone; jobs could not be listed or followed; a submission whose write got no reply and was not found was refused as not run, though the write could still take effect. Ruled out: asking every shard's owner before acceptance, which fails while one has no owner. Change: a directory made once for each document checks sizes, quotas and avoided services; the shard is drawn by weighted rendezvous hashing over a sample of the feasible shards' last loads; list with pages and long poll with a tag of the state; one file for each sub-command. Conclusion: the daemon's and the batch tests pass.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -64,6 +64,7 @@
 	for _, vm := range doc.Inventory.VMs {
 		byRack[vm.Rack] = append(byRack[vm.Rack], vm)
 	}
+	directory := NewDirectory(doc)
 	for name, vms := range byRack {
 		o, ok := m.owners[name]
 		if !ok {
@@ -71,7 +72,7 @@
 			m.owners[name] = o
 		}
 		o.setVMs(vms)
-		o.site = newSite(name, doc)
+		o.directory = directory
 	}
 }
 
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -38,13 +38,13 @@
 
 // owner is one shard seen from this daemon. Its methods run on the control loop.
 type owner struct {
-	name  string
-	opts  *Options
-	log   log.Interface
-	phase chart.State
-	vms   map[string]inventory.VM
-	site  site
-	busy  bool // a table operation is in progress
+	name      string
+	opts      *Options
+	log       log.Interface
+	phase     chart.State
+	vms       map[string]inventory.VM
+	directory *Directory
+	busy      bool // a table operation is in progress
 
 	head    head
 	version platform.Version
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -28,9 +28,15 @@
 
 // call sends a JSON request and decodes the JSON answer into reply.
 func call(method, url string, header http.Header, body []byte, reply any) error {
+	_, err := callWithHeader(method, url, header, body, reply)
+	return err
+}
+
+// callWithHeader is call that returns the answer's header as well.
+func callWithHeader(method, url string, header http.Header, body []byte, reply any) (http.Header, error) {
 	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if header != nil {
 		req.Header = header
@@ -38,17 +44,17 @@
 	client := &http.Client{Timeout: clientTimeout}
 	resp, err := client.Do(req)
 	if err != nil {
-		return fmt.Errorf("no daemon answers (is the address right?): %w", err)
+		return nil, fmt.Errorf("no daemon answers (is the address right?): %w", err)
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return refusal(resp.StatusCode, data)
+		return nil, refusal(resp.StatusCode, data)
 	}
-	return json.Unmarshal(data, reply)
+	return resp.Header, json.Unmarshal(data, reply)
 }
 
 // refusal reads the error body of either interface.
--- /dev/null
+++ b/internal/cli/job_cancel.go
@@ -0,0 +1,14 @@
+package cli
+
+import "net/http"
+
+type jobCancelCommand struct {
+	tool *tool
+	jobName
+	jobOutput
+}
+
+// Execute implements flags.Commander.
+func (c *jobCancelCommand) Execute([]string) error {
+	return c.tool.callJob(http.MethodDelete, c.jobName, c.jobOutput)
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -44,12 +44,14 @@
 	publisher *traffic.Publisher
 	pool      *peer.Pool
 
-	state   chart.State
-	keeper  *sessions.Keeper
-	config  *configsync.Follower
-	batch   *batch.Manager
-	loads   *loadTable
-	leaving map[string]bool // VMs that the platform's list names as leaving
+	state  chart.State
+	keeper *sessions.Keeper
+	config *configsync.Follower
+	batch  *batch.Manager
+	// directories serves submissions from any goroutine.
+	directories directories
+	loads       *loadTable
+	leaving     map[string]bool // VMs that the platform's list names as leaving
 	// lastPeer is when a peer last answered.
 	lastPeer time.Time
 }
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -27,7 +27,12 @@
 	if !snapshot.Members[job.Member] {
 		return batch.Job{}, verdict.Refuse(verdict.CodeUnknownMember, http.StatusForbidden, 0, "field member: member %q does not exist", job.Member)
 	}
-	return batch.Submit(ctx, j.c.platform, batch.ShardNames(snapshot.Document.Inventory), job)
+	return batch.SubmitTo(ctx, j.c.platform, j.c.directories.of(snapshot), job)
+}
+
+// List implements entry.Jobs.
+func (j jobs) List(ctx context.Context, member, after string, limit int) (batch.JobList, error) {
+	return batch.ListJobs(ctx, j.c.platform, member, after, limit)
 }
 
 // Describe implements entry.Jobs.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,7 @@
 	r.UseRawPath = true
 	r.Any("/v1/services/:service/*path", s.serveQuick)
 	r.POST("/v1/jobs", s.submitJob)
+	r.GET("/v1/jobs", s.listJobs)
 	r.GET("/v1/jobs/:member/:key", s.describeJob)
 	r.DELETE("/v1/jobs/:member/:key", s.cancelJob)
 	r.NoRoute(func(c *gin.Context) {
