--- a/internal/batch/check.go
+++ b/internal/batch/check.go
@@ -63,6 +63,9 @@
 		}
 		c.name(f.field, f.value)
 	}
+	if strings.Contains(j.Member, ":") {
+		c.add("member", j.Member, "must not hold a colon, which ends the member in a job's ID")
+	}
 	c.name("kind", j.Kind)
 	c.between("tasks", int64(j.Tasks), 1, maxTasksPerJob)
 	c.positive("resources.milli_processors", j.Resources.MilliProcessors)
--- /dev/null
+++ b/internal/batch/submit_test.go
@@ -0,0 +1,190 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/inventory"
+	"github.com/bambooyard/bambooyard/rules"
+	"github.com/bambooyard/bambooyard/verdict"
+)
+
+func librarysJob(key string) Job {
+	return Job{Member: "library", Key: key, Tasks: 2, RunTimeMS: 1000, Resources: inventory.Resources{MilliProcessors: 1000}}
+}
+
+// racks returns the directory of one VM in each of a number of racks.
+func racks(count int, milliProcessors int64) *Directory {
+	var doc document.Document
+	for i := range count {
+		doc.Inventory.VMs = append(doc.Inventory.VMs, inventory.VM{
+			Name: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i), Capacity: inventory.Resources{MilliProcessors: milliProcessors},
+		})
+	}
+	doc.Rules.Members = []rules.Member{{Name: "library", QuotaMilliProcessors: 2000}}
+	return NewDirectory(doc)
+}
+
+// However often a job is submitted, over outages, lost replies and changes of
+// the inventory, it is accepted once and on one shard; a refusal as not run
+// has left nothing behind.
+func TestSubmissionIsIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, ctx, accepted := fake.NewPlatform(), context.Background(), ""
+		for range rapid.IntRange(1, 12).Draw(t, "submissions") {
+			table.SetFaults(fake.Faults{
+				Outage:      rapid.IntRange(0, 3).Draw(t, "outage") == 0,
+				LoseReplies: rapid.IntRange(0, 1).Draw(t, "lost replies"),
+			})
+			milliProcessors := rapid.SampledFrom([]int64{500, 4000}).Draw(t, "size of the VMs")
+			job, err := SubmitTo(ctx, table, racks(rapid.IntRange(1, 5).Draw(t, "racks"), milliProcessors), librarysJob("k"))
+			table.SetFaults(fake.Faults{})
+			rows, _ := table.Scan(ctx, "inbox/", "", 10)
+			stored, _ := ReadJob(ctx, table, "library", "k")
+			switch {
+			case err == nil && (stored == nil || job.Shard != stored.Shard):
+				t.Fatalf("accepted %+v, stored %+v", job, stored)
+			case err != nil && accepted == "" && verdict.Of(err) == verdict.NotRun && stored != nil:
+				t.Fatalf("refused as not run, but stored: %v", err)
+			case len(rows) > 1, accepted != "" && stored.Shard != accepted:
+				t.Fatalf("accepted twice: %v", rows)
+			}
+			if stored != nil {
+				accepted = stored.Shard
+			}
+		}
+	})
+}
+
+// lateTable answers a commit with an error before the write takes effect.
+type lateTable struct {
+	*fake.Platform
+	late []platform.Txn
+}
+
+func (t *lateTable) Commit(_ context.Context, txn platform.Txn) (platform.Version, error) {
+	t.late = append(t.late, txn)
+	return 0, &platform.UnavailableError{Op: "commit", Verdict: verdict.MayHaveRun, Err: errors.New("timeout")}
+}
+
+// A submission whose write may still take effect is not said to be not run.
+func TestLateWriteIsNotCalledNotRun(t *testing.T) {
+	is := is.New(t)
+	table := &lateTable{Platform: fake.NewPlatform()}
+	_, err := SubmitTo(context.Background(), table, racks(1, 4000), librarysJob("k"))
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	_, err = table.Platform.Commit(context.Background(), table.late[0])
+	is.NoErr(err)
+	job, err := SubmitTo(context.Background(), table, racks(3, 4000), librarysJob("k"))
+	is.NoErr(err)
+	is.Equal(job.Shard, "r0")
+}
+
+// Every part of a quota is on a shard whose jobs of that member are feasible,
+// and a quota that is large enough for a task lets it run on some shard.
+func TestQuotaPartsKeepTasksFeasible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := 1000 * rapid.Int64Range(1, 8).Draw(t, "size of the VMs")
+		d := racks(rapid.IntRange(1, 9).Draw(t, "racks"), size)
+		job := librarysJob("k")
+		job.Resources.MilliProcessors = 500 * rapid.Int64Range(1, 16).Draw(t, "size of the task")
+		names, err := d.Feasible(job)
+		if possible := job.Resources.MilliProcessors <= min(size, 2000); possible != (err == nil) || possible != (len(names) > 0) {
+			t.Fatalf("feasible on %v: %v", names, err)
+		}
+		sum := int64(0)
+		for _, s := range d.shards {
+			sum += s.quotas[0].MilliProcessors
+		}
+		if sum != 2000 {
+			t.Fatalf("the parts add up to %d", sum)
+		}
+	})
+}
+
+// A burst of jobs that sees loads of some time ago leaves a smaller backlog on
+// the worst shard than hashing alone, and than taking the least loaded.
+func TestShardChoiceUnderLaggingLoads(t *testing.T) {
+	is := is.New(t)
+	const shards, jobs, readEvery = 7, 560, 80
+	worst := map[string]float64{}
+	for _, policy := range []string{"weighted", "hash", "least loaded"} {
+		r := rand.New(rand.NewPCG(3, 3))
+		names, loads, actual := make([]string, shards), make([]Load, shards), make([]Load, shards)
+		equal := make([]Load, shards)
+		for i := range names {
+			names[i] = fmt.Sprintf("r%d", i)
+			actual[i] = Load{FreeMilliProcessors: 560_000 * int64(1+i) / shards}
+			equal[i] = Load{FreeMilliProcessors: 1000}
+		}
+		for n := range jobs {
+			if n%readEvery == 0 {
+				copy(loads, actual)
+			}
+			job := fmt.Sprint("m:", n)
+			i := 0
+			switch policy {
+			case "weighted":
+				fmt.Sscanf(chooseShard(job, names, loads), "r%d", &i)
+			case "hash":
+				fmt.Sscanf(chooseShard(job, names, equal), "r%d", &i)
+			default:
+				for k := range loads {
+					if loads[k].FreeMilliProcessors-loads[k].PendingMilliProcessors > loads[i].FreeMilliProcessors-loads[i].PendingMilliProcessors {
+						i = k
+					}
+				}
+			}
+			size := 1000 + r.Int64N(7000)
+			took := min(size, actual[i].FreeMilliProcessors)
+			actual[i].FreeMilliProcessors -= took
+			actual[i].PendingMilliProcessors += size - took
+		}
+		for _, l := range actual {
+			worst[policy] = math.Max(worst[policy], float64(l.PendingMilliProcessors)/1000)
+		}
+		t.Logf("%s: %.0f processors wait on the worst shard", policy, worst[policy])
+	}
+	is.True(worst["weighted"] < worst["hash"])
+	is.True(worst["weighted"] < worst["least loaded"])
+}
+
+// A wave of cancellations with duplicates goes into few transactions, and each
+// job is asked to be cancelled once.
+func TestCancellationWaveIsCoalesced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := fake.NewPlatform()
+		table.SetFaults(fake.Faults{Delay: 10 * time.Millisecond})
+		c := NewCanceller(table)
+		const jobs = 1000
+		var wg sync.WaitGroup
+		for n := range 3 * jobs {
+			wg.Go(func() {
+				job := librarysJob(fmt.Sprint(n % jobs))
+				job.Shard = "r1"
+				is.NoErr(c.Cancel(t.Context(), job))
+			})
+		}
+		wg.Wait()
+		counts := table.Counts()
+		t.Logf("%d cancellations of %d jobs: %d transactions, %d rows", 3*jobs, jobs, counts.Commits, counts.RowWrites)
+		is.True(counts.Commits <= 10)
+		rows, err := table.Scan(t.Context(), platform.InboxPrefix("r1"), "", 2*jobs)
+		is.NoErr(err)
+		is.Equal(len(rows), jobs)
+	})
+}
