Make shard ownership, leases and the log safe under failure

Cause: seeded histories and a review of the coordination showed faults: orders and stops followed from records that were not yet written; ended leases were acknowledged before their end was written, which lost checkpoints; a report older than a start order made the task lapse while it ran; renewals to a dead VM went on promising lease ends, so its tasks never lapsed; an owner without the store gave its shard up although its tasks could have run on; a new owner reckoned with lease ends from the row's expiry only; tasks on VMs that had left the inventory were never renewed or stopped; a cancellation of a job in the inbox was lost; map order made runs differ. Ruled out: a row renewed for each shard, since its writes grow with the number of shards; giving a shard up at its expiry, since the version check decides.

--- a/internal/batch/flush.go
+++ b/internal/batch/flush.go
@@ -4,159 +4,141 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sort"
+	"fmt"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/platform"
-	"github.com/bambooyard/bambooyard/place"
 	"github.com/bambooyard/bambooyard/shard"
 )
 
-// place carries out the planner's plan.
-func (o *owner) place(now time.Time) {
-	plan := o.planner.Plan(o.planInput(now))
-	for _, r := range plan.Rejections {
-		o.record(shard.Record{Event: charts.TaskReject, Task: shard.TaskID(r.Task), Reason: r.Reason})
-	}
-	for _, e := range plan.Evictions {
-		o.record(shard.Record{Event: charts.TaskEvict, Task: shard.TaskID(e.Task), Reason: e.Reason})
-	}
-	for _, s := range plan.Starts {
-		o.start(now, shard.TaskID(s.Task), s.Machine)
-	}
+// transaction is one write of a shard with what follows from its success. It
+// is tried again unchanged until its outcome is known, so that it takes effect
+// once even when replies are lost.
+type transaction struct {
+	txn     platform.Txn
+	head    shard.Head
+	records []shard.Record
+	orders  []platform.StartOrder
+	release bool
+	delete  string // object that nothing refers to after the transaction
+	// expires and generation are what the owner row was known to be before.
+	expires    time.Time
+	generation int
+	busy       bool
+	retryAt    time.Time
 }
 
-func (o *owner) planInput(now time.Time) place.Input {
-	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines()}
-	for id, t := range o.state.Tasks {
-		d := place.Demand{
-			Task: string(id), Resources: t.Spec.Resources, DeadlineUnixMS: t.Spec.DeadlineUnixMS, Urgent: t.Spec.Urgent,
-		}
-		switch t.State {
-		case charts.TaskPending:
-			in.Pending = append(in.Pending, d)
-		case charts.TaskRunning:
-			in.Running = append(in.Running, place.Running{Demand: d, Machine: t.VM, StartedUnixMS: t.StartByUnixMS})
+// LostError reports a shard whose head row another owner has written.
+type LostError struct{ Shard string }
+
+// Error implements error.
+func (e *LostError) Error() string { return fmt.Sprintf("shard %q has another owner", e.Shard) }
+
+// flush writes the records in one transaction that checks the epoch by the
+// version of the head row, or tries the last one again.
+func (o *owner) flush(now time.Time) {
+	if o.pending != nil {
+		if !o.pending.busy && !now.Before(o.pending.retryAt) {
+			o.commitPending()
 		}
+		return
 	}
-	return in
-}
-
-func (o *owner) machines() []place.Machine {
-	machines := make([]place.Machine, 0, len(o.vms))
-	for name, vm := range o.vms {
-		free := vm.Usable().Sub(o.state.Committed[name])
-		machines = append(machines, place.Machine{Name: name, Free: free, Draining: vm.Draining})
-	}
-	sort.Slice(machines, func(i, j int) bool { return machines[i].Name < machines[j].Name })
-	return machines
+	if !o.due(now) {
+		return
+	}
+	p, err := o.transaction()
+	if err != nil {
+		o.log.WithError(err).Error("flush")
+		return
+	}
+	o.flushedAt = now
+	o.pending = p
+	o.commitPending()
 }
 
-func (o *owner) start(now time.Time, id shard.TaskID, vm string) bool {
-	t := o.state.Tasks[id]
-	until := o.promise(now, vm)
-	startBy := now.Add(startWindow).UnixMilli()
-	ok := o.record(shard.Record{
-		Event: charts.TaskStart, Task: id, VM: vm, Attempt: t.Attempt + 1, StartByUnixMS: startBy,
-	})
-	if !ok {
+// due reports whether there is something to write and it is time for it. With
+// many shards each one waits longer, so that all together stay within the
+// budget of the table service; urgent work does not wait.
+func (o *owner) due(now time.Time) bool {
+	if !o.manager.keeper.live(now) {
 		return false
 	}
-	o.orders = append(o.orders, platform.StartOrder{
-		Shard:            o.name,
-		Epoch:            o.head.Epoch,
-		Task:             string(id),
-		Attempt:          t.Attempt,
-		StartByUnixMS:    startBy,
-		LeaseUntilUnixMS: until.UnixMilli(),
-		Resources:        t.Spec.Resources,
-		Checkpoint:       t.Checkpoint,
-		Payload:          t.Spec.Payload,
-	})
-	return true
-}
-
-type flushed struct {
-	head    head
-	version platform.Version
-	inbox   []platform.Row
+	if o.generation != o.manager.keeper.generation || o.releasing {
+		return true
+	}
+	if len(o.records) == 0 && len(o.taken) == 0 && o.compact.ready == nil {
+		return false
+	}
+	interval := max(flushInterval, time.Duration(len(o.manager.owners))*time.Second/flushesBudget)
+	return now.Sub(o.flushedAt) >= interval || o.urgent()
 }
 
-// flush writes the records in one transaction that checks the epoch by the
-// version of the head row, then reads the inbox.
-func (o *owner) flush(now time.Time) {
-	o.busy = true
-	records, orders, taken := o.records, o.orders, o.taken
-	o.records, o.orders, o.taken = nil, nil, nil
-	next := o.head
-	next.ExpiresUnixMS = now.Add(o.opts.OwnerTTL).UnixMilli()
-	needed := len(records) > 0 || len(taken) > 0 || o.head.ExpiresUnixMS-now.UnixMilli() < o.opts.OwnerTTL.Milliseconds()/2
-	version := o.version
-	control.Async(o.opts.Loop, func(ctx context.Context) (flushed, error) {
-		return o.write(ctx, next, version, records, taken, needed)
-	}, func(f flushed, err error) {
-		o.busy = false
-		if err != nil {
-			o.flushFailed(err)
-			return
+func (o *owner) urgent() bool {
+	for _, r := range o.records {
+		if t := o.state.Tasks[r.Task]; r.Event == charts.TaskEvict || t != nil && t.Spec.Urgent {
+			return true
 		}
-		if needed {
-			o.head, o.version = f.head, f.version
-		}
-		for _, order := range orders {
-			o.send(order)
-		}
-		o.accept(f.inbox)
-	})
+	}
+	return false
 }
 
-func (o *owner) write(ctx context.Context, next head, version platform.Version, records []shard.Record, taken []string, needed bool) (flushed, error) {
-	if needed {
-		txn, err := o.transaction(&next, version, records, taken)
-		if err != nil {
-			return flushed{}, err
-		}
-		version, err = o.commit(ctx, txn)
+// transaction takes the waiting records into a transaction.
+func (o *owner) transaction() (*transaction, error) {
+	p := &transaction{
+		head:       o.head,
+		records:    o.records,
+		orders:     o.orders,
+		release:    o.releasing && len(o.orders) == 0,
+		expires:    o.manager.keeper.expires,
+		generation: o.manager.keeper.generation,
+	}
+	p.txn.Checks = []platform.Check{{Key: platform.ShardHeadKey(o.name), Version: o.version}}
+	p.txn.Deletes = o.taken
+	p.txn.Puts = o.puts
+	if len(p.records) > 0 {
+		p.head.Sequence++
+		value, err := json.Marshal(p.records)
 		if err != nil {
-			return flushed{}, err
+			return nil, err
 		}
+		p.txn.Puts = append(p.txn.Puts, platform.Put{Key: platform.ShardLogKey(o.name, p.head.Sequence), Value: value})
 	}
-	inbox, err := o.opts.Table.Scan(ctx, platform.InboxPrefix(o.name), "", maxInbox)
+	o.compactInto(p)
+	if p.release {
+		p.head.Owner = ""
+		p.head.LeasesUntilUnixMS = o.leases.Latest().UnixMilli()
+	}
+	value, err := json.Marshal(p.head)
 	if err != nil {
-		inbox = nil // the next flush reads it again
+		return nil, err
 	}
-	return flushed{head: next, version: version, inbox: inbox}, nil
+	p.txn.Puts = append(p.txn.Puts, platform.Put{Key: platform.ShardHeadKey(o.name), Value: value})
+	o.records, o.orders, o.puts, o.taken = nil, nil, nil, nil
+	return p, nil
 }
 
-func (o *owner) transaction(next *head, version platform.Version, records []shard.Record, taken []string) (platform.Txn, error) {
-	txn := platform.Txn{
-		Checks:  []platform.Check{{Key: platform.ShardHeadKey(o.name), Version: version}},
-		Deletes: taken,
-	}
-	if len(records) > 0 {
-		next.Sequence++
-		value, err := json.Marshal(records)
-		if err != nil {
-			return txn, err
+func (o *owner) commitPending() {
+	p, epoch := o.pending, o.head.Epoch
+	p.busy = true
+	control.Async(o.opts.Loop, func(ctx context.Context) (platform.Version, error) {
+		return o.commit(ctx, p.txn)
+	}, func(version platform.Version, err error) {
+		if !o.owning() || o.head.Epoch != epoch || o.pending != p {
+			return
 		}
-		txn.Puts = append(txn.Puts, platform.Put{Key: platform.ShardLogKey(o.name, next.Sequence), Value: value})
-	}
-	value, err := json.Marshal(next)
-	txn.Puts = append(txn.Puts, platform.Put{Key: platform.ShardHeadKey(o.name), Value: value})
-	return txn, err
+		p.busy = false
+		o.settle(p, version, err)
+	})
 }
 
-// commit writes a transaction; when the reply is lost it reads the head row
-// back, since the write may have taken effect.
+// commit writes a transaction. Without a reply, and on a conflict, which an
+// earlier try of the same transaction may have caused, it reads the head back.
 func (o *owner) commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
 	version, err := o.opts.Table.Commit(ctx, txn)
-	var unavailable *platform.UnavailableError
-	if err == nil || !errors.As(err, &unavailable) {
-		return version, err
+	if err == nil {
+		return version, nil
 	}
 	rows, readErr := o.opts.Table.Get(ctx, platform.ShardHeadKey(o.name))
 	if readErr != nil {
@@ -165,41 +147,85 @@
 	if string(rows[0].Value) == string(txn.Puts[len(txn.Puts)-1].Value) {
 		return rows[0].Version, nil
 	}
+	if rows[0].Version != txn.Checks[0].Version {
+		return 0, &LostError{o.name}
+	}
 	return 0, err
 }
 
-// flushFailed gives the shard up. Its state is recovered from the log, which
-// holds the records if the write took effect after all.
-func (o *owner) flushFailed(err error) {
-	o.log.WithFields(log.Fields{"event": "shard_flush_failed"}).WithError(err).Warn("shard given up")
-	o.move(charts.ShardLose)
+// settle acts on the outcome of a transaction.
+func (o *owner) settle(p *transaction, version platform.Version, err error) {
+	var lost *LostError
+	switch {
+	case errors.As(err, &lost):
+		o.counters.conflicts.Inc(1)
+		o.log.WithField("event", "shard_lost").WithError(err).Warn("shard given up")
+		o.pending = nil
+		o.move(charts.ShardLose)
+		return
+	case err != nil:
+		o.counters.unanswered.Inc(1)
+		p.retryAt = o.opts.Now().Add(retryInterval)
+		o.log.WithField("event", "shard_flush_failed").WithError(err).Warn("tried again unchanged")
+		return
+	}
+	o.pending = nil
+	o.head, o.version = p.head, version
+	o.expires, o.generation = p.expires, p.generation
+	if p.generation == o.manager.keeper.generation {
+		o.expires = o.manager.keeper.expires
+	}
+	o.written(p)
+	if p.release {
+		o.counters.releases.Inc(1)
+		o.releasing = false
+		o.move(charts.ShardRelease)
+		return
+	}
+	o.act(p)
+}
+
+// written updates the books after a transaction took effect.
+func (o *owner) written(p *transaction) {
+	o.counters.flushes.Inc(1)
+	o.counters.records.Inc(int64(len(p.records)))
+	for _, put := range p.txn.Puts {
+		o.counters.bytes.Inc(int64(len(put.Value)))
+	}
+	for _, key := range p.txn.Deletes {
+		delete(o.taking, key)
+	}
+	o.unwritten = map[shard.TaskID]bool{}
+	for _, r := range o.records {
+		o.unwritten[r.Task] = true
+	}
+	o.deleteObject(p.delete)
 }
 
-// accept adds the tasks of jobs from the inbox.
-func (o *owner) accept(inbox []platform.Row) {
-	for _, row := range inbox {
-		var job Job
-		if err := json.Unmarshal(row.Value, &job); err != nil {
-			o.log.WithField("event", "inbox_unreadable").WithError(err).Error(row.Key)
-			continue
-		}
-		for _, spec := range job.specs() {
-			if _, ok := o.state.Tasks[spec.ID]; !ok {
-				o.record(shard.Record{Event: shard.RecordAccept, Task: spec.ID, Spec: &spec})
-			}
+// act carries out what the written records allow.
+func (o *owner) act(p *transaction) {
+	for _, order := range p.orders {
+		o.send(order)
+	}
+	for _, r := range p.records {
+		if r.Event == charts.TaskEvict || r.Event == charts.TaskCancel {
+			o.stop(r.Task)
 		}
-		o.taken = append(o.taken, row.Key)
 	}
+	o.snapshot()
 }
 
 // send gives a start order to its worker. An order that the worker refused
-// was not carried out; one without an answer is settled by the next report.
+// was not carried out; one without an answer is settled by a later report.
 func (o *owner) send(order platform.StartOrder) {
 	t := o.state.Tasks[shard.TaskID(order.Task)]
-	if t == nil || !t.Holds() || t.Attempt != order.Attempt {
+	if t == nil || t.State != charts.TaskRunning || t.Attempt != order.Attempt {
+		return
+	}
+	if o.opts.Now().UnixMilli() > order.StartByUnixMS {
 		return
 	}
-	worker := o.opts.Workers(o.vms[t.VM].WorkerAddress)
+	worker := o.worker(t.VM)
 	control.Async(o.opts.Loop, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, worker.Start(ctx, order)
 	}, func(_ struct{}, err error) {
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -6,18 +6,21 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/inventory"
 	"github.com/bambooyard/bambooyard/membership"
+	"github.com/bambooyard/bambooyard/shard"
 )
 
 // Options are the settings of a Manager.
 type Options struct {
 	Loop    control.Executor
 	Table   platform.Table
+	Objects platform.ObjectStore
 	Workers platform.Workers
 	Log     log.Interface
 	Now     func() time.Time
@@ -25,22 +28,77 @@
 	Self func() membership.Session
 	// Live returns the live sessions; it is called on the loop.
 	Live func(now time.Time) []membership.Session
+	// Metrics is where the counters are registered; nil keeps them private.
+	Metrics metrics.Registry
 	// LeaseTTL is how long a worker may run a task without renewal.
 	LeaseTTL time.Duration
 	// OwnerTTL is how long a shard's owner keeps it without renewal.
 	OwnerTTL time.Duration
+	// RenewalGrace is how long after that an owner which cannot reach the table
+	// service goes on renewing running tasks; zero is defaultRenewalGrace.
+	RenewalGrace time.Duration
+	// Retention is how long an ended job stays in its shard's record; zero is
+	// defaultRetention.
+	Retention time.Duration
+	// SnapshotRows is the number of log rows after which a shard's record is
+	// written as a snapshot; zero is defaultSnapshotRows.
+	SnapshotRows int64
+}
+
+// Defaults of the options.
+const (
+	defaultRenewalGrace = 2 * time.Minute
+	defaultRetention    = time.Hour
+	defaultSnapshotRows = 200
+)
+
+func (o Options) timing() shard.Timing {
+	return shard.Timing{
+		LeaseTTL:     o.LeaseTTL,
+		OwnerTTL:     o.OwnerTTL,
+		RenewalGrace: o.RenewalGrace,
+		ClockSkew:    clockSkew,
+		StartWindow:  startWindow,
+	}
 }
 
 // Manager runs the shards that this daemon owns. All methods run on the
 // control loop.
 type Manager struct {
-	opts   Options
-	owners map[string]*owner
+	opts     Options
+	timing   shard.Timing
+	counters counters
+	revision document.Revision
+	owners   map[string]*owner
+	keeper   *leaseKeeper
+	watch    watch
+	inbox    inbox
+	draining bool
+	// otherSince is since when another daemon should own a shard, by shard.
+	otherSince map[string]time.Time
+	handedOver time.Time
 }
 
 // NewManager returns a manager without shards.
 func NewManager(opts Options) *Manager {
-	return &Manager{opts: opts, owners: map[string]*owner{}}
+	if opts.RenewalGrace == 0 {
+		opts.RenewalGrace = defaultRenewalGrace
+	}
+	if opts.Retention == 0 {
+		opts.Retention = defaultRetention
+	}
+	if opts.SnapshotRows == 0 {
+		opts.SnapshotRows = defaultSnapshotRows
+	}
+	m := &Manager{
+		opts:       opts,
+		timing:     opts.timing(),
+		counters:   newCounters(opts.Metrics),
+		owners:     map[string]*owner{},
+		otherSince: map[string]time.Time{},
+	}
+	m.keeper = newLeaseKeeper(m)
+	return m
 }
 
 // ShardNames returns the names of the shards of an inventory: its racks that
@@ -58,40 +116,61 @@
 	return names
 }
 
-// Adopt takes the VMs of a newly adopted document.
-func (m *Manager) Adopt(_ document.Head, doc document.Document) {
+// Adopt takes the VMs of a newly adopted document. A shard whose VMs have all
+// left stays until its tasks have ended.
+func (m *Manager) Adopt(head document.Head, doc document.Document) {
+	if head.Revision < m.revision {
+		return
+	}
+	m.revision = head.Revision
 	byRack := map[string][]inventory.VM{}
 	for _, vm := range doc.Inventory.VMs {
 		byRack[vm.Rack] = append(byRack[vm.Rack], vm)
 	}
-	for name, vms := range byRack {
-		o, ok := m.owners[name]
-		if !ok {
-			o = newOwner(name, &m.opts)
-			m.owners[name] = o
+	for name := range byRack {
+		if _, ok := m.owners[name]; !ok {
+			m.owners[name] = newOwner(name, m)
 		}
-		o.setVMs(vms)
+	}
+	for name, o := range m.owners {
+		o.setVMs(byRack[name])
 	}
 }
 
 // Tick advances every shard.
 func (m *Manager) Tick(now time.Time) {
+	m.keeper.renew(now)
 	live := m.opts.Live(now)
-	self := m.opts.Self()
-	for name, o := range m.owners {
-		o.tick(now, candidate(name, live) == self.ID)
+	candidates := make(map[string]string, len(m.owners))
+	for name := range m.owners {
+		candidates[name] = candidate(name, live)
+	}
+	m.watchHeads(now, candidates)
+	m.scanInbox(now, len(live))
+	m.handOver(now, candidates)
+	for _, name := range m.names() {
+		m.owners[name].tick(now)
 	}
 }
 
+// names returns the names of the shards, sorted.
+func (m *Manager) names() []string {
+	names := make([]string, 0, len(m.owners))
+	for name := range m.owners {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Owned returns the shards that this daemon owns, sorted.
 func (m *Manager) Owned() []string {
 	var names []string
-	for name, o := range m.owners {
-		if o.owning() {
+	for _, name := range m.names() {
+		if m.owners[name].owning() {
 			names = append(names, name)
 		}
 	}
-	sort.Strings(names)
 	return names
 }
 
@@ -99,7 +178,7 @@
 // whether it owns the shard. With cancel, the tasks are cancelled first.
 func (m *Manager) JobTasks(shardName, job string, cancel bool) ([]TaskStatus, bool) {
 	o, ok := m.owners[shardName]
-	if !ok || !o.owning() {
+	if !ok || !o.owning() || !m.opts.Now().Before(o.expires) {
 		return nil, false
 	}
 	if cancel {
--- /dev/null
+++ b/internal/batch/plan.go
@@ -0,0 +1,135 @@
+package batch
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/inventory"
+	"github.com/bambooyard/bambooyard/place"
+	"github.com/bambooyard/bambooyard/shard"
+)
+
+// plan carries out the planner's plan while the shard is surely this daemon's
+// and no earlier transaction is in doubt.
+func (o *owner) plan(now time.Time) {
+	if !o.confirmed(now) || o.releasing || o.pending != nil {
+		return
+	}
+	if !o.changed && now.Sub(o.plannedAt) < planInterval {
+		return
+	}
+	o.changed, o.plannedAt = false, now
+	o.forgetEnded(now)
+	o.evictExcess()
+	o.place(now)
+}
+
+// place carries out the planner's plan.
+func (o *owner) place(now time.Time) {
+	plan := o.planner.Plan(o.planInput(now))
+	for _, r := range plan.Rejections {
+		o.record(shard.Record{Event: charts.TaskReject, Task: shard.TaskID(r.Task), Reason: r.Reason})
+	}
+	for _, e := range plan.Evictions {
+		o.record(shard.Record{Event: charts.TaskEvict, Task: shard.TaskID(e.Task), Reason: e.Reason})
+	}
+	for _, s := range plan.Starts {
+		o.start(now, shard.TaskID(s.Task), s.Machine)
+	}
+}
+
+func (o *owner) planInput(now time.Time) place.Input {
+	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines()}
+	for _, id := range o.taskIDs() {
+		t := o.state.Tasks[id]
+		d := place.Demand{
+			Task: string(id), Resources: t.Spec.Resources, DeadlineUnixMS: t.Spec.DeadlineUnixMS, Urgent: t.Spec.Urgent,
+		}
+		switch t.State {
+		case charts.TaskPending:
+			in.Pending = append(in.Pending, d)
+		case charts.TaskRunning:
+			in.Running = append(in.Running, place.Running{Demand: d, Machine: t.VM, StartedUnixMS: t.StartByUnixMS})
+		}
+	}
+	return in
+}
+
+func (o *owner) machines() []place.Machine {
+	machines := make([]place.Machine, 0, len(o.vms))
+	for name, vm := range o.vms {
+		free := vm.Usable().Sub(o.state.Committed[name])
+		machines = append(machines, place.Machine{Name: name, Free: free, Draining: vm.Draining || o.silent[name]})
+	}
+	sort.Slice(machines, func(i, j int) bool { return machines[i].Name < machines[j].Name })
+	return machines
+}
+
+// start records a start and queues its order. The commitment is checked here
+// once more, whatever the planner says.
+func (o *owner) start(now time.Time, id shard.TaskID, vm string) bool {
+	t, v := o.state.Tasks[id], o.vms[vm]
+	if t == nil || !o.state.Committed[vm].Add(t.Spec.Resources).Fits(v.Usable()) {
+		o.log.WithField("event", "start_refused").WithField("task", id).Warn("does not fit VM " + vm)
+		return false
+	}
+	startBy := now.Add(startWindow).UnixMilli()
+	ok := o.record(shard.Record{
+		Event: charts.TaskStart, Task: id, VM: vm, Worker: v.WorkerAddress, Attempt: t.Attempt + 1, StartByUnixMS: startBy,
+	})
+	if !ok {
+		return false
+	}
+	o.orders = append(o.orders, platform.StartOrder{
+		Shard:            o.name,
+		Epoch:            o.head.Epoch,
+		Task:             string(id),
+		Attempt:          t.Attempt,
+		StartByUnixMS:    startBy,
+		LeaseUntilUnixMS: o.leases.Promise(vm, now).UnixMilli(),
+		Resources:        t.Spec.Resources,
+		Checkpoint:       t.Checkpoint,
+		Payload:          t.Spec.Payload,
+	})
+	return true
+}
+
+// evictExcess evicts tasks from VMs that were shrunk below what they have been
+// committed to, or that have left the inventory: the latest deadlines first.
+func (o *owner) evictExcess() {
+	for _, vm := range slices.Sorted(maps.Keys(o.state.Committed)) {
+		if o.state.Excess(vm, o.vms[vm].Usable()) == (inventory.Resources{}) {
+			continue
+		}
+		o.evictFrom(vm)
+	}
+}
+
+func (o *owner) evictFrom(vm string) {
+	var running []*shard.Task
+	excess := o.state.Excess(vm, o.vms[vm].Usable())
+	for _, id := range o.taskIDs() {
+		t := o.state.Tasks[id]
+		switch {
+		case t.VM != vm:
+		case t.State == charts.TaskRunning:
+			running = append(running, t)
+		default: // is being stopped already
+			excess = excess.Sub(t.Spec.Resources)
+		}
+	}
+	sort.SliceStable(running, func(i, j int) bool {
+		return running[i].Spec.DeadlineUnixMS > running[j].Spec.DeadlineUnixMS
+	})
+	for _, t := range running {
+		if excess.Fits(inventory.Resources{}) {
+			return
+		}
+		excess = excess.Sub(t.Spec.Resources)
+		o.record(shard.Record{Event: charts.TaskEvict, Task: t.Spec.ID, Reason: "VM " + vm + " was shrunk or removed"})
+	}
+}
--- /dev/null
+++ b/internal/batch/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package batch
+
+const raceDetector = true
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -74,7 +74,7 @@
 		Loop: loop, Table: client, Objects: client.Objects(), Log: logger, Adopted: c.adopted,
 	})
 	c.batch = batch.NewManager(batch.Options{
-		Loop: loop, Table: client, Workers: workers, Log: logger, Now: time.Now,
+		Loop: loop, Table: client, Objects: client.Objects(), Workers: workers, Log: logger, Now: time.Now,
 		Self: c.keeper.Self, Live: c.keeper.Live,
 		LeaseTTL: s.LeaseTTL, OwnerTTL: s.SessionTTL,
 	})
@@ -164,6 +164,7 @@
 func (c *controller) drain() {
 	c.move(charts.DaemonStop)
 	c.keeper.SetLeaving()
+	c.batch.Drain()
 	c.publish(time.Now())
 }
 
--- a/internal/fake/clock.go
+++ b/internal/fake/clock.go
@@ -81,6 +81,7 @@
 	clock *Clock
 	// MaxDelay bounds the time that a call takes in each direction.
 	maxDelay time.Duration
+	skew     time.Duration
 	dead     bool
 	frozen   bool
 	held     []func()
@@ -92,6 +93,12 @@
 	return &Executor{clock: clock, maxDelay: maxDelay}
 }
 
+// SetSkew sets how far the daemon's clock is ahead.
+func (x *Executor) SetSkew(d time.Duration) { x.skew = d }
+
+// Now returns the time by the daemon's clock.
+func (x *Executor) Now() time.Time { return x.clock.now.Add(x.skew) }
+
 // Kill ends the daemon: nothing runs any more, but calls that have left it
 // still take effect.
 func (x *Executor) Kill() { x.dead = true }
@@ -140,7 +147,7 @@
 		}
 		if !pending {
 			pending = true
-			x.run(func() { pending = false; fn(x.clock.now) })
+			x.run(func() { pending = false; fn(x.Now()) })
 		}
 		x.clock.After(interval, tick)
 	}
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -36,6 +36,8 @@
 	vms     map[string]platform.VMState
 	faults  Faults
 	counts  OperationCounts
+	// observe is called with every transaction that takes effect.
+	observe func(platform.Txn)
 }
 
 // OperationCounts counts what a stand-in platform was asked for.
@@ -66,6 +68,14 @@
 	p.faults = f
 }
 
+// Observe has fn called with every transaction that takes effect, in order.
+// The function must not call the platform.
+func (p *Platform) Observe(fn func(platform.Txn)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.observe = fn
+}
+
 // Counts returns what the platform was asked for so far.
 func (p *Platform) Counts() OperationCounts {
 	p.mu.Lock()
@@ -162,6 +172,9 @@
 		return 0, &platform.ConflictError{Keys: conflicts}
 	}
 	p.apply(txn)
+	if p.observe != nil {
+		p.observe(txn)
+	}
 	if p.faults.LoseReplies > 0 {
 		p.faults.LoseReplies--
 		return 0, &platform.UnavailableError{Op: "commit", Verdict: verdict.MayHaveRun, Err: errLostReply}
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -25,6 +25,8 @@
 	leases map[string]*lease
 	starts map[string]int // starts so far, by task
 	breach []string
+	// started is called after an order has started a task.
+	started func(platform.StartOrder)
 }
 
 type lease struct {
@@ -48,6 +50,21 @@
 	}
 }
 
+// Observe has fn called after every order that starts a task.
+func (w *Worker) Observe(fn func(platform.StartOrder)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started = fn
+}
+
+// Restart loses all that the worker knows, as when its VM is replaced.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.epochs = map[string]int64{}
+	w.leases = map[string]*lease{}
+}
+
 // Breaches returns what the worker saw that must never happen, such as orders
 // beyond its capacity.
 func (w *Worker) Breaches() []string {
@@ -84,19 +101,28 @@
 
 // Start implements platform.Worker.
 func (w *Worker) Start(_ context.Context, o platform.StartOrder) error {
+	started, err := w.start(o)
+	if started != nil {
+		started(o)
+	}
+	return err
+}
+
+// start returns the observer when the order has started the task.
+func (w *Worker) start(o platform.StartOrder) (func(platform.StartOrder), error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	now := w.now()
 	if err := w.fence(o.Shard, o.Epoch); err != nil {
-		return err
+		return nil, err
 	}
 	if now.UnixMilli() > o.StartByUnixMS {
-		return &platform.RefusedError{Reason: fmt.Sprintf("order for task %q came after its start_by", o.Task)}
+		return nil, &platform.RefusedError{Reason: fmt.Sprintf("order for task %q came after its start_by", o.Task)}
 	}
 	key := leaseKey(o.Task, o.Attempt)
 	if _, ok := w.leases[key]; ok {
-		return nil // a repeated order
+		return nil, nil // a repeated order
 	}
 	l := &lease{
 		Lease: platform.Lease{
@@ -113,7 +139,7 @@
 	w.leases[key] = l
 	w.starts[o.Task]++
 	w.checkCapacity()
-	return nil
+	return w.started, nil
 }
 
 func (l *lease) behave(payload string, now time.Time) {
--- /dev/null
+++ b/shard/ownership.go
@@ -0,0 +1,139 @@
+package shard
+
+import (
+	"fmt"
+	"time"
+)
+
+// Head is the row that names a shard's owner. Every write of the shard checks
+// the row's version, so that a former owner's write fails.
+type Head struct {
+	// Owner is the owner's identity, or empty after a release.
+	Owner string `json:"owner,omitempty"`
+	// Epoch rises with every change of owner.
+	Epoch int64 `json:"epoch"`
+	// Sequence is the number of the last log row.
+	Sequence int64 `json:"sequence"`
+	// LeasesUntilUnixMS bounds the ends of the leases that owners of earlier
+	// epochs, or the owner that released the shard, can have promised.
+	LeasesUntilUnixMS int64 `json:"leases_until_unix_ms,omitempty"`
+	// Snapshot is the latest snapshot and Previous the one before, or zero.
+	Snapshot SnapshotRef `json:"snapshot"`
+	Previous SnapshotRef `json:"previous"`
+	// Trimmed is the number of the last log row that has been deleted.
+	Trimmed int64 `json:"trimmed,omitempty"`
+}
+
+// OwnerLease is the row by which a daemon keeps all the shards that it owns.
+type OwnerLease struct {
+	Owner string `json:"owner"`
+	// ExpiresUnixMS is when others may take the shards, in milliseconds since 1970 UTC.
+	ExpiresUnixMS int64 `json:"expires_unix_ms"`
+}
+
+// Expires returns when others may take the owner's shards.
+func (l OwnerLease) Expires() time.Time { return time.UnixMilli(l.ExpiresUnixMS) }
+
+// Timing holds the durations that ownership and leases are judged by.
+type Timing struct {
+	// LeaseTTL is how long a worker may run a task without renewal.
+	LeaseTTL time.Duration
+	// OwnerTTL is how long an owner keeps its shards without renewal.
+	OwnerTTL time.Duration
+	// RenewalGrace is how long after the expiry of its row an owner that cannot
+	// reach the table service may go on renewing the leases of running tasks.
+	RenewalGrace time.Duration
+	// ClockSkew is the greatest difference between two VMs' clocks.
+	ClockSkew time.Duration
+	// StartWindow is the time from a decision to the last moment of the start.
+	StartWindow time.Duration
+}
+
+// OwnedError reports a shard whose owner's time has not run out.
+type OwnedError struct {
+	Owner string
+	Until time.Time
+}
+
+// Error implements error.
+func (e *OwnedError) Error() string {
+	return fmt.Sprintf("shard is owned by %q until %s", e.Owner, e.Until.UTC().Format(time.RFC3339Nano))
+}
+
+// LeaseBound returns the latest end of a lease that an owner whose row expires
+// at the given time can have promised.
+func (t Timing) LeaseBound(expires time.Time) time.Time {
+	return expires.Add(t.RenewalGrace).Add(t.LeaseTTL)
+}
+
+// TakeOver returns the head row with which self takes a shard at now, or an
+// *OwnedError. The row of the present owner is given as read; it is zero when
+// it does not exist, which it does only long after its expiry.
+func (t Timing) TakeOver(old Head, lease OwnerLease, self string, now time.Time) (Head, error) {
+	until := lease.Expires().Add(t.ClockSkew)
+	if old.Owner != "" && old.Owner != self && now.Before(until) {
+		return Head{}, &OwnedError{Owner: old.Owner, Until: until}
+	}
+	next := old
+	next.Owner = self
+	next.Epoch++
+	if old.Owner != "" && lease.ExpiresUnixMS != 0 {
+		next.LeasesUntilUnixMS = max(next.LeasesUntilUnixMS, t.LeaseBound(lease.Expires()).UnixMilli())
+	}
+	return next, nil
+}
+
+// MayRenew reports whether an owner may renew the leases of running tasks at
+// now, its row being known to last until expires.
+func (t Timing) MayRenew(expires, now time.Time) bool {
+	return now.Before(expires.Add(t.RenewalGrace))
+}
+
+// Over reports whether a worker's clock has surely passed the time at, given
+// the time now on another VM.
+func (t Timing) Over(at, now time.Time) bool { return now.After(at.Add(t.ClockSkew)) }
+
+// Leases knows the latest lease end that has been promised to each VM. The
+// zero value is not usable; see NewLeases.
+type Leases struct {
+	timing Timing
+	until  map[string]time.Time
+	floor  time.Time
+}
+
+// NewLeases returns the promises of a new owner. Earlier owners can have
+// promised any VM a lease that ends at floor.
+func NewLeases(timing Timing, floor time.Time) *Leases {
+	return &Leases{timing: timing, until: map[string]time.Time{}, floor: floor}
+}
+
+// Promise extends the leases of a VM from now and returns their new end.
+func (l *Leases) Promise(vm string, now time.Time) time.Time {
+	end := now.Add(l.timing.LeaseTTL)
+	if end.After(l.until[vm]) {
+		l.until[vm] = end
+	}
+	return end
+}
+
+// Until returns the latest end of a lease on the VM.
+func (l *Leases) Until(vm string) time.Time {
+	if l.until[vm].After(l.floor) {
+		return l.until[vm]
+	}
+	return l.floor
+}
+
+// Lapsed reports whether every lease on the VM has surely ended at its worker.
+func (l *Leases) Lapsed(vm string, now time.Time) bool { return l.timing.Over(l.Until(vm), now) }
+
+// Latest returns the latest end of a lease on any VM.
+func (l *Leases) Latest() time.Time {
+	latest := l.floor
+	for _, t := range l.until {
+		if t.After(latest) {
+			latest = t
+		}
+	}
+	return latest
+}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -46,6 +46,8 @@
 	// VM and Attempt are set on a start.
 	VM      string `json:"vm,omitempty"`
 	Attempt int    `json:"attempt,omitempty"`
+	// Worker is the address of the VM's worker, set on a start.
+	Worker string `json:"worker,omitempty"`
 	// StartByUnixMS is set on a start: a worker refuses the order after it.
 	StartByUnixMS int64 `json:"start_by_unix_ms,omitempty"`
 	// Checkpoint is set when a stopped task left one.
@@ -54,8 +56,13 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// RecordAccept is the event of a record that adds a task.
-const RecordAccept chart.Event = "accept"
+// Events of records that are not in the task chart.
+const (
+	// RecordAccept adds a task.
+	RecordAccept chart.Event = "accept"
+	// RecordForget removes a task that has ended.
+	RecordForget chart.Event = "forget"
+)
 
 // Task is a task in the shard's record.
 type Task struct {
@@ -63,6 +70,8 @@
 	State   chart.State `json:"state"`
 	VM      string      `json:"vm,omitempty"`
 	Attempt int         `json:"attempt,omitempty"`
+	// Worker is the address at which the attempt was started.
+	Worker string `json:"worker,omitempty"`
 	// StartByUnixMS is the time past which the attempt cannot start any more.
 	StartByUnixMS int64 `json:"start_by_unix_ms,omitempty"`
 	// Checkpoint is what the next attempt resumes from, or empty.
@@ -107,6 +116,9 @@
 	if !ok {
 		return &RecordError{r, "task does not exist in the shard"}
 	}
+	if r.Event == RecordForget {
+		return s.forget(t, r)
+	}
 	next, err := charts.Task.Next(t.State, r.Event)
 	if err != nil {
 		return &RecordError{r, err.Error()}
@@ -137,11 +149,20 @@
 	return nil
 }
 
+func (s *State) forget(t *Task, r Record) error {
+	if !charts.Task.IsFinal(t.State) {
+		return &RecordError{r, fmt.Sprintf("task is %q and has not ended", t.State)}
+	}
+	delete(s.Tasks, r.Task)
+	return nil
+}
+
 func (s *State) start(t *Task, r Record, next chart.State) error {
 	if r.Attempt != t.Attempt+1 {
 		return &RecordError{r, fmt.Sprintf("attempt %d does not follow attempt %d", r.Attempt, t.Attempt)}
 	}
-	t.State, t.VM, t.Attempt, t.StartByUnixMS = next, r.VM, r.Attempt, r.StartByUnixMS
+	t.State, t.VM, t.Worker = next, r.VM, r.Worker
+	t.Attempt, t.StartByUnixMS = r.Attempt, r.StartByUnixMS
 	s.Committed[r.VM] = s.Committed[r.VM].Add(t.Spec.Resources)
 	return nil
 }
@@ -153,5 +174,5 @@
 	} else {
 		s.Committed[t.VM] = left
 	}
-	t.VM = ""
+	t.VM, t.Worker = "", ""
 }
