--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -134,6 +134,7 @@
 	}
 	for name, o := range m.owners {
 		o.setVMs(byRack[name])
+		o.site = newSite(name, doc)
 	}
 }
 
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -35,6 +35,7 @@
 	log      log.Interface
 	phase    chart.State
 	vms      map[string]inventory.VM
+	site     site
 
 	// busy is set while the shard is being taken or its state recovered.
 	busy      bool
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
@@ -54,7 +55,7 @@
 	lastPeer time.Time
 }
 
-func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher) *controller {
+func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, registry metrics.Registry) *controller {
 	c := &controller{
 		settings:  s,
 		loop:      loop,
@@ -74,7 +75,7 @@
 		Loop: loop, Table: client, Objects: client.Objects(), Log: logger, Adopted: c.adopted,
 	})
 	c.batch = batch.NewManager(batch.Options{
-		Loop: loop, Table: client, Objects: client.Objects(), Workers: workers, Log: logger, Now: time.Now,
+		Loop: loop, Table: client, Objects: client.Objects(), Metrics: registry, Workers: workers, Log: logger, Now: time.Now,
 		Self: c.keeper.Self, Live: c.keeper.Live,
 		LeaseTTL: s.LeaseTTL, OwnerTTL: s.SessionTTL,
 	})
