--- a/internal/batch/exchange.go
+++ b/internal/batch/exchange.go
@@ -141,6 +141,7 @@
 	for _, l := range r.Leases {
 		known[l.LeaseRef] = true
 		if l.State == platform.LeaseRunning {
+			o.observeUsage(l, r.MeasuredUnixMS)
 			o.stopIfUnwanted(vm, l)
 			continue
 		}
@@ -221,14 +222,12 @@
 
 func (o *owner) taskEnded(t *shard.Task, l platform.Lease) {
 	r := shard.Record{Task: t.Spec.ID, Checkpoint: l.Checkpoint, Reason: l.Reason}
+	o.observeEnd(t, l)
 	switch l.State {
 	case platform.LeaseFinished:
 		r.Event = charts.TaskFinish
 	case platform.LeaseFailed:
-		r.Event = charts.TaskFail
-		if t.State != charts.TaskRunning {
-			r.Event = charts.TaskStopped
-		}
+		r.Event = o.failure(t)
 	case platform.LeaseStopped:
 		r.Event = charts.TaskStopped
 		if t.State == charts.TaskRunning {
--- a/internal/batch/flush.go
+++ b/internal/batch/flush.go
@@ -110,6 +110,7 @@
 		p.head.Owner = ""
 		p.head.LeasesUntilUnixMS = o.leases.Latest().UnixMilli()
 	}
+	p.head.Load = o.load()
 	value, err := json.Marshal(p.head)
 	if err != nil {
 		return nil, err
@@ -229,8 +230,14 @@
 	control.Async(o.opts.Loop, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, worker.Start(ctx, order)
 	}, func(_ struct{}, err error) {
+		if !o.owning() || o.head.Epoch != order.Epoch {
+			return
+		}
+		if err == nil && o.throttled[t.Spec.ID] > 0 {
+			o.throttle(t.Spec.ID)
+		}
 		var refused *platform.RefusedError
-		if !errors.As(err, &refused) || !o.owning() || o.head.Epoch != order.Epoch {
+		if !errors.As(err, &refused) {
 			return
 		}
 		if t.Holds() && t.Attempt == order.Attempt {
--- a/internal/batch/histories_test.go
+++ b/internal/batch/histories_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/inventory"
 )
 
@@ -83,7 +84,8 @@
 	{"cancellations", func(w *world, f fault) {
 		for i, job := range w.jobs {
 			if (f.pick>>i)&1 == 1 {
-				_ = RequestCancel(context.Background(), w.platform, job)
+				row, _ := cancelRow(job)
+				_, _ = w.platform.Commit(context.Background(), platform.Txn{Puts: []platform.Put{row}})
 			}
 		}
 	}, none},
--- a/internal/batch/inbox.go
+++ b/internal/batch/inbox.go
@@ -18,7 +18,6 @@
 	inboxReads     = 400  // scans a second of all daemons together
 	maxInboxRows   = 1000 // rows read in one scan
 	maxRecords     = 2000 // waiting records beyond which no more jobs are taken
-	cancelSuffix   = "\x00cancel"
 	cancelledByJob = "cancelled by the caller"
 )
 
@@ -30,25 +29,6 @@
 	after string // the last key of a full scan, from which the next goes on
 }
 
-// message is a row of the inbox: a job, or the ID of a job to be cancelled.
-type message struct {
-	Job
-	CancelJob string `json:"cancel_job,omitempty"`
-}
-
-// RequestCancel asks the owner of the job's shard to cancel its tasks. Once it
-// returns nil the request is kept until it is carried out. It runs on any
-// goroutine.
-func RequestCancel(ctx context.Context, table platform.Table, job Job) error {
-	value, err := json.Marshal(message{CancelJob: job.ID()})
-	if err != nil {
-		return err
-	}
-	key := platform.InboxKey(job.Shard, job.Member, job.Key) + cancelSuffix
-	_, err = table.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: value}}})
-	return err
-}
-
 func (m *Manager) scanInbox(now time.Time, daemons int) {
 	interval := max(inboxInterval, time.Duration(daemons)*time.Second/inboxReads)
 	if m.inbox.busy || now.Sub(m.inbox.last) < interval || len(m.Owned()) == 0 {
--- a/internal/batch/input.go
+++ b/internal/batch/input.go
@@ -45,13 +45,17 @@
 		t := o.state.Tasks[id]
 		switch {
 		case t.State == charts.TaskPending:
-			in.Pending = append(in.Pending, demand(t))
+			d := demand(t)
+			d.FailedOn = o.failedOn(t)
+			in.Pending = append(in.Pending, d)
 		case t.Holds():
 			in.Running = append(in.Running, place.Running{
 				Demand:        demand(t),
 				Machine:       t.VM,
 				StartedUnixMS: t.StartByUnixMS - startWindow.Milliseconds(),
 				Stopping:      t.State != charts.TaskRunning,
+
+				ThrottlePerMille: o.throttled[id],
 			})
 		}
 	}
--- /dev/null
+++ b/internal/batch/outcome.go
@@ -0,0 +1,106 @@
+package batch
+
+import (
+	"context"
+	"slices"
+
+	"github.com/bambooyard/bambooyard/chart"
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/place"
+	"github.com/bambooyard/bambooyard/shard"
+)
+
+// maxFailures is on how many VMs a task fails before the fault is its own.
+const maxFailures = 3
+
+// failure returns the event of a failed attempt. A task is tried on other VMs
+// first, since the fault may be the worker's.
+func (o *owner) failure(t *shard.Task) chart.Event {
+	if t.State != charts.TaskRunning {
+		return charts.TaskStopped
+	}
+	failed := len(t.FailedOn)
+	if !slices.Contains(t.FailedOn, t.VM) {
+		failed++
+	}
+	if failed >= min(maxFailures, len(o.vms)) {
+		return charts.TaskFail
+	}
+	return charts.TaskRetry
+}
+
+// failedOn returns the VMs that a task should not be tried on again, or nil
+// when it has failed on all.
+func (o *owner) failedOn(t *shard.Task) []string {
+	for name, vm := range o.vms {
+		if !vm.Draining && !slices.Contains(t.FailedOn, name) {
+			return t.FailedOn
+		}
+	}
+	return nil
+}
+
+var outcomes = map[platform.LeaseState]place.Outcome{
+	platform.LeaseFinished: place.Finished,
+	platform.LeaseFailed:   place.Failed,
+	platform.LeaseStopped:  place.Stopped,
+	platform.LeaseLapsed:   place.Stopped,
+}
+
+// observeEnd lets the planner learn from the end of an attempt.
+func (o *owner) observeEnd(t *shard.Task, l platform.Lease) {
+	delete(o.throttled, t.Spec.ID)
+	o.planner.ObserveEnd(place.TaskEnd{
+		Task:              string(t.Spec.ID),
+		Member:            t.Spec.Member,
+		Kind:              t.Spec.Kind,
+		Machine:           t.VM,
+		Outcome:           outcomes[l.State],
+		DeclaredRunTimeMS: t.Spec.RunTimeMS,
+		RanMS:             l.RanMS,
+		EndedUnixMS:       o.opts.Now().UnixMilli(),
+	})
+}
+
+// observeUsage lets the planner learn from a lagging measurement.
+func (o *owner) observeUsage(l platform.Lease, measuredUnixMS int64) {
+	t, ok := o.state.Tasks[shard.TaskID(l.Task)]
+	if !ok || t.Attempt != l.Attempt {
+		return
+	}
+	o.planner.ObserveUsage(place.TaskUsage{
+		Task:           l.Task,
+		Member:         t.Spec.Member,
+		Kind:           t.Spec.Kind,
+		Declared:       t.Spec.Resources,
+		Used:           l.Usage,
+		MeasuredUnixMS: measuredUnixMS,
+	})
+}
+
+// throttle tells the worker of a running task its share of processors. An
+// order that gets lost is given again when the planner changes the share.
+func (o *owner) throttle(id shard.TaskID) {
+	t := o.state.Tasks[id]
+	if t == nil || !t.Holds() {
+		return
+	}
+	order := platform.ThrottleOrder{
+		Shard:    o.name,
+		Epoch:    o.head.Epoch,
+		Task:     string(id),
+		Attempt:  t.Attempt,
+		PerMille: o.throttled[id],
+	}
+	worker := o.worker(t.VM)
+	control.Async(o.opts.Loop, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, worker.Throttle(ctx, order)
+	}, func(_ struct{}, err error) {
+		if err != nil {
+			delete(o.throttled, id)
+			o.log.WithField("event", "throttle_failed").WithField("task", id).WithError(err).Warn("the planner decides again")
+		}
+	})
+}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -68,6 +68,7 @@
 	changed   bool // since the last plan
 	compact   compaction
 	endedAt   map[shard.TaskID]time.Time
+	throttled map[shard.TaskID]int // in thousandths, of running tasks
 
 	leases     *shard.Leases
 	exchanging map[string]bool
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -37,8 +37,30 @@
 		o.record(shard.Record{Event: charts.TaskEvict, Task: shard.TaskID(e.Task), Reason: e.Reason})
 	}
 	for _, s := range plan.Starts {
-		o.start(now, shard.TaskID(s.Task), s.Machine)
+		if o.start(now, shard.TaskID(s.Task), s.Machine) && s.ThrottlePerMille > 0 {
+			o.throttled[shard.TaskID(s.Task)] = s.ThrottlePerMille
+		}
+	}
+	for _, t := range plan.Throttles {
+		o.throttled[shard.TaskID(t.Task)] = t.PerMille
+		o.throttle(shard.TaskID(t.Task))
+	}
+}
+
+// load returns what the shard has free and what waits for it.
+func (o *owner) load() shard.Load {
+	var l shard.Load
+	for name, vm := range o.vms {
+		if !vm.Draining && !o.silent[name] {
+			l.FreeMilliProcessors += max(0, vm.Usable().Sub(o.state.Committed[name]).MilliProcessors)
+		}
+	}
+	for _, t := range o.state.Tasks {
+		if t.State == charts.TaskPending {
+			l.PendingMilliProcessors += t.Spec.Resources.MilliProcessors
+		}
 	}
+	return l
 }
 
 // start records a start and queues its order. The commitment is checked here
--- a/internal/batch/recover.go
+++ b/internal/batch/recover.go
@@ -162,6 +162,7 @@
 	o.taking = map[string]bool{}
 	o.unwritten = map[shard.TaskID]bool{}
 	o.compact = compaction{}
+	o.throttled = map[shard.TaskID]int{}
 	o.endedAt = map[shard.TaskID]time.Time{}
 	o.leases = shard.NewLeases(o.manager.timing, time.UnixMilli(o.head.LeasesUntilUnixMS))
 	o.exchanging = map[string]bool{}
--- a/shard/ownership.go
+++ b/shard/ownership.go
@@ -22,6 +22,15 @@
 	Previous SnapshotRef `json:"previous"`
 	// Trimmed is the number of the last log row that has been deleted.
 	Trimmed int64 `json:"trimmed,omitempty"`
+	// Load is what the shard had free and waiting at the last write. It lags.
+	Load Load `json:"load"`
+}
+
+// Load is what a shard has free and what waits for it, in thousandths of a
+// processor.
+type Load struct {
+	FreeMilliProcessors    int64 `json:"free_milli_processors"`
+	PendingMilliProcessors int64 `json:"pending_milli_processors"`
 }
 
 // OwnerLease is the row by which a daemon keeps all the shards that it owns.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
@@ -77,6 +78,8 @@
 	// Checkpoint is what the next attempt resumes from, or empty.
 	Checkpoint string `json:"checkpoint,omitempty"`
 	Reason     string `json:"reason,omitempty"`
+	// FailedOn lists the VMs on which the task has failed, each once.
+	FailedOn []string `json:"failed_on,omitempty"`
 }
 
 // Holds reports whether the task occupies its VM.
@@ -126,6 +129,9 @@
 	if r.Event == charts.TaskStart {
 		return s.start(t, r, next)
 	}
+	if r.Event == charts.TaskRetry && !slices.Contains(t.FailedOn, t.VM) {
+		t.FailedOn = append(t.FailedOn, t.VM)
+	}
 	held := t.Holds()
 	t.State = next
 	t.Reason = r.Reason
