Bound the attempts of a task that fails everywhere

Change: after six failures on any VMs the task has failed. Ruled out: failing at once, which blames a task for its worker.

--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -12,8 +12,11 @@
 	"github.com/bambooyard/bambooyard/shard"
 )
 
-// maxFailures is on how many VMs a task fails before the fault is its own.
-const maxFailures = 3
+// Failed attempts after which the fault is the task's own.
+const (
+	maxFailedVMs = 3 // on so many different VMs
+	maxFailures  = 6 // on any VMs
+)
 
 // failure returns the event of a failed attempt. A task is tried on other VMs
 // first, since the fault may be the worker's.
@@ -25,7 +28,7 @@
 	if !slices.Contains(t.FailedOn, t.VM) {
 		failed++
 	}
-	if failed >= min(maxFailures, len(o.vms)) {
+	if failed >= min(maxFailedVMs, len(o.vms)) || t.Failures+1 >= maxFailures {
 		return charts.TaskFail
 	}
 	return charts.TaskRetry
--- a/internal/batch/recovery_test.go
+++ b/internal/batch/recovery_test.go
@@ -16,10 +16,10 @@
 		Resources: inventory.Resources{MilliProcessors: 1000, MemoryMB: 100}}
 }
 
-// owner returns the daemon that owns a shard, or nil.
-func (w *world) owner(name string) *daemon {
+// owner returns the daemon that owns the only shard, or nil.
+func (w *world) owner() *daemon {
 	for _, d := range w.running() {
-		if _, owned := d.m.JobTasks(name, "", false); owned {
+		if _, owned := d.m.JobTasks("r0", "", false); owned {
 			return d
 		}
 	}
@@ -27,15 +27,15 @@
 }
 
 // runUntil advances the time until the condition holds and returns how long
-// that took, or limit.
-func (w *world) runUntil(limit time.Duration, holds func() bool) time.Duration {
-	for passed := time.Duration(0); passed < limit; passed += 10 * time.Millisecond {
+// that took, or a minute.
+func (w *world) runUntil(holds func() bool) time.Duration {
+	for passed := time.Duration(0); passed < time.Minute; passed += 10 * time.Millisecond {
 		if holds() {
 			return passed
 		}
 		w.clock.Run(10 * time.Millisecond)
 	}
-	return limit
+	return time.Minute
 }
 
 // A killed owner's shard starts tasks again within the session's expiry and 2 s.
@@ -47,13 +47,13 @@
 		for range 3 {
 			w.startDaemon()
 		}
-		w.runUntil(time.Minute, func() bool { return w.owner("r0") != nil })
+		w.runUntil(func() bool { return w.owner() != nil })
 		w.submit(testJob("k", 4, time.Second))
 		w.clock.Run(time.Duration(w.rand.Int64N(int64(4 * time.Second))))
-		w.kill(w.owner("r0"))
+		w.kill(w.owner())
 		w.submit(testJob("next", 1, time.Second))
 		began := len(w.check.attempts)
-		took := w.runUntil(time.Minute, func() bool { return len(w.check.attempts) > began })
+		took := w.runUntil(func() bool { return len(w.check.attempts) > began })
 		worst = max(worst, took)
 		is.True(took <= testSessionTTL+2*time.Second) // starts again in time
 		w.clock.Run(30 * time.Second)
@@ -69,13 +69,13 @@
 	w := newWorld(1, 1, 2)
 	w.startDaemon()
 	w.startDaemon()
-	w.runUntil(time.Minute, func() bool { return w.owner("r0") != nil })
+	w.runUntil(func() bool { return w.owner() != nil })
 	w.submit(testJob("k", 4, 20*time.Second))
 	w.clock.Run(3 * time.Second)
-	d := w.owner("r0")
+	d := w.owner()
 	d.leaving = true
 	d.x.Post(d.m.Drain)
-	took := w.runUntil(time.Minute, func() bool { return w.owner("r0") != nil })
+	took := w.runUntil(func() bool { return w.owner() != nil })
 	t.Logf("another daemon owned the shard after %v", took)
 	is.True(took <= time.Second)
 	is.Equal(len(d.m.Owned()), 0)
@@ -117,7 +117,7 @@
 		w := newWorld(1, 1, 1)
 		w.startDaemon()
 		w.startDaemon()
-		w.runUntil(time.Minute, func() bool { return w.owner("r0") != nil })
+		w.runUntil(func() bool { return w.owner() != nil })
 		w.submit(testJob("k", 1, 20*time.Second))
 		w.clock.Run(3 * time.Second)
 		w.submit(testJob("late", 1, time.Second))
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -80,6 +80,16 @@
 	Reason     string `json:"reason,omitempty"`
 	// FailedOn lists the VMs on which the task has failed, each once.
 	FailedOn []string `json:"failed_on,omitempty"`
+	// Failures counts the failed attempts that were followed by another.
+	Failures int `json:"failures,omitempty"`
+}
+
+// fail notes a failed attempt.
+func (t *Task) fail() {
+	t.Failures++
+	if !slices.Contains(t.FailedOn, t.VM) {
+		t.FailedOn = append(t.FailedOn, t.VM)
+	}
 }
 
 // Holds reports whether the task occupies its VM.
@@ -129,8 +139,8 @@
 	if r.Event == charts.TaskStart {
 		return s.start(t, r, next)
 	}
-	if r.Event == charts.TaskRetry && !slices.Contains(t.FailedOn, t.VM) {
-		t.FailedOn = append(t.FailedOn, t.VM)
+	if r.Event == charts.TaskRetry {
+		t.fail()
 	}
 	held := t.Holds()
 	t.State = next
