--- a/internal/batch/input.go
+++ b/internal/batch/input.go
@@ -41,16 +41,21 @@
 // planInput describes the shard to the planner.
 func (o *owner) planInput(now time.Time) place.Input {
 	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines(), Quotas: o.site.quotas}
-	for _, t := range o.state.Tasks {
+	for _, id := range o.taskIDs() {
+		t := o.state.Tasks[id]
 		switch {
 		case t.State == charts.TaskPending:
-			in.Pending = append(in.Pending, demand(t))
+			d := demand(t)
+			d.FailedOn = o.failedOn(t)
+			in.Pending = append(in.Pending, d)
 		case t.Holds():
 			in.Running = append(in.Running, place.Running{
 				Demand:        demand(t),
 				Machine:       t.VM,
 				StartedUnixMS: t.StartByUnixMS - startWindow.Milliseconds(),
 				Stopping:      t.State != charts.TaskRunning,
+
+				ThrottlePerMille: o.throttled[id],
 			})
 		}
 	}
@@ -81,7 +86,7 @@
 			Name:       name,
 			Free:       vm.Usable().Sub(o.state.Committed[name]),
 			Capacity:   vm.Usable(),
-			Draining:   vm.Draining,
+			Draining:   vm.Draining || o.silent[name],
 			Rack:       vm.Rack,
 			DataCentre: at.DataCentre,
 			Region:     at.Region,
--- /dev/null
+++ b/internal/batch/plan.go
@@ -0,0 +1,129 @@
+package batch
+
+import (
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/inventory"
+	"github.com/bambooyard/bambooyard/shard"
+)
+
+// plan carries out the planner's plan while the shard is surely this daemon's
+// and no earlier transaction is in doubt.
+func (o *owner) plan(now time.Time) {
+	if !o.confirmed(now) || o.releasing || o.pending != nil {
+		return
+	}
+	if !o.changed && now.Sub(o.plannedAt) < planInterval {
+		return
+	}
+	o.changed, o.plannedAt = false, now
+	o.forgetEnded(now)
+	o.evictExcess()
+	o.place(now)
+}
+
+// place carries out the planner's plan.
+func (o *owner) place(now time.Time) {
+	plan := o.planner.Plan(o.planInput(now))
+	for _, r := range plan.Rejections {
+		o.record(shard.Record{Event: charts.TaskReject, Task: shard.TaskID(r.Task), Reason: r.Reason})
+	}
+	for _, e := range plan.Evictions {
+		o.record(shard.Record{Event: charts.TaskEvict, Task: shard.TaskID(e.Task), Reason: e.Reason})
+	}
+	for _, s := range plan.Starts {
+		if o.start(now, shard.TaskID(s.Task), s.Machine) && s.ThrottlePerMille > 0 {
+			o.throttled[shard.TaskID(s.Task)] = s.ThrottlePerMille
+		}
+	}
+	for _, t := range plan.Throttles {
+		o.throttled[shard.TaskID(t.Task)] = t.PerMille
+		o.throttle(shard.TaskID(t.Task))
+	}
+}
+
+// load returns what the shard has free and what waits for it.
+func (o *owner) load() shard.Load {
+	var l shard.Load
+	for name, vm := range o.vms {
+		if !vm.Draining && !o.silent[name] {
+			l.FreeMilliProcessors += max(0, vm.Usable().Sub(o.state.Committed[name]).MilliProcessors)
+		}
+	}
+	for _, t := range o.state.Tasks {
+		if t.State == charts.TaskPending {
+			l.PendingMilliProcessors += t.Spec.Resources.MilliProcessors
+		}
+	}
+	return l
+}
+
+// start records a start and queues its order. The commitment is checked here
+// once more, whatever the planner says.
+func (o *owner) start(now time.Time, id shard.TaskID, vm string) bool {
+	t, v := o.state.Tasks[id], o.vms[vm]
+	if t == nil || !o.state.Committed[vm].Add(t.Spec.Resources).Fits(v.Usable()) {
+		o.log.WithField("event", "start_refused").WithField("task", id).Warn("does not fit VM " + vm)
+		return false
+	}
+	startBy := now.Add(startWindow).UnixMilli()
+	ok := o.record(shard.Record{
+		Event: charts.TaskStart, Task: id, VM: vm, Worker: v.WorkerAddress, Attempt: t.Attempt + 1, StartByUnixMS: startBy,
+	})
+	if !ok {
+		return false
+	}
+	o.orders = append(o.orders, platform.StartOrder{
+		Shard:            o.name,
+		Epoch:            o.head.Epoch,
+		Task:             string(id),
+		Attempt:          t.Attempt,
+		StartByUnixMS:    startBy,
+		LeaseUntilUnixMS: o.leases.Promise(vm, now).UnixMilli(),
+		Resources:        t.Spec.Resources,
+		Checkpoint:       t.Checkpoint,
+		Payload:          t.Spec.Payload,
+	})
+	return true
+}
+
+// evictExcess evicts tasks from VMs that were shrunk below what they have been
+// committed to, or that have left the inventory: the latest deadlines first.
+func (o *owner) evictExcess() {
+	for _, vm := range slices.Sorted(maps.Keys(o.state.Committed)) {
+		if o.state.Excess(vm, o.vms[vm].Usable()) == (inventory.Resources{}) {
+			continue
+		}
+		o.evictFrom(vm)
+	}
+}
+
+func (o *owner) evictFrom(vm string) {
+	var running []*shard.Task
+	excess := o.state.Excess(vm, o.vms[vm].Usable())
+	for _, id := range o.taskIDs() {
+		t := o.state.Tasks[id]
+		switch {
+		case t.VM != vm:
+		case t.State == charts.TaskRunning:
+			running = append(running, t)
+		default: // is being stopped already
+			excess = excess.Sub(t.Spec.Resources)
+		}
+	}
+	sort.SliceStable(running, func(i, j int) bool {
+		return running[i].Spec.DeadlineUnixMS > running[j].Spec.DeadlineUnixMS
+	})
+	for _, t := range running {
+		if excess.Fits(inventory.Resources{}) {
+			return
+		}
+		excess = excess.Sub(t.Spec.Resources)
+		o.record(shard.Record{Event: charts.TaskEvict, Task: t.Spec.ID, Reason: "VM " + vm + " was shrunk or removed"})
+	}
+}
