--- a/internal/batch/input.go
+++ b/internal/batch/input.go
@@ -12,16 +12,21 @@
 // planInput describes the shard to the planner.
 func (o *owner) planInput(now time.Time) place.Input {
 	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines(), Quotas: o.directory.quotasOf(o.name)}
-	for _, t := range o.state.Tasks {
+	for _, id := range o.taskIDs() {
+		t := o.state.Tasks[id]
 		switch {
 		case t.State == charts.TaskPending:
-			in.Pending = append(in.Pending, demand(t))
+			d := demand(t)
+			d.FailedOn = o.failedOn(t)
+			in.Pending = append(in.Pending, d)
 		case t.Holds():
 			in.Running = append(in.Running, place.Running{
 				Demand:        demand(t),
 				Machine:       t.VM,
 				StartedUnixMS: t.StartByUnixMS - startWindow.Milliseconds(),
 				Stopping:      t.State != charts.TaskRunning,
+
+				ThrottlePerMille: o.throttled[id],
 			})
 		}
 	}
@@ -49,6 +54,7 @@
 	for name, vm := range o.vms {
 		m := o.directory.describe(vm)
 		m.Free = m.Capacity.Sub(o.state.Committed[name])
+		m.Draining = m.Draining || o.silent[name]
 		machines = append(machines, m)
 	}
 	sort.Slice(machines, func(i, j int) bool { return machines[i].Name < machines[j].Name })
--- a/place/faults_test.go
+++ b/place/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -19,10 +20,11 @@
 	finished int
 	final    map[string]string // reasons of the tasks that ended as failed
 	failures map[string]int    // by VM
+	tries    map[string]int    // failures by task
 }
 
 func newFaultyYard() *faultyYard {
-	return &faultyYard{planner: place.NewPlanner(), bad: map[string]bool{}, badJobs: map[string]bool{}, final: map[string]string{}, failures: map[string]int{}}
+	return &faultyYard{planner: place.NewPlanner(), bad: map[string]bool{}, badJobs: map[string]bool{}, final: map[string]string{}, failures: map[string]int{}, tries: map[string]int{}}
 }
 
 func (y *faultyYard) submit(job string, tasks int) {
@@ -53,7 +55,9 @@
 			e.Outcome = place.Failed
 			y.planner.ObserveEnd(e)
 			y.failures[machine]++
-			if reason, final := y.planner.FailureIsFinal(d.Task); final {
+			y.tries[d.Task]++
+			d.FailedOn = append(slices.Clone(d.FailedOn), machine)
+			if reason, final := y.planner.FailureIsFinal(d.FailedOn, y.tries[d.Task]); final {
 				y.final[d.Task] = reason
 			} else {
 				y.pending = append(y.pending, d)
--- a/place/plan.go
+++ b/place/plan.go
@@ -41,10 +41,11 @@
 // ObserveLatency learns from a measurement of a quick service.
 func (p *Planner) ObserveLatency(l ServiceLatency) { p.interference.observe(&l) }
 
-// FailureIsFinal tells whether a task whose failure was observed should end as
-// failed, with the reason, rather than be tried on another VM.
-func (p *Planner) FailureIsFinal(task string) (reason string, final bool) {
-	return p.faults.final(task)
+// FailureIsFinal tells whether a task that has failed so often, on these VMs,
+// should end as failed, with the reason, rather than be tried on another VM.
+// The last failure must have been observed.
+func (p *Planner) FailureIsFinal(failedOn []string, failures int) (reason string, final bool) {
+	return p.faults.final(failedOn, failures)
 }
 
 // Plan tells which tasks to reject, evict, throttle and start now.
@@ -88,11 +89,11 @@
 	live := cl.live()
 	refused := map[shape]bool{}
 	for _, d := range queue(pending, in, p.corrections, held, cl.largest) {
-		d.anywhere = len(d.FailedOn)+len(p.faults.tasks[d.Task]) >= live
+		d.anywhere = len(d.FailedOn) >= live
 		if !held.allows(&d.Demand) || live == 0 {
 			continue
 		}
-		key, plain := p.shapeOf(&d)
+		key, plain := shapeOf(&d)
 		if plain && refused[key] {
 			continue
 		}
@@ -129,8 +130,8 @@
 
 // shapeOf returns a task's shape, and whether tasks of that shape are alike:
 // urgent tasks and those with failures are not.
-func (p *Planner) shapeOf(d *candidate) (shape, bool) {
-	plain := !d.Urgent && len(d.FailedOn) == 0 && len(p.faults.tasks[d.Task]) == 0
+func shapeOf(d *candidate) (shape, bool) {
+	plain := !d.Urgent && len(d.FailedOn) == 0
 	avoid := ""
 	for _, service := range d.Avoid {
 		avoid += service + "\x00"
