Keep cancellations in the table and show results after the retention

Cause: a cancellation lived only in the owner's memory until its next write, and came to nothing when the shard had no owner or had not yet taken the job; a job that had left the record was shown without tasks; two places chose what to evict from a shrunk VM, by different rules. Ruled out: marking the job's own row, which the owner does not read again. Change: a cancellation is written to the inbox before the owner is told; states come from the owner, then from the stored result, then as waiting; the planner alone chooses what leaves a shrunk VM, and the owner evicts from VMs that left the inventory.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -5,6 +5,7 @@
 import (
 	"strconv"
 
+	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/inventory"
 	"github.com/bambooyard/bambooyard/shard"
 )
@@ -48,6 +49,18 @@
 	Tasks []TaskStatus `json:"tasks"`
 }
 
+// Waiting returns the states of the job's tasks before the shard's owner has
+// taken the job.
+func (j Job) Waiting() []TaskStatus {
+	tasks := make([]TaskStatus, j.Tasks)
+	for i := range tasks {
+		tasks[i] = TaskStatus{ID: j.taskID(i), State: string(charts.Task.Initial()), Reason: "waits for the owner of the shard"}
+	}
+	return tasks
+}
+
+func (j Job) taskID(index int) string { return j.ID() + "/" + strconv.Itoa(index) }
+
 // JobList is one page of the accepted jobs.
 type JobList struct {
 	Jobs []Job `json:"jobs"`
@@ -60,7 +73,7 @@
 	specs := make([]shard.Spec, j.Tasks)
 	for i := range specs {
 		specs[i] = shard.Spec{
-			ID:             shard.TaskID(j.ID() + "/" + strconv.Itoa(i)),
+			ID:             shard.TaskID(j.taskID(i)),
 			Job:            j.ID(),
 			Member:         j.Member,
 			Kind:           j.Kind,
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -1,14 +1,10 @@
 package batch
 
 import (
-	"maps"
-	"slices"
-	"sort"
 	"time"
 
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/internal/platform"
-	"github.com/bambooyard/bambooyard/inventory"
 	"github.com/bambooyard/bambooyard/shard"
 )
 
@@ -23,7 +19,7 @@
 	}
 	o.changed, o.plannedAt = false, now
 	o.forgetEnded(now)
-	o.evictExcess()
+	o.evictRemoved()
 	o.place(now)
 }
 
@@ -92,38 +88,13 @@
 	return true
 }
 
-// evictExcess evicts tasks from VMs that were shrunk below what they have been
-// committed to, or that have left the inventory: the latest deadlines first.
-func (o *owner) evictExcess() {
-	for _, vm := range slices.Sorted(maps.Keys(o.state.Committed)) {
-		if o.state.Excess(vm, o.vms[vm].Usable()) == (inventory.Resources{}) {
-			continue
-		}
-		o.evictFrom(vm)
-	}
-}
-
-func (o *owner) evictFrom(vm string) {
-	var running []*shard.Task
-	excess := o.state.Excess(vm, o.vms[vm].Usable())
+// evictRemoved evicts the tasks of VMs that have left the inventory. Those of
+// VMs that were shrunk are the planner's to choose.
+func (o *owner) evictRemoved() {
 	for _, id := range o.taskIDs() {
 		t := o.state.Tasks[id]
-		switch {
-		case t.VM != vm:
-		case t.State == charts.TaskRunning:
-			running = append(running, t)
-		default: // is being stopped already
-			excess = excess.Sub(t.Spec.Resources)
-		}
-	}
-	sort.SliceStable(running, func(i, j int) bool {
-		return running[i].Spec.DeadlineUnixMS > running[j].Spec.DeadlineUnixMS
-	})
-	for _, t := range running {
-		if excess.Fits(inventory.Resources{}) {
-			return
+		if _, listed := o.vms[t.VM]; !listed && t.State == charts.TaskRunning {
+			o.record(shard.Record{Event: charts.TaskEvict, Task: id, Reason: "VM " + t.VM + " has left the inventory"})
 		}
-		excess = excess.Sub(t.Spec.Resources)
-		o.record(shard.Record{Event: charts.TaskEvict, Task: t.Spec.ID, Reason: "VM " + vm + " was shrunk or removed"})
 	}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -51,6 +51,7 @@
 	batch  *batch.Manager
 	// directories serves submissions from any goroutine.
 	directories directories
+	canceller   *batch.Canceller
 	loads       *loadTable
 	leaving     map[string]bool // VMs that the platform's list names as leaving
 	// lastPeer is when a peer last answered.
@@ -65,6 +66,7 @@
 		log:       logger,
 		publisher: publisher,
 		pool:      peer.NewPool(),
+		canceller: batch.NewCanceller(client),
 		state:     charts.Daemon.Initial(),
 		loads:     newLoadTable(),
 		leaving:   map[string]bool{},
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -37,26 +37,52 @@
 
 // Describe implements entry.Jobs.
 func (j jobs) Describe(ctx context.Context, member, key string) (batch.JobStatus, error) {
-	return j.ask(ctx, member, key, false)
+	job, err := j.read(ctx, member, key)
+	if err != nil {
+		return batch.JobStatus{}, err
+	}
+	tasks, err := j.tasks(ctx, job, false)
+	if len(tasks) > 0 {
+		return batch.JobStatus{Job: job, Tasks: tasks}, nil
+	}
+	result, readErr := batch.ReadResult(ctx, j.c.platform, job.ID())
+	switch {
+	case readErr == nil && len(result) > 0:
+		return batch.JobStatus{Job: job, Tasks: result}, nil
+	case err != nil:
+		return batch.JobStatus{}, err
+	}
+	return batch.JobStatus{Job: job, Tasks: job.Waiting()}, nil
 }
 
-// Cancel implements entry.Jobs.
+// Cancel implements entry.Jobs. The request is written first, so that it holds
+// whatever happens to the shard's owner; telling the owner only makes it quick.
 func (j jobs) Cancel(ctx context.Context, member, key string) (batch.JobStatus, error) {
-	return j.ask(ctx, member, key, true)
+	job, err := j.read(ctx, member, key)
+	if err != nil {
+		return batch.JobStatus{}, err
+	}
+	if err := j.c.canceller.Cancel(ctx, job); err != nil {
+		return batch.JobStatus{}, err
+	}
+	if _, err := j.tasks(ctx, job, true); err != nil {
+		return batch.JobStatus{Job: job, Tasks: job.Waiting()}, nil //nolint:nilerr // the request is kept for the next owner
+	}
+	return j.Describe(ctx, member, key)
 }
 
-func (j jobs) ask(ctx context.Context, member, key string, cancel bool) (batch.JobStatus, error) {
+// read returns an accepted job.
+func (j jobs) read(ctx context.Context, member, key string) (batch.Job, error) {
 	job, err := batch.ReadJob(ctx, j.c.platform, member, key)
 	if err != nil {
 		e := verdict.Refuse(verdict.CodeStoreUnavailable, http.StatusServiceUnavailable, retryAfterOwner, "the table service is unavailable")
 		e.Err = err
-		return batch.JobStatus{}, e
+		return batch.Job{}, e
 	}
 	if job == nil {
-		return batch.JobStatus{}, verdict.Refuse(verdict.CodeNotFound, http.StatusNotFound, 0, "job %q of member %q does not exist", key, member)
+		return batch.Job{}, verdict.Refuse(verdict.CodeNotFound, http.StatusNotFound, 0, "job %q of member %q does not exist", key, member)
 	}
-	tasks, err := j.tasks(ctx, *job, cancel)
-	return batch.JobStatus{Job: *job, Tasks: tasks}, err
+	return *job, nil
 }
 
 // tasks asks this daemon and then the others for the job's tasks.
