--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -132,9 +132,10 @@
 			m.owners[name] = newOwner(name, m)
 		}
 	}
+	directory := NewDirectory(doc)
 	for name, o := range m.owners {
 		o.setVMs(byRack[name])
-		o.site = newSite(name, doc)
+		o.directory = directory
 	}
 }
 
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -28,14 +28,14 @@
 
 // owner is one shard seen from this daemon. Its methods run on the control loop.
 type owner struct {
-	name     string
-	manager  *Manager
-	opts     *Options
-	counters *counters
-	log      log.Interface
-	phase    chart.State
-	vms      map[string]inventory.VM
-	site     site
+	name      string
+	manager   *Manager
+	opts      *Options
+	counters  *counters
+	log       log.Interface
+	phase     chart.State
+	vms       map[string]inventory.VM
+	directory *Directory
 
 	// busy is set while the shard is being taken or its state recovered.
 	busy      bool
