Claim idempotency keys, keep outcomes and release claims in groups

Cause: a claim whose request was never sent blocked its key for good, a daemon that woke from a freeze ran old requests, outcomes were written one by one and without a version check, and nothing deleted old claims.

Ruled out: an owner for each key in memory (a dead owner forgets what it granted), permissions from a quorum of daemons (they have no disks, so that a restarted daemon grants twice), a transaction for each claim (2,000 for 1,000 bookings).

Change: idempotency.Flow and idempotency.Resolve hold the decisions; claims.Grouper is driven by events on a control.Executor, so that the same code runs on a goroutine and in virtual time. Claims, outcomes and releases share transactions, within 200 a second over all daemons; every write checks the row's version; a write of unknown fate is read back. The session and the deadline are checked again right before the send. Expired claims are found by rows in order of time.

--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -2,11 +2,16 @@
 // once, from the claim that the table service holds for its key.
 //
 // A key is claimed before the first byte goes to a target. The outcome is
-// written after the answer. A claim without outcome is never run again.
+// written after the answer. A claim without outcome is never run again, unless
+// its own claimer has deleted it because no byte was sent.
 package idempotency
 
 import "time"
 
+// Retention is how long claims and kept answers last. A try that comes later
+// may run again.
+const Retention = 72 * time.Hour
+
 // Key identifies a request that must run at most once.
 type Key struct {
 	Member  string
@@ -15,6 +20,29 @@
 	Value string
 }
 
+// MaxKeyBytes bounds a caller's idempotency key.
+const MaxKeyBytes = 255
+
+// KeyError reports an idempotency key that cannot be used.
+type KeyError struct{ Reason string }
+
+// Error implements error.
+func (e *KeyError) Error() string { return "the idempotency key " + e.Reason }
+
+// CheckKey returns a *KeyError unless the key is of visible ASCII characters
+// and of a bounded length.
+func CheckKey(value string) error {
+	if len(value) > MaxKeyBytes {
+		return &KeyError{"is longer than 255 bytes"}
+	}
+	for _, b := range []byte(value) {
+		if b <= ' ' || b > '~' {
+			return &KeyError{"holds a byte that is not a visible ASCII character"}
+		}
+	}
+	return nil
+}
+
 // Claim is the record of one key.
 type Claim struct {
 	// Session is the session of the daemon that claimed the key.
@@ -29,58 +57,116 @@
 	Outcome *Outcome `json:"outcome,omitempty"`
 }
 
+// Field is one line of an answer's header.
+type Field struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
 // Outcome is what is kept of the answer.
 type Outcome struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"content_type,omitempty"`
-	Body        []byte `json:"body,omitempty"`
+	Status int     `json:"status"`
+	Header []Field `json:"header,omitempty"`
+	Body   []byte  `json:"body,omitempty"`
 	// BodyObject is the object that holds a body too large for the table, or empty.
 	BodyObject string `json:"body_object,omitempty"`
+	// BodyOmitted is set when the body was too large to keep or could not be kept.
+	BodyOmitted bool `json:"body_omitted,omitempty"`
 	// EndedUnixMS is the time of the answer in milliseconds since 1970 UTC.
 	EndedUnixMS int64 `json:"ended_unix_ms"`
 }
 
-// Action is what to do with a request.
+// Action is what to do with a try, given the claim of its key.
 type Action uint8
 
 const (
-	// ActionClaim is to write a claim and, if that succeeds, run the request.
-	ActionClaim Action = iota + 1
+	// ActionRun is to run the request under the claim that this very try has written.
+	ActionRun Action = iota + 1
 	// ActionReplay is to give the kept answer again.
 	ActionReplay
 	// ActionRefuseUnknown is to refuse with the verdict may-have-run.
 	ActionRefuseUnknown
 	// ActionRefuseReused is to refuse since the key belongs to another request.
 	ActionRefuseReused
-	// ActionRun is to run the request under the claim that this very try has written.
-	ActionRun
 )
 
-// Decide returns the action for a request with the given digest, from the
-// stored claim, which is nil if there is none.
-func Decide(stored *Claim, own Claim) Action {
-	if stored == nil {
-		return ActionClaim
-	}
-	if stored.RequestDigest != own.RequestDigest {
+// Decide returns the action for a try whose key is taken by the stored claim.
+func Decide(stored, own Claim) Action {
+	switch {
+	case stored.RequestDigest != own.RequestDigest:
 		return ActionRefuseReused
-	}
-	if stored.Outcome != nil {
+	case stored.Outcome != nil:
 		return ActionReplay
+	default:
+		return ActionRefuseUnknown
+	}
+}
+
+// Change is a change to the row of a key.
+type Change uint8
+
+const (
+	// ChangeClaim inserts the claim.
+	ChangeClaim Change = iota + 1
+	// ChangeComplete adds the outcome to the claim.
+	ChangeComplete
+	// ChangeRelease deletes the claim of a try that was never sent.
+	ChangeRelease
+)
+
+// Step is how a change goes on after its row was read.
+type Step uint8
+
+const (
+	// StepWrite is to write the change, on condition that the row has not changed since.
+	StepWrite Step = iota + 1
+	// StepDone is to report that the table holds the change.
+	StepDone
+	// StepTaken is to report that the row belongs to another try.
+	StepTaken
+)
+
+// Resolve decides how a change goes on whose transaction conflicted or got no
+// reply. The stored claim is nil if the key has no row; own is the claim of
+// the try that makes the change.
+func Resolve(change Change, stored *Claim, own Claim) Step {
+	mine := stored != nil && stored.Session == own.Session && stored.Try == own.Try
+	switch change {
+	case ChangeClaim:
+		return resolveClaim(stored, mine)
+	case ChangeComplete:
+		return resolveComplete(stored, mine)
+	default:
+		if mine && stored.Outcome == nil {
+			return StepWrite
+		}
+		return StepDone
+	}
+}
+
+func resolveClaim(stored *Claim, mine bool) Step {
+	switch {
+	case stored == nil:
+		return StepWrite
+	case mine && stored.Outcome == nil:
+		return StepDone
+	default:
+		return StepTaken
 	}
-	return ActionRefuseUnknown
 }
 
-// DecideReadBack returns the action after a claim whose write got no reply was
-// read back: the claim is ours only if it names this very try.
-func DecideReadBack(stored *Claim, own Claim) Action {
-	if stored != nil && stored.Session == own.Session && stored.Try == own.Try && stored.Outcome == nil {
-		return ActionRun
+func resolveComplete(stored *Claim, mine bool) Step {
+	switch {
+	case !mine:
+		return StepTaken
+	case stored.Outcome != nil:
+		return StepDone
+	default:
+		return StepWrite
 	}
-	return Decide(stored, own)
 }
 
 // Expired reports whether a claim may be deleted at now.
-func Expired(c Claim, now time.Time, retention time.Duration) bool {
-	return now.Sub(time.UnixMilli(c.ClaimedUnixMS)) > retention
+func Expired(c Claim, now time.Time) bool {
+	return now.Sub(time.UnixMilli(c.ClaimedUnixMS)) > Retention
 }
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -1,248 +1,266 @@
-// Package claims writes claims of idempotency keys to the table service,
-// grouped into one transaction for many requests.
+// Package claims writes the claims of idempotency keys, their outcomes and
+// their releases to the table service, many in one transaction.
+//
+// A Grouper's state is owned by its executor. Methods whose names begin with
+// Start must be called on the executor; the others wait for it and may be
+// called from any goroutine.
 package claims
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"net/http"
-	"sync"
 	"time"
 
+	"github.com/apex/log"
+	"golang.org/x/time/rate"
+
 	"github.com/bambooyard/bambooyard/idempotency"
+	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
-// Limits of one group of claims.
+// Limits of the claims of one daemon.
 const (
-	groupInterval   = 4 * time.Millisecond
-	maxGroup        = 256
-	queueLength     = 4096
-	storeTimeout    = 2 * time.Second
+	// writesPerSecond is shared by all daemons, out of the table's several hundred.
+	writesPerSecond = 200
+	// writeBurst is how many transactions may follow each other without a wait.
+	writeBurst = 4
+	// maxGroup bounds the changes of one transaction.
+	maxGroup = 256
+	// maxWaiting bounds the changes that wait for a transaction.
+	maxWaiting = 4096
+	// maxAttempts bounds the writes of one change.
+	maxAttempts = 8
+	// commitTimeout bounds one call of the table service.
+	commitTimeout = time.Second
+	// stallTimeout is how long a transaction may be under way before the table
+	// counts as unavailable for new claims.
+	stallTimeout = 400 * time.Millisecond
+	// retryInterval is the wait between writes of an outcome or a release while
+	// the table is unavailable.
+	retryInterval = 250 * time.Millisecond
+	// retryAfterStore is when a caller may come back.
 	retryAfterStore = 2 * time.Second
+	// maxInlineBody bounds the answers that are kept in the table's rows.
+	maxInlineBody = 4 << 10
 )
 
+// Options are the settings of a Grouper.
+type Options struct {
+	Executor control.Executor
+	Table    platform.Table
+	Objects  platform.ObjectStore
+	Log      log.Interface
+	Now      func() time.Time
+	// After runs fn on any goroutine once the time has passed.
+	After func(d time.Duration, fn func())
+	// Daemons returns how many daemons share the table's write budget.
+	Daemons func() int
+}
+
+// Ticket is a claim that the table holds, or may hold.
+type Ticket struct {
+	Key   idempotency.Key
+	Claim idempotency.Claim
+	// Version is the version of the claim's row, or zero if it is not known.
+	Version platform.Version
+}
+
 // Result is the answer to one claim.
 type Result struct {
 	Action idempotency.Action
-	// Stored is the claim in the table, if it is not the one just written.
-	Stored *idempotency.Claim
-	// Err is set when the table could not be asked; the request was not run.
+	// Ticket is the claim that was written, when the action is ActionRun.
+	Ticket Ticket
+	// Stored is the claim in the table, if it is another try's.
+	Stored idempotency.Claim
+	// Err is set when the key was not claimed; the request was not run. It is a
+	// *verdict.RequestError.
 	Err error
 }
 
-type entry struct {
-	key    string
-	claim  idempotency.Claim
-	result chan Result
-}
+// LostError reports a claim that the table no longer holds.
+type LostError struct{ Key string }
 
-// Grouper groups claims. It is safe for concurrent use.
-type Grouper struct {
-	table platform.Table
-	queue chan entry
-	stop  chan struct{}
-	wg    sync.WaitGroup
-}
+// Error implements error.
+func (e *LostError) Error() string { return "row " + e.Key + " no longer holds the claim" }
 
-// NewGrouper returns a running grouper; Close stops it.
-func NewGrouper(table platform.Table) *Grouper {
-	g := &Grouper{
-		table: table,
-		queue: make(chan entry, queueLength),
-		stop:  make(chan struct{}),
-	}
-	g.wg.Go(g.run)
-	return g
+// change is one change of a row on its way to the table.
+type change struct {
+	kind     idempotency.Change
+	key      string
+	claim    idempotency.Claim
+	deadline time.Time
+	// version is the version that the row must have; claims expect no row.
+	version platform.Version
+	// unread is set when the row must be read before the next write.
+	unread   bool
+	attempts int
+	done     func(outcome)
 }
 
-// Close stops the grouper after the group in progress.
-func (g *Grouper) Close() {
-	close(g.stop)
-	g.wg.Wait()
+// outcome is the end of a change.
+type outcome struct {
+	version platform.Version
+	// taken is the claim of another try that holds the row.
+	taken *idempotency.Claim
+	err   error
+	// uncertain is set with err when the table may hold the change.
+	uncertain bool
 }
 
-func rowKey(k idempotency.Key) string { return platform.ClaimKey(k.Member, k.Service, k.Value) }
-
-// Claim writes a claim unless the key is taken. It refuses at once when too
-// many claims wait.
-func (g *Grouper) Claim(ctx context.Context, key idempotency.Key, claim idempotency.Claim) Result {
-	e := entry{key: rowKey(key), claim: claim, result: make(chan Result, 1)}
-	select {
-	case g.queue <- e:
-	default:
-		return Result{Err: verdict.Refuse(verdict.CodeOverloaded, http.StatusServiceUnavailable,
-			retryAfterStore, "too many idempotency keys wait to be claimed")}
-	}
-	select {
-	case r := <-e.result:
-		return r
-	case <-ctx.Done():
-		return Result{Err: verdict.Refuse(verdict.CodeDeadlineExceeded, http.StatusGatewayTimeout,
-			retryAfterStore, "the idempotency key was not claimed before the deadline")}
-	case <-g.stop:
-		return Result{Err: verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable,
-			retryAfterStore, "the daemon is stopping")}
-	}
+// Grouper groups changes into transactions.
+type Grouper struct {
+	opts    Options
+	limiter *rate.Limiter
+	waiting []*change
+	// scheduled is set while a flush is due.
+	scheduled bool
+	// underWay holds the start of each call of the table in progress, by number.
+	underWay map[int]time.Time
+	calls    int
+	// retrying counts changes that wait to be written again.
+	retrying int
+	// down is set from a failed call until the next that succeeds.
+	down bool
+	// nextSweep is when the next round of deletions may begin.
+	nextSweep time.Time
+	// closing is called once nothing is left to write.
+	closing func()
 }
 
-// Complete writes the outcome of a claimed request.
-func (g *Grouper) Complete(ctx context.Context, key idempotency.Key, claim idempotency.Claim, outcome idempotency.Outcome) error {
-	claim.Outcome = &outcome
-	value, err := json.Marshal(claim)
-	if err != nil {
-		return err
+// NewGrouper returns a grouper without claims.
+func NewGrouper(opts Options) *Grouper {
+	return &Grouper{
+		opts:     opts,
+		limiter:  rate.NewLimiter(writesPerSecond, writeBurst),
+		underWay: map[int]time.Time{},
 	}
-	_, err = g.table.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: rowKey(key), Value: value}}})
-	return err
 }
 
-func (g *Grouper) run() {
-	for {
-		select {
-		case <-g.stop:
-			return
-		case first := <-g.queue:
-			g.write(g.collect(first))
-		}
-	}
-}
+func rowKey(k idempotency.Key) string { return platform.ClaimKey(k.Member, k.Service, k.Value) }
 
-// collect waits one interval for more claims.
-func (g *Grouper) collect(first entry) []entry {
-	group := []entry{first}
-	timer := time.NewTimer(groupInterval)
-	defer timer.Stop()
-	for len(group) < maxGroup {
-		select {
-		case e := <-g.queue:
-			group = append(group, e)
-		case <-timer.C:
-			return group
-		}
+// StartClaim writes a claim unless its key is taken, and calls done on the
+// executor. It refuses at once while the table is unavailable.
+func (g *Grouper) StartClaim(key idempotency.Key, claim idempotency.Claim, deadline time.Time, done func(Result)) {
+	if err := g.refusal(); err != nil {
+		done(Result{Err: err})
+		return
 	}
-	return group
+	g.enqueue(&change{
+		kind: idempotency.ChangeClaim, key: rowKey(key), claim: claim, deadline: deadline,
+		done: func(o outcome) { done(g.claimed(key, claim, o)) },
+	})
 }
 
-// write commits a group; claims whose keys are taken are answered from the
-// table and the rest is tried again.
-func (g *Grouper) write(group []entry) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	group, later := distinct(group)
-	for len(group) > 0 {
-		_, err := g.table.Commit(ctx, transaction(group))
-		var conflict *platform.ConflictError
-		switch {
-		case err == nil:
-			answer(group, Result{Action: idempotency.ActionRun})
-			group = nil
-		case errors.As(err, &conflict):
-			group = g.settle(ctx, group, conflict.Keys)
-		default:
-			g.readBack(ctx, group, err)
-			group = nil
+// refusal says why a claim cannot even be tried.
+func (g *Grouper) refusal() error {
+	now := g.opts.Now()
+	for _, since := range g.underWay {
+		if now.Sub(since) > stallTimeout {
+			return storeError(nil)
 		}
 	}
-	if len(later) > 0 {
-		g.write(later)
+	probing := len(g.waiting) > 0 || len(g.underWay) > 0
+	switch {
+	case g.down && probing:
+		return storeError(nil)
+	case len(g.waiting) >= maxWaiting:
+		return verdict.Refuse(verdict.CodeOverloaded, http.StatusServiceUnavailable, retryAfterStore,
+			"too many idempotency keys wait to be claimed")
+	default:
+		return nil
 	}
 }
 
-// distinct splits off the entries whose key appears earlier in the group.
-func distinct(group []entry) (first, later []entry) {
-	seen := make(map[string]bool, len(group))
-	for _, e := range group {
-		if seen[e.key] {
-			later = append(later, e)
-			continue
+func (g *Grouper) claimed(key idempotency.Key, claim idempotency.Claim, o outcome) Result {
+	ticket := Ticket{Key: key, Claim: claim, Version: o.version}
+	switch {
+	case o.err != nil:
+		if o.uncertain {
+			// The request will not be sent, so the claim may go if it is there.
+			g.StartRelease(ticket)
 		}
-		seen[e.key] = true
-		first = append(first, e)
+		return Result{Err: o.err}
+	case o.taken != nil:
+		return Result{Action: idempotency.Decide(*o.taken, claim), Stored: *o.taken}
+	default:
+		return Result{Action: idempotency.ActionRun, Ticket: ticket}
 	}
-	return first, later
 }
 
-func transaction(group []entry) platform.Txn {
-	var txn platform.Txn
-	for _, e := range group {
-		value, err := json.Marshal(e.claim)
-		if err != nil {
-			continue
-		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: e.key})
-		txn.Puts = append(txn.Puts, platform.Put{Key: e.key, Value: value})
-	}
-	return txn
+// StartRelease deletes a claim whose request was not sent and never will be.
+// A claim that cannot be deleted stays, and later tries are told that the
+// request may have run.
+func (g *Grouper) StartRelease(t Ticket) {
+	g.enqueue(&change{
+		kind: idempotency.ChangeRelease, key: rowKey(t.Key), claim: t.Claim,
+		version: t.Version, unread: t.Version == 0,
+		done: func(o outcome) { g.report("claim_not_released", t, o.err) },
+	})
 }
 
-// settle answers the entries with the given keys from the table and returns
-// the others.
-func (g *Grouper) settle(ctx context.Context, group []entry, keys []string) []entry {
-	taken := make(map[string]bool, len(keys))
-	for _, k := range keys {
-		taken[k] = true
+// StartComplete writes the outcome of a claimed request and calls done on the
+// executor. An answer too large for a row goes to the object store first.
+func (g *Grouper) StartComplete(t Ticket, answer idempotency.Outcome, done func(error)) {
+	if len(answer.Body) <= maxInlineBody {
+		g.complete(t, answer, done)
+		return
 	}
-	var rest, conflicting []entry
-	for _, e := range group {
-		if taken[e.key] {
-			conflicting = append(conflicting, e)
-		} else {
-			rest = append(rest, e)
+	body := answer.Body
+	answer.Body = nil
+	answer.BodyObject = platform.AnswerObject(t.Claim.Try)
+	call(g, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, g.opts.Objects.Put(ctx, answer.BodyObject, body)
+	}, func(_ struct{}, err error) {
+		if err != nil {
+			g.report("answer_not_kept", t, err)
+			answer.BodyObject = ""
+			answer.BodyOmitted = true
 		}
-	}
-	g.answerFromTable(ctx, conflicting, idempotency.Decide)
-	return rest
+		g.complete(t, answer, done)
+	})
 }
 
-// readBack answers a group whose commit got no reply.
-func (g *Grouper) readBack(ctx context.Context, group []entry, err error) {
-	var unavailable *platform.UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Verdict == verdict.NotRun {
-		answer(group, Result{Err: storeError(err)})
-		return
-	}
-	g.answerFromTable(ctx, group, idempotency.DecideReadBack)
+func (g *Grouper) complete(t Ticket, answer idempotency.Outcome, done func(error)) {
+	claim := t.Claim
+	claim.Outcome = &answer
+	g.enqueue(&change{
+		kind: idempotency.ChangeComplete, key: rowKey(t.Key), claim: claim, version: t.Version, unread: t.Version == 0,
+		done: func(o outcome) {
+			err := o.err
+			if o.taken != nil {
+				err = &LostError{Key: rowKey(t.Key)}
+			}
+			g.report("outcome_not_kept", t, err)
+			done(err)
+		},
+	})
 }
 
-func (g *Grouper) answerFromTable(ctx context.Context, group []entry,
-	decide func(stored *idempotency.Claim, own idempotency.Claim) idempotency.Action) {
-	keys := make([]string, len(group))
-	for i, e := range group {
-		keys[i] = e.key
-	}
-	rows, err := g.table.Get(ctx, keys...)
-	if err != nil {
-		answer(group, Result{Err: storeError(err)})
+func (g *Grouper) report(event string, t Ticket, err error) {
+	if err == nil {
 		return
 	}
-	for i, e := range group {
-		stored, err := decodeClaim(rows[i])
-		if err != nil {
-			e.result <- Result{Err: storeError(err)}
-			continue
-		}
-		action := decide(stored, e.claim)
-		if action == idempotency.ActionClaim {
-			// The write did not take effect; the caller may try again.
-			e.result <- Result{Err: storeError(errors.New("the claim was not written"))}
-			continue
-		}
-		e.result <- Result{Action: action, Stored: stored}
-	}
+	g.opts.Log.WithFields(log.Fields{
+		"event": event, "request": t.Claim.Try, "member": t.Key.Member, "service": t.Key.Service,
+	}).WithError(err).Warn("claim left as it is")
 }
 
-func decodeClaim(row platform.Row) (*idempotency.Claim, error) {
-	if row.Version == 0 {
-		return nil, nil
-	}
-	var c idempotency.Claim
-	if err := json.Unmarshal(row.Value, &c); err != nil {
-		return nil, err
-	}
-	return &c, nil
+// call runs work off the executor, bounded in time, and done on it.
+func call[T any](g *Grouper, work func(ctx context.Context) (T, error), done func(T, error)) {
+	g.calls++
+	number := g.calls
+	g.underWay[number] = g.opts.Now()
+	control.Async(g.opts.Executor, func(ctx context.Context) (T, error) {
+		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+		defer cancel()
+		return work(ctx)
+	}, func(result T, err error) {
+		delete(g.underWay, number)
+		done(result, err)
+		g.checkClosed()
+	})
 }
 
 func storeError(err error) error {
@@ -251,9 +269,3 @@
 	e.Err = err
 	return e
 }
-
-func answer(group []entry, r Result) {
-	for _, e := range group {
-		e.result <- r
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,7 +29,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes    = 256 << 10
 )
 
 // Module is the daemon as an fx module. It needs settings.Settings and log.Interface.
@@ -56,13 +56,18 @@
 
 func newWorkers() platform.Workers { return platform.NewWorkers(platform.NewHTTPClient()) }
 
-func newClaims(client *platform.Client) *claims.Grouper { return claims.NewGrouper(client) }
+func newClaims(client *platform.Client, p *traffic.Publisher, l log.Interface) *claims.Service {
+	return claims.NewService(claims.ServiceOptions{
+		Table: client, Objects: client.Objects(), Log: l,
+		Daemons: func() int { return p.Load().Daemons },
+		Sweeps:  func() bool { return p.Load().Sweeps },
+	})
+}
 
-func newEntry(c *controller, p *traffic.Publisher, g *claims.Grouper, t *target.Client, b *burn.Recorder, l log.Interface) *entry.Server {
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *target.Client, b *burn.Recorder, l log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
 		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(), Burn: b, Jobs: jobs{c}, Log: l,
-		Now:     time.Now,
-		Session: func() string { return c.settings.Name },
+		Now: time.Now,
 	})
 }
 
@@ -82,7 +87,7 @@
 	Log        log.Interface
 	Loop       *control.Loop
 	Controller *controller
-	Claims     *claims.Grouper
+	Claims     *claims.Service
 	Entry      *entry.Server
 	Operator   *operator.Server
 	Shutdown   fx.Shutdowner
@@ -148,8 +153,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.Settings.DrainTimeout)
 	defer cancel()
 	err := callers.Shutdown(ctx)
-	p.Claims.Close()
-	err = errors.Join(err, operators.Shutdown(ctx), peers.Close())
+	err = errors.Join(err, p.Claims.Close(ctx), operators.Shutdown(ctx), peers.Close())
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
 	p.Controller.pool.Close()
 	p.Loop.Stop()
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -20,7 +20,11 @@
 		Document: doc,
 		Services: map[string]*traffic.Service{},
 		Members:  map[string]bool{},
+		Session:  c.keeper.Self(),
 	}
+	live := c.keeper.Live(now)
+	s.Daemons = max(1, len(live))
+	s.Sweeps = len(live) > 0 && live[0].ID == s.Session.ID
 	if !s.Ready {
 		s.Reason = "the daemon is " + string(c.state)
 	}
@@ -32,7 +36,6 @@
 }
 
 func (c *controller) addServices(s *traffic.Snapshot, doc document.Document, now time.Time) {
-	daemons := max(1, len(c.keeper.Live(now)))
 	vms := make(map[string]inventory.VM, len(doc.Inventory.VMs))
 	for _, vm := range doc.Inventory.VMs {
 		vms[vm.Name] = vm
@@ -62,7 +65,7 @@
 		s.Services[service.Name] = &traffic.Service{
 			Rules:  rules,
 			Picker: route.NewPicker(c.settings.Region, targets),
-			Limit:  max(1, slots/daemons),
+			Limit:  max(1, slots/s.Daemons),
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,20 +24,26 @@
 	HeaderDeadline       = "Bambooyard-Deadline-Ms"
 	HeaderRequestID      = "Bambooyard-Request-Id"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderReplayed is "true" on a kept answer that is given again.
+	HeaderReplayed = "Bambooyard-Replayed"
+	// HeaderOutcomeKept is "false" on an answer that could not be kept: a
+	// second try will be told that the request may have run.
+	HeaderOutcomeKept = "Bambooyard-Outcome-Kept"
+
+	headerPrefix   = "Bambooyard-"
+	servicesPrefix = "/v1/services/"
 )
 
 // Options are the settings of a Server.
 type Options struct {
 	Publisher *traffic.Publisher
-	Claims    *claims.Grouper
+	Claims    *claims.Service
 	Targets   *target.Client
 	Gates     *Gates
 	Burn      *burn.Recorder
 	Jobs      Jobs
 	Log       log.Interface
 	Now       func() time.Time
-	// Session returns the ID of this daemon's session.
-	Session func() string
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -51,10 +57,15 @@
 	gin.SetMode(gin.ReleaseMode)
 	r := gin.New()
 	r.UseRawPath = true
-	r.Any("/v1/services/:service/*path", s.serveQuick)
+	r.RedirectTrailingSlash = false
+	r.HandleMethodNotAllowed = true
+	r.Match(methods, servicesPrefix+":service/*path", s.serveQuick)
 	r.POST("/v1/jobs", s.submitJob)
 	r.GET("/v1/jobs/:member/:key", s.describeJob)
 	r.DELETE("/v1/jobs/:member/:key", s.cancelJob)
+	r.NoMethod(func(c *gin.Context) {
+		s.refuse(c, call{}, badRequest(verdict.CodeBadRequest, http.StatusMethodNotAllowed, "method %s is not supported on path %q", c.Request.Method, c.Request.URL.Path))
+	})
 	r.NoRoute(func(c *gin.Context) {
 		s.refuse(c, call{}, verdict.Refuse(verdict.CodeNotFound, http.StatusNotFound, 0, "path %q does not exist", c.Request.URL.Path))
 	})
--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -46,3 +46,15 @@
 func InboxKey(shard, member, key string) string {
 	return InboxPrefix(shard) + member + "/" + key
 }
+
+// ClaimTimesPrefix begins the rows that list claims by the time they were made.
+const ClaimTimesPrefix = "claim-times/"
+
+// ClaimTimesKey is the row that lists the claims of one transaction; the rows
+// sort by time.
+func ClaimTimesKey(unixMS int64, try string) string {
+	return fmt.Sprintf("%s%013d/%s", ClaimTimesPrefix, unixMS, try)
+}
+
+// AnswerObject is the object that holds the kept answer of a try.
+func AnswerObject(try string) string { return "answer-" + try }
--- a/internal/traffic/snapshot.go
+++ b/internal/traffic/snapshot.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/membership"
 	"github.com/bambooyard/bambooyard/route"
 	"github.com/bambooyard/bambooyard/rules"
 )
@@ -27,6 +28,12 @@
 	Head     document.Head
 	Document document.Document
 	Services map[string]*Service
+	// Session is this daemon's session when the snapshot was made.
+	Session membership.Session
+	// Daemons is the number of live daemons, this one included.
+	Daemons int
+	// Sweeps is set when this daemon deletes expired claims.
+	Sweeps bool
 	// Members is the set of members' names.
 	Members map[string]bool
 }
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -30,6 +30,7 @@
 	CodeConflict         Code = "conflict"
 	CodeNotFound         Code = "not_found"
 	CodeUnauthorized     Code = "unauthorized"
+	CodeAnswerNotKept    Code = "answer_not_kept"
 	CodeInternal         Code = "internal"
 )
 
