--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,12 +40,17 @@
 	Claims    *claims.Service
 	Targets   *target.Client
 	Gates     *Gates
-	Burn      *burn.Recorder
+	Observer  Observer
 	Jobs      Jobs
 	Log       log.Interface
 	Now       func() time.Time
 }
 
+// Observer is told of each request that has ended. It is safe for concurrent use.
+type Observer interface {
+	Observe(o burn.Observation)
+}
+
 // Server serves callers. It is safe for concurrent use.
 type Server struct{ opts Options }
 
--- a/internal/entry/quick.go
+++ b/internal/entry/quick.go
@@ -97,18 +97,31 @@
 
 // count records the request for the burn report.
 func (s *Server) count(q call, err error) {
-	if q.service == nil || q.member == "" {
+	if q.service == nil || q.member == "" || isCallerFault(err) {
 		return
 	}
-	series := burn.Series{Service: q.serviceName, Member: q.member}
+	now := s.opts.Now()
+	o := burn.Observation{
+		At:      now,
+		Series:  burn.Series{Service: q.serviceName, Member: q.member},
+		Latency: now.Sub(q.arrived),
+	}
 	switch {
-	case err == nil && s.opts.Now().After(q.deadline):
-		s.opts.Burn.Record(series, burn.OutcomeLate)
+	case err == nil && now.After(q.deadline):
+		o.Outcome = burn.OutcomeLate
 	case err == nil:
-		s.opts.Burn.Record(series, burn.OutcomeGood)
+		o.Outcome = burn.OutcomeGood
 	case verdict.Of(err) == verdict.NotRun:
-		s.opts.Burn.Record(series, burn.OutcomeRefused)
+		o.Outcome = burn.OutcomeRefused
 	default:
-		s.opts.Burn.Record(series, burn.OutcomeFailed)
+		o.Outcome = burn.OutcomeFailed
 	}
+	s.opts.Observer.Observe(o)
+}
+
+// isCallerFault reports a refusal for a mistake in the request itself, which
+// uses no error budget.
+func isCallerFault(err error) bool {
+	var e *verdict.RequestError
+	return errors.As(err, &e) && e.Verdict == verdict.NotRun && e.Status >= 400 && e.Status < 500
 }
--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -8,6 +8,8 @@
 	ConfigHeadKey = "config/head"
 	// SessionPrefix begins the rows of the daemons' sessions.
 	SessionPrefix = "sessions/"
+	// BurnPrefix begins the rows that name the stored burn counts.
+	BurnPrefix = "burn/"
 	// JobPrefix begins the rows of accepted jobs.
 	JobPrefix = "jobs/"
 )
@@ -58,3 +60,9 @@
 
 // AnswerObject is the object that holds the kept answer of a try.
 func AnswerObject(try string) string { return "answer-" + try }
+
+// BurnKey is the row of one part of an hour's burn counts. The hour is in
+// seconds since 1970 UTC.
+func BurnKey(hour int64, part string) string {
+	return fmt.Sprintf("%s%012d/%s", BurnPrefix, hour, part)
+}
