Admit by deadline, measured latency and members' shares; bound retries

Cause: admission was a fixed limit of requests in flight. At five times the capacity it left a tenth of the capacity unused, gave small members a fifth of their share, and refused with a constant Retry-After. Failures were final.

Change: admit.Gate corrects its limit by the median latency, foresees deadlines, divides the limit between members by demand and weight, and computes Retry-After from the refusals waiting to come back. retry.Budget holds retries and hedges to a tenth of first sends. internal/entry keeps one of each for a service, behind one lock. A failed send followed by one that was not run stays may-have-run.

--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -20,6 +20,7 @@
 		Document: doc,
 		Services: map[string]*traffic.Service{},
 		Members:  map[string]bool{},
+		Weights:  map[string]int{},
 		Session:  c.keeper.Self(),
 	}
 	live := c.keeper.Live(now)
@@ -30,6 +31,7 @@
 	}
 	for _, m := range doc.Rules.Members {
 		s.Members[m.Name] = true
+		s.Weights[m.Name] = m.Weight
 	}
 	c.addServices(s, doc, now)
 	c.publisher.Publish(s)
@@ -66,6 +68,7 @@
 			Rules:  rules,
 			Picker: route.NewPicker(c.settings.Region, targets),
 			Limit:  max(1, slots/s.Daemons),
+			Slots:  slots,
 		}
 	}
 }
--- a/internal/entry/gates.go
+++ b/internal/entry/gates.go
@@ -5,33 +5,93 @@
 	"time"
 
 	"github.com/bambooyard/bambooyard/admit"
+	"github.com/bambooyard/bambooyard/retry"
 )
 
-// Gates holds the admission gate of each service. It is safe for concurrent use.
+// Gates holds what the daemon has learned of the load of each service. It is
+// safe for concurrent use.
 type Gates struct {
 	mu    sync.Mutex
-	gates map[string]*admit.Gate
+	gates map[string]*gate
+}
+
+// gate serialises the decisions on one service.
+type gate struct {
+	mu        sync.Mutex
+	admission *admit.Gate
+	budget    retry.Budget
+	latencies *retry.Latencies
 }
 
 // NewGates returns no gates.
-func NewGates() *Gates { return &Gates{gates: map[string]*admit.Gate{}} }
+func NewGates() *Gates { return &Gates{gates: map[string]*gate{}} }
 
-// Arrive asks the service's gate, with its current limit.
-func (g *Gates) Arrive(service string, limit int, now, deadline time.Time) admit.Decision {
+func (g *Gates) service(name string) *gate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	gate, ok := g.gates[service]
+	s, ok := g.gates[name]
 	if !ok {
-		gate = admit.NewGate(limit)
-		g.gates[service] = gate
+		s = &gate{admission: admit.NewGate(admit.Capacity{}), latencies: retry.NewLatencies()}
+		g.gates[name] = s
 	}
-	gate.SetLimit(limit)
-	return gate.Arrive(now, deadline)
+	return s
+}
+
+// arrive decides on a request.
+func (g *gate) arrive(now time.Time, c admit.Capacity, r admit.Request) admit.Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.SetCapacity(c)
+	return g.admission.Arrive(now, r)
+}
+
+// leave counts an admitted request that has ended.
+func (g *gate) leave(member string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Leave(member)
+}
+
+// first counts a request that is sent for the first time.
+func (g *gate) first() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.First()
+}
+
+// again decides whether a request is sent once more after a failure.
+func (g *gate) again(f retry.Failure) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f.Expected = g.latencies.Typical()
+	return g.budget.Again(f)
+}
+
+// take uses the budget for a hedge, if it allows it.
+func (g *gate) take() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Take()
+}
+
+// hedgeAfter returns how long to wait before a hedge.
+func (g *gate) hedgeAfter(remaining time.Duration) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.latencies.HedgeAfter(remaining)
+}
+
+// answered counts the latency of a send that was answered.
+func (g *gate) answered(now time.Time, latency time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Observe(now, latency)
+	g.latencies.Observe(latency)
 }
 
-// Leave tells the service's gate that an admitted request has ended.
-func (g *Gates) Leave(service string) {
+// timedOut counts the latency of a send that got no answer in time.
+func (g *gate) timedOut(now time.Time, latency time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gates[service].Leave()
+	g.admission.Observe(now, latency)
 }
--- a/internal/entry/quick.go
+++ b/internal/entry/quick.go
@@ -3,21 +3,16 @@
 import (
 	"context"
 	"errors"
-	mathrand "math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/apex/log"
 	"github.com/gin-gonic/gin"
 
+	"github.com/bambooyard/bambooyard/admit"
 	"github.com/bambooyard/bambooyard/burn"
-	"github.com/bambooyard/bambooyard/internal/target"
-	"github.com/bambooyard/bambooyard/route"
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
-const retryAfterNoTarget = time.Second
-
 func (s *Server) serveQuick(c *gin.Context) {
 	q, err := s.parse(c)
 	if err == nil {
@@ -37,11 +32,14 @@
 }
 
 func (s *Server) admitAndRun(c *gin.Context, q call) error {
-	decision := s.opts.Gates.Arrive(q.serviceName, q.service.Limit, q.arrived, q.deadline)
+	g := s.opts.Gates.service(q.serviceName)
+	decision := g.arrive(q.arrived,
+		admit.Capacity{Share: q.service.Limit, Slots: q.service.Slots},
+		admit.Request{Member: q.member, Weight: q.snapshot.Weights[q.member], Deadline: q.deadline})
 	if !decision.Admitted {
-		return verdict.Refuse(verdict.CodeOverloaded, http.StatusServiceUnavailable, decision.RetryAfter, "service %q is overloaded", q.serviceName)
+		return verdict.Refuse(verdict.CodeOverloaded, http.StatusServiceUnavailable, decision.RetryAfter, "service %q %s", q.serviceName, decision.Reason)
 	}
-	defer s.opts.Gates.Leave(q.serviceName)
+	defer g.leave(q.member)
 	parent := c.Request.Context()
 	if q.key != "" {
 		// The outcome is wanted by the second try of a caller that has gone.
@@ -66,35 +64,6 @@
 	return s.passOn(c, q, a, o)
 }
 
-// send asks one target.
-func (s *Server) send(ctx context.Context, q call, o *once) (*answer, error) {
-	if !o.maySend() {
-		return nil, staleError()
-	}
-	return s.attempt(ctx, q, "")
-}
-
-// attempt sends the request to one target other than the one to avoid.
-func (s *Server) attempt(ctx context.Context, q call, avoid string) (*answer, error) {
-	t := q.service.Picker.Pick(route.Request{Seed: mathrand.Uint64(), Avoid: avoid})
-	if t == nil {
-		return nil, verdict.Refuse(verdict.CodeNoTarget, http.StatusServiceUnavailable, retryAfterNoTarget, "service %q has no live target", q.serviceName)
-	}
-	t.Usage.Begin()
-	resp, err := s.opts.Targets.Do(ctx, t.Address, target.Request{
-		Method: q.method, Path: q.path, Header: q.header, Body: q.body, Repeatable: q.repeatable(),
-	})
-	if err != nil {
-		t.Usage.End()
-		return nil, err
-	}
-	limit := int64(maxBufferedAnswer)
-	if q.key != "" {
-		limit = maxKeptBody
-	}
-	return receive(q.method, resp, limit, t.Usage.End)
-}
-
 // count records the request for the burn report.
 func (s *Server) count(q call, err error) {
 	if q.service == nil || q.member == "" || isCallerFault(err) {
--- a/internal/traffic/snapshot.go
+++ b/internal/traffic/snapshot.go
@@ -17,6 +17,8 @@
 	Picker *route.Picker
 	// Limit is how many requests this daemon may have in flight.
 	Limit int
+	// Slots is the number of requests that all targets work on at a time.
+	Slots int
 }
 
 // Snapshot is the daemon's view at one moment. It never changes.
@@ -36,6 +38,8 @@
 	Sweeps bool
 	// Members is the set of members' names.
 	Members map[string]bool
+	// Weights are the members' shares of a service under overload.
+	Weights map[string]int
 }
 
 // Publisher hands snapshots from control to traffic. It is safe for
