Hold the callers' interface to whole sessions, and stop without a cut

Cause: nothing ran the callers' HTTP interface as a caller sees it.

Server.Drain is the stop of the callers' side, used by the daemon. Every refusal carries a request ID, also of unknown paths and methods.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,7 +107,6 @@
 	Log        log.Interface
 	Loop       *control.Loop
 	Controller *controller
-	Claims     *claims.Service
 	Entry      *entry.Server
 	Operator   *operator.Server
 	Burn       *burnstore.Store
@@ -176,8 +175,8 @@
 	time.Sleep(p.Settings.DrainDelay)
 	ctx, cancel := context.WithTimeout(ctx, p.Settings.DrainTimeout)
 	defer cancel()
-	err := callers.Shutdown(ctx)
-	err = errors.Join(err, p.Claims.Close(ctx), p.Burn.Flush(ctx))
+	err := p.Entry.Drain(ctx, callers)
+	err = errors.Join(err, p.Burn.Flush(ctx))
 	err = errors.Join(err, operators.Shutdown(ctx), peers.Close())
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
 	p.Controller.pool.Close()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,6 +2,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -69,14 +70,21 @@
 	r.GET("/v1/jobs/:member/:key", s.describeJob)
 	r.DELETE("/v1/jobs/:member/:key", s.cancelJob)
 	r.NoMethod(func(c *gin.Context) {
-		s.refuse(c, call{}, badRequest(verdict.CodeBadRequest, http.StatusMethodNotAllowed, "method %s is not supported on path %q", c.Request.Method, c.Request.URL.Path))
+		s.refuse(c, newCall(c), badRequest(verdict.CodeBadRequest, http.StatusMethodNotAllowed, "method %s is not supported on path %q", c.Request.Method, c.Request.URL.Path))
 	})
 	r.NoRoute(func(c *gin.Context) {
-		s.refuse(c, call{}, verdict.Refuse(verdict.CodeNotFound, http.StatusNotFound, 0, "path %q does not exist", c.Request.URL.Path))
+		s.refuse(c, newCall(c), badRequest(verdict.CodeNotFound, http.StatusNotFound, "path %q does not exist", c.Request.URL.Path))
 	})
 	return r
 }
 
+// Drain is the graceful stop of the callers' side: requests in progress are
+// answered, and only then are the claims of their keys settled.
+func (s *Server) Drain(ctx context.Context, server *http.Server) error {
+	err := server.Shutdown(ctx)
+	return errors.Join(err, s.opts.Claims.Close(ctx))
+}
+
 // ErrorBody is the JSON body of a refusal or failure.
 type ErrorBody struct {
 	Code      verdict.Code    `json:"code"`
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,122 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/internal/claims"
+	"github.com/bambooyard/bambooyard/internal/entry"
+	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/internal/target"
+	"github.com/bambooyard/bambooyard/internal/traffic"
+	"github.com/bambooyard/bambooyard/membership"
+	"github.com/bambooyard/bambooyard/route"
+	"github.com/bambooyard/bambooyard/rules"
+)
+
+const daemonCount = 2
+
+// cluster is two daemons' callers' sides over one platform and one runner.
+type cluster struct {
+	platform *fake.Platform
+	table    *hookedTable
+	runner   *fake.Runner
+	target   *httptest.Server
+	snapshot *traffic.Snapshot
+	daemons  [daemonCount]struct {
+		server    *entry.Server
+		publisher *traffic.Publisher
+		http      *httptest.Server
+		claims    *claims.Service
+	}
+}
+
+// hookedTable calls a function after each transaction that took effect.
+type hookedTable struct {
+	*fake.Platform
+	mu       sync.Mutex
+	onCommit func()
+}
+
+func (h *hookedTable) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
+	v, err := h.Platform.Commit(ctx, txn)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.onCommit != nil && err == nil {
+		h.onCommit()
+	}
+	return v, err
+}
+
+type noObserver struct{}
+
+func (noObserver) Observe(burn.Observation) {}
+
+// newCluster puts handler in front of the runner, if it is not nil.
+func newCluster(t testing.TB, handler func(c *cluster, w http.ResponseWriter, r *http.Request) bool) *cluster {
+	c := &cluster{platform: fake.NewPlatform(), runner: fake.NewRunner("w001")}
+	c.table = &hookedTable{Platform: c.platform}
+	c.target = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if handler == nil || !handler(c, w, r) {
+			c.runner.ServeHTTP(w, r)
+		}
+	}))
+	t.Cleanup(c.target.Close)
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	quick := rules.Service{DeadlineMS: 10_000, MaxDeadlineMS: 20_000, MaxBodyBytes: 64}
+	once := quick
+	once.AtMostOnce = true
+	c.snapshot = &traffic.Snapshot{
+		Ready: true, Daemons: daemonCount, Members: map[string]bool{"conservators": true},
+		Services: map[string]*traffic.Service{
+			"stock-check": c.service(quick, c.target.URL), "reorder": c.service(once, c.target.URL),
+			"no-targets": c.service(once), "closed-target": c.service(once, closed.URL),
+		},
+	}
+	logger := &log.Logger{Handler: discard.New()}
+	for i, id := range []string{"d1-session", "d2-session"} {
+		d := &c.daemons[i]
+		d.claims = claims.NewService(claims.ServiceOptions{
+			Table: c.table, Objects: c.platform.Objects(), Log: logger,
+			Daemons: func() int { return daemonCount }, Sweeps: func() bool { return false },
+		})
+		d.publisher = traffic.NewPublisher()
+		s := *c.snapshot
+		s.Session = membership.Session{ID: id, ExpiresUnixMS: time.Now().Add(time.Hour).UnixMilli()}
+		d.publisher.Publish(&s)
+		d.server = entry.NewServer(entry.Options{
+			Publisher: d.publisher, Claims: d.claims, Targets: target.NewClient(),
+			Gates: entry.NewGates(), Observer: noObserver{}, Log: logger, Now: time.Now,
+		})
+		d.http = httptest.NewServer(d.server.Handler())
+		t.Cleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			_ = d.server.Drain(ctx, d.http.Config)
+		})
+	}
+	return c
+}
+
+func (c *cluster) service(r rules.Service, urls ...string) *traffic.Service {
+	var targets []route.Target
+	for _, u := range urls {
+		targets = append(targets, route.Target{
+			Address: strings.TrimPrefix(u, "http://"), Region: "hobart", Slots: 8, Connections: 64,
+			State: charts.TargetLive, Usage: &route.Usage{},
+		})
+	}
+	return &traffic.Service{Rules: r, Picker: route.NewPicker("hobart", targets), Limit: 64, Slots: 64}
+}
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -60,17 +60,20 @@
 	return verdict.Refuse(code, status, 0, format, args...)
 }
 
+// newCall returns a call with an ID, which the answer tells the caller.
+func newCall(c *gin.Context) call {
+	q := call{id: rand.Text(), method: c.Request.Method}
+	c.Writer.Header().Set(HeaderRequestID, q.id)
+	return q
+}
+
 // parse checks everything about a request that costs no target a byte.
 func (s *Server) parse(c *gin.Context) (call, error) {
 	r := c.Request
-	q := call{
-		id:          rand.Text(),
-		serviceName: c.Param("service"),
-		arrived:     s.opts.Now(),
-		method:      r.Method,
-		snapshot:    s.opts.Publisher.Load(),
-	}
-	c.Writer.Header().Set(HeaderRequestID, q.id)
+	q := newCall(c)
+	q.serviceName = c.Param("service")
+	q.arrived = s.opts.Now()
+	q.snapshot = s.opts.Publisher.Load()
 	if err := checkProtocol(r); err != nil {
 		return q, err
 	}
