--- a/admit/limit.go
+++ b/admit/limit.go
@@ -32,6 +32,10 @@
 	startFactor = 1.25
 	minFactor   = 0.5
 	maxFactor   = 2
+	// queueAllowance is the wait in a queue that is always allowed, and
+	// maxQueueFactor the most requests in flight with it, relative to all slots.
+	queueAllowance = 5 * time.Millisecond
+	maxQueueFactor = 4
 	// unmeasured is the latency that is expected before any was measured.
 	unmeasured = 50 * time.Millisecond
 )
@@ -74,7 +78,15 @@
 	l.current = min(max(l.current, minFactor*share, 1), maxFactor*slots)
 }
 
-func (l *limit) value() int { return max(1, int(l.current)) }
+// value adds to the limit what is worked off within the queue allowance, so
+// that a fast service is not refused for a moment's burst.
+func (l *limit) value() int {
+	value := l.current
+	if base := l.base(); base > 0 {
+		value *= 1 + float64(queueAllowance)/float64(base)
+	}
+	return max(1, int(min(value, maxQueueFactor*float64(l.capacity.Slots))))
+}
 
 func (l *limit) observe(now time.Time, latency time.Duration) {
 	if len(l.samples) == 0 {
