--- a/internal/batch/recovery_test.go
+++ b/internal/batch/recovery_test.go
@@ -1,96 +1,149 @@
 package batch
 
 import (
-	"context"
+	"fmt"
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
-	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/fake"
-	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/inventory"
-	"github.com/bambooyard/bambooyard/membership"
 )
 
-const (
-	testLeaseTTL = 10 * time.Second
-	testOwnerTTL = 6 * time.Second
-	testDelay    = 5 * time.Millisecond
-)
+func testJob(key string, tasks int, run time.Duration) Job {
+	return Job{Member: "m", Key: key, Tasks: tasks, RunTimeMS: run.Milliseconds(), Payload: "run=" + run.String(),
+		Resources: inventory.Resources{MilliProcessors: 1000, MemoryMB: 100}}
+}
 
-// yard is a few daemons' batch managers over one stand-in platform and worker.
-type yard struct {
-	clock    *fake.Clock
-	platform *fake.Platform
-	worker   *fake.Worker
-	doc      document.Document
-	alive    map[string]*fake.Executor
+// owner returns the daemon that owns the only shard, or nil.
+func (w *world) owner() *daemon {
+	for _, d := range w.running() {
+		if _, owned := d.m.JobTasks("r0", "", false); owned {
+			return d
+		}
+	}
+	return nil
+}
+
+// runUntil advances the time until the condition holds and returns how long
+// that took, or a minute.
+func (w *world) runUntil(holds func() bool) time.Duration {
+	for passed := time.Duration(0); passed < time.Minute; passed += 10 * time.Millisecond {
+		if holds() {
+			return passed
+		}
+		w.clock.Run(10 * time.Millisecond)
+	}
+	return time.Minute
 }
 
-func newYard(seed uint64) *yard {
-	clock := fake.NewClock(seed)
-	capacity := inventory.Resources{MilliProcessors: 4000, MemoryMB: 4000}
-	return &yard{
-		clock:    clock,
-		platform: fake.NewPlatform(),
-		worker:   fake.NewWorker(capacity, clock.Now),
-		doc: document.Document{Inventory: inventory.Inventory{
-			VMs: []inventory.VM{{Name: "w1", Rack: "r1", WorkerAddress: "127.0.0.1:1", Capacity: capacity}},
-		}},
-		alive: map[string]*fake.Executor{},
+// A killed owner's shard starts tasks again within the session's expiry and 2 s.
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	var worst time.Duration
+	for seed := range uint64(50) {
+		is := is.New(t)
+		w := newWorld(seed, 1, 2)
+		for range 3 {
+			w.startDaemon()
+		}
+		w.runUntil(func() bool { return w.owner() != nil })
+		w.submit(testJob("k", 4, time.Second))
+		w.clock.Run(time.Duration(w.rand.Int64N(int64(4 * time.Second))))
+		w.kill(w.owner())
+		w.submit(testJob("next", 1, time.Second))
+		began := len(w.check.attempts)
+		took := w.runUntil(func() bool { return len(w.check.attempts) > began })
+		worst = max(worst, took)
+		is.True(took <= testSessionTTL+2*time.Second) // starts again in time
+		w.clock.Run(30 * time.Second)
+		is.Equal(len(w.check.open()), 0)
+		is.Equal(w.check.all(), nil)
 	}
+	t.Logf("worst of 50: %v after the kill, with sessions of %v", worst, testSessionTTL)
 }
 
-func (y *yard) startDaemon(id string) *Manager {
-	x := fake.NewExecutor(y.clock, testDelay)
-	y.alive[id] = x
-	m := NewManager(Options{
-		Loop: x, Table: y.platform, Now: y.clock.Now,
-		Workers:  func(string) platform.Worker { return y.worker },
-		Log:      &log.Logger{Handler: discard.New()},
-		Self:     func() membership.Session { return membership.Session{ID: id} },
-		Live:     func(now time.Time) []membership.Session { return y.live(now) },
-		LeaseTTL: testLeaseTTL, OwnerTTL: testOwnerTTL,
-	})
-	m.Adopt(document.Head{Revision: 1}, y.doc)
-	x.Every(100*time.Millisecond, m.Tick)
-	return m
+// A draining owner hands its shard over: no lease lapses, no task starts anew.
+func TestDrainHandsOver(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 1, 2)
+	w.startDaemon()
+	w.startDaemon()
+	w.runUntil(func() bool { return w.owner() != nil })
+	w.submit(testJob("k", 4, 20*time.Second))
+	w.clock.Run(3 * time.Second)
+	d := w.owner()
+	d.leaving = true
+	d.x.Post(d.m.Drain)
+	took := w.runUntil(func() bool { return w.owner() != nil })
+	t.Logf("another daemon owned the shard after %v", took)
+	is.True(took <= time.Second)
+	is.Equal(len(d.m.Owned()), 0)
+	w.kill(d)
+	w.clock.Run(30 * time.Second)
+	is.Equal(len(w.check.open()), 0)
+	is.Equal(len(w.check.attempts), 4) // one start for each task
 }
 
-func (y *yard) live(now time.Time) []membership.Session {
-	var all []membership.Session
-	for id := range y.alive {
-		all = append(all, membership.Session{ID: id, ExpiresUnixMS: now.Add(time.Second).UnixMilli()})
+// A daemon that joins gets its shards one at a time, and no lease lapses.
+func TestJoiningDaemonGetsShards(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 8, 1)
+	w.startDaemon()
+	w.clock.Run(5 * time.Second)
+	for i := range 16 {
+		w.submit(testJob(fmt.Sprint(i), 1, 40*time.Second))
 	}
-	return membership.Live(all, now)
+	w.clock.Run(5 * time.Second)
+	w.startDaemon()
+	w.clock.Run(30 * time.Second)
+	a, b := w.daemons[0].m.Owned(), w.daemons[1].m.Owned()
+	is.True(len(b) > 0)
+	is.Equal(len(a)+len(b), 8)
+	w.clock.Run(60 * time.Second)
+	is.Equal(len(w.check.open()), 0)
+	is.Equal(len(w.check.attempts), 16)
+	is.Equal(w.check.all(), nil)
 }
 
-func (y *yard) kill(id string) {
-	y.alive[id].Kill()
-	delete(y.alive, id)
+// In an outage shorter than the grace running tasks run on and nothing new
+// starts; in one that outlasts every lease they stop and start again after it.
+func TestOutage(t *testing.T) {
+	for _, tt := range []struct {
+		outage time.Duration
+		starts int
+	}{{5 * time.Second, 2}, {30 * time.Second, 3}} {
+		is := is.New(t)
+		w := newWorld(1, 1, 1)
+		w.startDaemon()
+		w.startDaemon()
+		w.runUntil(func() bool { return w.owner() != nil })
+		w.submit(testJob("k", 1, 20*time.Second))
+		w.clock.Run(3 * time.Second)
+		w.submit(testJob("late", 1, time.Second))
+		w.platform.SetFaults(fake.Faults{Outage: true})
+		w.clock.Run(tt.outage)
+		is.Equal(len(w.check.attempts), 1) // nothing new starts
+		w.platform.SetFaults(fake.Faults{})
+		w.clock.Run(60 * time.Second)
+		is.Equal(len(w.check.open()), 0)
+		is.Equal(len(w.check.attempts), tt.starts)
+		is.Equal(w.check.all(), nil)
+	}
 }
 
-func TestKilledOwnersTasksFinishUnderAnother(t *testing.T) {
+// An ended job leaves the record; its result can be read still.
+func TestResultOutlivesRecord(t *testing.T) {
 	is := is.New(t)
-	y := newYard(1)
-	y.startDaemon("a")
-	job := Job{Member: "m", Key: "k", Tasks: 6, RunTimeMS: 3000, Payload: "run=3s",
-		Resources: inventory.Resources{MilliProcessors: 1000, MemoryMB: 100}}
-	_, err := Submit(context.Background(), y.platform, []string{"r1"}, job)
-	is.NoErr(err)
-	y.clock.Run(2 * time.Second)
-	is.Equal(len(y.worker.Running()), 4) // the VM is full
-	y.kill("a")
-	b := y.startDaemon("b")
-	y.clock.Run(30 * time.Second)
-	tasks, owned := b.JobTasks("r1", job.ID(), false)
+	w := newWorld(1, 1, 1)
+	w.startDaemon()
+	w.submit(testJob("k", 2, time.Second))
+	w.clock.Run(20 * time.Second)
+	tasks, owned := w.daemons[0].m.JobTasks("r0", "m:k", false)
 	is.True(owned)
-	for _, task := range tasks {
-		is.Equal(task.State, "finished")
-	}
-	is.Equal(len(y.worker.Breaches()), 0)
+	is.Equal(len(tasks), 0)
+	result, err := ReadResult(t.Context(), w.platform, "m:k")
+	is.NoErr(err)
+	is.Equal(len(result), 2)
+	is.Equal(result[0].State, "finished")
 }
