Count admission, retries and claims in the daemon's metrics

Cause: an operator could not see why requests were refused, nor what the claims cost the table.

Ruled out: a series for each service and member (the burn report has those).

Conclusion: refusals by reason, second sends and the cost of claims can be read from GET /metrics.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -52,6 +52,7 @@
 	Table    platform.Table
 	Objects  platform.ObjectStore
 	Log      log.Interface
+	Metrics  *Metrics
 	Now      func() time.Time
 	// After runs fn on any goroutine once the time has passed.
 	After func(d time.Duration, fn func())
@@ -144,6 +145,7 @@
 // executor. It refuses at once while the table is unavailable.
 func (g *Grouper) StartClaim(key idempotency.Key, claim idempotency.Claim, deadline time.Time, done func(Result)) {
 	if err := g.refusal(); err != nil {
+		g.opts.Metrics.refused.Inc(1)
 		done(Result{Err: err})
 		return
 	}
@@ -242,6 +244,7 @@
 	if err == nil {
 		return
 	}
+	g.opts.Metrics.unsettled.Inc(1)
 	g.opts.Log.WithFields(log.Fields{
 		"event": event, "request": t.Claim.Try, "member": t.Key.Member, "service": t.Key.Service,
 	}).WithError(err).Warn("claim left as it is")
--- a/internal/claims/group.go
+++ b/internal/claims/group.go
@@ -105,6 +105,8 @@
 		finish(group, outcome{err: storeError(err)})
 		return
 	}
+	g.opts.Metrics.transactions.Inc(1)
+	g.opts.Metrics.changes.Inc(int64(len(group)))
 	call(g, func(ctx context.Context) (platform.Version, error) {
 		return g.opts.Table.Commit(ctx, txn)
 	}, func(v platform.Version, err error) { g.committed(group, v, err) })
@@ -220,6 +222,7 @@
 
 // readBack reads the rows of changes whose fate is not known.
 func (g *Grouper) readBack(group []*change) {
+	g.opts.Metrics.readBacks.Inc(1)
 	keys := make([]string, len(group))
 	for i, c := range group {
 		keys[i] = c.key
--- a/internal/claims/history_test.go
+++ b/internal/claims/history_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/idempotency"
 	"github.com/bambooyard/bambooyard/internal/claims"
@@ -152,6 +153,7 @@
 	d := &daemon{w: w, x: fake.NewExecutor(w.clock, delay), session: fmt.Sprintf("d%d-%d", number, w.clock.Now().UnixMilli())}
 	d.claims = claims.NewGrouper(claims.Options{
 		Executor: d.x, Table: w.table, Objects: w.table.Objects(), Now: w.clock.Now, After: w.clock.After,
+		Metrics: claims.NewMetrics(metrics.NewRegistry()),
 		Log:     &log.Logger{Handler: discard.New()},
 		Daemons: func() int { return daemons },
 	})
--- /dev/null
+++ b/internal/claims/metrics.go
@@ -0,0 +1,26 @@
+package claims
+
+import "github.com/rcrowley/go-metrics"
+
+// Metrics counts what the claims of one daemon cost. It is safe for
+// concurrent use.
+type Metrics struct {
+	transactions metrics.Counter
+	changes      metrics.Counter
+	readBacks    metrics.Counter
+	refused      metrics.Counter
+	unsettled    metrics.Counter
+	deleted      metrics.Counter
+}
+
+// NewMetrics returns the metrics, registered.
+func NewMetrics(r metrics.Registry) *Metrics {
+	return &Metrics{
+		transactions: metrics.GetOrRegisterCounter("claims.transactions", r),
+		changes:      metrics.GetOrRegisterCounter("claims.changes", r),
+		readBacks:    metrics.GetOrRegisterCounter("claims.read_backs", r),
+		refused:      metrics.GetOrRegisterCounter("claims.refused", r),
+		unsettled:    metrics.GetOrRegisterCounter("claims.unsettled", r),
+		deleted:      metrics.GetOrRegisterCounter("claims.deleted", r),
+	}
+}
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -29,6 +29,7 @@
 	Table   platform.Table
 	Objects platform.ObjectStore
 	Log     log.Interface
+	Metrics *Metrics
 	// Daemons returns how many daemons share the table's write budget.
 	Daemons func() int
 	// Sweeps reports whether this daemon deletes expired claims.
@@ -42,7 +43,7 @@
 		loop:    loop,
 		objects: opts.Objects,
 		grouper: NewGrouper(Options{
-			Executor: loop, Table: opts.Table, Objects: opts.Objects, Log: opts.Log,
+			Executor: loop, Table: opts.Table, Objects: opts.Objects, Log: opts.Log, Metrics: opts.Metrics,
 			Now: time.Now, After: wait, Daemons: opts.Daemons,
 		}),
 	}
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -103,7 +103,8 @@
 	}
 	g.nextSweep = now.Add(sweepPause)
 	call(g, func(ctx context.Context) (bool, error) {
-		_, found, err := s.Round(ctx, now)
+		deleted, found, err := s.Round(ctx, now)
+		g.opts.Metrics.deleted.Inc(int64(deleted))
 		return found, err
 	}, func(found bool, err error) {
 		if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,17 +60,17 @@
 
 func newWorkers() platform.Workers { return platform.NewWorkers(platform.NewHTTPClient()) }
 
-func newClaims(client *platform.Client, p *traffic.Publisher, l log.Interface) *claims.Service {
+func newClaims(client *platform.Client, p *traffic.Publisher, r metrics.Registry, l log.Interface) *claims.Service {
 	return claims.NewService(claims.ServiceOptions{
-		Table: client, Objects: client.Objects(), Log: l,
+		Table: client, Objects: client.Objects(), Log: l, Metrics: claims.NewMetrics(r),
 		Daemons: func() int { return p.Load().Daemons },
 		Sweeps:  func() bool { return p.Load().Sweeps },
 	})
 }
 
-func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *target.Client, m *requestMetrics, l log.Interface) *entry.Server {
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *target.Client, m *requestMetrics, r metrics.Registry, l log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
-		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(), Observer: m, Jobs: jobs{c}, Log: l,
+		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(entry.NewMetrics(r)), Observer: m, Jobs: jobs{c}, Log: l,
 		Now: time.Now,
 	})
 }
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -9,7 +9,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/internal/claims"
 	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/entry"
 )
 
 // Every metric is explained in docs/METRICS.md, and nothing else is.
@@ -17,6 +19,8 @@
 	is := is.New(t)
 	registry := metrics.NewRegistry()
 	newRequestMetrics(burn.NewRecorder(), registry)
+	claims.NewMetrics(registry)
+	entry.NewMetrics(registry)
 	is.NoErr(registerControl(control.NewLoop(), registry))
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	is.NoErr(err)
--- a/internal/entry/gates.go
+++ b/internal/entry/gates.go
@@ -11,12 +11,15 @@
 // Gates holds what the daemon has learned of the load of each service. It is
 // safe for concurrent use.
 type Gates struct {
+	metrics *Metrics
+
 	mu    sync.Mutex
 	gates map[string]*gate
 }
 
 // gate serialises the decisions on one service.
 type gate struct {
+	metrics   *Metrics
 	mu        sync.Mutex
 	admission *admit.Gate
 	budget    retry.Budget
@@ -24,14 +27,14 @@
 }
 
 // NewGates returns no gates.
-func NewGates() *Gates { return &Gates{gates: map[string]*gate{}} }
+func NewGates(m *Metrics) *Gates { return &Gates{metrics: m, gates: map[string]*gate{}} }
 
 func (g *Gates) service(name string) *gate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s, ok := g.gates[name]
 	if !ok {
-		s = &gate{admission: admit.NewGate(admit.Capacity{}), latencies: retry.NewLatencies()}
+		s = &gate{metrics: g.metrics, admission: admit.NewGate(admit.Capacity{}), latencies: retry.NewLatencies()}
 		g.gates[name] = s
 	}
 	return s
@@ -42,7 +45,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.admission.SetCapacity(c)
-	return g.admission.Arrive(now, r)
+	d := g.admission.Arrive(now, r)
+	g.metrics.admission(d)
+	return d
 }
 
 // leave counts an admitted request that has ended.
@@ -50,6 +55,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.admission.Leave(member)
+	g.metrics.inFlight.Dec(1)
 }
 
 // first counts a request that is sent for the first time.
@@ -64,14 +70,21 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	f.Expected = g.latencies.Typical()
-	return g.budget.Again(f)
+	wanted := f.Wanted()
+	allowed := wanted && g.budget.Take()
+	if wanted {
+		g.metrics.secondSend(g.metrics.retries, allowed)
+	}
+	return allowed
 }
 
 // take uses the budget for a hedge, if it allows it.
 func (g *gate) take() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.budget.Take()
+	allowed := g.budget.Take()
+	g.metrics.secondSend(g.metrics.hedges, allowed)
+	return allowed
 }
 
 // hedgeAfter returns how long to wait before a hedge.
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -12,6 +12,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/internal/claims"
@@ -89,7 +91,7 @@
 	for i, id := range []string{"d1-session", "d2-session"} {
 		d := &c.daemons[i]
 		d.claims = claims.NewService(claims.ServiceOptions{
-			Table: c.table, Objects: c.platform.Objects(), Log: logger,
+			Metrics: claims.NewMetrics(metrics.NewRegistry()), Table: c.table, Objects: c.platform.Objects(), Log: logger,
 			Daemons: func() int { return daemonCount }, Sweeps: func() bool { return false },
 		})
 		d.publisher = traffic.NewPublisher()
@@ -98,7 +100,7 @@
 		d.publisher.Publish(&s)
 		d.server = entry.NewServer(entry.Options{
 			Publisher: d.publisher, Claims: d.claims, Targets: target.NewClient(),
-			Gates: entry.NewGates(), Observer: noObserver{}, Log: logger, Now: time.Now,
+			Gates: entry.NewGates(entry.NewMetrics(metrics.NewRegistry())), Observer: noObserver{}, Log: logger, Now: time.Now,
 		})
 		d.http = httptest.NewServer(d.server.Handler())
 		t.Cleanup(func() {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -53,17 +53,15 @@
 	Remaining, Expected time.Duration
 }
 
-// Again reports whether the request may be sent once more. A request that must
-// not be repeated may be if no byte of it was sent. The budget is used only if
-// everything else allows it.
-func (b *Budget) Again(f Failure) bool {
+// Wanted reports whether the request may be sent once more, if the budget
+// allows it. A request that must not be repeated may be if no byte of it was
+// sent.
+func (f Failure) Wanted() bool {
 	switch {
 	case f.Verdict != verdict.NotRun && !f.Repeatable:
 		return false
-	case f.Sends >= maxSends || f.Remaining <= f.Expected:
-		return false
 	default:
-		return b.Take()
+		return f.Sends < maxSends && f.Remaining > f.Expected
 	}
 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -28,7 +28,7 @@
 					Repeatable: rapid.Bool().Draw(t, "repeatable"),
 					Sends:      sends, Remaining: time.Second, Expected: time.Millisecond,
 				}
-				if !b.Again(f) {
+				if !f.Wanted() || !b.Take() {
 					break
 				}
 				second++
@@ -49,7 +49,7 @@
 	is := is.New(t)
 	none, bounded, unbounded := failing(1, func(*retry.Budget, int) bool { return false }),
 		failing(1, func(b *retry.Budget, sends int) bool {
-			return b.Again(retry.Failure{Repeatable: true, Sends: sends, Remaining: time.Second})
+			return retry.Failure{Repeatable: true, Sends: sends, Remaining: time.Second}.Wanted() && b.Take()
 		}),
 		failing(1, func(_ *retry.Budget, sends int) bool { return sends < 3 })
 	t.Logf("none %+v, budget %+v, without budget %+v", none, bounded, unbounded)
