--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -49,6 +49,18 @@
 	return InboxPrefix(shard) + member + "/" + key
 }
 
+// ClaimTimesPrefix begins the rows that list claims by the time they were made.
+const ClaimTimesPrefix = "claim-times/"
+
+// ClaimTimesKey is the row that lists the claims of one transaction; the rows
+// sort by time.
+func ClaimTimesKey(unixMS int64, try string) string {
+	return fmt.Sprintf("%s%013d/%s", ClaimTimesPrefix, unixMS, try)
+}
+
+// AnswerObject is the object that holds the kept answer of a try.
+func AnswerObject(try string) string { return "answer-" + try }
+
 // BurnKey is the row of one part of an hour's burn counts. The hour is in
 // seconds since 1970 UTC.
 func BurnKey(hour int64, part string) string {
