--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -127,12 +127,12 @@
 	for _, vm := range doc.Inventory.VMs {
 		byRack[vm.Rack] = append(byRack[vm.Rack], vm)
 	}
-	directory := NewDirectory(doc)
 	for name := range byRack {
 		if _, ok := m.owners[name]; !ok {
 			m.owners[name] = newOwner(name, m)
 		}
 	}
+	directory := NewDirectory(doc)
 	for name, o := range m.owners {
 		o.setVMs(byRack[name])
 		o.directory = directory
--- a/place/faults.go
+++ b/place/faults.go
@@ -173,16 +173,20 @@
 }
 
 // accepts tells whether a machine's health lets the task start on it. A
-// quarantined worker is probed with one task at a time: not with an urgent one
-// nor one that has failed before, unless all workers are quarantined.
+// quarantined worker is probed with one task at a time. A task that has failed
+// before is taken only when no other came for another delay, and an urgent one
+// only when all workers are quarantined.
 func (f *faults) accepts(m *machineState, d *candidate, now int64) bool {
 	w, ok := f.workers[m.Name]
 	if !ok || !w.quarantined {
 		return true
 	}
+	probeAfter := w.probeAfterUnixMS
+	if len(d.FailedOn) > 0 {
+		probeAfter += w.probeDelayMS
+	}
 	idle := len(m.tasks)+m.started == 0
-	expendable := !d.Urgent && len(d.FailedOn) == 0
-	return idle && now >= w.probeAfterUnixMS && (expendable || f.healthy() == 0)
+	return idle && now >= probeAfter && (!d.Urgent || f.healthy() == 0)
 }
 
 // final tells whether a task that has failed is to end as failed, and why.
