Leave the limits in force to the owner

Cause: the planner kept the throttles that it had planned and overrode the owner's, so that an order that got lost was never given again; an attempt could seem throttled by the limit of an earlier one. Ruled out: telling the planner of lost orders, which keeps the same thing twice. Change: Running.ThrottlePerMille is the only account; the owner forgets a limit when a new attempt starts.

--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -33,8 +33,10 @@
 		o.record(shard.Record{Event: charts.TaskEvict, Task: shard.TaskID(e.Task), Reason: e.Reason})
 	}
 	for _, s := range plan.Starts {
-		if o.start(now, shard.TaskID(s.Task), s.Machine) && s.ThrottlePerMille > 0 {
-			o.throttled[shard.TaskID(s.Task)] = s.ThrottlePerMille
+		id := shard.TaskID(s.Task)
+		delete(o.throttled, id) // of an earlier attempt
+		if o.start(now, id, s.Machine) && s.ThrottlePerMille > 0 {
+			o.throttled[id] = s.ThrottlePerMille
 		}
 	}
 	for _, t := range plan.Throttles {
--- a/place/interference_test.go
+++ b/place/interference_test.go
@@ -157,6 +157,7 @@
 			is.True(last == 0 || now-last >= 3_000) // a measurement has shown the step before
 			last = now
 			steps = append(steps, th.PerMille)
+			r.ThrottlePerMille = th.PerMille
 		}
 		if len(plan.Evictions) > 0 {
 			steps = append(steps, "evicted")
--- a/place/plan.go
+++ b/place/plan.go
@@ -12,8 +12,6 @@
 	corrections  *corrections
 	interference *interference
 	faults       *faults
-	// throttles is the limit of each throttled task in thousandths.
-	throttles map[string]int
 	// evicted is the tasks evicted by the present plan.
 	evicted   map[string]bool
 	nowUnixMS int64
@@ -25,7 +23,6 @@
 		corrections:  newCorrections(),
 		interference: newInterference(),
 		faults:       newFaults(),
-		throttles:    map[string]int{},
 	}
 }
 
@@ -52,7 +49,6 @@
 func (p *Planner) Plan(in Input) Plan {
 	p.nowUnixMS = in.NowUnixMS
 	p.evicted = map[string]bool{}
-	in.Running = p.withThrottles(in.Running)
 	var plan Plan
 	var pending []Demand
 	plan.Rejections, pending = reject(&in)
@@ -65,24 +61,6 @@
 	return plan
 }
 
-// withThrottles returns the running tasks with the limits that this planner
-// has set, and forgets the limits of others.
-func (p *Planner) withThrottles(running []Running) []Running {
-	if len(p.throttles) == 0 {
-		return running
-	}
-	known := make(map[string]bool, len(p.throttles))
-	limited := append([]Running(nil), running...)
-	for i := range limited {
-		if perMille, ok := p.throttles[limited[i].Task]; ok {
-			limited[i].ThrottlePerMille = perMille
-			known[limited[i].Task] = true
-		}
-	}
-	keep(p.throttles, known)
-	return limited
-}
-
 // startAll starts what fits, in order, and makes room for urgent work.
 func (p *Planner) startAll(in *Input, cl *cluster, pending []Demand, plan *Plan) {
 	held := newHoldings(in)
@@ -102,7 +80,6 @@
 		case ok:
 			held.take(&d.Demand)
 			cl.start(c.machine, &d.Demand, d.size, c.perMille)
-			p.limit(d.Task, c.perMille)
 			plan.Starts = append(plan.Starts, Start{Task: d.Task, Machine: cl.machines[c.machine].Name, ThrottlePerMille: c.perMille})
 		case d.Urgent:
 			held.take(&d.Demand)
@@ -113,14 +90,6 @@
 	}
 }
 
-func (p *Planner) limit(task string, perMille int) {
-	if perMille > 0 {
-		p.throttles[task] = perMille
-	} else {
-		delete(p.throttles, task)
-	}
-}
-
 // shape is all of a task that decides whether some machine takes it.
 type shape struct {
 	kind  string
--- a/place/simulation_test.go
+++ b/place/simulation_test.go
@@ -159,6 +159,7 @@
 			m.Free = m.Free.Sub(t.Resources)
 			in.Running = append(in.Running, place.Running{
 				Demand: t.Demand, Machine: t.machine, StartedUnixMS: t.startedMS, Stopping: t.stoppingMS > 0,
+				ThrottlePerMille: int(t.perMille),
 			})
 		}
 	}
--- a/place/throttle.go
+++ b/place/throttle.go
@@ -74,7 +74,6 @@
 	r := &in.Running[heaviest]
 	next := perMilleOf(r) / 2
 	if next >= minPerMille {
-		p.throttles[r.Task] = next
 		plan.Throttles = append(plan.Throttles, Throttle{Task: r.Task, PerMille: next})
 		return
 	}
@@ -101,7 +100,6 @@
 			continue
 		}
 		p.interference.machine(m.Name).actedUnixMS = in.NowUnixMS
-		p.throttles[r.Task] = next
 		plan.Throttles = append(plan.Throttles, Throttle{Task: r.Task, PerMille: next})
 		return
 	}
