--- a/internal/batch/exchange.go
+++ b/internal/batch/exchange.go
@@ -227,7 +227,7 @@
 	case platform.LeaseFinished:
 		r.Event = charts.TaskFinish
 	case platform.LeaseFailed:
-		r.Event = o.failure(t)
+		r.Event, r.Reason = o.failure(t, l.Reason)
 	case platform.LeaseStopped:
 		r.Event = charts.TaskStopped
 		if t.State == charts.TaskRunning {
--- a/place/choose.go
+++ b/place/choose.go
@@ -75,7 +75,7 @@
 // admissible tells whether the task may go to the machine at all, by the
 // failures of both.
 func (p *Planner) admissible(m *machineState, d *candidate) bool {
-	if !d.anywhere && (contains(d.FailedOn, m.Name) || p.faults.failedOn(d.Task, m.Name)) {
+	if !d.anywhere && contains(d.FailedOn, m.Name) {
 		return false
 	}
 	return p.faults.accepts(m, d, p.nowUnixMS)
