--- a/document/document.go
+++ b/document/document.go
@@ -31,6 +31,8 @@
 	Author string `json:"author"`
 	// AcceptedUnixMS is the time of acceptance in milliseconds since 1970 UTC.
 	AcceptedUnixMS int64 `json:"accepted_unix_ms"`
+	// Proposal is the unique ID of the proposal that was accepted.
+	Proposal string `json:"proposal,omitempty"`
 }
 
 // DecodeError reports a document that cannot be read. Err names line and field.
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -1,11 +1,12 @@
-// Package configsync follows the configuration document in force. All methods
-// of Follower run on the control loop.
+// Package configsync follows the configuration document in force and proposes
+// new ones. All methods of Follower run on the control loop.
 package configsync
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/apex/log"
 
@@ -16,14 +17,23 @@
 	"github.com/bambooyard/bambooyard/internal/platform"
 )
 
+// Bounds of the wait after a document could not be fetched.
+const (
+	minBackoff = 250 * time.Millisecond
+	maxBackoff = 8 * time.Second
+)
+
 // Options are the settings of a Follower.
 type Options struct {
 	Loop    control.Executor
 	Table   platform.Table
 	Objects platform.ObjectStore
 	Log     log.Interface
+	Now     func() time.Time
 	// Adopted is called on the loop after each adoption.
 	Adopted func(document.Head, document.Document)
+	// Known is called on the loop when the head row was read for the first time.
+	Known func()
 }
 
 // Follower adopts newer documents and never goes back.
@@ -31,8 +41,14 @@
 	opts     Options
 	state    chart.State
 	head     document.Head
+	version  platform.Version
+	known    bool
 	document document.Document
 	busy     bool
+	again    bool
+	wanted   document.Head // the newest head that was announced
+	backoff  time.Duration
+	retryAt  time.Time
 }
 
 // NewFollower returns a follower that has adopted nothing.
@@ -46,58 +62,117 @@
 // Document returns what is adopted.
 func (f *Follower) Document() document.Document { return f.document }
 
-type loaded struct {
-	head     document.Head
-	document document.Document
+// Version returns the version of the head row that names what is adopted, and
+// whether the row has been read.
+func (f *Follower) Version() (platform.Version, bool) { return f.version, f.known }
+
+// State returns the state of the adoption, as in the chart.
+func (f *Follower) State() chart.State { return f.state }
+
+type headRow struct {
+	head    document.Head
+	version platform.Version
 }
 
 // Check reads the head row and adopts the document if it is newer.
 func (f *Follower) Check() {
 	if f.busy {
+		f.again = true
 		return
 	}
 	f.busy = true
-	current := f.head
-	control.Async(f.opts.Loop, func(ctx context.Context) (*loaded, error) {
-		return f.load(ctx, current)
+	control.Async(f.opts.Loop, func(ctx context.Context) (headRow, error) {
+		head, version, err := ReadHead(ctx, f.opts.Table)
+		return headRow{head, version}, err
 	}, f.checked)
 }
 
-func (f *Follower) load(ctx context.Context, current document.Head) (*loaded, error) {
-	head, _, err := ReadHead(ctx, f.opts.Table)
-	if err != nil || !document.Newer(current, head) {
-		return nil, err
-	}
-	body, err := f.opts.Objects.Get(ctx, platform.ConfigObject(int64(head.Revision), head.Digest))
+func (f *Follower) checked(row headRow, err error) {
 	if err != nil {
-		return nil, err
+		f.opts.Log.WithFields(log.Fields{"event": "config_check_failed"}).WithError(err).Warn("check failed")
+		f.finish()
+		return
 	}
-	if digest := document.Digest(body); digest != head.Digest {
-		return nil, fmt.Errorf("document of revision %d has digest %s, want %s", head.Revision, digest, head.Digest)
+	first := !f.known
+	f.known = true
+	if !document.Newer(f.head, row.head) {
+		f.finish()
+		if first {
+			f.opts.Known()
+		}
+		return
 	}
-	doc, err := document.Decode(body)
-	if err != nil {
-		return nil, err
+	if row.head.Revision == f.wanted.Revision && f.opts.Now().Before(f.retryAt) {
+		f.finish()
+		return
 	}
-	return &loaded{head, doc}, nil
+	f.fetch(row)
 }
 
-func (f *Follower) checked(l *loaded, err error) {
-	f.busy = false
+// fetch reads the body of a newer document.
+func (f *Follower) fetch(row headRow) {
+	f.move(charts.ConfigurationAnnounce)
+	f.wanted = row.head
+	control.Async(f.opts.Loop, func(ctx context.Context) (document.Document, error) {
+		return load(ctx, f.opts.Objects, row.head)
+	}, func(doc document.Document, err error) {
+		if err != nil {
+			f.failed(err)
+		} else {
+			f.adopt(row, doc)
+		}
+		f.finish()
+	})
+}
+
+// load reads a body and checks that it is the one which the head names.
+func load(ctx context.Context, objects platform.ObjectStore, head document.Head) (document.Document, error) {
+	body, err := objects.Get(ctx, platform.ConfigObject(int64(head.Revision), head.Digest))
 	if err != nil {
-		f.opts.Log.WithFields(log.Fields{"event": "config_check_failed"}).WithError(err).Warn("check failed")
-		return
+		return document.Document{}, err
 	}
-	if l == nil || !document.Newer(f.head, l.head) {
-		return
+	if digest := document.Digest(body); digest != head.Digest {
+		return document.Document{}, &DigestError{Revision: head.Revision, Digest: digest, Want: head.Digest}
 	}
-	f.move(charts.ConfigurationAnnounce)
+	return document.Decode(body)
+}
+
+// DigestError reports a body that is not the one which its head names.
+type DigestError struct {
+	Revision     document.Revision
+	Digest, Want string
+}
+
+// Error implements error.
+func (e *DigestError) Error() string {
+	return fmt.Sprintf("document of revision %d has digest %s, want %s", e.Revision, e.Digest, e.Want)
+}
+
+// failed doubles the wait before the next fetch of the same revision.
+func (f *Follower) failed(err error) {
+	f.move(charts.ConfigurationFail)
+	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
+	f.retryAt = f.opts.Now().Add(f.backoff)
+	f.opts.Log.WithFields(log.Fields{"event": "config_fetch_failed", "revision": f.wanted.Revision}).WithError(err).Warn("fetch failed")
+}
+
+func (f *Follower) adopt(row headRow, doc document.Document) {
 	f.move(charts.ConfigurationAdopt)
-	f.head, f.document = l.head, l.document
+	f.head, f.version, f.document = row.head, row.version, doc
+	f.backoff, f.retryAt = 0, time.Time{}
 	f.opts.Log.WithFields(log.Fields{"event": "config_adopted", "revision": f.head.Revision, "digest": f.head.Digest}).Info("adopted")
 	f.opts.Adopted(f.head, f.document)
 }
 
+// finish ends a check and begins another if one was asked for meanwhile.
+func (f *Follower) finish() {
+	f.busy = false
+	if f.again {
+		f.again = false
+		f.Check()
+	}
+}
+
 func (f *Follower) move(e chart.Event) {
 	next, err := charts.Configuration.Next(f.state, e)
 	if err != nil {
@@ -113,44 +188,14 @@
 	if err != nil {
 		return document.Head{}, 0, err
 	}
-	var head document.Head
-	if rows[0].Version == 0 {
-		return head, 0, nil
-	}
-	err = json.Unmarshal(rows[0].Value, &head)
-	return head, rows[0].Version, err
+	return decodeHead(rows[0])
 }
 
-// RevisionConflictError reports that another operator was faster.
-type RevisionConflictError struct{ Based, Current document.Revision }
-
-// Error implements error.
-func (e *RevisionConflictError) Error() string {
-	return fmt.Sprintf("document is based on revision %d, but revision %d is in force", e.Based, e.Current)
-}
-
-// Propose stores a document and makes it the next revision, if based is still
-// the revision in force. It runs on any goroutine.
-func Propose(ctx context.Context, table platform.Table, objects platform.ObjectStore, body []byte, next document.Head, based document.Revision) (document.Head, error) {
-	head, version, err := ReadHead(ctx, table)
-	if err != nil {
-		return document.Head{}, err
-	}
-	if head.Revision != based {
-		return document.Head{}, &RevisionConflictError{Based: based, Current: head.Revision}
-	}
-	next.Revision = based + 1
-	next.Digest = document.Digest(body)
-	if err := objects.Put(ctx, platform.ConfigObject(int64(next.Revision), next.Digest), body); err != nil {
-		return document.Head{}, err
-	}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return document.Head{}, err
+func decodeHead(row platform.Row) (document.Head, platform.Version, error) {
+	var head document.Head
+	if row.Version == 0 {
+		return head, 0, nil
 	}
-	_, err = table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: platform.ConfigHeadKey, Version: version}},
-		Puts:   []platform.Put{{Key: platform.ConfigHeadKey, Value: value}},
-	})
-	return next, err
+	err := json.Unmarshal(row.Value, &head)
+	return head, row.Version, err
 }
--- /dev/null
+++ b/internal/configsync/partition_test.go
@@ -0,0 +1,118 @@
+package configsync_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/fake"
+)
+
+// settled returns a fleet of n daemons that all serve revision 1.
+func settled(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := newFleet(1, n, 20*time.Millisecond)
+	f.clock.Run(3 * time.Second)
+	_, err := f.apply(f.platform, "first", 0)
+	is.New(t).NoErr(err)
+	f.clock.Run(3 * time.Second)
+	is.New(t).Equal(f.serving(), n)
+	return f
+}
+
+func TestChangeIsInForceOnEightDaemonsWithinTwoSeconds(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 8)
+	_, err := f.apply(f.platform, "second", 1)
+	is.NoErr(err)
+	f.clock.Run(2 * time.Second)
+	a, err := f.adoption(2, f.clock.Now())
+	is.NoErr(err)
+	is.True(a.InForce())
+	is.Equal(len(a.Adopted), 8)
+}
+
+func TestServiceGoesOnInAnOutageSeenByAll(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 8)
+	f.platform.SetFaults(fake.Faults{Outage: true})
+	for range 600 {
+		f.clock.Run(100 * time.Millisecond)
+		is.Equal(f.serving(), 8)
+	}
+	f.platform.SetFaults(fake.Faults{})
+	f.clock.Run(5 * time.Second)
+	is.Equal(f.serving(), 8)
+	_, err := f.apply(f.platform, "after", 1)
+	is.NoErr(err)
+	f.clock.Run(10 * time.Second)
+	a, err := f.adoption(2, f.clock.Now())
+	is.NoErr(err)
+	is.True(a.InForce())
+}
+
+func TestCutOffDaemonsStopServing(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		cut, serving int
+		inForce      bool
+		sides        bool
+	}{
+		{"one cut off from the store and all peers", 1, 7, true, true},
+		{"one cut off from the store only", 1, 7, true, false},
+		{"half cut off together", 4, 4, true, true},
+		{"more than half cut off together", 5, 8, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := settled(t, 8)
+			for _, d := range f.daemons[:c.cut] {
+				d.link.cut = true
+				if c.sides {
+					d.side = 1
+				}
+			}
+			f.clock.Run(2*fleetTTL + time.Second)
+			is.Equal(f.serving(), c.serving)
+			_, err := f.apply(f.platform, "second", 1)
+			is.NoErr(err)
+			f.clock.Run(10 * time.Second)
+			a, err := f.adoption(2, f.clock.Now())
+			is.NoErr(err)
+			is.Equal(a.InForce(), c.inForce)
+			for _, d := range f.daemons[:c.cut] {
+				d.link.cut, d.side = false, 0
+			}
+			f.clock.Run(10 * time.Second)
+			a, err = f.adoption(2, f.clock.Now())
+			is.NoErr(err)
+			is.True(a.InForce())
+			is.Equal(f.serving(), 8)
+		})
+	}
+}
+
+func TestFrozenDaemonServesNothingOldWhenItWakes(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 3)
+	f.daemons[0].freeze(20 * time.Second)
+	f.clock.Run(3 * time.Second)
+	_, err := f.apply(f.platform, "second", 1)
+	is.NoErr(err)
+	for range 300 {
+		f.clock.Run(100 * time.Millisecond)
+		is.True(!f.daemons[0].serving() || f.daemons[0].snapshot.Head.Revision == 2)
+	}
+	is.True(f.daemons[0].serving())
+}
+
+func TestGracefulStopDeletesTheSession(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 2)
+	is.NoErr(f.daemons[0].keeper.Release(t.Context()))
+	f.daemons[0].kill()
+	a, err := f.adoption(1, f.clock.Now())
+	is.NoErr(err)
+	is.Equal(len(a.Adopted), 1)
+}
--- /dev/null
+++ b/internal/configsync/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package configsync_test
+
+const raceEnabled = true
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"sort"
 	"time"
 
@@ -25,13 +26,12 @@
 
 // Intervals of the control goroutine.
 const (
-	configInterval  = 500 * time.Millisecond
-	vmListInterval  = time.Second
-	loadInterval    = 250 * time.Millisecond
-	batchInterval   = 100 * time.Millisecond
-	viewInterval    = 250 * time.Millisecond
-	renewalsPerTTL  = 3
-	isolationFactor = 2 // sessions' lifetimes without contact before a daemon is cut off
+	configInterval = 500 * time.Millisecond
+	vmListInterval = time.Second
+	loadInterval   = 250 * time.Millisecond
+	batchInterval  = 100 * time.Millisecond
+	viewInterval   = 250 * time.Millisecond
+	renewalsPerTTL = 3
 )
 
 // controller owns the control state. Its methods run on the control loop
@@ -50,8 +50,6 @@
 	batch   *batch.Manager
 	loads   *loadTable
 	leaving map[string]bool // VMs that the platform's list names as leaving
-	// lastPeer is when a peer last answered.
-	lastPeer time.Time
 }
 
 func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher) *controller {
@@ -68,10 +66,14 @@
 	}
 	c.keeper = sessions.NewKeeper(sessions.Options{
 		Loop: loop, Table: client, TTL: s.SessionTTL, Log: logger, Now: time.Now,
-		Self: membership.Session{Daemon: s.Name, Region: s.Region, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress},
+		Self:   membership.Session{Daemon: s.Name, Region: s.Region, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress},
+		Head:   c.adoptedHead,
+		NewID:  rand.Text,
+		Behind: func() { c.config.Check() },
 	})
 	c.config = configsync.NewFollower(configsync.Options{
-		Loop: loop, Table: client, Objects: client.Objects(), Log: logger, Adopted: c.adopted,
+		Loop: loop, Table: client, Objects: client.Objects(), Log: logger, Now: time.Now,
+		Adopted: c.adopted, Known: c.keeper.Renew,
 	})
 	c.batch = batch.NewManager(batch.Options{
 		Loop: loop, Table: client, Workers: workers, Log: logger, Now: time.Now,
@@ -83,7 +85,6 @@
 
 // start begins the periodic work; it runs on any goroutine.
 func (c *controller) start() {
-	c.loop.Post(c.keeper.Renew)
 	c.loop.Post(c.config.Check)
 	c.loop.Every(c.settings.SessionTTL/renewalsPerTTL, func(time.Time) { c.keeper.Renew() })
 	c.loop.Every(configInterval, func(time.Time) { c.config.Check() })
@@ -93,13 +94,18 @@
 	c.loop.Every(viewInterval, c.refresh)
 }
 
+// adopted takes in a newer document. The session is renewed, or established,
+// with its revision; refresh makes the daemon ready once it may serve.
 func (c *controller) adopted(head document.Head, doc document.Document) {
 	c.keeper.SetRevision(head.Revision)
 	c.batch.Adopt(head, doc)
-	if charts.Daemon.Can(c.state, charts.DaemonAdopt) {
-		c.move(charts.DaemonAdopt)
-	}
-	c.publish(time.Now())
+	c.refresh(time.Now())
+}
+
+// adoptedHead is what a new session must begin under.
+func (c *controller) adoptedHead() sessions.Head {
+	version, known := c.config.Version()
+	return sessions.Head{Revision: c.config.Head().Revision, Version: version, Known: known}
 }
 
 func (c *controller) move(e chart.Event) {
@@ -127,14 +133,13 @@
 	})
 }
 
-// refresh tells whether the daemon is cut off and publishes a new snapshot.
+// refresh decides whether the daemon may serve and publishes a new snapshot.
 func (c *controller) refresh(now time.Time) {
-	limit := isolationFactor * c.settings.SessionTTL
-	cutOff := now.Sub(c.keeper.LastContact()) > limit && now.Sub(c.lastPeer) > limit
+	serving := c.keeper.Decide(now).Standing != membership.Isolated && c.config.Head().Revision > 0
 	switch {
-	case cutOff && c.state == charts.DaemonReady:
+	case !serving && charts.Daemon.Can(c.state, charts.DaemonIsolate):
 		c.move(charts.DaemonIsolate)
-	case !cutOff && c.state == charts.DaemonIsolated:
+	case serving && charts.Daemon.Can(c.state, charts.DaemonAdopt):
 		c.move(charts.DaemonAdopt)
 	}
 	c.publish(now)
@@ -160,6 +165,25 @@
 	return s, err
 }
 
+// targets describes the targets of all services; it runs on any goroutine.
+func (c *controller) targets(ctx context.Context) ([]operator.Target, error) {
+	var list []operator.Target
+	err := c.loop.Do(ctx, func() {
+		inv := c.config.Document().Inventory
+		places, vms := inv.Places(), inv.ByName()
+		for _, service := range inv.Services {
+			for _, t := range service.Targets {
+				list = append(list, operator.Target{
+					Service: service.Name, VM: t.VM, Address: t.Address,
+					Place: operator.Place(places[vms[t.VM].Rack]), State: string(c.targetState(vms[t.VM])),
+					Slots: t.Slots, InFlight: c.loads.usage(t.Address).InFlight(),
+				})
+			}
+		}
+	})
+	return list, err
+}
+
 // drain makes the daemon unready and hands over what it owns.
 func (c *controller) drain() {
 	c.move(charts.DaemonStop)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,6 +70,8 @@
 	return operator.NewServer(operator.Options{
 		Table: client, Objects: client.Objects(), Publisher: p, Burn: b, Metrics: r, Now: time.Now,
 		Status:   c.status,
+		Targets:  c.targets,
+		Token:    c.settings.OperatorToken,
 		Announce: func() { c.loop.Post(c.config.Check) },
 	})
 }
@@ -153,6 +155,9 @@
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
 	p.Controller.pool.Close()
 	p.Loop.Stop()
+	if err := p.Controller.keeper.Release(ctx); err != nil {
+		p.Log.WithField("event", "session_not_released").WithError(err).Warn("the session runs out by itself")
+	}
 	p.Log.WithField("event", "stopped").Info("stopped")
 	return err
 }
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -21,8 +21,8 @@
 // Submit implements entry.Jobs.
 func (j jobs) Submit(ctx context.Context, job batch.Job) (batch.Job, error) {
 	snapshot := j.c.publisher.Load()
-	if !snapshot.Ready {
-		return batch.Job{}, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfterOwner, "the daemon is not ready: %s", snapshot.Reason)
+	if ok, reason := snapshot.Serving(time.Now()); !ok {
+		return batch.Job{}, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfterOwner, "the daemon is not ready: %s", reason)
 	}
 	if !snapshot.Members[job.Member] {
 		return batch.Job{}, verdict.Refuse(verdict.CodeUnknownMember, http.StatusForbidden, 0, "field member: member %q does not exist", job.Member)
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
@@ -91,7 +92,7 @@
 	self := c.keeper.Self()
 	report := c.loadReport(self.ID)
 	addresses := map[string]bool{}
-	for _, s := range c.keeper.Live(now) {
+	for _, s := range c.keeper.Peers(now) {
 		if s.ID == self.ID {
 			continue
 		}
@@ -119,14 +120,19 @@
 
 func (c *controller) sendLoad(s membership.Session, report *peerpb.LoadReport) {
 	req := &peerpb.Request{Kind: &peerpb.Request_Load{Load: report}}
+	askedAt := time.Now()
 	control.Async(c.loop, func(ctx context.Context) (*peerpb.Response, error) {
 		return c.pool.Call(ctx, s.PeerAddress, req)
 	}, func(resp *peerpb.Response, err error) {
 		if err != nil {
 			return // the peer's session tells whether it is gone
 		}
-		c.lastPeer = time.Now()
-		c.noticeRevision(resp.GetLoad().GetRevision())
+		reply := resp.GetLoad()
+		c.keeper.Hear(membership.Evidence{
+			Session: reply.GetSession(), Abandoned: reply.GetAbandoned(),
+			Revision: document.Revision(reply.GetRevision()), AskedAt: askedAt,
+		})
+		c.noticeRevision(reply.GetRevision())
 	})
 }
 
@@ -154,9 +160,9 @@
 	err := c.loop.Do(ctx, func() {
 		now := time.Now()
 		c.loads.take(r, now)
-		c.lastPeer = now
 		c.noticeRevision(r.GetRevision())
-		reply.Session = c.keeper.Self().ID
+		own := c.keeper.Evidence(now)
+		reply.Session, reply.Abandoned = own.Session, own.Abandoned
 		reply.Revision = int64(c.config.Head().Revision)
 	})
 	if err != nil {
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -20,6 +20,8 @@
 		Document: doc,
 		Services: map[string]*traffic.Service{},
 		Members:  map[string]bool{},
+
+		ValidUntil: c.keeper.Decide(now).ValidUntil,
 	}
 	if !s.Ready {
 		s.Reason = "the daemon is " + string(c.state)
@@ -32,7 +34,7 @@
 }
 
 func (c *controller) addServices(s *traffic.Snapshot, doc document.Document, now time.Time) {
-	daemons := max(1, len(c.keeper.Live(now)))
+	daemons := max(1, len(c.keeper.Peers(now)))
 	vms := make(map[string]inventory.VM, len(doc.Inventory.VMs))
 	for _, vm := range doc.Inventory.VMs {
 		vms[vm.Name] = vm
--- a/internal/entry/quick.go
+++ b/internal/entry/quick.go
@@ -76,8 +76,8 @@
 	}
 	c.Writer.Header().Set(HeaderRequestID, q.id)
 	snapshot := s.opts.Publisher.Load()
-	if !snapshot.Ready {
-		return q, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfterNotReady, "the daemon is not ready: %s", snapshot.Reason)
+	if ok, reason := snapshot.Serving(q.arrived); !ok {
+		return q, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfterNotReady, "the daemon is not ready: %s", reason)
 	}
 	service, ok := snapshot.Services[q.serviceName]
 	if !ok {
--- /dev/null
+++ b/internal/operator/config.go
@@ -0,0 +1,263 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/internal/configsync"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/internal/sessions"
+	"github.com/bambooyard/bambooyard/inventory"
+	"github.com/bambooyard/bambooyard/membership"
+)
+
+// maxHistory bounds one listing of revisions.
+const maxHistory = 1000
+
+// Config is a document with its head.
+type Config struct {
+	Head document.Head `json:"head"`
+	Body string        `json:"body"`
+}
+
+// Adoption says which sessions have adopted a revision.
+type Adoption struct {
+	Revision document.Revision `json:"revision"`
+	InForce  bool              `json:"in_force"`
+	Adopted  []string          `json:"adopted"`
+	Pending  []string          `json:"pending"`
+	// Lost are daemons whose sessions have ended but which may still serve.
+	Lost []string `json:"lost"`
+}
+
+// Forgotten says how many sessions of a daemon were fenced.
+type Forgotten struct {
+	Daemon   string `json:"daemon"`
+	Sessions int    `json:"sessions"`
+}
+
+// QueryError reports a query parameter whose value is not allowed.
+type QueryError struct{ Name, Value, Reason string }
+
+// Error implements error.
+func (e *QueryError) Error() string {
+	return "query " + e.Name + ": value " + strconv.Quote(e.Value) + " " + e.Reason
+}
+
+func (s *Server) store() configsync.Store {
+	return configsync.Store{Table: s.opts.Table, Objects: s.opts.Objects}
+}
+
+// getConfig returns the document in force, or an earlier one by ?revision.
+func (s *Server) getConfig(c *gin.Context) {
+	ctx := c.Request.Context()
+	if c.Query("revision") != "" {
+		s.getRevision(c)
+		return
+	}
+	head, _, err := configsync.ReadHead(ctx, s.opts.Table)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	if head.Revision == 0 {
+		c.JSON(http.StatusOK, Config{})
+		return
+	}
+	body, err := s.opts.Objects.Get(ctx, platform.ConfigObject(int64(head.Revision), head.Digest))
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, Config{Head: head, Body: string(body)})
+}
+
+func (s *Server) getRevision(c *gin.Context) {
+	revision, err := queryRevision(c, "revision")
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	head, body, err := s.store().Body(c.Request.Context(), revision)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, Config{Head: head, Body: string(body)})
+}
+
+func queryRevision(c *gin.Context, name string) (document.Revision, error) {
+	value := c.Query(name)
+	n, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || n < 0 {
+		return 0, &QueryError{name, value, "is not a revision number"}
+	}
+	return document.Revision(n), nil
+}
+
+// putConfig makes a document the next revision if it is based on the one in force.
+func (s *Server) putConfig(c *gin.Context) {
+	based, err := queryRevision(c, "based_on")
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxDocumentBytes))
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	doc, err := document.Decode(body)
+	if err != nil {
+		s.fail(c, &InvalidError{Err: err})
+		return
+	}
+	if err := s.checkCommitted(c.Request.Context(), doc); err != nil {
+		s.fail(c, err)
+		return
+	}
+	s.propose(c, body, based)
+}
+
+// checkCommitted refuses a document that shrinks a VM below what tasks hold.
+func (s *Server) checkCommitted(ctx context.Context, doc document.Document) error {
+	if s.opts.Committed == nil {
+		return nil
+	}
+	committed, err := s.opts.Committed(ctx)
+	if err != nil {
+		return err
+	}
+	if err := inventory.CheckCommitted(doc.Inventory, committed); err != nil {
+		return &InvalidError{Err: err}
+	}
+	return nil
+}
+
+func (s *Server) propose(c *gin.Context, body []byte, based document.Revision) {
+	head, err := configsync.Propose(c.Request.Context(), s.store(), configsync.Proposal{
+		ID: rand.Text(), Body: body, Based: based,
+		Author: c.GetHeader(HeaderAuthor), NowUnixMS: s.opts.Now().UnixMilli(),
+	})
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	s.opts.Announce()
+	c.JSON(http.StatusOK, head)
+}
+
+// rollback makes the document of an earlier revision the next revision.
+func (s *Server) rollback(c *gin.Context) {
+	revision, err := queryRevision(c, "to")
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	based, err := queryRevision(c, "based_on")
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	_, body, err := s.store().Body(c.Request.Context(), revision)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	doc, err := document.Decode(body)
+	if err != nil {
+		s.fail(c, &InvalidError{Err: err})
+		return
+	}
+	if err := s.checkCommitted(c.Request.Context(), doc); err != nil {
+		s.fail(c, err)
+		return
+	}
+	s.propose(c, body, based)
+}
+
+func (s *Server) history(c *gin.Context) {
+	heads, err := s.store().History(c.Request.Context(), maxHistory)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, heads)
+}
+
+func (s *Server) adoption(c *gin.Context) {
+	revision, err := queryRevision(c, "revision")
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	readAt := s.opts.Now()
+	rows, err := sessions.Read(c.Request.Context(), s.opts.Table)
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	a := membership.AdoptionOf(revision, rows, readAt)
+	c.JSON(http.StatusOK, Adoption{
+		Revision: revision,
+		InForce:  a.InForce(),
+		Adopted:  daemons(a.Adopted),
+		Pending:  daemons(a.Pending),
+		Lost:     daemons(a.Lost),
+	})
+}
+
+func daemons(sessions []membership.Session) []string {
+	names := make([]string, len(sessions))
+	for i, session := range sessions {
+		names[i] = session.Daemon
+	}
+	return names
+}
+
+// forget fences the lost sessions of a daemon that the operator knows to be gone.
+func (s *Server) forget(c *gin.Context) {
+	daemon := c.Param("daemon")
+	n, err := sessions.Forget(c.Request.Context(), s.opts.Table, daemon, s.opts.Now())
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	if n == 0 {
+		s.fail(c, &UnknownError{Kind: "lost session of daemon", Name: daemon})
+		return
+	}
+	c.JSON(http.StatusOK, Forgotten{Daemon: daemon, Sessions: n})
+}
+
+// statusOf maps an error to the status of its answer.
+func statusOf(err error) int {
+	var query *QueryError
+	var tooLarge *http.MaxBytesError
+	var invalid *InvalidError
+	var unknown *UnknownError
+	var noRevision *configsync.UnknownRevisionError
+	var revision *configsync.RevisionConflictError
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &query):
+		return http.StatusBadRequest
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.As(err, &invalid):
+		return http.StatusUnprocessableEntity
+	case errors.As(err, &unknown), errors.As(err, &noRevision):
+		return http.StatusNotFound
+	case errors.As(err, &revision), errors.As(err, &conflict):
+		return http.StatusConflict
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/internal/operator/machines.go
@@ -0,0 +1,72 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/bambooyard/bambooyard/inventory"
+)
+
+// Target is one target as this daemon sees it.
+type Target struct {
+	Service  string `json:"service"`
+	VM       string `json:"vm"`
+	Address  string `json:"address"`
+	Place    Place  `json:"place"`
+	State    string `json:"state"`
+	Slots    int    `json:"slots"`
+	InFlight int    `json:"in_flight"`
+}
+
+// Place is where a VM stands.
+type Place struct {
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+	Rack       string `json:"rack"`
+}
+
+// Worker is one VM of the inventory.
+type Worker struct {
+	VM       string              `json:"vm"`
+	Place    Place               `json:"place"`
+	Capacity inventory.Resources `json:"capacity"`
+	// Usable is what batch tasks may take.
+	Usable inventory.Resources `json:"usable"`
+	// Committed is what they hold, where the daemon knows it.
+	Committed inventory.Resources `json:"committed"`
+	Draining  bool                `json:"draining"`
+}
+
+// targets lists the targets of all services.
+func (s *Server) targets(c *gin.Context) {
+	list, err := s.opts.Targets(c.Request.Context())
+	if err != nil {
+		s.fail(c, err)
+		return
+	}
+	c.JSON(http.StatusOK, list)
+}
+
+// workers lists the VMs of the document in force.
+func (s *Server) workers(c *gin.Context) {
+	inv := s.opts.Publisher.Load().Document.Inventory
+	committed := map[string]inventory.Resources{}
+	if s.opts.Committed != nil {
+		known, err := s.opts.Committed(c.Request.Context())
+		if err != nil {
+			s.fail(c, err)
+			return
+		}
+		committed = known
+	}
+	places := inv.Places()
+	list := make([]Worker, 0, len(inv.VMs))
+	for _, vm := range inv.VMs {
+		list = append(list, Worker{
+			VM: vm.Name, Place: Place(places[vm.Rack]), Capacity: vm.Capacity,
+			Usable: vm.Usable(), Committed: committed[vm.Name], Draining: vm.Draining,
+		})
+	}
+	c.JSON(http.StatusOK, list)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,11 +3,10 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
+	"crypto/sha256"
+	"crypto/subtle"
 	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -15,9 +14,9 @@
 
 	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/document"
-	"github.com/bambooyard/bambooyard/internal/configsync"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/internal/traffic"
+	"github.com/bambooyard/bambooyard/inventory"
 	"github.com/bambooyard/bambooyard/membership"
 )
 
@@ -26,6 +25,9 @@
 // HeaderAuthor names the operator who writes a document.
 const HeaderAuthor = "Bambooyard-Author"
 
+// bearer begins the value of the header that carries the operator token.
+const bearer = "Bearer "
+
 // Options are the settings of a Server.
 type Options struct {
 	Table     platform.Table
@@ -34,10 +36,17 @@
 	Burn      *burn.Recorder
 	Metrics   metrics.Registry
 	Now       func() time.Time
+	// Token is demanded of operators unless it is empty.
+	Token string
 	// Status returns the daemon's control state.
 	Status func(ctx context.Context) (Status, error)
+	// Targets returns the targets of all services.
+	Targets func(ctx context.Context) ([]Target, error)
 	// Announce tells the control goroutine that a new document was accepted.
 	Announce func()
+	// Committed returns what tasks hold of each VM, by name; documents that
+	// shrink a VM below it are refused. It may be nil.
+	Committed func(ctx context.Context) (map[string]inventory.Resources, error)
 }
 
 // Status is what a daemon says of itself and the others.
@@ -52,11 +61,6 @@
 	Shards   []string             `json:"shards"`
 }
 
-// ErrorBody is the JSON body of a refused operation.
-type ErrorBody struct {
-	Errors []string `json:"errors"`
-}
-
 // Server serves operators. It is safe for concurrent use.
 type Server struct{ opts Options }
 
@@ -69,19 +73,39 @@
 	r := gin.New()
 	r.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	r.GET("/readyz", s.ready)
-	r.GET("/metrics", s.metrics)
-	r.GET("/v1/status", s.status)
-	r.GET("/v1/burn", s.burn)
-	r.GET("/v1/config", s.getConfig)
-	r.PUT("/v1/config", s.putConfig)
-	r.GET("/v1/config/adoption", s.adoption)
+	guarded := r.Group("/", s.authorise)
+	guarded.GET("/metrics", s.metrics)
+	guarded.GET("/v1/status", s.status)
+	guarded.GET("/v1/burn", s.burn)
+	guarded.GET("/v1/config", s.getConfig)
+	guarded.PUT("/v1/config", s.putConfig)
+	guarded.GET("/v1/config/adoption", s.adoption)
+	guarded.GET("/v1/config/history", s.history)
+	guarded.POST("/v1/config/rollback", s.rollback)
+	guarded.POST("/v1/daemons/:daemon/forget", s.forget)
+	guarded.GET("/v1/targets", s.targets)
+	guarded.GET("/v1/workers", s.workers)
 	return r
 }
 
+// authorise refuses requests without the operator token if one is set. The
+// digests are compared in constant time, so that not even the length shows.
+func (s *Server) authorise(c *gin.Context) {
+	if s.opts.Token == "" {
+		return
+	}
+	given := strings.TrimPrefix(c.GetHeader("Authorization"), bearer)
+	want, got := sha256.Sum256([]byte(s.opts.Token)), sha256.Sum256([]byte(given))
+	if subtle.ConstantTimeCompare(want[:], got[:]) == 1 {
+		return
+	}
+	c.Header("WWW-Authenticate", "Bearer")
+	c.AbortWithStatusJSON(http.StatusUnauthorized, ErrorBody{Errors: []string{"the operator token is missing or wrong"}})
+}
+
 func (s *Server) ready(c *gin.Context) {
-	snapshot := s.opts.Publisher.Load()
-	if !snapshot.Ready {
-		c.String(http.StatusServiceUnavailable, "not ready: %s\n", snapshot.Reason)
+	if ok, reason := s.opts.Publisher.Load().Serving(s.opts.Now()); !ok {
+		c.String(http.StatusServiceUnavailable, "not ready: %s\n", reason)
 		return
 	}
 	c.String(http.StatusOK, "ready\n")
@@ -95,134 +119,8 @@
 func (s *Server) status(c *gin.Context) {
 	status, err := s.opts.Status(c.Request.Context())
 	if err != nil {
-		fail(c, http.StatusServiceUnavailable, err)
+		s.fail(c, err)
 		return
 	}
 	c.JSON(http.StatusOK, status)
 }
-
-func (s *Server) burn(c *gin.Context) {
-	objectives := s.opts.Publisher.Load().Document.Rules.Objectives
-	c.JSON(http.StatusOK, burn.Report(objectives, s.opts.Burn.Counts()))
-}
-
-// Config is a document with its head.
-type Config struct {
-	Head document.Head `json:"head"`
-	Body string        `json:"body"`
-}
-
-func (s *Server) getConfig(c *gin.Context) {
-	ctx := c.Request.Context()
-	head, _, err := configsync.ReadHead(ctx, s.opts.Table)
-	if err != nil {
-		fail(c, http.StatusServiceUnavailable, err)
-		return
-	}
-	if head.Revision == 0 {
-		c.JSON(http.StatusOK, Config{})
-		return
-	}
-	body, err := s.opts.Objects.Get(ctx, platform.ConfigObject(int64(head.Revision), head.Digest))
-	if err != nil {
-		fail(c, http.StatusServiceUnavailable, err)
-		return
-	}
-	c.JSON(http.StatusOK, Config{Head: head, Body: string(body)})
-}
-
-func (s *Server) putConfig(c *gin.Context) {
-	body, err := io.ReadAll(io.LimitReader(c.Request.Body, maxDocumentBytes))
-	if err != nil {
-		fail(c, http.StatusBadRequest, err)
-		return
-	}
-	if _, err := document.Decode(body); err != nil {
-		fail(c, http.StatusUnprocessableEntity, err)
-		return
-	}
-	based, err := strconv.ParseInt(c.Query("based_on"), 10, 64)
-	if err != nil {
-		fail(c, http.StatusBadRequest, errors.New("query based_on: a revision number is missing"))
-		return
-	}
-	next := document.Head{Author: c.GetHeader(HeaderAuthor), AcceptedUnixMS: s.opts.Now().UnixMilli()}
-	head, err := configsync.Propose(c.Request.Context(), s.opts.Table, s.opts.Objects, body, next, document.Revision(based))
-	if err != nil {
-		fail(c, statusOf(err), err)
-		return
-	}
-	s.opts.Announce()
-	c.JSON(http.StatusOK, head)
-}
-
-// Adoption says which live sessions have adopted a revision.
-type Adoption struct {
-	Revision document.Revision `json:"revision"`
-	InForce  bool              `json:"in_force"`
-	Adopted  []string          `json:"adopted"`
-	Pending  []string          `json:"pending"`
-}
-
-func (s *Server) adoption(c *gin.Context) {
-	revision, err := strconv.ParseInt(c.Query("revision"), 10, 64)
-	if err != nil {
-		fail(c, http.StatusBadRequest, errors.New("query revision: a revision number is missing"))
-		return
-	}
-	rows, err := s.opts.Table.Scan(c.Request.Context(), platform.SessionPrefix, "", maxSessions)
-	if err != nil {
-		fail(c, http.StatusServiceUnavailable, err)
-		return
-	}
-	a := membership.AdoptionOf(document.Revision(revision), decodeSessions(rows), s.opts.Now())
-	c.JSON(http.StatusOK, Adoption{
-		Revision: document.Revision(revision),
-		InForce:  a.InForce(),
-		Adopted:  daemons(a.Adopted),
-		Pending:  daemons(a.Pending),
-	})
-}
-
-const maxSessions = 10_000
-
-func decodeSessions(rows []platform.Row) []membership.Session {
-	var all []membership.Session
-	for _, row := range rows {
-		var session membership.Session
-		if json.Unmarshal(row.Value, &session) == nil {
-			all = append(all, session)
-		}
-	}
-	return all
-}
-
-func daemons(sessions []membership.Session) []string {
-	names := make([]string, len(sessions))
-	for i, session := range sessions {
-		names[i] = session.Daemon
-	}
-	return names
-}
-
-func statusOf(err error) int {
-	var revision *configsync.RevisionConflictError
-	var conflict *platform.ConflictError
-	if errors.As(err, &revision) || errors.As(err, &conflict) {
-		return http.StatusConflict
-	}
-	return http.StatusServiceUnavailable
-}
-
-// fail writes each joined error as a line of its own.
-func fail(c *gin.Context, status int, err error) {
-	var body ErrorBody
-	if joined, ok := err.(interface{ Unwrap() []error }); ok {
-		for _, e := range joined.Unwrap() {
-			body.Errors = append(body.Errors, e.Error())
-		}
-	} else {
-		body.Errors = []string{err.Error()}
-	}
-	c.JSON(status, body)
-}
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -1,11 +1,13 @@
-// Package sessions keeps this daemon's session row alive and knows the live
-// sessions of the others. All methods run on the control loop.
+// Package sessions keeps this daemon's session row alive, knows the sessions of
+// the others and fences lost ones. All methods run on the control loop unless
+// they say otherwise.
 package sessions
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -14,42 +16,63 @@
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/membership"
+	"github.com/bambooyard/bambooyard/verdict"
 )
 
 // maxSessions bounds one scan of the session rows.
 const maxSessions = 10_000
 
+// Head is the document that this daemon has adopted, with its row's version.
+type Head struct {
+	Revision document.Revision
+	Version  platform.Version
+	// Known is set once the row has been read.
+	Known bool
+}
+
 // Options are the settings of a Keeper.
 type Options struct {
 	Loop  control.Executor
 	Table platform.Table
-	// Self names this daemon; its ID, expiry and revision are kept by the Keeper.
+	// Self names this daemon; its ID, times and revision are kept by the Keeper.
 	Self membership.Session
 	TTL  time.Duration
 	Log  log.Interface
 	Now  func() time.Time
+	// Head returns what the daemon has adopted.
+	Head func() Head
+	// NewID returns a text that no other session has.
+	NewID func() string
+	// Behind is called when the head row has changed since.
+	Behind func()
 }
 
 // Keeper renews this daemon's session and reads the others'.
 type Keeper struct {
-	opts    Options
-	self    membership.Session
-	version platform.Version
-	known   []membership.Session
-	busy    bool
-	again   bool
+	opts  Options
+	guard *membership.Guard
+	self  membership.Session
+	// next is a session being established; its ID is kept while a lost reply
+	// may have been a success.
+	next      membership.Session
+	ambiguous bool
+	viewed    int64 // highest version in the last scan
+	known     []membership.Session
+	busy      bool
+	again     bool
+	leaving   bool
 	// lastContact is when the table last answered.
 	lastContact time.Time
 }
 
-// NewKeeper returns a keeper with a new session ID.
+// NewKeeper returns a keeper that has not established a session yet.
 func NewKeeper(opts Options) *Keeper {
-	k := &Keeper{opts: opts, self: opts.Self}
-	k.self.ID = newID(opts.Self.Daemon)
+	k := &Keeper{opts: opts, guard: membership.NewGuard(opts.TTL), self: opts.Self}
+	k.self.ID = k.newID()
 	return k
 }
 
-func newID(daemon string) string { return daemon + "-" + rand.Text() }
+func (k *Keeper) newID() string { return k.opts.Self.Daemon + "-" + k.opts.NewID() }
 
 // Self returns this daemon's session.
 func (k *Keeper) Self() membership.Session { return k.self }
@@ -57,9 +80,35 @@
 // Live returns the live sessions, this daemon's own included once it is written.
 func (k *Keeper) Live(now time.Time) []membership.Session { return membership.Live(k.known, now) }
 
+// Peers returns the sessions to stay in touch with: the live ones, or while the
+// store is lost, all that were live when it last answered.
+func (k *Keeper) Peers(now time.Time) []membership.Session {
+	if k.guard.Decide(now).Standing == membership.Attached {
+		return k.Live(now)
+	}
+	return membership.Live(k.known, k.lastContact)
+}
+
 // LastContact returns when the table service last answered.
 func (k *Keeper) LastContact() time.Time { return k.lastContact }
 
+// Decide says whether the daemon may serve.
+func (k *Keeper) Decide(now time.Time) membership.Decision { return k.guard.Decide(now) }
+
+// Hear records a peer's answer about its session.
+func (k *Keeper) Hear(e membership.Evidence) { k.guard.Hear(e, k.self.Revision) }
+
+// Evidence answers a peer that asks about this daemon's session. While a new
+// session may have been established, the old one is no evidence.
+func (k *Keeper) Evidence(now time.Time) membership.Evidence {
+	lost := k.guard.Decide(now).Standing != membership.Attached
+	return membership.Evidence{
+		Session:   k.self.ID,
+		Abandoned: lost && k.next.ID == "",
+		Revision:  k.self.Revision,
+	}
+}
+
 // SetRevision records the adopted revision and renews at once.
 func (k *Keeper) SetRevision(r document.Revision) {
 	if k.self.Revision == r {
@@ -71,107 +120,203 @@
 
 // SetLeaving records that the daemon is draining and renews at once.
 func (k *Keeper) SetLeaving() {
-	k.self.Leaving = true
+	k.leaving = true
 	k.Renew()
 }
 
-type renewal struct {
-	session  membership.Session
-	version  platform.Version
-	sessions []membership.Session
+// Release deletes the session row at a graceful stop; it runs on any goroutine
+// after the control loop has ended.
+func (k *Keeper) Release(ctx context.Context) error {
+	_, err := k.opts.Table.Commit(ctx, platform.Txn{Deletes: []string{platform.SessionKey(k.self.ID)}})
+	return err
 }
 
-// Renew writes the session row and reads all rows, one renewal at a time.
+// Renew reads all session rows and writes this daemon's, one renewal at a time.
 func (k *Keeper) Renew() {
 	if k.busy {
 		k.again = true
 		return
 	}
 	k.busy = true
-	now := k.opts.Now()
-	if k.self.ExpiresUnixMS != 0 && !k.self.Live(now) {
-		k.replace()
+	readAt := k.opts.Now()
+	control.Async(k.opts.Loop, func(ctx context.Context) ([]membership.Session, error) {
+		return Read(ctx, k.opts.Table)
+	}, func(rows []membership.Session, err error) {
+		if err != nil {
+			k.fail(err)
+			return
+		}
+		k.read(rows, readAt)
+	})
+}
+
+// Read reads all session rows; it runs on any goroutine.
+func Read(ctx context.Context, table platform.Table) ([]membership.Session, error) {
+	rows, err := table.Scan(ctx, platform.SessionPrefix, "", maxSessions)
+	if err != nil {
+		return nil, err
 	}
-	next := k.self
-	next.ExpiresUnixMS = now.Add(k.opts.TTL).UnixMilli()
-	version := k.version
-	control.Async(k.opts.Loop, func(ctx context.Context) (renewal, error) {
-		return k.renew(ctx, next, version)
-	}, k.renewed)
+	all := make([]membership.Session, 0, len(rows))
+	for _, row := range rows {
+		var s membership.Session
+		if err := json.Unmarshal(row.Value, &s); err != nil {
+			return nil, &RowError{Key: row.Key, Err: err}
+		}
+		s.Version = int64(row.Version)
+		all = append(all, s)
+	}
+	return all, nil
 }
 
-// replace begins a new session after the old one has expired, so that nothing
-// done under the old one is taken for the new one's.
-func (k *Keeper) replace() {
-	k.opts.Log.WithFields(log.Fields{"event": "session_lost", "session": k.self.ID}).Warn("session expired")
-	k.self.ID = newID(k.self.Daemon)
-	k.self.ExpiresUnixMS = 0
-	k.version = 0
+// RowError reports a session row that cannot be read.
+type RowError struct {
+	Key string
+	Err error
 }
 
-func (k *Keeper) renew(ctx context.Context, s membership.Session, version platform.Version) (renewal, error) {
-	value, err := json.Marshal(s)
-	if err != nil {
-		return renewal{}, err
-	}
-	key := platform.SessionKey(s.ID)
-	written, err := k.opts.Table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: key, Version: version}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
-	})
-	if err != nil {
-		return renewal{}, err
+// Error implements error.
+func (e *RowError) Error() string { return "row " + e.Key + " is not a session: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *RowError) Unwrap() error { return e.Err }
+
+// read takes in the rows that were asked for at readAt and goes on to write.
+func (k *Keeper) read(rows []membership.Session, readAt time.Time) {
+	k.known, k.lastContact, k.viewed = rows, readAt, 0
+	for _, s := range rows {
+		k.viewed = max(k.viewed, s.Version)
 	}
-	rows, err := k.opts.Table.Scan(ctx, platform.SessionPrefix, "", maxSessions)
-	if err != nil {
-		return renewal{session: s, version: written}, err
+	k.sweep(readAt)
+	if k.guard.Decide(k.opts.Now()).Standing == membership.Attached {
+		k.renew()
+		return
 	}
-	return renewal{session: s, version: written, sessions: decode(rows)}, nil
+	k.establish()
 }
 
-func decode(rows []platform.Row) []membership.Session {
-	var all []membership.Session
-	for _, row := range rows {
-		var s membership.Session
-		if json.Unmarshal(row.Value, &s) == nil {
-			all = append(all, s)
+// find returns the row of a session in the last scan.
+func (k *Keeper) find(id string) (membership.Session, bool) {
+	for _, s := range k.known {
+		if s.ID == id {
+			return s, true
 		}
 	}
-	return all
+	return membership.Session{}, false
 }
 
-func (k *Keeper) renewed(r renewal, err error) {
-	k.busy = false
-	if r.version != 0 {
-		k.version = r.version
-		k.self.ExpiresUnixMS = r.session.ExpiresUnixMS
+// renew writes the established session's row again.
+func (k *Keeper) renew() {
+	row, ok := k.find(k.self.ID)
+	if !ok || row.FencedUnixMS != 0 {
+		k.opts.Log.WithFields(log.Fields{"event": "session_lost", "session": k.self.ID}).Warn("session fenced")
+		k.guard.Abandon()
+		k.establish()
+		return
 	}
-	if err != nil {
-		k.opts.Log.WithFields(log.Fields{"event": "session_renewal_failed"}).WithError(err).Warn("renewal failed")
-		k.recover()
+	checks := []platform.Check{{Key: platform.SessionKey(k.self.ID), Version: platform.Version(row.Version)}}
+	k.write(k.self, checks, func(s membership.Session, sentAt time.Time) {
+		if k.guard.Renew(s, sentAt) {
+			k.self = keepRevision(s, k.self.Revision)
+		}
+	})
+}
+
+// establish writes a new session's row. The transaction checks the head row,
+// so that a session begins only under the revision in force.
+func (k *Keeper) establish() {
+	head := k.opts.Head()
+	if !head.Known {
+		k.finish()
 		return
 	}
-	k.lastContact = k.opts.Now()
-	k.known = r.sessions
-	if k.again {
-		k.again = false
-		k.Renew()
+	if k.next.ID == "" {
+		k.next = k.opts.Self
+		k.next.ID = k.newID()
+		k.next.EstablishedUnixMS = k.opts.Now().UnixMilli()
 	}
+	k.next.Revision = head.Revision
+	row, _ := k.find(k.next.ID)
+	if row.FencedUnixMS != 0 {
+		k.next, k.ambiguous = membership.Session{}, false
+		k.finish()
+		return
+	}
+	checks := []platform.Check{
+		{Key: platform.SessionKey(k.next.ID), Version: platform.Version(row.Version)},
+		{Key: platform.ConfigHeadKey, Version: head.Version},
+	}
+	k.write(k.next, checks, func(s membership.Session, sentAt time.Time) {
+		k.opts.Log.WithFields(log.Fields{"event": "session_established", "session": s.ID, "revision": s.Revision}).Info("established")
+		k.guard.Establish(s, sentAt)
+		k.self = keepRevision(s, max(s.Revision, k.self.Revision))
+		k.next, k.ambiguous = membership.Session{}, false
+	})
+}
+
+// keepRevision returns s with the revision adopted while s was being written.
+func keepRevision(s membership.Session, r document.Revision) membership.Session {
+	s.Revision = r
+	return s
 }
 
-// recover reads the version of the own row, since a lost reply may have been
-// a success.
-func (k *Keeper) recover() {
-	key := platform.SessionKey(k.self.ID)
+// write commits a session's row and reports what came of it.
+func (k *Keeper) write(s membership.Session, checks []platform.Check, done func(membership.Session, time.Time)) {
+	now := k.opts.Now()
+	view := membership.Live(k.known, now)
+	if _, ok := k.find(s.ID); !ok {
+		view = append(view, s)
+	}
+	k.guard.SetView(view)
+	s.Roster, s.ViewedVersion, s.Leaving = len(view), k.viewed, k.leaving
+	s.RenewedUnixMS, s.ExpiresUnixMS = now.UnixMilli(), now.Add(k.opts.TTL).UnixMilli()
 	control.Async(k.opts.Loop, func(ctx context.Context) (platform.Version, error) {
-		rows, err := k.opts.Table.Get(ctx, key)
+		value, err := json.Marshal(s)
 		if err != nil {
 			return 0, err
 		}
-		return rows[0].Version, nil
-	}, func(v platform.Version, err error) {
-		if err == nil {
-			k.version = v
+		return k.opts.Table.Commit(ctx, platform.Txn{
+			Checks: checks,
+			Puts:   []platform.Put{{Key: platform.SessionKey(s.ID), Value: value}},
+		})
+	}, func(_ platform.Version, err error) {
+		if err != nil {
+			k.refused(err)
+			return
 		}
+		done(s, now)
+		k.finish()
 	})
 }
+
+// refused handles a write that failed or whose reply was lost.
+func (k *Keeper) refused(err error) {
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) && slices.Contains(conflict.Keys, platform.ConfigHeadKey) {
+		k.opts.Behind()
+	}
+	if k.next.ID != "" {
+		k.ambiguous = k.ambiguous || mayHaveRun(err)
+		if !k.ambiguous {
+			k.next = membership.Session{}
+		}
+	}
+	k.fail(err)
+}
+
+func mayHaveRun(err error) bool {
+	var unavailable *platform.UnavailableError
+	return errors.As(err, &unavailable) && unavailable.Verdict != verdict.NotRun
+}
+
+func (k *Keeper) fail(err error) {
+	k.opts.Log.WithFields(log.Fields{"event": "session_renewal_failed"}).WithError(err).Warn("renewal failed")
+	k.finish()
+}
+
+func (k *Keeper) finish() {
+	k.busy = false
+	if k.again {
+		k.again = false
+		k.Renew()
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,9 @@
 	PeerAddress     string `long:"peer-address" env:"BAMBOOYARD_PEER_ADDRESS" description:"IP number and port for other daemons" required:"true"`
 	PlatformAddress string `long:"platform-address" env:"BAMBOOYARD_PLATFORM_ADDRESS" description:"IP number and port of the platform" required:"true"`
 
+	OperatorToken     string `long:"operator-token" env:"BAMBOOYARD_OPERATOR_TOKEN" description:"secret that operators must send; none is demanded if left out"`
+	OperatorTokenFile string `long:"operator-token-file" env:"BAMBOOYARD_OPERATOR_TOKEN_FILE" description:"file that holds the operator token"`
+
 	SessionTTL   time.Duration `long:"session-ttl" env:"BAMBOOYARD_SESSION_TTL" default:"6s" description:"time after which a silent daemon's session ends"`
 	LeaseTTL     time.Duration `long:"lease-ttl" env:"BAMBOOYARD_LEASE_TTL" default:"10s" description:"time for which a worker may run a task without renewal"`
 	DrainDelay   time.Duration `long:"drain-delay" env:"BAMBOOYARD_DRAIN_DELAY" default:"2s" description:"time that the balancer needs to see a daemon leave"`
--- a/internal/traffic/snapshot.go
+++ b/internal/traffic/snapshot.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/route"
@@ -23,14 +24,27 @@
 	// Ready is set when the daemon may serve.
 	Ready bool
 	// Reason says why the daemon is not ready.
-	Reason   string
-	Head     document.Head
-	Document document.Document
-	Services map[string]*Service
+	Reason string
+	// ValidUntil is when the daemon may serve no longer under this snapshot.
+	ValidUntil time.Time
+	Head       document.Head
+	Document   document.Document
+	Services   map[string]*Service
 	// Members is the set of members' names.
 	Members map[string]bool
 }
 
+// Serving reports whether the daemon may serve at now, and if not, why.
+func (s *Snapshot) Serving(now time.Time) (bool, string) {
+	if !s.Ready {
+		return false, s.Reason
+	}
+	if !now.Before(s.ValidUntil) {
+		return false, "the daemon's view of the configuration has expired"
+	}
+	return true, ""
+}
+
 // Publisher hands snapshots from control to traffic. It is safe for
 // concurrent use.
 type Publisher struct{ current atomic.Pointer[Snapshot] }
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 )
 
@@ -104,3 +106,27 @@
 		c.add(field, value, "is not an IP number with a port")
 	}
 }
+
+// CheckCommitted returns a *FieldError for every VM whose usable part is less
+// than what tasks hold of it; committed is by VM name. A VM that holds tasks
+// must not be left out.
+func CheckCommitted(inv Inventory, committed map[string]Resources) error {
+	var errs []error
+	known := make(map[string]bool, len(inv.VMs))
+	for i, vm := range inv.VMs {
+		known[vm.Name] = true
+		if held := committed[vm.Name]; !held.Fits(vm.Usable()) {
+			errs = append(errs, &FieldError{
+				Field:  fmt.Sprintf("inventory.vms[%d].capacity", i),
+				Value:  fmt.Sprint(vm.Capacity),
+				Reason: fmt.Sprintf("is below what tasks on VM %q hold besides the reserve: %v", vm.Name, held),
+			})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(committed)) {
+		if !known[name] && committed[name] != (Resources{}) {
+			errs = append(errs, &FieldError{Field: "inventory.vms", Value: name, Reason: "is left out but holds tasks; drain it first"})
+		}
+	}
+	return errors.Join(errs...)
+}
--- a/inventory/inventory.go
+++ b/inventory/inventory.go
@@ -86,6 +86,15 @@
 // Usable is what batch tasks may take of a VM.
 func (v VM) Usable() Resources { return v.Capacity.Sub(v.Reserved) }
 
+// ByName returns the VMs by name.
+func (inv Inventory) ByName() map[string]VM {
+	vms := make(map[string]VM, len(inv.VMs))
+	for _, vm := range inv.VMs {
+		vms[vm.Name] = vm
+	}
+	return vms
+}
+
 // Places returns where each rack stands, by rack name.
 func (inv Inventory) Places() map[string]Place {
 	places := make(map[string]Place)
@@ -101,6 +110,8 @@
 
 // FieldError reports a field of a document whose value is not allowed.
 type FieldError struct {
+	// Line is the field's line in the file, or zero if there is no file.
+	Line int
 	// Field is the path of the field, such as `vms[3].rack`.
 	Field string
 	// Value is the value as written.
@@ -111,5 +122,9 @@
 
 // Error implements error.
 func (e *FieldError) Error() string {
-	return fmt.Sprintf("field %s: value %q %s", e.Field, e.Value, e.Reason)
+	text := fmt.Sprintf("field %s: value %q %s", e.Field, e.Value, e.Reason)
+	if e.Line > 0 {
+		return fmt.Sprintf("line %d: %s", e.Line, text)
+	}
+	return text
 }
