Check documents by line and import the asset register

Cause: a refused document named neither line nor section, operators had no way from their register to an inventory, settings stopped at the first mistake, and the tool could not show history or differences.

Ruled out: a row for each kind of thing in the register, which needs a column that no register has; one row for each VM and service needs none.

Settings report every mistake at once, refuse host names, read the operator token from environment or file and print without it.

--- a/cmd/bambooyardd/main.go
+++ b/cmd/bambooyardd/main.go
@@ -13,26 +13,39 @@
 
 	"github.com/bambooyard/bambooyard/internal/daemon"
 	"github.com/bambooyard/bambooyard/internal/settings"
+	"github.com/bambooyard/bambooyard/internal/version"
 )
 
 // Exit codes.
 const (
-	exitUsage = 2
+	exitFailed = 1
+	exitUsage  = 2
 )
 
 func main() {
-	var s settings.Settings
-	if _, err := flags.Parse(&s); err != nil {
-		var flagsErr *flags.Error
-		if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	if err := s.Check(); err != nil {
+	parsed, err := settings.Parse(os.Args[1:])
+	var flagsErr *flags.Error
+	switch {
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return
+	case err != nil:
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
+	case parsed.ShowVersion:
+		fmt.Println("bambooyardd", version.String)
+		return
+	case parsed.Print:
+		if err := parsed.Settings.Fprint(os.Stdout); err != nil {
+			os.Exit(exitFailed)
+		}
+		return
 	}
+	run(parsed.Settings)
+}
+
+// run runs the daemon until it is told to stop.
+func run(s settings.Settings) {
 	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
 	fx.New(
 		fx.NopLogger,
--- a/document/document.go
+++ b/document/document.go
@@ -45,14 +45,14 @@
 func (e *DecodeError) Unwrap() error { return e.Err }
 
 // Decode reads and checks a document. Unknown fields are refused. The error is
-// a *DecodeError or a join of *inventory.FieldError.
+// a *DecodeError or a join of *inventory.FieldError that name their lines.
 func Decode(data []byte) (Document, error) {
 	var d Document
 	if err := yaml.UnmarshalWithOptions(data, &d, yaml.Strict()); err != nil {
 		return Document{}, &DecodeError{Err: err}
 	}
 	if err := Check(d); err != nil {
-		return Document{}, err
+		return Document{}, locate(data, err)
 	}
 	return d, nil
 }
@@ -62,7 +62,10 @@
 
 // Check returns every mistake in the document, joined.
 func Check(d Document) error {
-	return errors.Join(inventory.Check(d.Inventory), rules.Check(d.Rules, d.Inventory))
+	return errors.Join(
+		within("inventory", inventory.Check(d.Inventory)),
+		within("rules", rules.Check(d.Rules, d.Inventory)),
+	)
 }
 
 // Digest returns the digest of a body: 16 hexadecimal digits.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,77 +7,125 @@
 	"io"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/bambooyard/bambooyard/internal/settings"
+	"github.com/bambooyard/bambooyard/internal/version"
 )
 
 // Exit codes of the tool.
 const (
-	ExitOK      = 0
-	ExitFailed  = 1
-	ExitUsage   = 2
-	ExitRefused = 3 // the daemon refused the operation
+	ExitOK         = 0
+	ExitFailed     = 1 // no daemon answered, or a file could not be read
+	ExitUsage      = 2 // the command line is wrong
+	ExitRefused    = 3 // the daemon refused the operation
+	ExitInvalid    = 4 // the document or register breaks a rule
+	ExitConflict   = 5 // another operator was faster
+	ExitNotInForce = 6 // the revision was accepted but is not in force in time
 )
 
 // tool is what every sub-command shares.
 type tool struct {
-	Operator string `long:"operator" env:"BAMBOOYARD_OPERATOR" default:"127.0.0.1:7101" description:"IP number and port of a daemon's operator address"`
-	Caller   string `long:"caller" env:"BAMBOOYARD_CALLER" default:"127.0.0.1:7001" description:"IP number and port of a daemon's caller address"`
+	Operator  string       `long:"operator" env:"BAMBOOYARD_OPERATOR" default:"127.0.0.1:7101" description:"IP number and port of a daemon's operator address"`
+	Caller    string       `long:"caller" env:"BAMBOOYARD_CALLER" default:"127.0.0.1:7001" description:"IP number and port of a daemon's caller address"`
+	TokenFile string       `long:"operator-token-file" env:"BAMBOOYARD_OPERATOR_TOKEN_FILE" description:"file that holds the operator token; BAMBOOYARD_OPERATOR_TOKEN may hold the token itself"`
+	Version   func() error `long:"version" description:"print the version"`
 
 	in  io.Reader
 	out io.Writer
 }
 
+// outputOption is shared by the commands that print lists.
+type outputOption struct {
+	Output string `long:"output" choice:"table" choice:"json" default:"table" description:"form of the output"`
+}
+
+func (o outputOption) json() bool { return o.Output == "json" }
+
 // Run runs the tool and returns its exit code.
 func Run(args []string, in io.Reader, out, errOut io.Writer) int {
-	t := &tool{in: in, out: out}
+	t := &tool{in: in, out: out, Version: showVersion}
 	parser := flags.NewParser(t, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "bambooyard"
+	parser.LongDescription = "Drives bambooyard: documents of inventory and rules, jobs, and reports."
 	if err := t.register(parser); err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
 		return ExitFailed
 	}
+	parser.CommandHandler = t.execute
 	_, err := parser.ParseArgs(args)
 	return exit(err, out, errOut)
 }
 
+// execute checks the addresses before a command runs; host names are refused.
+func (t *tool) execute(command flags.Commander, args []string) error {
+	err := errors.Join(
+		settings.CheckAddress("operator", t.Operator),
+		settings.CheckAddress("caller", t.Caller),
+	)
+	if err != nil {
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: err.Error()}
+	}
+	if command == nil {
+		return nil
+	}
+	return command.Execute(args)
+}
+
+// showVersion ends the parsing with the version as its text.
+func showVersion() error {
+	return &flags.Error{Type: flags.ErrHelp, Message: "bambooyard " + version.String}
+}
+
+// subCommand is one entry of the tool's list of commands.
+type subCommand struct {
+	name, short, long string
+	command           any
+}
+
 // register adds the sub-commands.
 func (t *tool) register(parser *flags.Parser) error {
-	commands := []struct {
-		name, short string
-		command     any
-	}{
-		{"apply", "Put a document in force", &applyCommand{tool: t}},
-		{"validate", "Check a document without a daemon", &validateCommand{tool: t}},
-		{"status", "Show a daemon and its peers", &statusCommand{tool: t}},
-		{"charts", "Print the state charts", &chartsCommand{tool: t}},
+	commands := []subCommand{
+		{"apply", "Put a document in force", "Checks the document, makes it the next revision, and with --wait waits until it is in force.", &applyCommand{tool: t}},
+		{"charts", "Print the state charts", "", &chartsCommand{tool: t}},
+		{"completion", "Print a completion script for bash", "Use it with: source <(bambooyard completion)", &completionCommand{tool: t}},
+		{"diff", "Show what a document would change", "", &diffCommand{tool: t}},
+		{"drain", "Let a VM receive no new work", "Makes a new revision in which the VM drains, or with --undo does not.", &drainCommand{tool: t}},
+		{"forget", "Declare a lost daemon to be gone", "Ends the lost sessions of a daemon that is known to be stopped, so that no revision waits for it.", &forgetCommand{tool: t}},
+		{"history", "List the accepted revisions", "", &historyCommand{tool: t}},
+		{"rollback", "Put an earlier document in force", "Makes the document of an earlier revision the next revision.", &rollbackCommand{tool: t}},
+		{"status", "Show a daemon and its peers", "", &statusCommand{tool: t}},
+		{"targets", "List the targets of all services", "", &targetsCommand{tool: t}},
+		{"validate", "Check a document without a daemon", "", &validateCommand{tool: t}},
+		{"workers", "List the VMs", "", &workersCommand{tool: t}},
 	}
 	for _, c := range commands {
-		if _, err := parser.AddCommand(c.name, c.short, "", c.command); err != nil {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.command); err != nil {
 			return err
 		}
 	}
+	if err := t.registerInventory(parser); err != nil {
+		return err
+	}
 	if err := t.registerJob(parser); err != nil {
 		return err
 	}
 	return t.registerReport(parser)
 }
 
+// exit prints an error with what to do next and returns the exit code.
 func exit(err error, out, errOut io.Writer) int {
-	var flagsErr *flags.Error
-	var refused *RefusedError
-	switch {
-	case err == nil:
+	if err == nil {
 		return ExitOK
-	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+	}
+	var flagsErr *flags.Error
+	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
 		_, _ = fmt.Fprintln(out, err)
 		return ExitOK
-	case errors.As(err, &flagsErr):
-		_, _ = fmt.Fprintln(errOut, err)
-		return ExitUsage
-	case errors.As(err, &refused):
-		_, _ = fmt.Fprintln(errOut, err)
-		return ExitRefused
-	default:
-		_, _ = fmt.Fprintln(errOut, err)
-		return ExitFailed
 	}
+	_, _ = fmt.Fprintln(errOut, err)
+	code, next := advise(err)
+	if next != "" {
+		_, _ = fmt.Fprintln(errOut, "next:", next)
+	}
+	return code
 }
--- /dev/null
+++ b/internal/cli/inventory.go
@@ -0,0 +1,91 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/inventory"
+)
+
+// outputFileMode is the mode of a written document.
+const outputFileMode = 0o644
+
+// inventoryCommand groups the sub-commands on the inventory.
+type inventoryCommand struct{}
+
+func (t *tool) registerInventory(parser *flags.Parser) error {
+	group, err := parser.AddCommand("inventory", "Work with the asset register", "", &inventoryCommand{})
+	if err != nil {
+		return err
+	}
+	_, err = group.AddCommand("import", "Show what an asset register would change",
+		"Reads the register's CSV and prints the changes against a document. Nothing is applied; apply the written document.",
+		&importCommand{tool: t})
+	return err
+}
+
+type importCommand struct {
+	tool *tool
+	outputOption
+	CSV      string `long:"csv" required:"true" description:"asset register in CSV"`
+	Document string `short:"f" long:"file" description:"document to compare with; the one in force if left out"`
+	Write    string `long:"write" description:"file for the document with the new inventory"`
+}
+
+// Execute implements flags.Commander.
+func (c *importCommand) Execute([]string) error {
+	file, err := os.Open(c.CSV)
+	if err != nil {
+		return err
+	}
+	defer file.Close() //nolint:errcheck // it was only read
+	inv, err := inventory.ReadRegister(file)
+	if err != nil {
+		return &InvalidError{File: c.CSV, Err: err}
+	}
+	before, err := c.before()
+	if err != nil {
+		return err
+	}
+	after := document.Document{Inventory: inventory.KeepDraining(inv, before.Inventory), Rules: before.Rules}
+	if err := document.Check(after); err != nil {
+		return &InvalidError{File: c.CSV, Err: err}
+	}
+	if err := c.print(document.Diff(before, after)); err != nil {
+		return err
+	}
+	return c.write(after)
+}
+
+// before returns the document to compare with.
+func (c *importCommand) before() (document.Document, error) {
+	if c.Document == "" {
+		_, doc, err := c.tool.current()
+		return doc, err
+	}
+	_, doc, err := readDocument(c.Document)
+	return doc, err
+}
+
+func (c *importCommand) print(changes []document.Change) error {
+	if c.json() {
+		return printJSON(c.tool.out, changes)
+	}
+	_, _ = fmt.Fprintf(c.tool.out, "%d changes\n", len(changes))
+	printChanges(c.tool.out, changes)
+	return nil
+}
+
+func (c *importCommand) write(doc document.Document) error {
+	if c.Write == "" {
+		return nil
+	}
+	body, err := document.Encode(doc)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.Write, body, outputFileMode)
+}
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -1,11 +1,6 @@
 package cli
 
-import (
-	"fmt"
-	"os"
-
-	"github.com/bambooyard/bambooyard/document"
-)
+import "fmt"
 
 type validateCommand struct {
 	tool *tool
@@ -14,11 +9,7 @@
 
 // Execute implements flags.Commander.
 func (c *validateCommand) Execute([]string) error {
-	body, err := os.ReadFile(c.File)
-	if err != nil {
-		return err
-	}
-	doc, err := document.Decode(body)
+	_, doc, err := readDocument(c.File)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/settings/print.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"time"
+)
+
+// hidden stands for a secret that is set.
+const hidden = "(hidden)"
+
+// Fprint writes one line for each setting, without secrets.
+func (s Settings) Fprint(w io.Writer) error {
+	v := reflect.ValueOf(s)
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		flag := field.Tag.Get("long")
+		if flag == "" {
+			continue
+		}
+		value := v.Field(i).String()
+		if field.Tag.Get("secret") != "" && value != "" {
+			value = hidden
+		}
+		if _, err := fmt.Fprintf(w, "%s=%s\n", flag, value); err != nil {
+			return err
+		}
+	}
+	for _, d := range []struct {
+		flag  string
+		value time.Duration
+	}{
+		{"session-ttl", s.SessionTTL}, {"lease-ttl", s.LeaseTTL},
+		{"drain-delay", s.DrainDelay}, {"drain-timeout", s.DrainTimeout},
+	} {
+		if _, err := fmt.Fprintf(w, "%s=%s\n", d.flag, d.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,31 +1,123 @@
-// Package settings defines the daemon's settings and checks them.
+// Package settings reads the daemon's settings from flags and environment
+// variables and checks them.
 package settings
 
 import (
 	"errors"
 	"fmt"
 	"net/netip"
+	"os"
+	"strings"
 	"time"
+
+	"github.com/jessevdk/go-flags"
 )
 
 // Settings are read from flags and environment variables only.
 type Settings struct {
-	Name       string `long:"name" env:"BAMBOOYARD_NAME" description:"name of this daemon" required:"true"`
-	Region     string `long:"region" env:"BAMBOOYARD_REGION" description:"region that the daemon runs in" required:"true"`
-	DataCentre string `long:"data-centre" env:"BAMBOOYARD_DATA_CENTRE" description:"data centre that the daemon runs in" required:"true"`
+	Name       string `long:"name" env:"BAMBOOYARD_NAME" description:"name of this daemon"`
+	Region     string `long:"region" env:"BAMBOOYARD_REGION" description:"region that the daemon runs in"`
+	DataCentre string `long:"data-centre" env:"BAMBOOYARD_DATA_CENTRE" description:"data centre that the daemon runs in"`
 
-	CallerAddress   string `long:"caller-address" env:"BAMBOOYARD_CALLER_ADDRESS" description:"IP number and port for callers" required:"true"`
-	OperatorAddress string `long:"operator-address" env:"BAMBOOYARD_OPERATOR_ADDRESS" description:"IP number and port for operators" required:"true"`
-	PeerAddress     string `long:"peer-address" env:"BAMBOOYARD_PEER_ADDRESS" description:"IP number and port for other daemons" required:"true"`
-	PlatformAddress string `long:"platform-address" env:"BAMBOOYARD_PLATFORM_ADDRESS" description:"IP number and port of the platform" required:"true"`
+	CallerAddress   string `long:"caller-address" env:"BAMBOOYARD_CALLER_ADDRESS" description:"IP number and port for callers"`
+	OperatorAddress string `long:"operator-address" env:"BAMBOOYARD_OPERATOR_ADDRESS" description:"IP number and port for operators"`
+	PeerAddress     string `long:"peer-address" env:"BAMBOOYARD_PEER_ADDRESS" description:"IP number and port for other daemons"`
+	PlatformAddress string `long:"platform-address" env:"BAMBOOYARD_PLATFORM_ADDRESS" description:"IP number and port of the platform"`
 
-	OperatorToken     string `long:"operator-token" env:"BAMBOOYARD_OPERATOR_TOKEN" description:"secret that operators must send; none is demanded if left out"`
+	OperatorToken     string `long:"operator-token" env:"BAMBOOYARD_OPERATOR_TOKEN" description:"secret that operators must send; none is demanded if left out" secret:"true"`
 	OperatorTokenFile string `long:"operator-token-file" env:"BAMBOOYARD_OPERATOR_TOKEN_FILE" description:"file that holds the operator token"`
 
-	SessionTTL   time.Duration `long:"session-ttl" env:"BAMBOOYARD_SESSION_TTL" default:"6s" description:"time after which a silent daemon's session ends"`
-	LeaseTTL     time.Duration `long:"lease-ttl" env:"BAMBOOYARD_LEASE_TTL" default:"10s" description:"time for which a worker may run a task without renewal"`
-	DrainDelay   time.Duration `long:"drain-delay" env:"BAMBOOYARD_DRAIN_DELAY" default:"2s" description:"time that the balancer needs to see a daemon leave"`
-	DrainTimeout time.Duration `long:"drain-timeout" env:"BAMBOOYARD_DRAIN_TIMEOUT" default:"30s" description:"longest wait for requests in progress at a stop"`
+	// SessionTTL is the time after which a silent daemon's session ends.
+	SessionTTL time.Duration `no-flag:"true"`
+	// LeaseTTL is the time for which a worker may run a task without renewal.
+	LeaseTTL time.Duration `no-flag:"true"`
+	// DrainDelay is the time that the balancer needs to see a daemon leave.
+	DrainDelay time.Duration `no-flag:"true"`
+	// DrainTimeout is the longest wait for requests in progress at a stop.
+	DrainTimeout time.Duration `no-flag:"true"`
+}
+
+// flagValues are the flags as written, so that every mistake in them can be
+// reported at once.
+type flagValues struct {
+	Settings
+	SessionTTLText   string `long:"session-ttl" env:"BAMBOOYARD_SESSION_TTL" default:"6s" description:"time after which a silent daemon's session ends"`
+	LeaseTTLText     string `long:"lease-ttl" env:"BAMBOOYARD_LEASE_TTL" default:"10s" description:"time for which a worker may run a task without renewal"`
+	DrainDelayText   string `long:"drain-delay" env:"BAMBOOYARD_DRAIN_DELAY" default:"2s" description:"time that the balancer needs to see a daemon leave"`
+	DrainTimeoutText string `long:"drain-timeout" env:"BAMBOOYARD_DRAIN_TIMEOUT" default:"30s" description:"longest wait for requests in progress at a stop"`
+	Print            bool   `long:"print-settings" description:"print the settings, without secrets, and end"`
+	ShowVersion      bool   `long:"version" description:"print the version and end"`
+}
+
+// Parsed is what a command line asks for.
+type Parsed struct {
+	Settings Settings
+	// Print is set when the settings are to be printed and nothing else done.
+	Print bool
+	// ShowVersion is set when the version is to be printed and nothing else done.
+	ShowVersion bool
+}
+
+// Parse reads flags and environment variables. The error is a *flags.Error when
+// help was asked for, or else joins one *Error for each mistake.
+func Parse(args []string) (Parsed, error) {
+	var v flagValues
+	parser := flags.NewParser(&v, flags.HelpFlag|flags.PassDoubleDash|flags.IgnoreUnknown)
+	parser.Name = "bambooyardd"
+	rest, err := parser.ParseArgs(args)
+	if err != nil {
+		return Parsed{}, err
+	}
+	if v.ShowVersion {
+		return Parsed{ShowVersion: true}, nil
+	}
+	var errs []error
+	for _, arg := range rest {
+		errs = append(errs, &Error{Flag: strings.TrimLeft(arg, "-"), Value: arg, Reason: "is not known"})
+	}
+	errs = append(errs,
+		parseDuration("session-ttl", v.SessionTTLText, minSessionTTL, &v.SessionTTL),
+		parseDuration("lease-ttl", v.LeaseTTLText, time.Millisecond, &v.LeaseTTL),
+		parseDuration("drain-delay", v.DrainDelayText, 0, &v.DrainDelay),
+		parseDuration("drain-timeout", v.DrainTimeoutText, time.Millisecond, &v.DrainTimeout),
+		readToken(&v.Settings),
+		v.Check(),
+	)
+	return Parsed{Settings: v.Settings, Print: v.Print}, errors.Join(errs...)
+}
+
+// minSessionTTL leaves time to renew a session between two losses of contact.
+const minSessionTTL = 3 * time.Second
+
+func parseDuration(flag, text string, least time.Duration, to *time.Duration) error {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return &Error{flag, text, "is not a duration such as 6s or 500ms"}
+	}
+	if d < least {
+		return &Error{flag, text, "must be at least " + least.String()}
+	}
+	*to = d
+	return nil
+}
+
+// readToken reads the operator token from its file, if one is named.
+func readToken(s *Settings) error {
+	if s.OperatorTokenFile == "" {
+		return nil
+	}
+	if s.OperatorToken != "" {
+		return &Error{"operator-token-file", s.OperatorTokenFile, "must not be set with --operator-token"}
+	}
+	data, err := os.ReadFile(s.OperatorTokenFile)
+	if err != nil {
+		return &Error{"operator-token-file", s.OperatorTokenFile, "cannot be read: " + err.Error()}
+	}
+	s.OperatorToken = strings.TrimSpace(string(data))
+	if s.OperatorToken == "" {
+		return &Error{"operator-token-file", s.OperatorTokenFile, "holds no token"}
+	}
+	return nil
 }
 
 // Error reports a setting whose value is not allowed.
@@ -40,29 +132,35 @@
 	return fmt.Sprintf("setting --%s: value %q %s", e.Flag, e.Value, e.Reason)
 }
 
-// Check returns every mistake in the settings, joined; each is an *Error.
+// Check returns every mistake in the names and addresses, joined; each is an
+// *Error.
 func (s Settings) Check() error {
 	return errors.Join(
-		checkAddress("caller-address", s.CallerAddress),
-		checkAddress("operator-address", s.OperatorAddress),
-		checkAddress("peer-address", s.PeerAddress),
-		checkAddress("platform-address", s.PlatformAddress),
-		checkPositive("session-ttl", s.SessionTTL),
-		checkPositive("lease-ttl", s.LeaseTTL),
-		checkPositive("drain-timeout", s.DrainTimeout),
+		checkGiven("name", s.Name),
+		checkGiven("region", s.Region),
+		checkGiven("data-centre", s.DataCentre),
+		CheckAddress("caller-address", s.CallerAddress),
+		CheckAddress("operator-address", s.OperatorAddress),
+		CheckAddress("peer-address", s.PeerAddress),
+		CheckAddress("platform-address", s.PlatformAddress),
 	)
 }
 
-func checkAddress(flag, value string) error {
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		return &Error{flag, value, "is not an IP number with a port"}
+func checkGiven(flag, value string) error {
+	if value == "" {
+		return &Error{flag, value, "must be given"}
 	}
 	return nil
 }
 
-func checkPositive(flag string, value time.Duration) error {
-	if value <= 0 {
-		return &Error{flag, value.String(), "must be positive"}
+// CheckAddress returns an *Error unless value is an IP number with a port; host
+// names are refused.
+func CheckAddress(flag, value string) error {
+	if value == "" {
+		return checkGiven(flag, value)
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return &Error{flag, value, "is not an IP number with a port"}
 	}
 	return nil
 }
--- a/inventory/check.go
+++ b/inventory/check.go
@@ -11,7 +11,7 @@
 
 // Check returns every mistake in the inventory, joined; each is a *FieldError.
 func Check(inv Inventory) error {
-	c := checker{racks: map[string]string{}, vms: map[string]bool{}}
+	c := checker{racks: map[string]string{}, vms: map[string]bool{}, addresses: map[string]string{}}
 	c.regions(inv.Regions)
 	c.machines(inv.VMs)
 	c.services(inv.Services)
@@ -22,6 +22,8 @@
 	errs  []error
 	racks map[string]string // rack to data centre
 	vms   map[string]bool
+	// addresses is by whom an address is used.
+	addresses map[string]string
 }
 
 func (c *checker) add(field, value, reason string) {
@@ -53,16 +55,14 @@
 		if _, ok := c.racks[v.Rack]; !ok {
 			c.add(field+".rack", v.Rack, "does not exist in any data centre")
 		}
-		c.address(field+".worker_address", v.WorkerAddress)
+		c.address(field+".worker_address", v.WorkerAddress, "the worker of VM "+v.Name)
+		c.reserve(field, v)
 		if v.Capacity.MilliProcessors <= 0 {
 			c.add(field+".capacity.milli_processors", strconv.FormatInt(v.Capacity.MilliProcessors, 10), "must be positive")
 		}
 		if v.Capacity.MemoryMB <= 0 {
 			c.add(field+".capacity.memory_mb", strconv.FormatInt(v.Capacity.MemoryMB, 10), "must be positive")
 		}
-		if !v.Reserved.Fits(v.Capacity) {
-			c.add(field+".reserved", fmt.Sprint(v.Reserved), "is more than the capacity")
-		}
 	}
 }
 
@@ -79,7 +79,7 @@
 			if !c.vms[t.VM] {
 				c.add(field+".vm", t.VM, "does not exist in vms")
 			}
-			c.address(field+".address", t.Address)
+			c.address(field+".address", t.Address, "a target of service "+s.Name)
 			if t.Slots <= 0 {
 				c.add(field+".slots", strconv.Itoa(t.Slots), "must be positive")
 			}
@@ -101,10 +101,29 @@
 	seen[name] = true
 }
 
-func (c *checker) address(field, value string) {
+// reserve checks what is kept of a VM and its accelerators.
+func (c *checker) reserve(field string, v VM) {
+	if v.Capacity.Accelerators < 0 {
+		c.add(field+".capacity.accelerators", strconv.FormatInt(v.Capacity.Accelerators, 10), "must not be negative")
+	}
+	if !(Resources{}).Fits(v.Reserved) {
+		c.add(field+".reserved", fmt.Sprint(v.Reserved), "must not be negative")
+	}
+	if !v.Reserved.Fits(v.Capacity) {
+		c.add(field+".reserved", fmt.Sprint(v.Reserved), "is more than the capacity")
+	}
+}
+
+// address checks that value is an address which nothing else uses.
+func (c *checker) address(field, value, user string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		c.add(field, value, "is not an IP number with a port")
+		return
+	}
+	if other, ok := c.addresses[value]; ok {
+		c.add(field, value, "is already the address of "+other)
 	}
+	c.addresses[value] = user
 }
 
 // CheckCommitted returns a *FieldError for every VM whose usable part is less
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,120 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/membership"
+)
+
+const ttl = 6 * time.Second
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func session(id int, renewed time.Duration, roster int, r document.Revision) membership.Session {
+	at := start.Add(renewed).UnixMilli()
+	return membership.Session{
+		ID: fmt.Sprint(id), Daemon: fmt.Sprint("d", id), PeerAddress: fmt.Sprint(id), Revision: r, Roster: roster,
+		RenewedUnixMS: at, ExpiresUnixMS: at + ttl.Milliseconds(), EstablishedUnixMS: start.UnixMilli(),
+	}
+}
+
+// TestLostMajorityIsNeverFenced checks both sides of the rule: a group that
+// may serve on keeps a revision from being in force, a smaller one does not.
+func TestLostMajorityIsNeverFenced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "daemons")
+		lost := rapid.IntRange(0, n).Draw(t, "lost")
+		var all []membership.Session
+		for i := range n {
+			renewed := time.Duration(0)
+			if i >= lost {
+				renewed = 2 * ttl
+			}
+			all = append(all, session(i, renewed, n, 1))
+		}
+		fences := membership.Fences(all, start.Add(2*ttl))
+		want := lost
+		if lost > n/2 {
+			want = 0
+		}
+		if len(fences) != want {
+			t.Fatalf("%d of %d lost: %d fenced, want %d", lost, n, len(fences), want)
+		}
+	})
+}
+
+// TestGuardNeedsFreshWordOfAMajority lets a daemon lose the store and hear from
+// some peers at random times.
+func TestGuardNeedsFreshWordOfAMajority(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(t, "daemons")
+		heard := rapid.IntRange(0, n-1).Draw(t, "peers that have abandoned their sessions")
+		behind := rapid.Bool().Draw(t, "behind")
+		g := membership.NewGuard(ttl)
+		var view []membership.Session
+		for i := range n {
+			view = append(view, session(i, 0, n, 1))
+		}
+		g.SetView(view)
+		g.Establish(view[0], start)
+		serving := true
+		for at := time.Duration(0); at < 3*ttl; at += 250 * time.Millisecond {
+			now := start.Add(at)
+			for i := 1; i <= heard && at > ttl/2; i++ {
+				e := membership.Evidence{Session: fmt.Sprint(i), Abandoned: true, Revision: 1, AskedAt: now}
+				if behind && i == 1 {
+					e.Revision = 2
+				}
+				g.Hear(e, 1)
+			}
+			d := g.Decide(now)
+			serving = d.Standing != membership.Isolated
+			if serving && !now.Before(d.ValidUntil) {
+				t.Fatalf("serving at %s, valid until %s", now, d.ValidUntil)
+			}
+			if at < ttl && !serving {
+				t.Fatalf("isolated at %s, before the session ended", at)
+			}
+		}
+		if want := heard+1 > n/2 && (!behind || heard == 0); serving != want {
+			t.Fatalf("%d of %d abandoned, behind %t: serving is %t", heard+1, n, behind, serving)
+		}
+	})
+}
+
+func TestGuardThatLapsedStaysIsolated(t *testing.T) {
+	is := is.New(t)
+	g := membership.NewGuard(ttl)
+	g.SetView([]membership.Session{session(0, 0, 2, 1), session(1, 0, 2, 1)})
+	g.Establish(session(0, 0, 2, 1), start)
+	late := start.Add(2 * ttl)
+	g.Hear(membership.Evidence{Session: "1", Abandoned: true, AskedAt: late}, 1)
+	is.Equal(g.Decide(late).Standing, membership.Isolated)
+	is.True(!g.Renew(session(0, 0, 2, 1), late))
+	g.Establish(session(0, 2*ttl, 2, 1), late)
+	is.Equal(g.Decide(late).Standing, membership.Attached)
+}
+
+func TestRestartedDaemonReplacesItsOldSession(t *testing.T) {
+	is := is.New(t)
+	old, next := session(0, 0, 1, 1), session(1, time.Second, 1, 2)
+	next.PeerAddress, next.EstablishedUnixMS = old.PeerAddress, next.RenewedUnixMS
+	all := []membership.Session{old, next}
+	is.Equal(len(membership.Fences(all, start.Add(2*time.Second))), 0)
+	fences := membership.Fences(all, start.Add(4*time.Second))
+	is.Equal(len(fences), 1)
+	is.Equal(fences[0].ID, old.ID)
+}
+
+func ExampleAdoptionOf() {
+	sessions := []membership.Session{session(1, 0, 3, 7), session(2, 0, 3, 6), session(3, -ttl, 3, 6)}
+	a := membership.AdoptionOf(7, sessions, start.Add(time.Second))
+	fmt.Println(len(a.Adopted), "adopted,", len(a.Pending), "pending,", len(a.Lost), "lost, in force:", a.InForce())
+	// Output: 1 adopted, 1 pending, 1 lost, in force: false
+}
