Play whole sessions of the tool against the operators' interface

Ruled out: sessions against running daemons, whose timing would be in the golden files; the operators' handler over the stand-in platform needs none.

Change: three golden sessions cover documents, failures and the register, with a lost reply, a lost daemon, an outage, tasks that hold a VM and a wrong token. Session rows are decoded again only when their version changed. The operators' server has read and write timeouts.

--- /dev/null
+++ b/internal/cli/session_test.go
@@ -0,0 +1,181 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/internal/cli"
+	"github.com/bambooyard/bambooyard/internal/configsync"
+	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/operator"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/internal/traffic"
+	"github.com/bambooyard/bambooyard/inventory"
+	"github.com/bambooyard/bambooyard/membership"
+)
+
+const token = "s3cret-of-the-operators"
+
+// desk is an operator's interface over a stand-in platform. Two daemons adopt
+// every revision at once; the test's "!" lines change what they do.
+type desk struct {
+	t        *testing.T
+	platform *fake.Platform
+	now      time.Time
+	server   *httptest.Server
+	revision map[string]document.Revision
+	expires  map[string]time.Time
+	gone     map[string]bool // daemons that write no row any more
+	held     map[string]inventory.Resources
+
+	proposals int
+}
+
+func newDesk(t *testing.T) *desk {
+	d := &desk{
+		t: t, platform: fake.NewPlatform(), now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
+		revision: map[string]document.Revision{}, expires: map[string]time.Time{}, gone: map[string]bool{}, held: map[string]inventory.Resources{},
+	}
+	for _, name := range []string{"d1", "d2"} {
+		d.expires[name] = d.now.Add(time.Hour)
+	}
+	d.adopt()
+	publisher := traffic.NewPublisher()
+	server := operator.NewServer(operator.Options{
+		Table: d.platform, Objects: d.platform.Objects(), Publisher: publisher, Burn: burn.NewRecorder(),
+		Metrics: metrics.NewRegistry(), Token: token, Now: func() time.Time { return d.now },
+		NewID:    func() string { d.proposals++; return fmt.Sprint("proposal-", d.proposals) },
+		Announce: func() { d.announce(publisher) },
+		Status: func(context.Context) (operator.Status, error) {
+			return operator.Status{Daemon: "d1", State: "ready", Ready: true, Head: publisher.Load().Head}, nil
+		},
+		Targets: func(context.Context) ([]operator.Target, error) {
+			return []operator.Target{{Service: "stock-check", VM: "w1", Address: "127.0.0.1:22001", State: "live", Slots: 8, InFlight: 3}}, nil
+		},
+		Committed: func(context.Context) (map[string]inventory.Resources, error) { return d.held, nil },
+	})
+	d.server = httptest.NewServer(server.Handler())
+	t.Cleanup(d.server.Close)
+	return d
+}
+
+// announce lets the daemons that follow adopt the document in force.
+func (d *desk) announce(publisher *traffic.Publisher) {
+	ctx := context.Background()
+	head, _, err := configsync.ReadHead(ctx, d.platform)
+	if err != nil {
+		return // an injected outage
+	}
+	_, doc, err := configsync.Store{Table: d.platform, Objects: d.platform.Objects()}.Revision(ctx, head.Revision)
+	is.New(d.t).NoErr(err)
+	publisher.Publish(&traffic.Snapshot{Ready: true, Head: head, Document: doc, ValidUntil: d.now.Add(time.Hour)})
+	for name := range d.expires {
+		if d.expires[name].After(d.now) {
+			d.revision[name] = head.Revision
+		}
+	}
+	d.adopt()
+}
+
+// adopt writes the daemons' session rows.
+func (d *desk) adopt() {
+	for name, expires := range d.expires {
+		if d.gone[name] {
+			continue
+		}
+		d.gone[name] = expires.Before(d.now)
+		s := membership.Session{ID: name, Daemon: name, Revision: d.revision[name], ExpiresUnixMS: expires.UnixMilli(), Roster: 2}
+		value, err := json.Marshal(s)
+		is.New(d.t).NoErr(err)
+		_, err = d.platform.Commit(context.Background(), platform.Txn{Puts: []platform.Put{{Key: platform.SessionKey(name), Value: value}}})
+		is.New(d.t).NoErr(err)
+	}
+}
+
+// event carries out a "!" line.
+func (d *desk) event(line string) {
+	switch line {
+	case "! lose d2":
+		d.expires["d2"] = d.now.Add(-time.Minute)
+		d.adopt()
+	case "! lose the reply":
+		d.platform.SetFaults(fake.Faults{LoseReplies: 1})
+	case "! outage begins":
+		d.platform.SetFaults(fake.Faults{Outage: true})
+	case "! outage ends":
+		d.platform.SetFaults(fake.Faults{})
+	case "! tasks hold w1":
+		d.held["w1"] = inventory.Resources{MilliProcessors: 50000}
+	case "! token unset":
+		d.t.Setenv("BAMBOOYARD_OPERATOR_TOKEN", "wrong")
+	default:
+		d.t.Fatalf("event %q does not exist", line)
+	}
+}
+
+// run runs one command line and returns what a terminal shows.
+func (d *desk) run(line string) string {
+	var out, errOut bytes.Buffer
+	args := strings.Fields(line)[2:]
+	code := cli.Run(args, strings.NewReader(""), &out, &errOut)
+	text := out.String() + errOut.String()
+	address := strings.TrimPrefix(d.server.URL, "http://")
+	text = strings.ReplaceAll(text, address, "OPERATOR")
+	return fmt.Sprintf("%s\n%s(exit code %d)\n", line, text, code)
+}
+
+// TestSessions plays the command lines of each session file and compares the
+// whole session; UPDATE_GOLDEN=1 writes it.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.session")
+	is.New(t).NoErr(err)
+	is.New(t).True(len(files) > 0)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) { playSession(t, file) })
+	}
+}
+
+func playSession(t *testing.T, file string) {
+	is := is.New(t)
+	want, err := os.ReadFile(file)
+	is.NoErr(err)
+	d := newDesk(t)
+	t.Setenv("BAMBOOYARD_OPERATOR", strings.TrimPrefix(d.server.URL, "http://"))
+	t.Setenv("BAMBOOYARD_OPERATOR_TOKEN", token)
+	t.Setenv("USER", "ana")
+	var got strings.Builder
+	for line := range strings.Lines(string(want)) {
+		line = strings.TrimSpace(line)
+		switch {
+		case strings.HasPrefix(line, "! "):
+			d.event(line)
+			got.WriteString(line + "\n")
+		case strings.HasPrefix(line, "$ bambooyard "):
+			got.WriteString(d.run(line))
+		}
+	}
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		is.NoErr(os.WriteFile(file, []byte(got.String()), 0o644))
+		return
+	}
+	if diff := cmp.Diff(string(want), got.String()); diff != "" {
+		t.Error(diff)
+	}
+	if strings.Contains(got.String(), token) {
+		t.Error("the operator token was printed")
+	}
+}
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(c.tool.out, "%d VMs, %d services, %d members\n",
+	_, _ = fmt.Fprintf(c.tool.out, "VMs: %d, services: %d, members: %d\n",
 		len(doc.Inventory.VMs), len(doc.Inventory.Services), len(doc.Rules.Members))
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net"
 	"net/http"
@@ -30,6 +31,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+
+	operatorReadTimeout  = 30 * time.Second
+	operatorWriteTimeout = time.Minute
 )
 
 // Module is the daemon as an fx module. It needs settings.Settings and log.Interface.
@@ -69,6 +73,7 @@
 func newOperator(c *controller, client *platform.Client, p *traffic.Publisher, b *burn.Recorder, r metrics.Registry) *operator.Server {
 	return operator.NewServer(operator.Options{
 		Table: client, Objects: client.Objects(), Publisher: p, Burn: b, Metrics: r, Now: time.Now,
+		NewID:    rand.Text,
 		Status:   c.status,
 		Targets:  c.targets,
 		Token:    c.settings.OperatorToken,
@@ -93,6 +98,7 @@
 func run(lc fx.Lifecycle, p parts) {
 	callers := newHTTPServer(p.Entry.Handler())
 	operators := newHTTPServer(p.Operator.Handler())
+	operators.ReadTimeout, operators.WriteTimeout = operatorReadTimeout, operatorWriteTimeout
 	var peers *peer.Server
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"io"
 	"net/http"
@@ -143,7 +142,7 @@
 
 func (s *Server) propose(c *gin.Context, body []byte, based document.Revision) {
 	head, err := configsync.Propose(c.Request.Context(), s.store(), configsync.Proposal{
-		ID: rand.Text(), Body: body, Based: based,
+		ID: s.opts.NewID(), Body: body, Based: based,
 		Author: c.GetHeader(HeaderAuthor), NowUnixMS: s.opts.Now().UnixMilli(),
 	})
 	if err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -36,6 +36,8 @@
 	Burn      *burn.Recorder
 	Metrics   metrics.Registry
 	Now       func() time.Time
+	// NewID returns a text that no other proposal has.
+	NewID func() string
 	// Token is demanded of operators unless it is empty.
 	Token string
 	// Status returns the daemon's control state.
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -138,9 +138,9 @@
 		return
 	}
 	k.busy = true
-	readAt := k.opts.Now()
+	readAt, known := k.opts.Now(), k.known
 	control.Async(k.opts.Loop, func(ctx context.Context) ([]membership.Session, error) {
-		return Read(ctx, k.opts.Table)
+		return readChanged(ctx, k.opts.Table, known)
 	}, func(rows []membership.Session, err error) {
 		if err != nil {
 			k.fail(err)
@@ -152,17 +152,31 @@
 
 // Read reads all session rows; it runs on any goroutine.
 func Read(ctx context.Context, table platform.Table) ([]membership.Session, error) {
+	return readChanged(ctx, table, nil)
+}
+
+// readChanged reads all session rows and decodes those that are not known at
+// their version.
+func readChanged(ctx context.Context, table platform.Table, known []membership.Session) ([]membership.Session, error) {
 	rows, err := table.Scan(ctx, platform.SessionPrefix, "", maxSessions)
 	if err != nil {
 		return nil, err
 	}
+	decoded := make(map[int64]membership.Session, len(known))
+	for _, s := range known {
+		decoded[s.Version] = s
+	}
 	all := make([]membership.Session, 0, len(rows))
 	for _, row := range rows {
-		var s membership.Session
-		if err := json.Unmarshal(row.Value, &s); err != nil {
-			return nil, &RowError{Key: row.Key, Err: err}
+		version := int64(row.Version)
+		s, ok := decoded[version]
+		if !ok || platform.SessionKey(s.ID) != row.Key {
+			s = membership.Session{}
+			if err := json.Unmarshal(row.Value, &s); err != nil {
+				return nil, &RowError{Key: row.Key, Err: err}
+			}
+			s.Version = version
 		}
-		s.Version = int64(row.Version)
 		all = append(all, s)
 	}
 	return all, nil
