--- a/internal/cli/session_test.go
+++ b/internal/cli/session_test.go
@@ -16,7 +16,6 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/cli"
 	"github.com/bambooyard/bambooyard/internal/configsync"
@@ -56,7 +55,7 @@
 	d.adopt()
 	publisher := traffic.NewPublisher()
 	server := operator.NewServer(operator.Options{
-		Table: d.platform, Objects: d.platform.Objects(), Publisher: publisher, Burn: burn.NewRecorder(),
+		Table: d.platform, Objects: d.platform.Objects(), Publisher: publisher,
 		Metrics: metrics.NewRegistry(), Token: token, Now: func() time.Time { return d.now },
 		NewID:    func() string { d.proposals++; return fmt.Sprint("proposal-", d.proposals) },
 		Announce: func() { d.announce(publisher) },
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
@@ -52,7 +53,7 @@
 	leaving map[string]bool // VMs that the platform's list names as leaving
 }
 
-func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher) *controller {
+func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, registry metrics.Registry) *controller {
 	c := &controller{
 		settings:  s,
 		loop:      loop,
@@ -76,7 +77,7 @@
 		Adopted: c.adopted, Known: c.keeper.Renew,
 	})
 	c.batch = batch.NewManager(batch.Options{
-		Loop: loop, Table: client, Workers: workers, Log: logger, Now: time.Now,
+		Loop: loop, Table: client, Objects: client.Objects(), Metrics: registry, Workers: workers, Log: logger, Now: time.Now,
 		Self: c.keeper.Self, Live: c.keeper.Live,
 		LeaseTTL: s.LeaseTTL, OwnerTTL: s.SessionTTL,
 	})
@@ -188,6 +189,7 @@
 func (c *controller) drain() {
 	c.move(charts.DaemonStop)
 	c.keeper.SetLeaving()
+	c.batch.Drain()
 	c.publish(time.Now())
 }
 
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -29,9 +29,12 @@
 // Error implements error.
 func (e *UnknownError) Error() string { return fmt.Sprintf("%s %q does not exist", e.Kind, e.Name) }
 
+// fail answers with the error and the status that fits it.
+func (s *Server) fail(c *gin.Context, err error) { fail(c, statusOf(err), err) }
+
 // fail answers with the error, each mistake as a line of its own.
-func (s *Server) fail(c *gin.Context, err error) {
-	c.AbortWithStatusJSON(statusOf(err), ErrorBody{Errors: lines(err)})
+func fail(c *gin.Context, status int, err error) {
+	c.AbortWithStatusJSON(status, ErrorBody{Errors: lines(err)})
 }
 
 // lines splits joined errors and conflicts into one line for each mistake.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,7 +12,6 @@
 	"github.com/gin-gonic/gin"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/internal/traffic"
@@ -33,7 +32,7 @@
 	Table     platform.Table
 	Objects   platform.ObjectStore
 	Publisher *traffic.Publisher
-	Burn      *burn.Recorder
+	Burn      BurnReport
 	Metrics   metrics.Registry
 	Now       func() time.Time
 	// NewID returns a text that no other proposal has.
@@ -79,6 +78,7 @@
 	guarded.GET("/metrics", s.metrics)
 	guarded.GET("/v1/status", s.status)
 	guarded.GET("/v1/burn", s.burn)
+	guarded.GET("/v1/burn.html", s.burnPage)
 	guarded.GET("/v1/config", s.getConfig)
 	guarded.PUT("/v1/config", s.putConfig)
 	guarded.GET("/v1/config/adoption", s.adoption)
@@ -115,6 +115,7 @@
 
 func (s *Server) metrics(c *gin.Context) {
 	c.Header("Content-Type", "application/json")
+	metrics.CaptureRuntimeMemStatsOnce(s.opts.Metrics)
 	metrics.WriteJSONOnce(s.opts.Metrics, c.Writer)
 }
 
