--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -32,8 +32,11 @@
 	*fake.Platform
 	cut, stale bool
 	loseNext   int
-	breaks     bool // the link is cut with a lost reply
-	old        *platform.Row
+	breaks     bool          // the link is cut with a lost reply
+	last       *platform.Row // the head row as last read
+	older      *platform.Row // the head row before that, which stale reads return
+	read       int
+	count      *count // of what the link carries, if set
 }
 
 func (l *link) down(op string) error {
@@ -48,13 +51,18 @@
 		return nil, err
 	}
 	rows, err := l.Platform.Get(ctx, keys...)
+	l.carried(platform.GetRequest{Keys: keys}, platform.RowsReply{Rows: rows}, 1, 0)
 	if err != nil || keys[0] != platform.ConfigHeadKey {
 		return rows, err
 	}
-	if l.stale && l.old != nil {
-		return []platform.Row{*l.old}, nil
+	l.read++
+	if l.stale && l.older != nil && l.read%2 == 0 {
+		return []platform.Row{*l.older}, nil
 	}
-	l.old = &rows[0]
+	if l.last != nil && l.last.Version != rows[0].Version {
+		l.older = l.last
+	}
+	l.last = &rows[0]
 	return rows, nil
 }
 
@@ -62,7 +70,9 @@
 	if err := l.down("scan"); err != nil {
 		return nil, err
 	}
-	return l.Platform.Scan(ctx, prefix, after, limit)
+	rows, err := l.Platform.Scan(ctx, prefix, after, limit)
+	l.carried(platform.ScanRequest{Prefix: prefix, After: after, Limit: limit}, platform.RowsReply{Rows: rows}, 1, 0)
+	return rows, err
 }
 
 func (l *link) Commit(ctx context.Context, txn platform.Txn) (platform.Version, error) {
@@ -70,6 +80,7 @@
 		return 0, err
 	}
 	v, err := l.Platform.Commit(ctx, txn)
+	l.carried(txn, platform.CommitReply{Version: v}, 0, 1)
 	if err == nil && l.loseNext > 0 {
 		l.loseNext--
 		l.cut = l.breaks
@@ -99,14 +110,19 @@
 	daemons  []*daemon
 	logger   log.Interface
 	maxDelay time.Duration
+	ttl      time.Duration
 	store    configsync.Store
 	sessions int // how many session IDs were given
 }
 
 func newFleet(seed uint64, n int, maxDelay time.Duration) *fleet {
+	return newFleetWithTTL(seed, n, maxDelay, fleetTTL)
+}
+
+func newFleetWithTTL(seed uint64, n int, maxDelay, ttl time.Duration) *fleet {
 	p := fake.NewPlatform()
 	f := &fleet{
-		clock: fake.NewClock(seed), platform: p, maxDelay: maxDelay,
+		clock: fake.NewClock(seed), platform: p, maxDelay: maxDelay, ttl: ttl,
 		logger: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		store:  configsync.Store{Table: p, Objects: p.Objects()},
 	}
@@ -122,7 +138,7 @@
 	half := int64(membership.MaxClockSkew / 2)
 	d.skew = time.Duration(f.clock.Rand().Int64N(2*half) - half)
 	d.keeper = sessions.NewKeeper(sessions.Options{
-		Loop: d.exec, Table: d.link, TTL: fleetTTL, Log: f.logger, Now: d.now,
+		Loop: d.exec, Table: d.link, TTL: f.ttl, Log: f.logger, Now: d.now,
 		Self: membership.Session{Daemon: name, PeerAddress: address},
 		Head: func() sessions.Head {
 			v, known := d.follower.Version()
@@ -137,9 +153,9 @@
 		Known:   d.keeper.Renew,
 	})
 	d.exec.Post(d.follower.Check)
-	d.exec.Every(fleetTTL/3, func(time.Time) { d.keeper.Renew() })
+	d.exec.Every(f.ttl/3, func(time.Time) { d.keeper.Renew() })
 	d.exec.Every(checkInterval, func(time.Time) { d.follower.Check() })
-	d.exec.Every(askInterval, func(time.Time) { d.ask(); d.refresh() })
+	d.exec.Every(askInterval, func(time.Time) { d.ask(); d.keeper.Watch(d.now()); d.refresh() })
 	f.daemons = append(f.daemons, d)
 }
 
--- a/internal/configsync/histories_test.go
+++ b/internal/configsync/histories_test.go
@@ -179,7 +179,9 @@
 			h.clock.After(length, func() { d.link.cut = false })
 		}
 	case 7:
-		d.link.stale = !d.link.stale
+		for _, d := range h.daemons {
+			d.link.stale = r.IntN(2) == 0
+		}
 	case 8:
 		h.propose(1000 + number)
 	}
--- a/internal/configsync/partition_test.go
+++ b/internal/configsync/partition_test.go
@@ -6,7 +6,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/platform"
 )
 
 // settled returns a fleet of n daemons that all serve revision 1.
@@ -116,3 +119,38 @@
 	is.NoErr(err)
 	is.Equal(len(a.Adopted), 1)
 }
+
+func TestOneDaemonFencesTheLostWithinTheWriteBudget(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 8)
+	f.daemons[6].kill()
+	f.daemons[7].kill()
+	before := f.platform.Counts().Commits
+	const length = 12 * time.Second
+	f.clock.Run(length)
+	renewals := int64(6 * length / (fleetTTL / 3))
+	extra := f.platform.Counts().Commits - before - renewals
+	is.True(extra <= 15) // two fences, two deletions, and renewals around them
+	a, err := f.adoption(1, f.clock.Now())
+	is.NoErr(err)
+	is.Equal(len(a.Lost), 0)
+	is.Equal(len(a.Adopted), 6)
+}
+
+func TestBodyThatIsNotTheHeadsIsNotAdopted(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 2)
+	head, err := f.apply(f.platform, "second", 1)
+	is.NoErr(err)
+	key := platform.ConfigObject(2, head.Digest)
+	body, err := f.platform.Objects().Get(t.Context(), key)
+	is.NoErr(err)
+	is.NoErr(f.platform.Objects().Put(t.Context(), key, []byte("rules: {}\n")))
+	f.clock.Run(5 * time.Second)
+	is.Equal(f.daemons[0].snapshot.Head.Revision, document.Revision(1))
+	is.Equal(f.daemons[0].follower.State(), charts.ConfigurationRetrying)
+	is.NoErr(f.platform.Objects().Put(t.Context(), key, body))
+	f.clock.Run(10 * time.Second)
+	is.Equal(f.daemons[0].snapshot.Head.Revision, document.Revision(2))
+	is.Equal(f.daemons[0].follower.State(), charts.ConfigurationAdopted)
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -143,6 +143,7 @@
 	case serving && charts.Daemon.Can(c.state, charts.DaemonAdopt):
 		c.move(charts.DaemonAdopt)
 	}
+	c.keeper.Watch(now)
 	c.publish(now)
 }
 
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -113,15 +113,6 @@
 		s.fail(c, err)
 		return
 	}
-	doc, err := document.Decode(body)
-	if err != nil {
-		s.fail(c, &InvalidError{Err: err})
-		return
-	}
-	if err := s.checkCommitted(c.Request.Context(), doc); err != nil {
-		s.fail(c, err)
-		return
-	}
 	s.propose(c, body, based)
 }
 
@@ -140,7 +131,17 @@
 	return nil
 }
 
+// propose checks a document and makes it the next revision.
 func (s *Server) propose(c *gin.Context, body []byte, based document.Revision) {
+	doc, err := document.Decode(body)
+	if err != nil {
+		s.fail(c, &InvalidError{Err: err})
+		return
+	}
+	if err := s.checkCommitted(c.Request.Context(), doc); err != nil {
+		s.fail(c, err)
+		return
+	}
 	head, err := configsync.Propose(c.Request.Context(), s.store(), configsync.Proposal{
 		ID: s.opts.NewID(), Body: body, Based: based,
 		Author: c.GetHeader(HeaderAuthor), NowUnixMS: s.opts.Now().UnixMilli(),
@@ -170,15 +171,6 @@
 		s.fail(c, err)
 		return
 	}
-	doc, err := document.Decode(body)
-	if err != nil {
-		s.fail(c, &InvalidError{Err: err})
-		return
-	}
-	if err := s.checkCommitted(c.Request.Context(), doc); err != nil {
-		s.fail(c, err)
-		return
-	}
 	s.propose(c, body, based)
 }
 
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -61,6 +61,8 @@
 	busy      bool
 	again     bool
 	leaving   bool
+	scannedAt time.Time
+	stale     bool // the last scan must not be relied on for the own row
 	// lastContact is when the table last answered.
 	lastContact time.Time
 }
@@ -131,13 +133,18 @@
 	return err
 }
 
-// Renew reads all session rows and writes this daemon's, one renewal at a time.
+// Renew writes this daemon's session row, one renewal at a time. It reads all
+// rows first unless that was done lately, as when only the revision changed.
 func (k *Keeper) Renew() {
 	if k.busy {
 		k.again = true
 		return
 	}
 	k.busy = true
+	if k.viewIsFresh() {
+		k.renew()
+		return
+	}
 	readAt, known := k.opts.Now(), k.known
 	control.Async(k.opts.Loop, func(ctx context.Context) ([]membership.Session, error) {
 		return readChanged(ctx, k.opts.Table, known)
@@ -150,6 +157,14 @@
 	})
 }
 
+// viewIsFresh reports whether the session can be renewed without a scan. The
+// daemon that sweeps always scans.
+func (k *Keeper) viewIsFresh() bool {
+	now := k.opts.Now()
+	return !k.stale && now.Sub(k.scannedAt) < k.opts.TTL/4 && !k.sweeps(now) &&
+		k.guard.Decide(now).Standing == membership.Attached
+}
+
 // Read reads all session rows; it runs on any goroutine.
 func Read(ctx context.Context, table platform.Table) ([]membership.Session, error) {
 	return readChanged(ctx, table, nil)
@@ -196,7 +211,8 @@
 
 // read takes in the rows that were asked for at readAt and goes on to write.
 func (k *Keeper) read(rows []membership.Session, readAt time.Time) {
-	k.known, k.lastContact, k.viewed = rows, readAt, 0
+	k.known, k.scannedAt, k.viewed, k.stale = rows, readAt, 0, false
+	k.lastContact = readAt
 	for _, s := range rows {
 		k.viewed = max(k.viewed, s.Version)
 	}
@@ -292,18 +308,28 @@
 			Checks: checks,
 			Puts:   []platform.Put{{Key: platform.SessionKey(s.ID), Value: value}},
 		})
-	}, func(_ platform.Version, err error) {
+	}, func(version platform.Version, err error) {
 		if err != nil {
 			k.refused(err)
 			return
 		}
+		k.lastContact = now
+		s.Version = int64(version)
+		k.setRow(s)
 		done(s, now)
 		k.finish()
 	})
 }
 
+// setRow keeps the own row as it was written, until the next scan.
+func (k *Keeper) setRow(s membership.Session) {
+	rows := slices.DeleteFunc(slices.Clone(k.known), func(o membership.Session) bool { return o.ID == s.ID })
+	k.known = append(rows, s)
+}
+
 // refused handles a write that failed or whose reply was lost.
 func (k *Keeper) refused(err error) {
+	k.stale = true
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) && slices.Contains(conflict.Keys, platform.ConfigHeadKey) {
 		k.opts.Behind()
--- a/internal/sessions/sweep.go
+++ b/internal/sessions/sweep.go
@@ -16,11 +16,13 @@
 // renewal of one daemon.
 const maxSweep = 50
 
+// watchInterval is the least time between two scans for expired sessions.
+const watchInterval = 500 * time.Millisecond
+
 // sweep fences lost sessions and deletes forgotten ones, if this daemon is the
 // one to do it: the first of the live ones. The rows were read at readAt.
 func (k *Keeper) sweep(readAt time.Time) {
-	live := k.Live(readAt)
-	if len(live) == 0 || live[0].ID != k.self.ID || k.guard.Decide(k.opts.Now()).Standing != membership.Attached {
+	if !k.sweeps(readAt) || k.guard.Decide(k.opts.Now()).Standing != membership.Attached {
 		return
 	}
 	fences := membership.Fences(k.known, readAt)
@@ -44,6 +46,27 @@
 	})
 }
 
+// Watch renews early, to read the sessions again, while this daemon sweeps and
+// a session has expired. It is called often.
+func (k *Keeper) Watch(now time.Time) {
+	if k.busy || now.Sub(k.scannedAt) < watchInterval || !k.sweeps(now) {
+		return
+	}
+	expired := now.Add(-membership.MaxClockSkew).UnixMilli()
+	for _, s := range k.known {
+		if s.FencedUnixMS == 0 && s.ExpiresUnixMS < expired {
+			k.Renew()
+			return
+		}
+	}
+}
+
+// sweeps reports whether this daemon is the one to sweep: the first of the live.
+func (k *Keeper) sweeps(now time.Time) bool {
+	live := k.Live(now)
+	return len(live) > 0 && live[0].ID == k.self.ID
+}
+
 // fenceTxn marks sessions as fenced unless they change first.
 func fenceTxn(sessions []membership.Session, now time.Time) platform.Txn {
 	var txn platform.Txn
--- a/inventory/register_test.go
+++ b/inventory/register_test.go
@@ -80,3 +80,9 @@
 	inv.VMs[0].Name = "w2"
 	is.Equal(inventory.CheckCommitted(inv, held).Error(), `field inventory.vms: value "w1" is left out but holds tasks; drain it first`)
 }
+
+func ExampleCheck() {
+	vm := inventory.VM{Name: "w1", Rack: "r9", WorkerAddress: "127.0.0.1:21001", Capacity: inventory.Resources{MilliProcessors: 1000, MemoryMB: 100}}
+	fmt.Println(inventory.Check(inventory.Inventory{VMs: []inventory.VM{vm}}))
+	// Output: field vms[0].rack: value "r9" does not exist in any data centre
+}
--- a/membership/fence.go
+++ b/membership/fence.go
@@ -56,12 +56,14 @@
 // stopped reports whether the daemon of an expired session has lacked a
 // majority at some moment since.
 func stopped(s Session, sessions []Session, replaced []int64, now time.Time) bool {
-	earliest := s.ExpiresUnixMS + skewMS
-	if now.UnixMilli() <= earliest {
+	if now.UnixMilli() <= s.ExpiresUnixMS+skewMS {
 		return false
 	}
+	moment := s.ExpiresUnixMS
 	lifetime := s.ExpiresUnixMS - s.RenewedUnixMS
-	moment := max(earliest, now.UnixMilli()-lifetime/2)
+	if recent := now.UnixMilli() - lifetime/2; recent > moment+skewMS {
+		moment = recent
+	}
 	abandoned := 0
 	for i, other := range sessions {
 		if mayBeAbandoned(other, replaced[i], s, moment) {
@@ -72,7 +74,8 @@
 }
 
 // mayBeAbandoned reports whether the daemon of s may have counted other among
-// the abandoned sessions at a moment.
+// the abandoned sessions at a moment. The moment is by a clock that may differ
+// from the other daemon's by the skew.
 func mayBeAbandoned(other Session, replacedAt int64, s Session, moment int64) bool {
 	switch {
 	case other.ID == s.ID:
