--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -57,6 +57,7 @@
 	delete(o.throttled, t.Spec.ID)
 	o.planner.ObserveEnd(place.TaskEnd{
 		Task:              string(t.Spec.ID),
+		Job:               t.Spec.Job,
 		Member:            t.Spec.Member,
 		Kind:              t.Spec.Kind,
 		Machine:           t.VM,
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -86,9 +86,15 @@
 
 // call sends a JSON request and decodes the JSON answer into reply.
 func call(method, url string, header http.Header, body []byte, reply any) error {
+	_, err := callWithHeader(method, url, header, body, reply)
+	return err
+}
+
+// callWithHeader is call that returns the answer's header as well.
+func callWithHeader(method, url string, header http.Header, body []byte, reply any) (http.Header, error) {
 	req, err := http.NewRequest(method, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if header != nil {
 		req.Header = header
@@ -96,17 +102,17 @@
 	client := &http.Client{Timeout: clientTimeout}
 	resp, err := client.Do(req)
 	if err != nil {
-		return &UnreachableError{err}
+		return nil, &UnreachableError{err}
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return refusal(resp.StatusCode, data)
+		return nil, refusal(resp.StatusCode, data)
 	}
-	return json.Unmarshal(data, reply)
+	return resp.Header, json.Unmarshal(data, reply)
 }
 
 // refusal reads the error body of either interface.
@@ -116,12 +122,12 @@
 		Message string   `json:"message"`
 	}
 	if json.Unmarshal(data, &body) != nil {
-		return &RefusedError{status, []string{string(data)}}
+		return &RefusedError{Status: status, Reasons: []string{string(data)}}
 	}
 	if body.Message != "" {
 		body.Errors = append(body.Errors, body.Message)
 	}
-	return &RefusedError{status, body.Errors}
+	return &RefusedError{Status: status, Reasons: body.Errors, Caller: body.Message != ""}
 }
 
 func printJSON(out io.Writer, v any) error {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -45,12 +45,14 @@
 	publisher *traffic.Publisher
 	pool      *peer.Pool
 
-	state   chart.State
-	keeper  *sessions.Keeper
-	config  *configsync.Follower
-	batch   *batch.Manager
-	loads   *loadTable
-	leaving map[string]bool // VMs that the platform's list names as leaving
+	state  chart.State
+	keeper *sessions.Keeper
+	config *configsync.Follower
+	batch  *batch.Manager
+	// directories serves submissions from any goroutine.
+	directories directories
+	loads       *loadTable
+	leaving     map[string]bool // VMs that the platform's list names as leaving
 }
 
 func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, registry metrics.Registry) *controller {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes    = 256 << 10
 
 	operatorReadTimeout  = 30 * time.Second
 	operatorWriteTimeout = time.Minute
@@ -63,13 +63,18 @@
 
 func newWorkers() platform.Workers { return platform.NewWorkers(platform.NewHTTPClient()) }
 
-func newClaims(client *platform.Client) *claims.Grouper { return claims.NewGrouper(client) }
+func newClaims(client *platform.Client, p *traffic.Publisher, r metrics.Registry, l log.Interface) *claims.Service {
+	return claims.NewService(claims.ServiceOptions{
+		Table: client, Objects: client.Objects(), Log: l, Metrics: claims.NewMetrics(r),
+		Daemons: func() int { return p.Load().Daemons },
+		Sweeps:  func() bool { return p.Load().Sweeps },
+	})
+}
 
-func newEntry(c *controller, p *traffic.Publisher, g *claims.Grouper, t *target.Client, m *requestMetrics, l log.Interface) *entry.Server {
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *target.Client, m *requestMetrics, r metrics.Registry, l log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
-		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(), Observer: m, Jobs: jobs{c}, Log: l,
-		Now:     time.Now,
-		Session: func() string { return c.settings.Name },
+		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(entry.NewMetrics(r)), Observer: m, Jobs: jobs{c}, Log: l,
+		Now: time.Now,
 	})
 }
 
@@ -108,7 +113,6 @@
 	Log        log.Interface
 	Loop       *control.Loop
 	Controller *controller
-	Claims     *claims.Grouper
 	Entry      *entry.Server
 	Operator   *operator.Server
 	Burn       *burnstore.Store
@@ -178,8 +182,7 @@
 	time.Sleep(p.Settings.DrainDelay)
 	ctx, cancel := context.WithTimeout(ctx, p.Settings.DrainTimeout)
 	defer cancel()
-	err := callers.Shutdown(ctx)
-	p.Claims.Close()
+	err := p.Entry.Drain(ctx, callers)
 	err = errors.Join(err, p.Burn.Flush(ctx))
 	err = errors.Join(err, operators.Shutdown(ctx), peers.Close())
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -20,21 +20,26 @@
 		Document: doc,
 		Services: map[string]*traffic.Service{},
 		Members:  map[string]bool{},
+		Weights:  map[string]int{},
+		Session:  c.keeper.Self(),
 
 		ValidUntil: c.keeper.Decide(now).ValidUntil,
 	}
+	live := c.keeper.Live(now)
+	s.Daemons = max(1, len(c.keeper.Peers(now)))
+	s.Sweeps = len(live) > 0 && live[0].ID == s.Session.ID
 	if !s.Ready {
 		s.Reason = "the daemon is " + string(c.state)
 	}
 	for _, m := range doc.Rules.Members {
 		s.Members[m.Name] = true
+		s.Weights[m.Name] = m.Weight
 	}
 	c.addServices(s, doc, now)
 	c.publisher.Publish(s)
 }
 
 func (c *controller) addServices(s *traffic.Snapshot, doc document.Document, now time.Time) {
-	daemons := max(1, len(c.keeper.Peers(now)))
 	vms := make(map[string]inventory.VM, len(doc.Inventory.VMs))
 	for _, vm := range doc.Inventory.VMs {
 		vms[vm.Name] = vm
@@ -64,7 +69,8 @@
 		s.Services[service.Name] = &traffic.Service{
 			Rules:  rules,
 			Picker: route.NewPicker(c.settings.Region, targets),
-			Limit:  max(1, slots/daemons),
+			Limit:  max(1, slots/s.Daemons),
+			Slots:  slots,
 		}
 	}
 }
