Send the operator token with the burn report

Cause: with a token set, report burn was refused, since it called the operator address without the tool's client.

Ruled out: sending the token with every request, which would show it to the callers' address.

--- a/internal/cli/charts.go
+++ b/internal/cli/charts.go
@@ -3,13 +3,28 @@
 import (
 	"fmt"
 
+	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
 )
 
-type chartsCommand struct{ tool *tool }
+type chartsCommand struct {
+	tool *tool
+	outputOption
+}
+
+// chartLine is one transition of one chart.
+type chartLine struct {
+	Chart string      `json:"chart"`
+	From  chart.State `json:"from"`
+	Event chart.Event `json:"event"`
+	To    chart.State `json:"to"`
+}
 
 // Execute implements flags.Commander.
 func (c *chartsCommand) Execute([]string) error {
+	if c.json() {
+		return c.printJSON()
+	}
 	for _, chart := range charts.All() {
 		_, _ = fmt.Fprintf(c.tool.out, "%s (begins %s)\n", chart.Name(), chart.Initial())
 		for _, t := range chart.Transitions() {
@@ -18,3 +33,13 @@
 	}
 	return nil
 }
+
+func (c *chartsCommand) printJSON() error {
+	var lines []chartLine
+	for _, chart := range charts.All() {
+		for _, t := range chart.Transitions() {
+			lines = append(lines, chartLine{chart.Name(), t.From, t.Event, t.To})
+		}
+	}
+	return printJSON(c.tool.out, lines)
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -84,7 +84,8 @@
 	return body, doc, nil
 }
 
-// call sends a JSON request and decodes the JSON answer into reply.
+// call sends a JSON request and decodes the JSON answer into reply, or keeps it
+// as it is if reply is a *[]byte.
 func call(method, url string, header http.Header, body []byte, reply any) error {
 	_, err := callWithHeader(method, url, header, body, reply)
 	return err
@@ -112,6 +113,10 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return nil, refusal(resp.StatusCode, data)
 	}
+	if raw, ok := reply.(*[]byte); ok {
+		*raw = data
+		return resp.Header, nil
+	}
 	return resp.Header, json.Unmarshal(data, reply)
 }
 
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"text/tabwriter"
 
@@ -31,12 +30,11 @@
 
 // Execute implements flags.Commander.
 func (c *burnCommand) Execute([]string) error {
-	base := "http://" + c.tool.Operator + "/v1/burn"
 	if c.Output == "html" {
-		return copyBody(c.tool.out, base+".html")
+		return c.printPage()
 	}
 	var report burn.Report
-	if err := call(http.MethodGet, base, nil, nil, &report); err != nil {
+	if err := c.tool.ask(http.MethodGet, "/v1/burn", nil, nil, &report); err != nil {
 		return err
 	}
 	if c.Output == "json" {
@@ -78,21 +76,12 @@
 	return w.Flush()
 }
 
-// copyBody prints the answer to a GET request as it is.
-func copyBody(out io.Writer, url string) error {
-	client := &http.Client{Timeout: clientTimeout}
-	resp, err := client.Get(url)
-	if err != nil {
-		return fmt.Errorf("no daemon answers (is the address right?): %w", err)
-	}
-	defer resp.Body.Close() //nolint:errcheck // the body was read
-	if resp.StatusCode != http.StatusOK {
-		data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
-		if err != nil {
-			return err
-		}
-		return refusal(resp.StatusCode, data)
+// printPage prints the report as a self-contained HTML page.
+func (c *burnCommand) printPage() error {
+	var page []byte
+	if err := c.tool.ask(http.MethodGet, "/v1/burn.html", nil, nil, &page); err != nil {
+		return err
 	}
-	_, err = io.Copy(out, resp.Body)
+	_, err := c.tool.out.Write(page)
 	return err
 }
