Test every operators' route for the token, and the order of body and head

Cause: nothing showed that a new route cannot be left open, that a head is never written before its body, or that the register's example is the document's.

Ruled out: a list of routes in the test, which a new route would not be in; the test asks the handler for its routes.

--- a/document/document_test.go
+++ b/document/document_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/inventory"
 	"github.com/bambooyard/bambooyard/rules"
 )
 
@@ -57,6 +58,20 @@
 	}
 }
 
+func TestExampleRegisterGivesTheExampleDocument(t *testing.T) {
+	is := is.New(t)
+	register, err := os.Open("../examples/association-register.csv")
+	is.NoErr(err)
+	defer register.Close()
+	inv, err := inventory.ReadRegister(register)
+	is.NoErr(err)
+	body, err := os.ReadFile("../examples/association.yaml")
+	is.NoErr(err)
+	doc, err := document.Decode(body)
+	is.NoErr(err)
+	is.Equal(document.Diff(doc, document.Document{Inventory: inv, Rules: doc.Rules}), nil)
+}
+
 func drawDocument(t *rapid.T, label string) document.Document {
 	var d document.Document
 	names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 0, 5, rapid.ID[string]).Draw(t, label)
--- a/internal/configsync/partition_test.go
+++ b/internal/configsync/partition_test.go
@@ -1,6 +1,7 @@
 package configsync_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,8 +9,10 @@
 
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/internal/configsync"
 	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/verdict"
 )
 
 // settled returns a fleet of n daemons that all serve revision 1.
@@ -179,3 +182,21 @@
 	f.clock.Run(time.Second)
 	is.Equal(f.serving(), 2)
 }
+
+// brokenObjects refuses every body.
+type brokenObjects struct{ platform.ObjectStore }
+
+func (brokenObjects) Put(context.Context, string, []byte) error {
+	return &platform.UnavailableError{Op: "put object", Verdict: verdict.MayHaveRun, Err: errInjected}
+}
+
+func TestHeadIsNotWrittenBeforeItsBody(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 2)
+	store := configsync.Store{Table: f.platform, Objects: brokenObjects{f.platform.Objects()}}
+	_, err := configsync.Propose(t.Context(), store, configsync.Proposal{ID: "second", Body: []byte("rules: {}"), Based: 1})
+	is.True(err != nil)
+	head, _, err := configsync.ReadHead(t.Context(), f.platform)
+	is.NoErr(err)
+	is.Equal(head.Revision, document.Revision(1))
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,73 @@
+package operator_test
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/operator"
+	"github.com/bambooyard/bambooyard/internal/traffic"
+)
+
+func newHandler(token string) http.Handler {
+	p := fake.NewPlatform()
+	return operator.NewServer(operator.Options{
+		Table: p, Objects: p.Objects(), Publisher: traffic.NewPublisher(), Metrics: metrics.NewRegistry(),
+		Token: token, Now: time.Now, NewID: func() string { return "p" }, Announce: func() {},
+	}).Handler()
+}
+
+func answer(h http.Handler, method, path, token, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// TestEveryEndpointDemandsTheToken asks every route that the server has.
+func TestEveryEndpointDemandsTheToken(t *testing.T) {
+	is := is.New(t)
+	h := newHandler("s3cret")
+	routes := h.(*gin.Engine).Routes()
+	is.True(len(routes) > 10)
+	for _, route := range routes {
+		open := route.Path == "/healthz" || route.Path == "/readyz"
+		for _, token := range []string{"", "wrong", "s3cre", "s3cret2"} {
+			if code := answer(h, route.Method, route.Path, token, "").Code; (code == http.StatusUnauthorized) == open {
+				t.Errorf("%s %s with token %q: status %d", route.Method, route.Path, token, code)
+			}
+		}
+	}
+	is.Equal(answer(h, http.MethodGet, "/v1/config", "s3cret", "").Code, http.StatusOK)
+	is.Equal(answer(newHandler(""), http.MethodGet, "/v1/config", "", "").Code, http.StatusOK)
+}
+
+func TestBadChangesAreRefusedAndChangeNothing(t *testing.T) {
+	is := is.New(t)
+	h := newHandler("")
+	for _, c := range []struct {
+		path, body string
+		status     int
+	}{
+		{"/v1/config", "rules: {}", http.StatusBadRequest},
+		{"/v1/config?based_on=-1", "rules: {}", http.StatusBadRequest},
+		{"/v1/config?based_on=0", "rule: {}", http.StatusUnprocessableEntity},
+		{"/v1/config?based_on=7", "rules: {}", http.StatusConflict},
+		{"/v1/config?based_on=0", string(bytes.Repeat([]byte("#"), 33<<20)), http.StatusRequestEntityTooLarge},
+	} {
+		is.Equal(answer(h, http.MethodPut, c.path, "", c.body).Code, c.status)
+	}
+	is.Equal(answer(h, http.MethodPost, "/v1/config/rollback?to=1&based_on=0", "", "").Code, http.StatusNotFound)
+	is.Equal(answer(h, http.MethodGet, "/v1/config/history", "", "").Body.String(), "[]")
+}
