--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -4,7 +4,7 @@
 
 type applyCommand struct {
 	tool *tool
-	waitOption
+	changeOption
 	File    string `short:"f" long:"file" required:"true" description:"document in YAML"`
 	BasedOn int64  `long:"based-on" default:"-1" description:"revision that the document was edited from; the one in force if left out"`
 }
@@ -27,5 +27,5 @@
 	if err != nil {
 		return err
 	}
-	return c.tool.await(c.waitOption, head.Revision)
+	return c.tool.accepted(c.changeOption, head)
 }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -65,9 +65,6 @@
 	var head document.Head
 	header := http.Header{operator.HeaderAuthor: {author}}
 	err := t.ask(http.MethodPut, fmt.Sprintf("/v1/config?based_on=%d", based), header, body, &head)
-	if err == nil {
-		_, _ = fmt.Fprintf(t.out, "revision %d accepted, digest %s\n", head.Revision, head.Digest)
-	}
 	return head, err
 }
 
--- a/internal/cli/drain.go
+++ b/internal/cli/drain.go
@@ -8,7 +8,7 @@
 
 type drainCommand struct {
 	tool *tool
-	waitOption
+	changeOption
 	Undo bool `long:"undo" description:"let the VM receive new work again"`
 	Args struct {
 		VM string `positional-arg-name:"VM" required:"true"`
@@ -46,5 +46,5 @@
 	if err != nil {
 		return err
 	}
-	return c.tool.await(c.waitOption, next.Revision)
+	return c.tool.accepted(c.changeOption, next)
 }
--- a/internal/cli/forget.go
+++ b/internal/cli/forget.go
@@ -10,6 +10,7 @@
 
 type forgetCommand struct {
 	tool *tool
+	outputOption
 	Args struct {
 		Daemon string `positional-arg-name:"DAEMON" required:"true"`
 	} `positional-args:"true"`
@@ -22,6 +23,9 @@
 	if err := c.tool.ask(http.MethodPost, path, nil, nil, &f); err != nil {
 		return err
 	}
+	if c.json() {
+		return printJSON(c.tool.out, f)
+	}
 	_, _ = fmt.Fprintf(c.tool.out, "lost sessions of daemon %s ended: %d\n", f.Daemon, f.Sessions)
 	return nil
 }
--- a/internal/cli/rollback.go
+++ b/internal/cli/rollback.go
@@ -10,7 +10,7 @@
 
 type rollbackCommand struct {
 	tool *tool
-	waitOption
+	changeOption
 	To int64 `long:"to" required:"true" description:"revision whose document is put in force again"`
 }
 
@@ -26,6 +26,5 @@
 	if err := c.tool.ask(http.MethodPost, path, header, nil, &head); err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(c.tool.out, "revision %d accepted with the document of revision %d\n", head.Revision, c.To)
-	return c.tool.await(c.waitOption, head.Revision)
+	return c.tool.accepted(c.changeOption, head)
 }
