--- a/internal/configsync/partition_test.go
+++ b/internal/configsync/partition_test.go
@@ -200,3 +200,19 @@
 	is.NoErr(err)
 	is.Equal(head.Revision, document.Revision(1))
 }
+
+func TestHalfOfTheDaemonsIsTooFewInAnOutage(t *testing.T) {
+	is := is.New(t)
+	f := settled(t, 8)
+	f.platform.SetFaults(fake.Faults{Outage: true})
+	f.clock.Run(4 * fleetTTL)
+	for i, d := range f.daemons[:4] {
+		is.Equal(f.serving(), 8-i)
+		d.kill()
+	}
+	f.clock.Run(2 * time.Second)
+	is.Equal(f.serving(), 0)
+	f.platform.SetFaults(fake.Faults{})
+	f.clock.Run(5 * time.Second)
+	is.Equal(f.serving(), 4)
+}
