--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -6,27 +6,83 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
+	"text/tabwriter"
 	"time"
+
+	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/internal/operator"
 )
 
 const (
 	clientTimeout = 10 * time.Second
 	maxReplyBytes = 64 << 20
+	tokenVariable = "BAMBOOYARD_OPERATOR_TOKEN"
 )
 
-// RefusedError reports an operation that the daemon refused.
-type RefusedError struct {
-	Status  int
-	Reasons []string
+// ask sends a request with the operator token to the operator address.
+func (t *tool) ask(method, path string, header http.Header, body []byte, reply any) error {
+	token, err := t.token()
+	if err != nil {
+		return err
+	}
+	if header == nil {
+		header = http.Header{}
+	}
+	if token != "" {
+		header.Set("Authorization", "Bearer "+token)
+	}
+	return call(method, "http://"+t.Operator+path, header, body, reply)
+}
+
+// token reads the operator token from the environment or from its file.
+func (t *tool) token() (string, error) {
+	if t.TokenFile == "" {
+		return os.Getenv(tokenVariable), nil
+	}
+	data, err := os.ReadFile(t.TokenFile)
+	return strings.TrimSpace(string(data)), err
+}
+
+// current returns the document in force and its head.
+func (t *tool) current() (document.Head, document.Document, error) {
+	return t.fetch("/v1/config")
 }
 
-// Error implements error.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("refused (status %d):\n  %s", e.Status, strings.Join(e.Reasons, "\n  "))
+// fetch returns the document at a path; without one, its zero value.
+func (t *tool) fetch(path string) (document.Head, document.Document, error) {
+	var c operator.Config
+	if err := t.ask(http.MethodGet, path, nil, nil, &c); err != nil || c.Head.Revision == 0 {
+		return document.Head{}, document.Document{}, err
+	}
+	doc, err := document.Decode([]byte(c.Body))
+	return c.Head, doc, err
 }
 
-// call sends a JSON request and decodes the JSON answer into reply.
+// put proposes a document based on a revision.
+func (t *tool) put(body []byte, author string, based document.Revision) (document.Head, error) {
+	var head document.Head
+	header := http.Header{operator.HeaderAuthor: {author}}
+	err := t.ask(http.MethodPut, fmt.Sprintf("/v1/config?based_on=%d", based), header, body, &head)
+	return head, err
+}
+
+// readDocument reads and checks a document's file.
+func readDocument(file string) ([]byte, document.Document, error) {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return nil, document.Document{}, err
+	}
+	doc, err := document.Decode(body)
+	if err != nil {
+		return nil, document.Document{}, &InvalidError{File: file, Err: err}
+	}
+	return body, doc, nil
+}
+
+// call sends a JSON request and decodes the JSON answer into reply, or keeps it
+// as it is if reply is a *[]byte.
 func call(method, url string, header http.Header, body []byte, reply any) error {
 	_, err := callWithHeader(method, url, header, body, reply)
 	return err
@@ -44,7 +100,7 @@
 	client := &http.Client{Timeout: clientTimeout}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("no daemon answers (is the address right?): %w", err)
+		return nil, &UnreachableError{err}
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
@@ -54,6 +110,10 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return nil, refusal(resp.StatusCode, data)
 	}
+	if raw, ok := reply.(*[]byte); ok {
+		*raw = data
+		return resp.Header, nil
+	}
 	return resp.Header, json.Unmarshal(data, reply)
 }
 
@@ -64,12 +124,12 @@
 		Message string   `json:"message"`
 	}
 	if json.Unmarshal(data, &body) != nil {
-		return &RefusedError{status, []string{string(data)}}
+		return &RefusedError{Status: status, Reasons: []string{string(data)}}
 	}
 	if body.Message != "" {
 		body.Errors = append(body.Errors, body.Message)
 	}
-	return &RefusedError{status, body.Errors}
+	return &RefusedError{Status: status, Reasons: body.Errors, Caller: body.Message != ""}
 }
 
 func printJSON(out io.Writer, v any) error {
@@ -77,3 +137,17 @@
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
 }
+
+// printTable prints rows under a header, in aligned columns.
+func printTable(out io.Writer, header string, rows [][]any) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, header)
+	for _, row := range rows {
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			cells[i] = fmt.Sprint(cell)
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+	return w.Flush()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 256 << 10
+
+	operatorReadTimeout  = 30 * time.Second
+	operatorWriteTimeout = time.Minute
 )
 
 // Module is the daemon as an fx module. It needs settings.Settings and log.Interface.
@@ -78,7 +81,10 @@
 func newOperator(c *controller, client *platform.Client, p *traffic.Publisher, b *burnstore.Store, r metrics.Registry) *operator.Server {
 	return operator.NewServer(operator.Options{
 		Table: client, Objects: client.Objects(), Publisher: p, Burn: burnReport(b, p), Metrics: r, Now: time.Now,
+		NewID:    rand.Text,
 		Status:   c.status,
+		Targets:  c.targets,
+		Token:    c.settings.OperatorToken,
 		Announce: func() { c.loop.Post(c.config.Check) },
 	})
 }
@@ -118,6 +124,7 @@
 func run(lc fx.Lifecycle, p parts) {
 	callers := newHTTPServer(p.Entry.Handler())
 	operators := newHTTPServer(p.Operator.Handler())
+	operators.ReadTimeout, operators.WriteTimeout = operatorReadTimeout, operatorWriteTimeout
 	var peers *peer.Server
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -181,6 +188,9 @@
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
 	p.Controller.pool.Close()
 	p.Loop.Stop()
+	if err := p.Controller.keeper.Release(ctx); err != nil {
+		p.Log.WithField("event", "session_not_released").WithError(err).Warn("the session runs out by itself")
+	}
 	p.Log.WithField("event", "stopped").Info("stopped")
 	return err
 }
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -22,9 +22,11 @@
 		Members:  map[string]bool{},
 		Weights:  map[string]int{},
 		Session:  c.keeper.Self(),
+
+		ValidUntil: c.keeper.Decide(now).ValidUntil,
 	}
 	live := c.keeper.Live(now)
-	s.Daemons = max(1, len(live))
+	s.Daemons = max(1, len(c.keeper.Peers(now)))
 	s.Sweeps = len(live) > 0 && live[0].ID == s.Session.ID
 	if !s.Ready {
 		s.Reason = "the daemon is " + string(c.state)
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -77,8 +77,8 @@
 	if err := checkProtocol(r); err != nil {
 		return q, err
 	}
-	if !q.snapshot.Ready {
-		return q, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfterNotReady, "the daemon is not ready: %s", q.snapshot.Reason)
+	if ok, reason := q.snapshot.Serving(q.arrived); !ok {
+		return q, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfterNotReady, "the daemon is not ready: %s", reason)
 	}
 	service, ok := q.snapshot.Services[q.serviceName]
 	if !ok {
