Serve nothing by a view that control has not confirmed for 3 s

Ruled out: asking control for each request (traffic never waits for it), the session's expiry alone (a store outage ends sessions, and quick service goes on).

Planted fault, reverted: internal/entry/parse.go:86, the age not looked at: TestOldSessionRunsNothing fails with 200 for 503.

Conclusion: old rules end with the freeze.

--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -15,6 +15,7 @@
 func (c *controller) publish(now time.Time) {
 	doc := c.config.Document()
 	s := &traffic.Snapshot{
+		At:       now,
 		Ready:    c.state == charts.DaemonReady,
 		Head:     c.config.Head(),
 		Document: doc,
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -81,7 +81,7 @@
 	once := quick
 	once.AtMostOnce = true
 	c.snapshot = &traffic.Snapshot{
-		Ready: true, Daemons: daemonCount, Members: map[string]bool{"conservators": true},
+		At: time.Now().Add(time.Hour), Ready: true, Daemons: daemonCount, Members: map[string]bool{"conservators": true},
 		Services: map[string]*traffic.Service{
 			"stock-check": c.service(quick, c.target.URL), "reorder": c.service(once, c.target.URL),
 			"no-targets": c.service(once), "closed-target": c.service(once, closed.URL),
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -25,6 +25,9 @@
 	// server's own limit is higher, so that this one gives the precise answer.
 	maxHeaderBytes     = 64 << 10
 	retryAfterNotReady = time.Second
+	// maxSnapshotAge is how old the control goroutine's word may be, by the wall
+	// clock. A daemon that wakes from a freeze does not serve by old rules.
+	maxSnapshotAge = 3 * time.Second
 )
 
 // methods are the request methods that are passed on.
@@ -80,6 +83,9 @@
 	if !q.snapshot.Ready {
 		return q, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfterNotReady, "the daemon is not ready: %s", q.snapshot.Reason)
 	}
+	if age := q.arrived.Round(0).Sub(q.snapshot.At.Round(0)); age > maxSnapshotAge {
+		return q, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfterNotReady, "the daemon is not ready: its configuration was last confirmed %s ago", age.Round(time.Second))
+	}
 	service, ok := q.snapshot.Services[q.serviceName]
 	if !ok {
 		return q, badRequest(verdict.CodeUnknownService, http.StatusNotFound, "service %q does not exist", q.serviceName)
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -43,7 +43,8 @@
 }
 
 // A daemon whose session ends between the claim and the send does not run the
-// request, and frees the key for a later try.
+// request, and frees the key for a later try. One that has not heard from
+// control for long serves nothing.
 func TestOldSessionRunsNothing(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, nil)
@@ -72,7 +73,14 @@
 	resp, _ = c.ask(t, "POST", "reorder/orders", "order-1")
 	is.Equal(resp.Header.Get(verdict.Header), "ran")
 	is.Equal(c.runner.Runs("order-1"), 1)
+	frozen := *d.publisher.Load()
+	frozen.At = time.Now().Add(-time.Minute)
+	d.publisher.Publish(&frozen)
+	resp, _ = c.ask(t, "GET", "stock-check/gloves", "")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(resp.Header.Get(verdict.Header), "not-run")
 	expired := *d.publisher.Load()
+	expired.At = time.Now()
 	expired.Session.ExpiresUnixMS = 1
 	d.publisher.Publish(&expired)
 	resp, _ = c.ask(t, "POST", "reorder/orders", "order-2")
--- a/internal/traffic/snapshot.go
+++ b/internal/traffic/snapshot.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/membership"
@@ -23,6 +24,8 @@
 
 // Snapshot is the daemon's view at one moment. It never changes.
 type Snapshot struct {
+	// At is when the snapshot was made.
+	At time.Time
 	// Ready is set when the daemon may serve.
 	Ready bool
 	// Reason says why the daemon is not ready.
