--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,7 @@
 	r.HandleMethodNotAllowed = true
 	r.Match(methods, servicesPrefix+":service/*path", s.serveQuick)
 	r.POST("/v1/jobs", s.submitJob)
+	r.GET("/v1/jobs", s.listJobs)
 	r.GET("/v1/jobs/:member/:key", s.describeJob)
 	r.DELETE("/v1/jobs/:member/:key", s.cancelJob)
 	r.NoMethod(func(c *gin.Context) {
