Measure the time of one admission decision

Ruled out: a figure from the HTTP benchmark, where it is lost in the noise.

Change: BenchmarkArrive, at a crest, over 6 and over 400 members.

--- /dev/null
+++ b/admit/bench_test.go
@@ -0,0 +1,38 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bambooyard/bambooyard/admit"
+)
+
+// BenchmarkArrive decides at a crest, with every request refused or ended 50 ms
+// later, over 6 and over 400 members.
+func BenchmarkArrive(b *testing.B) {
+	for _, members := range []int{6, 400} {
+		b.Run(fmt.Sprint(members, " members"), func(b *testing.B) {
+			names := make([]string, members)
+			for i := range names {
+				names[i] = fmt.Sprint("member-", i)
+			}
+			g := admit.NewGate(admit.Capacity{Share: 65, Slots: 520})
+			now := time.Unix(0, 0)
+			var inFlight []string
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(150 * time.Microsecond)
+				m := names[i%members]
+				if g.Arrive(now, admit.Request{Member: m, Weight: 1, Deadline: now.Add(time.Second)}).Admitted {
+					inFlight = append(inFlight, m)
+				}
+				if i%5 == 0 && len(inFlight) > 0 {
+					g.Leave(inFlight[0])
+					g.Observe(now, 50*time.Millisecond)
+					inFlight = inFlight[1:]
+				}
+			}
+		})
+	}
+}
