Try again when the claims' executor is full

Cause: a flush that met a full queue twice was never made again, and an outcome that met one once was lost: every later claim of the daemon would have hung to its deadline.

Ruled out: a blocking post, which would hold timers' goroutines.

Change: what a timer posts is posted again every 250 ms, 40 times at most.

Planted fault, reverted: internal/claims/group.go:45, one post only: TestFullExecutorLosesNothing fails.

Conclusion: a full queue delays changes and loses none for ten seconds.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -40,6 +40,8 @@
 	// retryInterval is the wait between writes of an outcome or a release while
 	// the table is unavailable.
 	retryInterval = 250 * time.Millisecond
+	// maxPosts bounds the tries to run something on a full executor.
+	maxPosts = 40
 	// retryAfterStore is when a caller may come back.
 	retryAfterStore = 2 * time.Second
 	// maxInlineBody bounds the answers that are kept in the table's rows.
--- a/internal/claims/group.go
+++ b/internal/claims/group.go
@@ -37,12 +37,14 @@
 		g.flush()
 		return
 	}
-	g.opts.After(delay, func() {
-		if !g.opts.Executor.Post(g.flush) {
-			// The executor's queue is full: it will have room a little later.
-			g.opts.After(retryInterval, func() { g.opts.Executor.Post(g.flush) })
-		}
-	})
+	g.opts.After(delay, func() { g.post(g.flush, maxPosts) })
+}
+
+// post runs fn on the executor, a little later if its queue is full.
+func (g *Grouper) post(fn func(), tries int) {
+	if !g.opts.Executor.Post(fn) && tries > 1 {
+		g.opts.After(retryInterval, func() { g.post(fn, tries-1) })
+	}
 }
 
 // flush writes one group.
@@ -212,11 +214,11 @@
 func (g *Grouper) retryLater(c *change) {
 	g.retrying++
 	g.opts.After(retryInterval, func() {
-		g.opts.Executor.Post(func() {
+		g.post(func() {
 			g.retrying--
 			g.enqueue(c)
 			g.checkClosed()
-		})
+		}, maxPosts)
 	})
 }
 
--- a/internal/claims/history_test.go
+++ b/internal/claims/history_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/bambooyard/bambooyard/idempotency"
 	"github.com/bambooyard/bambooyard/internal/claims"
+	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/verdict"
@@ -151,13 +152,18 @@
 
 func (w *world) newDaemon(number int, delay time.Duration, daemons int) *daemon {
 	d := &daemon{w: w, x: fake.NewExecutor(w.clock, delay), session: fmt.Sprintf("d%d-%d", number, w.clock.Now().UnixMilli())}
-	d.claims = claims.NewGrouper(claims.Options{
-		Executor: d.x, Table: w.table, Objects: w.table.Objects(), Now: w.clock.Now, After: w.clock.After,
+	d.claims = d.newClaims(d.x, daemons)
+	return d
+}
+
+func (d *daemon) newClaims(x control.Executor, daemons int) *claims.Grouper {
+	w := d.w
+	return claims.NewGrouper(claims.Options{
+		Executor: x, Table: w.table, Objects: w.table.Objects(), Now: w.clock.Now, After: w.clock.After,
 		Metrics: claims.NewMetrics(metrics.NewRegistry()),
 		Log:     &log.Logger{Handler: discard.New()},
 		Daemons: func() int { return daemons },
 	})
-	return d
 }
 
 func (w *world) within(d time.Duration) time.Duration { return time.Duration(w.rand.Int64N(int64(d))) }
--- a/internal/claims/writes_test.go
+++ b/internal/claims/writes_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bambooyard/bambooyard/idempotency"
 	"github.com/bambooyard/bambooyard/internal/claims"
+	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/internal/platform"
 )
 
@@ -117,3 +118,34 @@
 	is.Equal(rows[0].Key, platform.ClaimKey("m", "s", "new"))
 	t.Logf("%d claims deleted in %d transactions", deleted, w.table.Counts().Commits-before.Commits)
 }
+
+// busyExecutor refuses the next posts, as one whose queue is full.
+type busyExecutor struct {
+	*fake.Executor
+	refuse int
+}
+
+func (b *busyExecutor) Post(fn func()) bool {
+	if b.refuse > 0 {
+		b.refuse--
+		return false
+	}
+	return b.Executor.Post(fn)
+}
+
+// A full queue of the executor delays changes and loses none.
+func TestFullExecutorLosesNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	d := w.newDaemon(0, tableDelay, 1)
+	busy := &busyExecutor{Executor: d.x}
+	d.claims = d.newClaims(busy, 1)
+	booked := 0
+	for i := range 20 {
+		d.book(fmt.Sprint("key-", i), func(time.Duration) { booked++ })
+	}
+	w.clock.Run(time.Millisecond)
+	busy.refuse = 5
+	w.clock.Run(10 * time.Second)
+	is.Equal(booked, 20)
+}
