Measure the store's load by shards and weigh three ways to keep starts

Cause: the choice of grouped records was not backed by figures. Ruled out: ranges of jobs with the workers' lists as the truth: fewest writes, but a silent worker leaves the state of its tasks unknown.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -70,6 +72,7 @@
 	counters counters
 	revision document.Revision
 	owners   map[string]*owner
+	sorted   []string // names of the owners, or nil after one was added
 	keeper   *leaseKeeper
 	watch    watch
 	inbox    inbox
@@ -130,6 +133,7 @@
 	for name := range byRack {
 		if _, ok := m.owners[name]; !ok {
 			m.owners[name] = newOwner(name, m)
+			m.sorted = nil
 		}
 	}
 	for name, o := range m.owners {
@@ -156,12 +160,10 @@
 
 // names returns the names of the shards, sorted.
 func (m *Manager) names() []string {
-	names := make([]string, 0, len(m.owners))
-	for name := range m.owners {
-		names = append(names, name)
+	if m.sorted == nil {
+		m.sorted = slices.Sorted(maps.Keys(m.owners))
 	}
-	sort.Strings(names)
-	return names
+	return m.sorted
 }
 
 // Owned returns the shards that this daemon owns, sorted.
--- /dev/null
+++ b/internal/batch/measure_test.go
@@ -0,0 +1,187 @@
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/inventory"
+	"github.com/bambooyard/bambooyard/shard"
+)
+
+// rates returns the store's writes and reads a second over the given time.
+func (w *world) rates(d time.Duration) (writes, reads float64) {
+	before := w.platform.Counts()
+	w.clock.Run(d)
+	after := w.platform.Counts()
+	return float64(after.Commits-before.Commits) / d.Seconds(), float64(after.Reads-before.Reads) / d.Seconds()
+}
+
+// The store's load by the number of shards: idle, busy, and while a daemon's
+// shards are being recovered. Targets: 300 writes and 2,000 reads a second.
+func TestStoreRates(t *testing.T) {
+	is := is.New(t)
+	for _, shards := range []int{7, 14, 28, 56} {
+		w := newWorld(1, shards, 9)
+		for range 8 {
+			w.startDaemon()
+		}
+		w.clock.Run(20 * time.Second)
+		idleWrites, idleReads := w.rates(10 * time.Second)
+		w.load(shards, 30*time.Second)
+		w.clock.Run(5 * time.Second)
+		starts := len(w.check.attempts)
+		busyWrites, busyReads := w.rates(10 * time.Second)
+		starts = len(w.check.attempts) - starts
+		w.kill(w.daemons[0])
+		writes, reads := w.rates(10 * time.Second)
+		t.Logf("%3d shards: idle %.1f writes/s %.1f reads/s; %d starts/s %.1f writes/s %.1f reads/s; recovery %.1f writes/s %.1f reads/s",
+			shards, idleWrites, idleReads, starts/10, busyWrites, busyReads, writes, reads)
+		is.True(max(busyWrites, writes) <= 400 && max(busyReads, reads) <= 2000)
+		is.Equal(w.check.all(), nil)
+	}
+}
+
+// load submits two jobs of ten short tasks a second for each shard.
+func (w *world) load(shards int, d time.Duration) {
+	n := 0
+	for at := time.Duration(0); at < d; at += time.Second / time.Duration(shards) {
+		n++
+		job := testJob(fmt.Sprint("load", n), 10, time.Second)
+		w.clock.After(at, func() { w.submit(job) })
+	}
+}
+
+// Sizes of one shard of 128 VMs at the target: 250 such shards make 32,000 VMs.
+const (
+	weighedVMs      = 128
+	weighedRunning  = 2760 // of 690,000 running tasks
+	weighedStarts   = 1000
+	weighedPerShard = 16.4 // starts a second, of 4,100
+	weighedPerJob   = 20   // tasks
+)
+
+func weighedSpec(i int) *shard.Spec {
+	id := shard.TaskID(fmt.Sprintf("member:job%d/%d", i/weighedPerJob, i%weighedPerJob))
+	return &shard.Spec{ID: id, Job: fmt.Sprintf("member:job%d", i/weighedPerJob), Member: "member", Kind: "reconcile",
+		Resources: inventory.Resources{MilliProcessors: 500, MemoryMB: 1000}, RunTimeMS: 600_000, DeadlineUnixMS: 1_800_000_000_000}
+}
+
+func weighedStart(i int) []shard.Record {
+	spec := weighedSpec(i)
+	return []shard.Record{
+		{Event: shard.RecordAccept, Task: spec.ID, Spec: spec},
+		{Event: charts.TaskStart, Task: spec.ID, VM: fmt.Sprintf("vm%d", i%weighedVMs), Worker: "10.0.0.1:7000", Attempt: 1, StartByUnixMS: 1_800_000_000_000},
+	}
+}
+
+// Writes and bytes of 1,000 starts and as many ends in one shard, for the three
+// ways to keep them, and what a recovery of 2,760 running tasks reads.
+func TestWeighDurability(t *testing.T) {
+	seconds := weighedStarts / weighedPerShard
+	single, grouped := 0, 0
+	for i := range weighedStarts {
+		end := []shard.Record{{Event: charts.TaskFinish, Task: weighedSpec(i).ID}}
+		single += size(t, weighedStart(i)) + size(t, end)
+		grouped += size(t, weighedStart(i)) + size(t, end) - 2
+	}
+	const headBytes = 600
+	t.Logf("record for each start: %d writes and %d kB in 1,000 starts", 2*weighedStarts, (single+2*weighedStarts*headBytes)/1000)
+	for _, interval := range []float64{0.1, 0.5, 1, 2} {
+		writes := seconds / interval
+		t.Logf("grouped, every %3.1f s: %.0f writes and %.0f kB in 1,000 starts", interval, writes, (float64(grouped)+writes*headBytes)/1000)
+	}
+	jobs := weighedStarts / weighedPerJob
+	ranges := size(t, platform.Exchange{Shard: "r1", Renew: []platform.LeaseRef{{Task: "member:job1/0-19", Attempt: 1}}})
+	t.Logf("ranges of jobs: %d writes and %d kB in 1,000 starts", 2*jobs, 2*jobs*(ranges+headBytes)/1000)
+	weighRecovery(t)
+}
+
+func weighRecovery(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	state, rows := shard.NewState(), 0
+	for i := range weighedRunning {
+		for _, r := range weighedStart(i) {
+			_ = state.Apply(r)
+		}
+		rows += size(t, weighedStart(i))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	body, _, _ := shard.EncodeSnapshot(state, "snapshot", 1)
+	reports := 0
+	for i := range weighedRunning {
+		id := string(weighedSpec(i).ID)
+		reports += size(t, platform.Lease{LeaseRef: platform.LeaseRef{Task: id, Attempt: 1}, State: platform.LeaseRunning, RanMS: 1000})
+	}
+	t.Logf("recovery of %d running tasks: %d rows one by one, %d kB; a snapshot, %d kB; reports of %d workers, %d kB",
+		weighedRunning, weighedRunning, rows/1000, len(body)/1000, weighedVMs, reports/1000)
+	t.Logf("memory: %d B for each running task", (after.HeapAlloc-before.HeapAlloc)/weighedRunning)
+	runtime.KeepAlive(state)
+}
+
+func size(t *testing.T, v any) int {
+	t.Helper()
+	body, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(body)
+}
+
+// BenchmarkRecover compares the recoveries of one shard at the target by log
+// rows of one record, by grouped rows and by a snapshot.
+func BenchmarkRecover(b *testing.B) {
+	state := shard.NewState()
+	var single, grouped []platform.Row
+	var group []shard.Record
+	for i := range weighedRunning {
+		records := weighedStart(i)
+		for _, r := range records {
+			_ = state.Apply(r)
+		}
+		single = append(single, encodeRow(records))
+		if group = append(group, records...); float64(len(group)) > 2*weighedPerShard || i == weighedRunning-1 {
+			grouped, group = append(grouped, encodeRow(group)), nil
+		}
+	}
+	body, ref, _ := shard.EncodeSnapshot(state, "snapshot", 1)
+	replay := func(rows []platform.Row) {
+		s := shard.NewState()
+		for _, row := range rows {
+			if err := applyRow(s, row); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.Run("single", func(b *testing.B) {
+		for b.Loop() {
+			replay(single)
+		}
+	})
+	b.Run("grouped", func(b *testing.B) {
+		for b.Loop() {
+			replay(grouped)
+		}
+	})
+	b.Run("snapshot", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := shard.DecodeSnapshot(ref, body); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+func encodeRow(records []shard.Record) platform.Row {
+	value, _ := json.Marshal(records)
+	return platform.Row{Value: value}
+}
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -52,6 +52,7 @@
 	expires    time.Time
 	generation int
 	state      *shard.State
+	ids        []shard.TaskID // sorted, or nil after a task was added or removed
 	planner    *place.Planner
 
 	// records are applied but not yet in a transaction; orders wait for it.
@@ -141,6 +142,9 @@
 	if r.Event == charts.TaskLapse {
 		o.counters.lapses.Inc(1)
 	}
+	if r.Event == shard.RecordAccept || r.Event == shard.RecordForget {
+		o.ids = nil
+	}
 	o.records = append(o.records, r)
 	o.unwritten[r.Task] = true
 	o.changed = true
@@ -149,7 +153,10 @@
 
 // taskIDs returns the IDs of all tasks, sorted, so that every run decides alike.
 func (o *owner) taskIDs() []shard.TaskID {
-	return slices.Sorted(maps.Keys(o.state.Tasks))
+	if o.ids == nil {
+		o.ids = slices.Sorted(maps.Keys(o.state.Tasks))
+	}
+	return o.ids
 }
 
 // worker returns the worker of a VM, also after the VM has left the inventory.
--- a/internal/batch/recover.go
+++ b/internal/batch/recover.go
@@ -157,7 +157,7 @@
 }
 
 func (o *owner) recovered(state *shard.State) {
-	o.state = state
+	o.state, o.ids = state, nil
 	o.records, o.orders, o.puts, o.taken, o.pending = nil, nil, nil, nil, nil
 	o.taking = map[string]bool{}
 	o.unwritten = map[shard.TaskID]bool{}
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
 	"github.com/bambooyard/bambooyard/chart"
@@ -14,7 +15,7 @@
 )
 
 // Whatever records arrive, the commitments are the sum of the tasks that hold
-// a VM, and a record that was refused changes nothing.
+// a VM, and a snapshot restores the same state unless it is damaged.
 func TestCommitmentsFollowTasks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := shard.NewState()
@@ -30,6 +31,21 @@
 				t.Fatalf("commitments differ (-want +got):\n%s", diff)
 			}
 		}
+		body, ref, err := shard.EncodeSnapshot(s, "snapshot", 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored, err := shard.DecodeSnapshot(ref, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(s, restored, cmpopts.EquateEmpty()); diff != "" {
+			t.Fatalf("a snapshot restores another state (-want +got):\n%s", diff)
+		}
+		body[rapid.IntRange(0, len(body)-1).Draw(t, "damaged")] ^= 1
+		if _, err := shard.DecodeSnapshot(ref, body); err == nil {
+			t.Fatal("a damaged snapshot was used")
+		}
 	})
 }
 
@@ -37,7 +53,7 @@
 	id := shard.TaskID(fmt.Sprintf("m:j/%d", rapid.IntRange(0, 4).Draw(t, "task")))
 	event := rapid.SampledFrom([]chart.Event{
 		shard.RecordAccept, charts.TaskStart, charts.TaskFinish, charts.TaskLapse,
-		charts.TaskEvict, charts.TaskStopped, charts.TaskCancel,
+		charts.TaskEvict, charts.TaskStopped, charts.TaskCancel, charts.TaskRetry, shard.RecordForget,
 	}).Draw(t, "event")
 	r := shard.Record{Event: event, Task: id}
 	switch event {
