Let VMs move between racks and jobs leave racks that are gone

Cause: a VM that the operators moved to another rack could be committed by two shards; jobs waiting in a rack that left the inventory waited for ever and were unknown to daemons started later. Change: a row for each VM names the shard that has claimed it; a shard starts tasks on a VM only while it holds the row and gives it up when no task is left there. A shard without VMs moves its open jobs, with their attempts and checkpoints, to other shards in one transaction with the job's row. The names of all shards are kept in rows, which daemons read when they start. Ruled out: waiting for a time after a move, since a daemon that starts after the move does not know of it.

--- a/internal/batch/flush.go
+++ b/internal/batch/flush.go
@@ -22,6 +22,7 @@
 	records []shard.Record
 	orders  []platform.StartOrder
 	release bool
+	claims  bool   // claims VMs; its records are applied after it took effect
 	delete  string // object that nothing refers to after the transaction
 	// expires and generation are what the owner row was known to be before.
 	expires    time.Time
@@ -45,11 +46,17 @@
 		}
 		return
 	}
-	if !o.due(now) {
+	if !o.manager.keeper.live(now) {
 		return
 	}
-	p, err := o.transaction()
-	if err != nil {
+	p := o.claim(now)
+	if p == nil {
+		if !o.due(now) {
+			return
+		}
+		p = o.waiting()
+	}
+	if err := o.seal(p); err != nil {
 		o.log.WithError(err).Error("flush")
 		return
 	}
@@ -62,9 +69,6 @@
 // many shards each one waits longer, so that all together stay within the
 // budget of the table service; urgent work does not wait.
 func (o *owner) due(now time.Time) bool {
-	if !o.manager.keeper.live(now) {
-		return false
-	}
 	if o.generation != o.manager.keeper.generation || o.releasing {
 		return true
 	}
@@ -84,40 +88,42 @@
 	return false
 }
 
-// transaction takes the waiting records into a transaction.
-func (o *owner) transaction() (*transaction, error) {
+// waiting takes the waiting records into a transaction.
+func (o *owner) waiting() *transaction {
 	p := &transaction{
-		head:       o.head,
-		records:    o.records,
-		orders:     o.orders,
-		release:    o.releasing && len(o.orders) == 0,
-		expires:    o.manager.keeper.expires,
-		generation: o.manager.keeper.generation,
-	}
-	p.txn.Checks = []platform.Check{{Key: platform.ShardHeadKey(o.name), Version: o.version}}
-	p.txn.Deletes = o.taken
-	p.txn.Puts = o.puts
+		records: o.records,
+		orders:  o.orders,
+		release: o.releasing && len(o.orders) == 0,
+		txn:     platform.Txn{Puts: o.puts, Deletes: o.taken},
+	}
+	o.records, o.orders, o.puts, o.taken = nil, nil, nil, nil
+	return p
+}
+
+// seal adds the log row and the head row to a transaction.
+func (o *owner) seal(p *transaction) error {
+	p.head = o.head
+	p.expires, p.generation = o.manager.keeper.expires, o.manager.keeper.generation
+	p.txn.Checks = append([]platform.Check{{Key: platform.ShardHeadKey(o.name), Version: o.version}}, p.txn.Checks...)
 	if len(p.records) > 0 {
 		p.head.Sequence++
 		value, err := json.Marshal(p.records)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		p.txn.Puts = append(p.txn.Puts, platform.Put{Key: platform.ShardLogKey(o.name, p.head.Sequence), Value: value})
 	}
-	o.compactInto(p)
+	if !p.claims {
+		o.compactInto(p)
+	}
 	if p.release {
 		p.head.Owner = ""
 		p.head.LeasesUntilUnixMS = o.leases.Latest().UnixMilli()
 	}
 	p.head.Load = o.load()
 	value, err := json.Marshal(p.head)
-	if err != nil {
-		return nil, err
-	}
 	p.txn.Puts = append(p.txn.Puts, platform.Put{Key: platform.ShardHeadKey(o.name), Value: value})
-	o.records, o.orders, o.puts, o.taken = nil, nil, nil, nil
-	return p, nil
+	return err
 }
 
 func (o *owner) commitPending() {
@@ -164,6 +170,8 @@
 		o.pending = nil
 		o.move(charts.ShardLose)
 		return
+	case o.claimRefused(p, err):
+		return
 	case err != nil:
 		o.counters.unanswered.Inc(1)
 		p.retryAt = o.opts.Now().Add(retryInterval)
@@ -177,6 +185,9 @@
 		o.expires = o.manager.keeper.expires
 	}
 	o.written(p)
+	if p.claims {
+		o.claimed(p)
+	}
 	if p.release {
 		o.counters.releases.Inc(1)
 		o.releasing = false
--- a/internal/batch/inbox.go
+++ b/internal/batch/inbox.go
@@ -56,8 +56,8 @@
 
 func (m *Manager) deliver(row platform.Row) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(row.Key, inboxPrefix), "/")
-	o, ok := m.owners[name]
-	if ok && o.owning() && !o.releasing && len(o.records) < maxRecords && !o.taking[row.Key] {
+	o := m.owner(name)
+	if o.owning() && !o.releasing && len(o.records) < maxRecords && !o.taking[row.Key] {
 		o.accept(row)
 	}
 }
@@ -70,15 +70,25 @@
 		o.log.WithField("event", "inbox_unreadable").WithError(err).Error(row.Key)
 		return
 	}
-	if msg.CancelJob != "" {
+	switch {
+	case msg.CancelJob != "":
 		o.cancelJob(msg.CancelJob)
-	} else {
+	case msg.Moved != nil:
+		for _, t := range msg.Moved {
+			o.acceptTask(shard.Record{Event: shard.RecordAccept, Task: t.Spec.ID, Moved: &t})
+		}
+	default:
 		for _, spec := range msg.specs() {
-			if _, ok := o.state.Tasks[spec.ID]; !ok {
-				o.record(shard.Record{Event: shard.RecordAccept, Task: spec.ID, Spec: &spec})
-			}
+			o.acceptTask(shard.Record{Event: shard.RecordAccept, Task: spec.ID, Spec: &spec})
 		}
 	}
 	o.taking[row.Key] = true
 	o.taken = append(o.taken, row.Key)
 }
+
+// acceptTask adds a task unless an earlier reading of its row has.
+func (o *owner) acceptTask(r shard.Record) {
+	if _, ok := o.state.Tasks[r.Task]; !ok {
+		o.record(r)
+	}
+}
--- a/internal/batch/input.go
+++ b/internal/batch/input.go
@@ -86,7 +86,7 @@
 			Name:       name,
 			Free:       vm.Usable().Sub(o.state.Committed[name]),
 			Capacity:   vm.Usable(),
-			Draining:   vm.Draining || o.silent[name],
+			Draining:   !o.usable(vm),
 			Rack:       vm.Rack,
 			DataCentre: at.DataCentre,
 			Region:     at.Region,
--- /dev/null
+++ b/internal/batch/main_test.go
@@ -0,0 +1,15 @@
+package batch
+
+import (
+	"os"
+	"runtime/debug"
+	"testing"
+)
+
+// gcPercent trades memory for time: histories allocate much and keep little.
+const gcPercent = 400
+
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(gcPercent)
+	os.Exit(m.Run())
+}
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -80,6 +80,7 @@
 	// otherSince is since when another daemon should own a shard, by shard.
 	otherSince map[string]time.Time
 	handedOver time.Time
+	namesRead  time.Time // when the names of all shards were read
 }
 
 // NewManager returns a manager without shards.
@@ -131,10 +132,7 @@
 		byRack[vm.Rack] = append(byRack[vm.Rack], vm)
 	}
 	for name := range byRack {
-		if _, ok := m.owners[name]; !ok {
-			m.owners[name] = newOwner(name, m)
-			m.sorted = nil
-		}
+		m.owner(name)
 	}
 	for name, o := range m.owners {
 		o.setVMs(byRack[name])
@@ -142,9 +140,22 @@
 	}
 }
 
+// owner returns a shard seen from this daemon. A shard that is not in the
+// inventory has no VMs.
+func (m *Manager) owner(name string) *owner {
+	o, ok := m.owners[name]
+	if !ok {
+		o = newOwner(name, m)
+		m.owners[name] = o
+		m.sorted = nil
+	}
+	return o
+}
+
 // Tick advances every shard.
 func (m *Manager) Tick(now time.Time) {
 	m.keeper.renew(now)
+	m.findShards(now)
 	live := m.opts.Live(now)
 	candidates := make(map[string]string, len(m.owners))
 	for name := range m.owners {
--- a/internal/batch/message.go
+++ b/internal/batch/message.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/shard"
 )
 
 const cancelSuffix = "\x00cancel"
@@ -12,6 +13,8 @@
 type message struct {
 	Job
 	CancelJob string `json:"cancel_job,omitempty"`
+	// Moved holds the job's tasks when it comes from another shard.
+	Moved []shard.Task `json:"moved,omitempty"`
 }
 
 // cancelRow is the row that asks for a job to be cancelled.
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -77,7 +77,9 @@
 	reportedAt map[string]time.Time           // last report, by VM
 	silent     map[string]bool                // VMs whose last exchange failed
 	ended      map[string][]platform.LeaseRef // to be acknowledged, by VM
-	workers    map[string]string              // last known worker address, by VM
+	blocked    map[string]time.Time           // until when a VM is left to another shard
+	moving     bool
+	workers    map[string]string // last known worker address, by VM
 }
 
 func newOwner(name string, m *Manager) *owner {
@@ -142,7 +144,8 @@
 	if r.Event == charts.TaskLapse {
 		o.counters.lapses.Inc(1)
 	}
-	if r.Event == shard.RecordAccept || r.Event == shard.RecordForget {
+	switch r.Event {
+	case shard.RecordAccept, shard.RecordForget, shard.RecordMove:
 		o.ids = nil
 	}
 	o.records = append(o.records, r)
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -24,6 +24,8 @@
 	o.changed, o.plannedAt = false, now
 	o.forgetEnded(now)
 	o.evictExcess()
+	o.freeVMs()
+	o.rehome()
 	o.place(now)
 }
 
@@ -47,11 +49,16 @@
 	}
 }
 
+// usable reports whether the VM may receive new work.
+func (o *owner) usable(vm inventory.VM) bool {
+	return !vm.Draining && !o.silent[vm.Name] && o.state.VMs[vm.Name]
+}
+
 // load returns what the shard has free and what waits for it.
 func (o *owner) load() shard.Load {
 	var l shard.Load
 	for name, vm := range o.vms {
-		if !vm.Draining && !o.silent[name] {
+		if o.usable(vm) {
 			l.FreeMilliProcessors += max(0, vm.Usable().Sub(o.state.Committed[name]).MilliProcessors)
 		}
 	}
@@ -67,8 +74,8 @@
 // once more, whatever the planner says.
 func (o *owner) start(now time.Time, id shard.TaskID, vm string) bool {
 	t, v := o.state.Tasks[id], o.vms[vm]
-	if t == nil || !o.state.Committed[vm].Add(t.Spec.Resources).Fits(v.Usable()) {
-		o.log.WithField("event", "start_refused").WithField("task", id).Warn("does not fit VM " + vm)
+	if t == nil || !o.state.VMs[vm] || !o.state.Committed[vm].Add(t.Spec.Resources).Fits(v.Usable()) {
+		o.log.WithField("event", "start_refused").WithField("task", id).Warn("does not fit VM " + vm + ", or the VM is another shard's")
 		return false
 	}
 	startBy := now.Add(startWindow).UnixMilli()
--- a/internal/batch/recover.go
+++ b/internal/batch/recover.go
@@ -38,6 +38,9 @@
 		Checks: []platform.Check{{Key: key, Version: s.version}},
 		Puts:   []platform.Put{{Key: key, Value: value}},
 	}
+	if s.version == 0 {
+		txn.Puts = append(txn.Puts, platform.Put{Key: shardNamePrefix + o.name})
+	}
 	if s.head.Owner != "" && s.head.Owner != next.Owner {
 		txn.Checks = append(txn.Checks, platform.Check{Key: ownerKey(s.head.Owner), Version: s.leaseVersion})
 	}
@@ -170,6 +173,8 @@
 	o.reportedAt = map[string]time.Time{}
 	o.silent = map[string]bool{}
 	o.ended = map[string][]platform.LeaseRef{}
+	o.blocked = map[string]time.Time{}
+	o.moving = false
 	o.workers = map[string]string{}
 	for _, t := range state.Tasks {
 		if t.Holds() {
--- /dev/null
+++ b/internal/batch/rehome.go
@@ -0,0 +1,156 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/shard"
+)
+
+// Limits of moving jobs out of shards without VMs.
+const (
+	shardNamePrefix   = "shardnames/"
+	shardNameInterval = 10 * time.Minute // between two readings of the names of all shards
+	maxShardNames     = 10_000           // names read in one scan
+	maxMovedJobs      = 20               // jobs moved by one transaction
+)
+
+// move is a job on its way to another shard.
+type move struct {
+	job   Job
+	tasks []shard.TaskID
+}
+
+// findShards reads the names of all shards that ever had an owner, so that
+// those which have left the inventory are not forgotten with their jobs.
+func (m *Manager) findShards(now time.Time) {
+	if !m.keeper.live(now) || !m.namesRead.IsZero() && now.Sub(m.namesRead) < shardNameInterval {
+		return
+	}
+	m.namesRead = now
+	control.Async(m.opts.Loop, func(ctx context.Context) ([]platform.Row, error) {
+		return m.opts.Table.Scan(ctx, shardNamePrefix, "", maxShardNames)
+	}, func(rows []platform.Row, err error) {
+		if err != nil {
+			m.namesRead = time.Time{}
+			return
+		}
+		for _, row := range rows {
+			m.owner(row.Key[len(shardNamePrefix):])
+		}
+	})
+}
+
+// rehome moves the jobs of a shard without VMs to other shards, once none of
+// their tasks holds a VM.
+func (o *owner) rehome() {
+	if len(o.vms) > 0 || o.moving || len(o.manager.targets()) == 0 {
+		return
+	}
+	jobs := o.movable()
+	if len(jobs) == 0 {
+		return
+	}
+	o.moving = true
+	epoch := o.head.Epoch
+	control.Async(o.opts.Loop, func(ctx context.Context) ([]move, error) {
+		return o.readMoves(ctx, jobs)
+	}, func(moves []move, err error) {
+		if !o.owning() || o.head.Epoch != epoch {
+			return
+		}
+		o.moving = false
+		if err != nil {
+			o.log.WithField("event", "move_failed").WithError(err).Warn("tried again")
+			return
+		}
+		for _, mv := range moves {
+			o.moveJob(mv)
+		}
+	})
+}
+
+// movable returns the tasks of open jobs that hold no VM, by the job's ID.
+func (o *owner) movable() []move {
+	byJob := map[string][]shard.TaskID{}
+	open, holds := map[string]bool{}, map[string]bool{}
+	var order []string
+	for _, id := range o.taskIDs() {
+		t := o.state.Tasks[id]
+		if byJob[t.Spec.Job] == nil {
+			order = append(order, t.Spec.Job)
+		}
+		byJob[t.Spec.Job] = append(byJob[t.Spec.Job], id)
+		open[t.Spec.Job] = open[t.Spec.Job] || !charts.Task.IsFinal(t.State)
+		holds[t.Spec.Job] = holds[t.Spec.Job] || t.Holds()
+	}
+	var jobs []move
+	for _, job := range order {
+		if open[job] && !holds[job] && len(jobs) < maxMovedJobs {
+			member := o.state.Tasks[byJob[job][0]].Spec.Member
+			jobs = append(jobs, move{job: Job{Member: member, Key: job[len(member)+1:]}, tasks: byJob[job]})
+		}
+	}
+	return jobs
+}
+
+// readMoves reads the rows of the jobs.
+func (o *owner) readMoves(ctx context.Context, moves []move) ([]move, error) {
+	keys := make([]string, len(moves))
+	for i, mv := range moves {
+		keys[i] = platform.JobKey(mv.job.Member, mv.job.Key)
+	}
+	rows, err := o.opts.Table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &moves[i].job); err != nil {
+			return nil, err
+		}
+	}
+	return moves, nil
+}
+
+// moveJob takes a job out of the record and puts it into another shard's inbox,
+// in one transaction with the job's row.
+func (o *owner) moveJob(mv move) {
+	targets := o.manager.targets()
+	if len(targets) == 0 || len(o.vms) > 0 {
+		return
+	}
+	var tasks []shard.Task
+	for _, id := range mv.tasks {
+		t := o.state.Tasks[id]
+		if t == nil || t.Holds() {
+			return
+		}
+		tasks = append(tasks, *t)
+	}
+	mv.job.Shard = targets[xxhash.Sum64String(mv.job.ID())%uint64(len(targets))]
+	row, errRow := json.Marshal(mv.job)
+	msg, errMsg := json.Marshal(message{Job: mv.job, Moved: tasks})
+	if errRow != nil || errMsg != nil {
+		o.log.WithField("event", "move_failed").Error(mv.job.ID())
+		return
+	}
+	for _, id := range mv.tasks {
+		o.record(shard.Record{Event: shard.RecordMove, Task: id})
+		delete(o.endedAt, id)
+	}
+	o.puts = append(o.puts,
+		platform.Put{Key: platform.JobKey(mv.job.Member, mv.job.Key), Value: row},
+		platform.Put{Key: platform.InboxKey(mv.job.Shard, mv.job.Member, mv.job.Key), Value: msg})
+}
+
+// targets returns the shards that have VMs, sorted.
+func (m *Manager) targets() []string {
+	return slices.DeleteFunc(slices.Clone(m.names()), func(name string) bool { return len(m.owners[name].vms) == 0 })
+}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -44,6 +44,8 @@
 	Task  TaskID      `json:"task"`
 	// Spec is set on RecordAccept.
 	Spec *Spec `json:"spec,omitempty"`
+	// Moved is set instead when the task comes from another shard.
+	Moved *Task `json:"moved,omitempty"`
 	// VM and Attempt are set on a start.
 	VM      string `json:"vm,omitempty"`
 	Attempt int    `json:"attempt,omitempty"`
@@ -63,6 +65,11 @@
 	RecordAccept chart.Event = "accept"
 	// RecordForget removes a task that has ended.
 	RecordForget chart.Event = "forget"
+	// RecordMove removes a task that has gone to another shard.
+	RecordMove chart.Event = "move"
+	// RecordClaim adds a VM to the shard, RecordFree removes it.
+	RecordClaim chart.Event = "claim"
+	RecordFree  chart.Event = "free"
 )
 
 // Task is a task in the shard's record.
@@ -102,11 +109,13 @@
 	Tasks map[TaskID]*Task
 	// Committed is what each VM has been committed to, by VM name.
 	Committed map[string]inventory.Resources
+	// VMs are the VMs that the shard has claimed.
+	VMs map[string]bool
 }
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{Tasks: map[TaskID]*Task{}, Committed: map[string]inventory.Resources{}}
+	return &State{Tasks: map[TaskID]*Task{}, Committed: map[string]inventory.Resources{}, VMs: map[string]bool{}}
 }
 
 // RecordError reports a record that does not fit the state.
@@ -122,15 +131,21 @@
 
 // Apply changes the state by one record. On error the state is unchanged.
 func (s *State) Apply(r Record) error {
-	if r.Event == RecordAccept {
+	switch r.Event {
+	case RecordAccept:
 		return s.accept(r)
+	case RecordClaim:
+		s.VMs[r.VM] = true
+		return nil
+	case RecordFree:
+		return s.free(r)
 	}
 	t, ok := s.Tasks[r.Task]
 	if !ok {
 		return &RecordError{r, "task does not exist in the shard"}
 	}
-	if r.Event == RecordForget {
-		return s.forget(t, r)
+	if r.Event == RecordForget || r.Event == RecordMove {
+		return s.remove(t, r)
 	}
 	next, err := charts.Task.Next(t.State, r.Event)
 	if err != nil {
@@ -155,19 +170,35 @@
 }
 
 func (s *State) accept(r Record) error {
-	if r.Spec == nil {
+	if r.Spec == nil && r.Moved == nil {
 		return &RecordError{r, "spec is missing"}
 	}
 	if _, ok := s.Tasks[r.Task]; ok {
 		return &RecordError{r, "task exists already"}
 	}
-	s.Tasks[r.Task] = &Task{Spec: *r.Spec, State: charts.Task.Initial()}
+	if r.Moved == nil {
+		s.Tasks[r.Task] = &Task{Spec: *r.Spec, State: charts.Task.Initial()}
+		return nil
+	}
+	if r.Moved.Holds() {
+		return &RecordError{r, "moved task holds a VM"}
+	}
+	moved := *r.Moved
+	s.Tasks[r.Task] = &moved
+	return nil
+}
+
+func (s *State) free(r Record) error {
+	if _, ok := s.Committed[r.VM]; ok {
+		return &RecordError{r, fmt.Sprintf("VM %q holds tasks", r.VM)}
+	}
+	delete(s.VMs, r.VM)
 	return nil
 }
 
-func (s *State) forget(t *Task, r Record) error {
-	if !charts.Task.IsFinal(t.State) {
-		return &RecordError{r, fmt.Sprintf("task is %q and has not ended", t.State)}
+func (s *State) remove(t *Task, r Record) error {
+	if t.Holds() || r.Event == RecordForget && !charts.Task.IsFinal(t.State) {
+		return &RecordError{r, fmt.Sprintf("task is %q", t.State)}
 	}
 	delete(s.Tasks, r.Task)
 	return nil
--- a/shard/snapshot.go
+++ b/shard/snapshot.go
@@ -5,6 +5,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/bambooyard/bambooyard/inventory"
 )
@@ -33,12 +35,17 @@
 type snapshot struct {
 	Sequence int64           `json:"sequence"`
 	Tasks    map[TaskID]Task `json:"tasks"`
+	VMs      []string        `json:"vms,omitempty"`
 }
 
 // EncodeSnapshot returns the body of a snapshot of the state after the log row
 // with the given number, and its reference.
 func EncodeSnapshot(s *State, object string, sequence int64) ([]byte, SnapshotRef, error) {
-	doc := snapshot{Sequence: sequence, Tasks: make(map[TaskID]Task, len(s.Tasks))}
+	doc := snapshot{
+		Sequence: sequence,
+		Tasks:    make(map[TaskID]Task, len(s.Tasks)),
+		VMs:      slices.Sorted(maps.Keys(s.VMs)),
+	}
 	for id, t := range s.Tasks {
 		doc.Tasks[id] = *t
 	}
@@ -63,6 +70,9 @@
 		return nil, &SnapshotError{ref.Object, fmt.Sprintf("sequence is %d, not %d", doc.Sequence, ref.Sequence)}
 	}
 	s := NewState()
+	for _, vm := range doc.VMs {
+		s.VMs[vm] = true
+	}
 	for id, t := range doc.Tasks {
 		s.Tasks[id] = &t
 		if t.Holds() {
