--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -134,9 +134,10 @@
 	for name := range byRack {
 		m.owner(name)
 	}
+	directory := NewDirectory(doc)
 	for name, o := range m.owners {
 		o.setVMs(byRack[name])
-		o.site = newSite(name, doc)
+		o.directory = directory
 	}
 }
 
--- a/internal/traffic/snapshot.go
+++ b/internal/traffic/snapshot.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/membership"
 	"github.com/bambooyard/bambooyard/route"
 	"github.com/bambooyard/bambooyard/rules"
 )
@@ -16,6 +17,8 @@
 	Picker *route.Picker
 	// Limit is how many requests this daemon may have in flight.
 	Limit int
+	// Slots is the number of requests that all targets work on at a time.
+	Slots int
 }
 
 // Snapshot is the daemon's view at one moment. It never changes.
@@ -27,8 +30,16 @@
 	Head     document.Head
 	Document document.Document
 	Services map[string]*Service
+	// Session is this daemon's session when the snapshot was made.
+	Session membership.Session
+	// Daemons is the number of live daemons, this one included.
+	Daemons int
+	// Sweeps is set when this daemon deletes expired claims.
+	Sweeps bool
 	// Members is the set of members' names.
 	Members map[string]bool
+	// Weights are the members' shares of a service under overload.
+	Weights map[string]int
 }
 
 // Publisher hands snapshots from control to traffic. It is safe for
