--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -25,7 +25,10 @@
 	o.forgetEnded(now)
 	o.evictExcess()
 	o.freeVMs()
-	o.rehome()
+	if len(o.vms) == 0 {
+		o.rehome()
+		return
+	}
 	o.place(now)
 }
 
--- a/internal/batch/rehome.go
+++ b/internal/batch/rehome.go
@@ -51,7 +51,7 @@
 // rehome moves the jobs of a shard without VMs to other shards, once none of
 // their tasks holds a VM.
 func (o *owner) rehome() {
-	if len(o.vms) > 0 || o.moving || len(o.manager.targets()) == 0 {
+	if o.moving || len(o.manager.targets()) == 0 {
 		return
 	}
 	jobs := o.movable()
