--- a/internal/batch/exchange.go
+++ b/internal/batch/exchange.go
@@ -13,8 +13,19 @@
 	"github.com/bambooyard/bambooyard/shard"
 )
 
-// pollInterval is how often a VM with running tasks is asked for their states.
-const pollInterval = 500 * time.Millisecond
+// Pace of the exchanges with one VM.
+const (
+	pollInterval  = 500 * time.Millisecond // least time between two
+	bytesByLease  = 170                    // of a lease in an exchange and its report
+	bytesBySecond = 2000                   // what a VM may spend on control
+)
+
+// pollInterval returns how often a VM with so many leases is asked for their
+// states.
+func (o *owner) pollInterval(leases int) time.Duration {
+	interval := time.Duration(leases) * bytesByLease * time.Second / bytesBySecond
+	return min(o.opts.LeaseTTL/renewalsByTTL, max(pollInterval, interval))
+}
 
 // exchangeAll renews the leases of every VM that holds tasks, for as long as
 // the next owner of the shard reckons with it, and not after a release.
@@ -22,15 +33,14 @@
 	if !o.manager.timing.MayRenew(o.expires, now) || o.pending != nil && o.pending.release {
 		return
 	}
-	interval := min(o.opts.LeaseTTL/renewalsByTTL, pollInterval)
 	held := o.held()
 	for _, vm := range slices.Sorted(maps.Keys(held)) {
-		if !o.exchanging[vm] && now.Sub(o.exchanged[vm]) >= interval {
+		if !o.exchanging[vm] && now.Sub(o.exchanged[vm]) >= o.pollInterval(len(held[vm])) {
 			o.exchange(now, vm, held[vm])
 		}
 	}
 	for _, vm := range o.idleVMs(held) {
-		if !o.exchanging[vm] && now.Sub(o.exchanged[vm]) >= interval {
+		if !o.exchanging[vm] && now.Sub(o.exchanged[vm]) >= pollInterval {
 			o.exchange(now, vm, nil)
 		}
 	}
