--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -53,6 +53,7 @@
 	expires    time.Time
 	generation int
 	state      *shard.State
+	ids        []shard.TaskID // sorted, or nil after a task was added or removed
 	planner    *place.Planner
 
 	// records are applied but not yet in a transaction; orders wait for it.
@@ -77,7 +78,9 @@
 	reportedAt map[string]time.Time           // last report, by VM
 	silent     map[string]bool                // VMs whose last exchange failed
 	ended      map[string][]platform.LeaseRef // to be acknowledged, by VM
-	workers    map[string]string              // last known worker address, by VM
+	blocked    map[string]time.Time           // until when a VM is left to another shard
+	moving     bool
+	workers    map[string]string // last known worker address, by VM
 }
 
 func newOwner(name string, m *Manager) *owner {
@@ -142,6 +145,10 @@
 	if r.Event == charts.TaskLapse {
 		o.counters.lapses.Inc(1)
 	}
+	switch r.Event {
+	case shard.RecordAccept, shard.RecordForget, shard.RecordMove:
+		o.ids = nil
+	}
 	o.records = append(o.records, r)
 	o.unwritten[r.Task] = true
 	o.changed = true
@@ -150,7 +157,10 @@
 
 // taskIDs returns the IDs of all tasks, sorted, so that every run decides alike.
 func (o *owner) taskIDs() []shard.TaskID {
-	return slices.Sorted(maps.Keys(o.state.Tasks))
+	if o.ids == nil {
+		o.ids = slices.Sorted(maps.Keys(o.state.Tasks))
+	}
+	return o.ids
 }
 
 // worker returns the worker of a VM, also after the VM has left the inventory.
