Pick targets by own load, learn run times and share the link

Cause: the skeleton compared two random targets by this daemon's requests plus the peers' last reports, had one class of work, and put no bound on the link between regions or on the connections of a target.

Reports of single targets are out of date when used and send all daemons to the same targets.

Long work is told by learned run times and takes at most three quarters of a target's slots, divided among daemons by rank; it waits at the daemon. Shares of the link are an equal base, lent for a second at a time. Targets move through the target chart; a failing one is probed with growing intervals.

Tests shown failing on a broken decision: usage.go open() without leaving (TestOwnWordCountsAtOnce, TestPicksStayWithinShares); health.go follow() without s.Leaving (TestLeavingTargetReceivesNoNewWork); add() with n > limit (TestConcurrentPicksStayWithinConnections); judge() without mayEject (TestNeverAllTargetsAreEjected); best() without RemoteAllowed (TestOtherRegionOnlyWhenLocalIsFullAndLinkAllows); share.go lentRate() with the last loan only (TestSmallerLoanDoesNotEndLargerOne), base() without admitted, Borrowed() without askedAt or with a longer loan (TestSharesNeverExceedTheLink); learn.go with longFactor 80 (TestClassFollowsRunTimes).

Conclusion: own counts suffice for short work; classes and leases for long.

--- a/charts/charts.go
+++ b/charts/charts.go
@@ -43,6 +43,7 @@
 	TargetSuspect chart.Event = "suspect"
 	TargetRecover chart.Event = "recover"
 	TargetLeave   chart.Event = "leave"
+	TargetReturn  chart.Event = "return"
 	TargetRemove  chart.Event = "remove"
 )
 
@@ -93,6 +94,7 @@
 
 	ConnectionAnswer chart.Event = "answer"
 	ConnectionRest   chart.Event = "rest"
+	ConnectionDoubt  chart.Event = "doubt"
 	ConnectionStall  chart.Event = "stall"
 	ConnectionClose  chart.Event = "close"
 )
@@ -107,7 +109,7 @@
 	})
 	Target = load("target.yaml", chart.Names{
 		States: []chart.State{TargetLive, TargetSuspected, TargetLeaving, TargetGone},
-		Events: []chart.Event{TargetSuspect, TargetRecover, TargetLeave, TargetRemove},
+		Events: []chart.Event{TargetSuspect, TargetRecover, TargetLeave, TargetReturn, TargetRemove},
 	})
 	Daemon = load("daemon.yaml", chart.Names{
 		States: []chart.State{DaemonStarting, DaemonReady, DaemonIsolated, DaemonDraining, DaemonStopped},
@@ -123,7 +125,7 @@
 	})
 	Connection = load("connection.yaml", chart.Names{
 		States: []chart.State{ConnectionFresh, ConnectionProven, ConnectionSuspect, ConnectionClosed},
-		Events: []chart.Event{ConnectionAnswer, ConnectionRest, ConnectionStall, ConnectionClose},
+		Events: []chart.Event{ConnectionAnswer, ConnectionRest, ConnectionDoubt, ConnectionStall, ConnectionClose},
 	})
 )
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/apex/log"
@@ -21,6 +20,7 @@
 	"github.com/bambooyard/bambooyard/internal/settings"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/membership"
+	"github.com/bambooyard/bambooyard/route"
 )
 
 // Intervals of the control goroutine.
@@ -49,12 +49,16 @@
 	config  *configsync.Follower
 	batch   *batch.Manager
 	loads   *loadTable
-	leaving map[string]bool // VMs that the platform's list names as leaving
+	health  *route.Tracker
+	links   *linkShares
+	sender  *traffic.Sender
+	ownWord map[string]time.Time // VMs whose target said that it leaves, and when
+	leaving map[string]bool      // VMs that the platform's list names as leaving
 	// lastPeer is when a peer last answered.
 	lastPeer time.Time
 }
 
-func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher) *controller {
+func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, sender *traffic.Sender, links *traffic.Links) *controller {
 	c := &controller{
 		settings:  s,
 		loop:      loop,
@@ -64,6 +68,10 @@
 		pool:      peer.NewPool(),
 		state:     charts.Daemon.Initial(),
 		loads:     newLoadTable(),
+		health:    route.NewTracker(),
+		links:     newLinkShares(links),
+		sender:    sender,
+		ownWord:   map[string]time.Time{},
 		leaving:   map[string]bool{},
 	}
 	c.keeper = sessions.NewKeeper(sessions.Options{
@@ -166,12 +174,3 @@
 	c.keeper.SetLeaving()
 	c.publish(time.Now())
 }
-
-func (c *controller) leavingVMs() []string {
-	names := make([]string, 0, len(c.leaving))
-	for name := range c.leaving {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,7 +39,10 @@
 		traffic.NewPublisher,
 		burn.NewRecorder,
 		metrics.NewRegistry,
+		target.SystemClock,
 		target.NewClient,
+		newLinks,
+		newSender,
 		newPlatform,
 		newWorkers,
 		newClaims,
@@ -58,9 +61,21 @@
 
 func newClaims(client *platform.Client) *claims.Grouper { return claims.NewGrouper(client) }
 
-func newEntry(c *controller, p *traffic.Publisher, g *claims.Grouper, t *target.Client, b *burn.Recorder, l log.Interface) *entry.Server {
+func newLinks(s settings.Settings) *traffic.Links {
+	return traffic.NewLinks(s.Region, time.Now, time.Sleep)
+}
+
+func newSender(s settings.Settings, p *traffic.Publisher, t *target.Client, l *traffic.Links, o target.Options) *traffic.Sender {
+	return traffic.NewSender(traffic.SenderOptions{
+		Publisher: p, Targets: t, RunTimes: traffic.NewRunTimes(), Links: l, Region: s.Region,
+		Now: o.Now, AfterFunc: o.AfterFunc,
+		Retry: func(string) bool { return o.Retry() },
+	})
+}
+
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Grouper, t *traffic.Sender, b *burn.Recorder, l log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
-		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(), Burn: b, Jobs: jobs{c}, Log: l,
+		Publisher: p, Claims: g, Sender: t, Gates: entry.NewGates(), Burn: b, Jobs: jobs{c}, Log: l,
 		Now:     time.Now,
 		Session: func() string { return c.settings.Name },
 	})
--- /dev/null
+++ b/internal/daemon/links.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
+	"github.com/bambooyard/bambooyard/internal/traffic"
+	"github.com/bambooyard/bambooyard/link"
+	"github.com/bambooyard/bambooyard/rules"
+)
+
+const (
+	bitsPerByte = 8
+	// askFactor is how much more is asked of each peer than its equal part of
+	// what is wanted, since some have nothing to lend.
+	askFactor = 2
+)
+
+// linkShares holds this daemon's share of each direction of each link. It is
+// owned by the control goroutine.
+type linkShares struct {
+	traffic *traffic.Links
+	shares  map[traffic.Direction]*link.Share
+	others  int
+}
+
+func newLinkShares(t *traffic.Links) *linkShares {
+	return &linkShares{traffic: t, shares: map[traffic.Direction]*link.Share{}}
+}
+
+// refresh takes in the links and daemons of now and sets the rates.
+func (l *linkShares) refresh(links []rules.Link, others []string, now time.Time) {
+	l.others = len(others)
+	for _, k := range links {
+		for i, from := range k.Regions {
+			d := traffic.Direction{From: from, To: k.Regions[(i+1)%len(k.Regions)]}
+			s, ok := l.shares[d]
+			if !ok {
+				s = link.NewShare(0)
+				l.shares[d] = s
+			}
+			s.SetTotal(k.BitsPerSecond / bitsPerByte)
+			s.SetPeers(others, now)
+			s.SetDemand(l.traffic.Demand(d))
+			l.traffic.SetShare(d, s)
+		}
+	}
+}
+
+// ask completes a copy of a report for one peer with the rates to borrow of it.
+func (l *linkShares) ask(report *peerpb.LoadReport, now time.Time) *peerpb.LoadReport {
+	report = proto.CloneOf(report)
+	report.Daemons = uint32(l.others + 1)
+	for d, s := range l.shares {
+		wanted := s.Wanted(now)
+		part := min(wanted, askFactor*wanted/int64(max(1, l.others)))
+		if part > 0 {
+			report.Wanted = append(report.Wanted, linkRate(d, part))
+		}
+	}
+	return report
+}
+
+// lend answers a peer's report.
+func (l *linkShares) lend(r *peerpb.LoadReport, reply *peerpb.LoadReply, now time.Time) {
+	reply.Daemons = uint32(l.others + 1)
+	wanted := ratesOf(r.GetWanted())
+	for d, s := range l.shares {
+		if rate := s.Lend(r.GetSession(), int(r.GetDaemons()), wanted[d], now); rate > 0 {
+			reply.Lent = append(reply.Lent, linkRate(d, rate))
+		}
+		l.traffic.SetShare(d, s)
+	}
+}
+
+// borrowed takes in a peer's answer to a report that was sent at askedAt.
+func (l *linkShares) borrowed(reply *peerpb.LoadReply, askedAt time.Time) {
+	lent := ratesOf(reply.GetLent())
+	for d, s := range l.shares {
+		s.Borrowed(reply.GetSession(), int(reply.GetDaemons()), lent[d], askedAt)
+	}
+}
+
+func linkRate(d traffic.Direction, rate int64) *peerpb.LinkRate {
+	return &peerpb.LinkRate{From: d.From, To: d.To, BytesPerSecond: uint64(rate)}
+}
+
+func ratesOf(list []*peerpb.LinkRate) map[traffic.Direction]int64 {
+	rates := make(map[traffic.Direction]int64, len(list))
+	for _, r := range list {
+		rates[traffic.Direction{From: r.GetFrom(), To: r.GetTo()}] = int64(r.GetBytesPerSecond())
+	}
+	return rates
+}
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -14,9 +14,13 @@
 // maxReportAge is how long a peer's report counts.
 const maxReportAge = 3 * time.Second
 
+// serviceRegion names the targets of one service in one region.
+type serviceRegion struct{ service, region string }
+
 // loadTable holds this daemon's load and the peers' last reports.
 type loadTable struct {
 	usages  map[string]*route.Usage // by target address
+	own     map[serviceRegion]int   // requests in flight at the last view
 	reports map[string]peerReport   // by session
 	number  uint64
 }
@@ -24,12 +28,12 @@
 type peerReport struct {
 	sequence uint64
 	at       time.Time
-	inFlight map[string]int
+	inFlight map[serviceRegion]int
 	leaving  map[string]bool
 }
 
 func newLoadTable() *loadTable {
-	return &loadTable{usages: map[string]*route.Usage{}, reports: map[string]peerReport{}}
+	return &loadTable{usages: map[string]*route.Usage{}, own: map[serviceRegion]int{}, reports: map[string]peerReport{}}
 }
 
 // usage returns the counter of a target, which outlives snapshots.
@@ -42,15 +46,21 @@
 	return u
 }
 
-// inFlight sums the peers' reports on a target and returns the oldest's age.
-func (l *loadTable) inFlight(address string, now time.Time) (sum int, age time.Duration) {
+// inFlight sums what the peers reported of a service, in the given region and
+// in all others.
+func (l *loadTable) inFlight(service, region string) (here, elsewhere int) {
 	for _, r := range l.reports {
-		if n := r.inFlight[address]; n > 0 {
-			sum += n
-			age = max(age, now.Sub(r.at))
+		for at, n := range r.inFlight {
+			switch {
+			case at.service != service:
+			case at.region == region:
+				here += n
+			default:
+				elsewhere += n
+			}
 		}
 	}
-	return sum, age
+	return here, elsewhere
 }
 
 func (l *loadTable) leaving(vm string) bool {
@@ -67,9 +77,9 @@
 	if r.GetSequence() <= l.reports[r.GetSession()].sequence {
 		return
 	}
-	report := peerReport{sequence: r.GetSequence(), at: now, inFlight: map[string]int{}, leaving: map[string]bool{}}
-	for _, t := range r.GetTargets() {
-		report.inFlight[t.GetAddress()] = int(t.GetInFlight())
+	report := peerReport{sequence: r.GetSequence(), at: now, inFlight: map[serviceRegion]int{}, leaving: map[string]bool{}}
+	for _, s := range r.GetServices() {
+		report.inFlight[serviceRegion{s.GetService(), s.GetRegion()}] += int(s.GetInFlight())
 	}
 	for _, vm := range r.GetLeavingVms() {
 		report.leaving[vm] = true
@@ -90,13 +100,14 @@
 	c.loads.expire(now)
 	self := c.keeper.Self()
 	report := c.loadReport(self.ID)
+	c.links.refresh(c.config.Document().Rules.Links, c.otherSessions(now), now)
 	addresses := map[string]bool{}
 	for _, s := range c.keeper.Live(now) {
 		if s.ID == self.ID {
 			continue
 		}
 		addresses[s.PeerAddress] = true
-		c.sendLoad(s, report)
+		c.sendLoad(s, c.links.ask(report, now))
 	}
 	c.pool.Retain(addresses)
 }
@@ -106,12 +117,12 @@
 	report := &peerpb.LoadReport{
 		Session:    session,
 		Sequence:   c.loads.number,
-		LeavingVms: c.leavingVMs(),
+		LeavingVms: c.firstHandLeaving(),
 		Revision:   int64(c.config.Head().Revision),
 	}
-	for address, usage := range c.loads.usages {
-		if n := usage.InFlight(); n > 0 {
-			report.Targets = append(report.Targets, &peerpb.TargetLoad{Address: address, InFlight: uint32(n)})
+	for at, n := range c.loads.own {
+		if n > 0 {
+			report.Services = append(report.Services, &peerpb.ServiceLoad{Service: at.service, Region: at.region, InFlight: uint32(n)})
 		}
 	}
 	return report
@@ -119,6 +130,7 @@
 
 func (c *controller) sendLoad(s membership.Session, report *peerpb.LoadReport) {
 	req := &peerpb.Request{Kind: &peerpb.Request_Load{Load: report}}
+	askedAt := time.Now()
 	control.Async(c.loop, func(ctx context.Context) (*peerpb.Response, error) {
 		return c.pool.Call(ctx, s.PeerAddress, req)
 	}, func(resp *peerpb.Response, err error) {
@@ -126,6 +138,7 @@
 			return // the peer's session tells whether it is gone
 		}
 		c.lastPeer = time.Now()
+		c.links.borrowed(resp.GetLoad(), askedAt)
 		c.noticeRevision(resp.GetLoad().GetRevision())
 	})
 }
@@ -156,6 +169,7 @@
 		c.loads.take(r, now)
 		c.lastPeer = now
 		c.noticeRevision(r.GetRevision())
+		c.links.lend(r, reply, now)
 		reply.Session = c.keeper.Self().ID
 		reply.Revision = int64(c.config.Head().Revision)
 	})
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -1,9 +1,10 @@
 package daemon
 
 import (
+	"maps"
+	"slices"
 	"time"
 
-	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/traffic"
@@ -29,48 +30,117 @@
 	}
 	c.addServices(s, doc, now)
 	c.publisher.Publish(s)
+	c.sender.Refreshed()
 }
 
 func (c *controller) addServices(s *traffic.Snapshot, doc document.Document, now time.Time) {
-	daemons := max(1, len(c.keeper.Live(now)))
+	rank, others := c.rank(now)
+	s.Peers = others
 	vms := make(map[string]inventory.VM, len(doc.Inventory.VMs))
 	for _, vm := range doc.Inventory.VMs {
 		vms[vm.Name] = vm
 	}
 	places := doc.Inventory.Places()
+	addresses := map[string]bool{}
+	clear(c.loads.own)
 	for _, service := range doc.Inventory.Services {
 		rules, ok := doc.Rules.Service(service.Name)
 		if !ok {
 			continue
 		}
-		slots := 0
-		targets := make([]route.Target, 0, len(service.Targets))
-		for _, t := range service.Targets {
-			slots += t.Slots
-			vm := vms[t.VM]
-			place := places[vm.Rack]
-			peers, age := c.loads.inFlight(t.Address, now)
-			targets = append(targets, route.Target{
-				VM: t.VM, Address: t.Address, Region: place.Region, DataCentre: place.DataCentre,
-				Slots: t.Slots, Connections: t.Connections,
-				State:        c.targetState(vm),
-				Usage:        c.loads.usage(t.Address),
-				PeerInFlight: peers,
-				PeerAge:      age,
-			})
+		targets := c.serviceTargets(service, vms, places, now)
+		for _, t := range targets {
+			addresses[t.Address] = true
+			c.loads.own[serviceRegion{service.Name, t.Region}] += t.Usage.InFlight()
 		}
+		here, elsewhere := c.loads.inFlight(service.Name, c.settings.Region)
+		picker := route.NewPicker(route.Options{
+			Region: c.settings.Region, Rank: rank, Daemons: others + 1,
+			PeersLocal: here, PeersRemote: elsewhere, Targets: targets,
+		})
 		s.Services[service.Name] = &traffic.Service{
 			Rules:  rules,
-			Picker: route.NewPicker(c.settings.Region, targets),
-			Limit:  max(1, slots/daemons),
+			Picker: picker,
+			Limit:  max(1, picker.Slots()/(others+1)),
 		}
 	}
+	c.health.Retain(addresses)
 }
 
-// targetState is leaving as soon as anyone says so.
-func (c *controller) targetState(vm inventory.VM) chart.State {
-	if vm.Draining || c.leaving[vm.Name] || c.loads.leaving(vm.Name) {
-		return charts.TargetLeaving
+// rank returns this daemon's place among the daemons that are live or have
+// reported lately, and the number of the others.
+func (c *controller) rank(now time.Time) (rank, others int) {
+	self := c.keeper.Self().ID
+	sessions := c.otherSessions(now)
+	for _, id := range sessions {
+		if id < self {
+			rank++
+		}
+	}
+	return rank, len(sessions)
+}
+
+// otherSessions returns the sessions that are live by the store's list or have
+// reported lately, so that an outage of the store does not empty the list.
+func (c *controller) otherSessions(now time.Time) []string {
+	others := map[string]bool{}
+	for _, s := range c.keeper.Live(now) {
+		others[s.ID] = true
+	}
+	for session, r := range c.loads.reports {
+		if now.Sub(r.at) <= maxReportAge {
+			others[session] = true
+		}
+	}
+	delete(others, c.keeper.Self().ID)
+	return slices.Sorted(maps.Keys(others))
+}
+
+// serviceTargets describes a service's targets and moves them through the
+// target chart.
+func (c *controller) serviceTargets(service inventory.Service, vms map[string]inventory.VM, places map[string]inventory.Place, now time.Time) []route.Target {
+	targets := make([]route.Target, 0, len(service.Targets))
+	sightings := make([]route.Sighting, 0, len(service.Targets))
+	for _, t := range service.Targets {
+		vm := vms[t.VM]
+		place := places[vm.Rack]
+		usage := c.loads.usage(t.Address)
+		targets = append(targets, route.Target{
+			VM: t.VM, Address: t.Address, Region: place.Region, DataCentre: place.DataCentre,
+			Slots: t.Slots, Connections: t.Connections, Usage: usage,
+		})
+		if usage.Leaving() {
+			c.ownWord[t.VM] = now
+		}
+		sightings = append(sightings, route.Sighting{Address: t.Address, Usage: usage, Leaving: c.vmLeaving(vm)})
+	}
+	for i, state := range c.health.Update(sightings, now) {
+		targets[i].State = state
+	}
+	return targets
+}
+
+// vmLeaving is set as soon as the operators, the platform's list or a peer says so.
+func (c *controller) vmLeaving(vm inventory.VM) bool {
+	return vm.Draining || c.leaving[vm.Name] || c.loads.leaving(vm.Name)
+}
+
+// ownWordLife is how long a target's own word that it leaves is passed on.
+const ownWordLife = 5 * time.Second
+
+// firstHandLeaving lists the VMs that the platform's list or a target of theirs
+// names as leaving. What peers said is not passed on, so that it can end.
+func (c *controller) firstHandLeaving() []string {
+	names := map[string]bool{}
+	for name := range c.leaving {
+		names[name] = true
+	}
+	for name, at := range c.ownWord {
+		if time.Since(at) > ownWordLife {
+			delete(c.ownWord, name)
+			continue
+		}
+		names[name] = true
 	}
-	return charts.TargetLive
+	return slices.Sorted(maps.Keys(names))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,7 +13,6 @@
 
 	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/internal/claims"
-	"github.com/bambooyard/bambooyard/internal/target"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/verdict"
 )
@@ -30,7 +29,7 @@
 type Options struct {
 	Publisher *traffic.Publisher
 	Claims    *claims.Grouper
-	Targets   *target.Client
+	Sender    *traffic.Sender
 	Gates     *Gates
 	Burn      *burn.Recorder
 	Jobs      Jobs
--- a/internal/entry/quick.go
+++ b/internal/entry/quick.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"fmt"
 	"io"
-	mathrand "math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,7 +17,6 @@
 	"github.com/bambooyard/bambooyard/idempotency"
 	"github.com/bambooyard/bambooyard/internal/target"
 	"github.com/bambooyard/bambooyard/internal/traffic"
-	"github.com/bambooyard/bambooyard/route"
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
@@ -223,18 +221,14 @@
 
 // run sends the request to a target and passes the answer on.
 func (s *Server) run(ctx context.Context, c *gin.Context, q call, keep func(idempotency.Outcome)) error {
-	t := q.service.Picker.Pick(route.Request{Seed: mathrand.Uint64()})
-	if t == nil {
-		return verdict.Refuse(verdict.CodeNoTarget, http.StatusServiceUnavailable, retryAfterNoTarget, "service %q has no live target", q.serviceName)
-	}
-	t.Usage.Begin()
-	defer t.Usage.End()
-	resp, err := s.opts.Targets.Do(ctx, t.Address, target.Request{
-		Method: q.method, Path: q.path, Header: q.header, Body: q.body, Repeatable: q.repeatable(),
+	answer, err := s.opts.Sender.Send(ctx, traffic.Call{
+		Service: q.serviceName, Member: q.member, Method: q.method, Path: q.path,
+		Header: q.header, Body: q.body, Repeatable: q.repeatable(),
 	})
 	if err != nil {
 		return err
 	}
+	resp := answer.Response
 	defer resp.Body.Close() //nolint:errcheck // the answer was read or is given up
 	return passOn(c, resp, keep)
 }
--- /dev/null
+++ b/internal/experiment/ways.go
@@ -0,0 +1,267 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/learn"
+	"github.com/bambooyard/bambooyard/route"
+)
+
+// counts is what the simple ways know: each daemon's own requests in flight
+// and the other daemons' last reports.
+type counts struct {
+	own     [][]int // by daemon and target
+	reports [][]int
+	rand    *rand.Rand
+}
+
+func newCounts(s Scenario) *counts {
+	c := &counts{rand: rand.New(rand.NewPCG(s.Seed, 2))}
+	for range s.Daemons {
+		c.own = append(c.own, make([]int, s.Targets))
+		c.reports = append(c.reports, make([]int, s.Targets))
+	}
+	return c
+}
+
+// Ended implements Way.
+func (c *counts) Ended(daemon, target int, _ *request, _ time.Duration) { c.own[daemon][target]-- }
+
+// Report implements Way.
+func (c *counts) Report() {
+	for d := range c.own {
+		copy(c.reports[d], c.own[d])
+	}
+}
+
+func (c *counts) take(daemon, target int) int {
+	c.own[daemon][target]++
+	return target
+}
+
+// peers sums what the other daemons reported.
+func (c *counts) peers(daemon, target int) int {
+	sum := 0
+	for d := range c.reports {
+		if d != daemon {
+			sum += c.reports[d][target]
+		}
+	}
+	return sum
+}
+
+// RoundRobin takes the targets in turn.
+type RoundRobin struct {
+	*counts
+	next []int
+}
+
+// NewRoundRobin returns daemons that each begin at a target of their own.
+func NewRoundRobin(s Scenario) *RoundRobin {
+	w := &RoundRobin{counts: newCounts(s)}
+	for d := range s.Daemons {
+		w.next = append(w.next, d*s.Targets/s.Daemons)
+	}
+	return w
+}
+
+// Name implements Way.
+func (w *RoundRobin) Name() string { return "round robin" }
+
+// Pick implements Way.
+func (w *RoundRobin) Pick(daemon int, _ *request) int {
+	w.next[daemon] = (w.next[daemon] + 1) % len(w.own[daemon])
+	return w.take(daemon, w.next[daemon])
+}
+
+// TwoChoices takes the less loaded of two random targets.
+type TwoChoices struct {
+	*counts
+	name string
+	// peerWeight is how much a request reported by a peer counts.
+	peerWeight float64
+}
+
+// NewTwoChoices returns power of two choices with a weight for peers' reports.
+func NewTwoChoices(s Scenario, name string, peerWeight float64) *TwoChoices {
+	return &TwoChoices{counts: newCounts(s), name: name, peerWeight: peerWeight}
+}
+
+// Name implements Way.
+func (w *TwoChoices) Name() string { return w.name }
+
+// Pick implements Way.
+func (w *TwoChoices) Pick(daemon int, r *request) int {
+	n := len(w.own[daemon])
+	a, b := w.rand.IntN(n), w.rand.IntN(n)
+	if a == r.avoid || (b != r.avoid && w.load(daemon, b) < w.load(daemon, a)) {
+		a = b
+	}
+	return w.take(daemon, a)
+}
+
+func (w *TwoChoices) load(daemon, target int) float64 {
+	return float64(w.own[daemon][target]) + w.peerWeight*float64(w.peers(daemon, target))
+}
+
+// Least takes the target with the fewest requests in flight.
+type Least struct {
+	*counts
+	name  string
+	peers float64
+}
+
+// NewLeast returns least in flight with a weight for peers' reports.
+func NewLeast(s Scenario, name string, peerWeight float64) *Least {
+	return &Least{counts: newCounts(s), name: name, peers: peerWeight}
+}
+
+// Name implements Way.
+func (w *Least) Name() string { return w.name }
+
+// Pick implements Way.
+func (w *Least) Pick(daemon int, r *request) int {
+	n := len(w.own[daemon])
+	first := w.rand.IntN(n)
+	best, bestLoad := -1, 0.0
+	for i := range n {
+		t := (first + i) % n
+		load := float64(w.own[daemon][t]) + w.peers*float64(w.counts.peers(daemon, t))
+		if t != r.avoid && (best < 0 || load < bestLoad) {
+			best, bestLoad = t, load
+		}
+	}
+	return w.take(daemon, best)
+}
+
+// Lease gives each daemon a fixed share of every target's slots and holds back
+// what exceeds it.
+type Lease struct {
+	*counts
+	shares [][]int
+}
+
+// NewLease returns daemons with equal shares.
+func NewLease(s Scenario) *Lease {
+	w := &Lease{counts: newCounts(s)}
+	for d := range s.Daemons {
+		row := make([]int, s.Targets)
+		for t := range row {
+			row[t] = route.Share(t, s.Slots, d, s.Daemons)
+		}
+		w.shares = append(w.shares, row)
+	}
+	return w
+}
+
+// Name implements Way.
+func (w *Lease) Name() string { return "lease on a share of slots" }
+
+// Pick implements Way.
+func (w *Lease) Pick(daemon int, _ *request) int {
+	n := len(w.own[daemon])
+	first := w.rand.IntN(n)
+	for i := range n {
+		t := (first + i) % n
+		if w.own[daemon][t] < w.shares[daemon][t] {
+			return w.take(daemon, t)
+		}
+	}
+	return -1
+}
+
+// Product is the picker of package route, fed as the daemon feeds it.
+type Product struct {
+	scenario Scenario
+	name     string
+	learned  bool // classes are learned from run times
+	usages   [][]*route.Usage
+	pickers  []*route.Picker
+	tables   []*learn.Table
+	index    map[string]int
+	rand     *rand.Rand
+}
+
+// NewProduct returns the daemon's own picker. With learned set, run times are
+// learned and long work is kept from some slots.
+func NewProduct(s Scenario, name string, learned bool) *Product {
+	w := &Product{scenario: s, name: name, learned: learned, index: map[string]int{}, rand: rand.New(rand.NewPCG(s.Seed, 2))}
+	for range s.Daemons {
+		row := make([]*route.Usage, s.Targets)
+		for t := range row {
+			row[t] = &route.Usage{}
+		}
+		w.usages = append(w.usages, row)
+		w.tables = append(w.tables, learn.NewTable())
+	}
+	w.Report()
+	return w
+}
+
+// Name implements Way.
+func (w *Product) Name() string { return w.name }
+
+// Report implements Way: all daemons build new pickers.
+func (w *Product) Report() {
+	w.pickers = w.pickers[:0]
+	for d := range w.scenario.Daemons {
+		targets, peers := w.targets(d)
+		w.pickers = append(w.pickers, route.NewPicker(route.Options{
+			Region: "local", Rank: d, Daemons: w.scenario.Daemons, Targets: targets, PeersLocal: peers,
+		}))
+	}
+}
+
+// targets returns a daemon's view and the other daemons' requests in flight.
+func (w *Product) targets(daemon int) (targets []route.Target, peers int) {
+	targets = make([]route.Target, w.scenario.Targets)
+	for t := range targets {
+		address := strconv.Itoa(t)
+		w.index[address] = t
+		for d := range w.usages {
+			if d != daemon {
+				peers += w.usages[d][t].InFlight()
+			}
+		}
+		targets[t] = route.Target{
+			Address: address, Region: "local", State: charts.TargetLive, Usage: w.usages[daemon][t],
+			Slots: w.scenario.Slots, Connections: w.scenario.Connections,
+		}
+	}
+	return targets, peers
+}
+
+func routeKey(r *request) learn.Key {
+	if r.long {
+		return learn.Key{Service: "catalogue", Route: "/reconcile"}
+	}
+	return learn.Key{Service: "catalogue", Route: "/check"}
+}
+
+// Pick implements Way.
+func (w *Product) Pick(daemon int, r *request) int {
+	r.class = route.Short
+	if w.learned && w.tables[daemon].Long(routeKey(r)) {
+		r.class = route.Long
+	}
+	avoid := ""
+	if r.avoid >= 0 {
+		avoid = strconv.Itoa(r.avoid)
+	}
+	t, _ := w.pickers[daemon].Pick(route.Request{Seed: w.rand.Uint64(), Class: r.class, Avoid: avoid})
+	if t == nil {
+		return -1
+	}
+	return w.index[t.Address]
+}
+
+// Ended implements Way.
+func (w *Product) Ended(daemon, target int, r *request, ran time.Duration) {
+	w.usages[daemon][target].End(r.class)
+	if w.learned && ran > 0 {
+		w.tables[daemon].Observe(routeKey(r), ran)
+	}
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -3,26 +3,40 @@
 package target
 
 import (
-	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
+	"strconv"
+	"sync"
 	"time"
 
+	"github.com/bambooyard/bambooyard/link"
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
 // Limits of connections to targets.
 const (
-	dialTimeout        = time.Second
-	idleTimeout        = 30 * time.Second
-	maxHeaderBytes     = 64 << 10
+	dialTimeout    = time.Second
+	idleTimeout    = 30 * time.Second
+	maxRest        = 5 * time.Second // after which an idle connection is suspect
+	maxHeaderBytes = 64 << 10
+	// defaultConnections is the limit for a request that names none.
+	defaultConnections = 64
 	retryAfterNoTarget = time.Second
+	maxPause           = 30 * time.Second
+	// pacedReadBuffer bounds what the kernel takes in ahead of a Pacer.
+	pacedReadBuffer = 64 << 10
 )
 
+// HeaderTarget is the answer header by which a target says that it leaves:
+// its value is then "leaving".
+const HeaderTarget = "Bambooyard-Target"
+
+// leavingValue is the value of HeaderTarget that says the target leaves.
+const leavingValue = "leaving"
+
 // Request is a quick request as it goes to a target.
 type Request struct {
 	Method string
@@ -32,74 +46,172 @@
 	Body   []byte
 	// Repeatable is set when the request may run more than once.
 	Repeatable bool
+	// Connections bounds the open connections to the target; zero is the
+	// limit of a target that only this daemon uses.
+	Connections int
+	// Patience is how long an answer on a reused connection may take to begin
+	// before a repeatable request moves to a new connection; zero is no limit.
+	Patience time.Duration
+	// Pacer keeps the bytes within a budget; nil is no budget.
+	Pacer Pacer
+}
+
+// Pacer holds back bytes that would exceed a budget.
+type Pacer interface {
+	// BeforeWrite waits up to a short while and reports whether n bytes may be
+	// sent, which are then spent. n is at most PieceBytes.
+	BeforeWrite(n int) bool
+	// BeforeRead waits up to a short while and reports whether more may be read.
+	BeforeRead() bool
+	// AfterRead counts bytes that were read.
+	AfterRead(n int)
+}
+
+// PieceBytes is the largest piece that a Pacer is asked for.
+const PieceBytes = link.ChunkBytes
+
+// Answer is a target's answer. Its body must be closed; reading it to its end
+// proves it complete.
+type Answer struct {
+	*http.Response
+	// Leaving is set when the target said that it leaves.
+	Leaving bool
+	// Pause is how long the target asked to be left alone.
+	Pause time.Duration
+	body  *body
+}
+
+// Bytes returns the bytes sent and received for the request so far, headers
+// included.
+func (a *Answer) Bytes() (sent, received int64) { return a.body.bytes() }
+
+// RefusedError reports a request that the target refused by its protocol. It
+// is wrapped in a *verdict.RequestError whose verdict is NotRun.
+type RefusedError struct {
+	Address string
+	Leaving bool
+	Pause   time.Duration
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "target " + e.Address + " refused the request" }
+
+// Options are the settings of a Client.
+type Options struct {
+	Now func() time.Time
+	// AfterFunc runs a function later unless stopped, as time.AfterFunc does.
+	AfterFunc func(d time.Duration, fn func()) (stop func() bool)
+	// Retry is asked before a request is sent a second time.
+	Retry func() bool
 }
 
 // Client sends requests to targets. It is safe for concurrent use.
 type Client struct {
-	pooled http.RoundTripper
-	fresh  http.RoundTripper
+	opts  Options
+	mu    sync.Mutex
+	pools map[string]*pool
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client {
-	return &Client{
-		pooled: newTransport(false),
-		// A request that must not be repeated gets a connection of its own:
-		// net/http repeats requests by itself when a reused connection breaks.
-		fresh: newTransport(true),
+func NewClient(o Options) *Client { return &Client{opts: o, pools: map[string]*pool{}} }
+
+// SystemClock returns options that use the system's clock and never refuse a
+// second try.
+func SystemClock() Options {
+	return Options{
+		Now: time.Now,
+		AfterFunc: func(d time.Duration, fn func()) func() bool {
+			return time.AfterFunc(d, fn).Stop
+		},
+		Retry: func() bool { return true },
 	}
 }
 
-func newTransport(disableKeepAlives bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:            dialer.DialContext,
-		DisableKeepAlives:      disableKeepAlives,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    64,
-		MaxConnsPerHost:        64,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+// Do sends a request to the target at an IP address and port. A repeatable
+// request whose reused connection fails is sent once more on a new connection,
+// if the retry budget allows. The error is a *verdict.RequestError whose
+// verdict is NotRun only when no byte of the request was written or the target
+// refused it.
+func (c *Client) Do(ctx context.Context, address string, r Request) (*Answer, error) {
+	if r.Connections <= 0 {
+		r.Connections = defaultConnections
 	}
+	p := c.pool(address)
+	if r.Repeatable {
+		if conn := p.reuse(c.opts.Now()); conn != nil {
+			answer, err := c.exchange(ctx, p, conn, address, r)
+			if err == nil || ctx.Err() != nil || !c.mayMove(err) {
+				return answer, err
+			}
+		}
+	}
+	// A request that must not be repeated always gets a new connection, whose
+	// handshake has just shown that both ends know of it.
+	conn, err := c.dial(ctx, p, address, r)
+	if err != nil {
+		return nil, err
+	}
+	return c.exchange(ctx, p, conn, address, r)
 }
 
-// Do sends a request to the target at an IP address and port. The answer's
-// body must be closed. The error is a *verdict.RequestError whose verdict is
-// NotRun only when no byte of the request was written.
-func (c *Client) Do(ctx context.Context, address string, r Request) (*http.Response, error) {
-	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, verdict.Refuse(verdict.CodeBadRequest, http.StatusBadRequest, 0, "path %q cannot be sent", r.Path)
+// mayMove reports whether a repeatable request may be sent again.
+func (c *Client) mayMove(err error) bool {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return false
+	}
+	return verdict.Of(err) == verdict.NotRun || c.opts.Retry()
+}
+
+// CloseIdle closes the idle connections to a target, or to all if the address
+// is empty.
+func (c *Client) CloseIdle(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, p := range c.pools {
+		if address == "" || a == address {
+			p.closeIdle()
+		}
 	}
-	req.Header = r.Header
-	transport := c.pooled
-	if !r.Repeatable {
-		transport = c.fresh
-		req.GetBody = nil
+}
+
+func (c *Client) pool(address string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		p = &pool{}
+		c.pools[address] = p
 	}
-	resp, err := transport.RoundTrip(req)
+	return p
+}
+
+func (c *Client) dial(ctx context.Context, p *pool, address string, r Request) (*connection, error) {
+	if !p.room(r.Connections) {
+		return nil, verdict.Refuse(verdict.CodeOverloaded, http.StatusServiceUnavailable, retryAfterNoTarget,
+			"target %s: all %d connections are in use", address, r.Connections)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, failure(ctx, written.Load(), address, err)
+		p.giveBack()
+		return nil, failure(ctx, verdict.NotRun, address, err)
 	}
-	return resp, nil
+	if tcp, ok := conn.(*net.TCPConn); ok && r.Pacer != nil {
+		_ = tcp.SetReadBuffer(pacedReadBuffer)
+	}
+	return newConnection(conn, r.Pacer, c.opts.Now()), nil
 }
 
-func failure(ctx context.Context, written bool, address string, err error) error {
+func failure(ctx context.Context, v verdict.Verdict, address string, err error) error {
 	e := &verdict.RequestError{
 		Code:       verdict.CodeTargetFailed,
 		Message:    "target " + address + " gave no answer",
-		Verdict:    verdict.MayHaveRun,
+		Verdict:    v,
 		Status:     http.StatusBadGateway,
 		RetryAfter: retryAfterNoTarget,
 		Err:        err,
 	}
-	if !written {
-		e.Verdict = verdict.NotRun
-	}
 	if ctx.Err() != nil {
 		e.Code, e.Status = verdict.CodeDeadlineExceeded, http.StatusGatewayTimeout
 	}
@@ -115,3 +227,12 @@
 	}
 	return data, int64(len(data)) <= limit, nil
 }
+
+// parsePause reads a Retry-After header in seconds.
+func parsePause(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds <= 0 {
+		return 0
+	}
+	return min(time.Duration(seconds)*time.Second, maxPause)
+}
--- a/internal/traffic/snapshot.go
+++ b/internal/traffic/snapshot.go
@@ -27,6 +27,8 @@
 	Head     document.Head
 	Document document.Document
 	Services map[string]*Service
+	// Peers is the number of other live daemons.
+	Peers int
 	// Members is the set of members' names.
 	Members map[string]bool
 }
--- /dev/null
+++ b/learn/learn_test.go
@@ -0,0 +1,82 @@
+package learn_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bambooyard/bambooyard/learn"
+)
+
+func Example() {
+	t := learn.NewTable()
+	check := learn.Key{Service: "stock", Route: "/check"}
+	sync := learn.Key{Service: "stock", Route: "/sync"}
+	for range 20 {
+		t.Observe(check, 20*time.Millisecond)
+	}
+	for range 4 {
+		t.Observe(sync, 2*time.Second)
+	}
+	fmt.Println(t.Long(check), t.Long(sync))
+	// Output: false true
+}
+
+// A route that runs much longer than its service's median is long and the
+// others are short, whatever the order of the requests.
+func TestClassFollowsRunTimes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := learn.NewTable()
+		short := learn.Key{Service: "s", Route: "short"}
+		long := learn.Key{Service: "s", Route: "long"}
+		base := time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond
+		factor := rapid.IntRange(12, 200).Draw(t, "factor")
+		n := rapid.IntRange(8, 900).Draw(t, "requests")
+		for i := range n {
+			table.Observe(short, base)
+			if i%4 == 0 {
+				table.Observe(long, base*time.Duration(factor))
+			}
+		}
+		if table.Long(short) {
+			t.Fatalf("short work is taken for long")
+		}
+		if n >= 40 && !table.Long(long) {
+			t.Fatalf("work %d times longer is taken for short", factor)
+		}
+	})
+}
+
+func TestTableForgetsOldRunTimesAndStaysBounded(t *testing.T) {
+	table := learn.NewTable()
+	for i := range 3000 {
+		table.Observe(learn.Key{Service: "s", Route: fmt.Sprint(i)}, time.Millisecond)
+	}
+	if table.Size() > 1024 {
+		t.Fatalf("%d keys are kept", table.Size())
+	}
+	k := learn.Key{Service: "s", Route: "changes"}
+	for range 600 {
+		table.Observe(k, time.Second)
+	}
+	for range 600 {
+		table.Observe(k, time.Millisecond)
+	}
+	if table.Long(k) {
+		t.Fatalf("the route is still long after 600 short runs")
+	}
+}
+
+func BenchmarkLong(b *testing.B) {
+	table := learn.NewTable()
+	k := learn.Key{Service: "s", Route: "r"}
+	for range 1000 {
+		table.Observe(k, time.Millisecond)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Long(k)
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -2,18 +2,11 @@
 // snapshot of the targets, without asking other daemons per request.
 //
 // A Picker is built by the control goroutine and read by many traffic
-// goroutines. Only the in-flight counters change after construction, and they
-// are atomic.
+// goroutines. Only the counters of a Usage change after construction, and
+// they are atomic.
 package route
 
-import (
-	"sync/atomic"
-	"time"
-
-	"github.com/bambooyard/bambooyard/charts"
-
-	"github.com/bambooyard/bambooyard/chart"
-)
+import "github.com/bambooyard/bambooyard/chart"
 
 // Target is one runner of a service.
 type Target struct {
@@ -23,98 +16,65 @@
 	DataCentre string
 	// Slots is how many requests the runner works on at a time.
 	Slots int
-	// Connections is how many open connections the runner accepts.
+	// Connections is how many open connections the runner accepts from all daemons.
 	Connections int
-	// State is a state of the target chart; only live targets are picked.
+	// State is a state of the target chart; live targets are picked, and
+	// suspected ones only as a probe.
 	State chart.State
 	// Usage is this daemon's own load on the target. It outlives pickers.
 	Usage *Usage
-	// PeerInFlight is the in-flight requests that the other daemons last reported.
-	PeerInFlight int
-	// PeerAge is the age of the oldest of those reports.
-	PeerAge time.Duration
 }
 
-// Usage counts the requests that this daemon has in flight on one target. It
-// is safe for concurrent use.
-type Usage struct{ inFlight atomic.Int64 }
+// Class says how long a request is expected to run.
+type Class uint8
 
-// InFlight returns the number of requests in flight.
-func (u *Usage) InFlight() int { return int(u.inFlight.Load()) }
-
-// Begin counts a request that starts.
-func (u *Usage) Begin() { u.inFlight.Add(1) }
+// Classes of requests.
+const (
+	Short Class = iota
+	Long
+)
 
-// End counts a request that has ended.
-func (u *Usage) End() { u.inFlight.Add(-1) }
+// String returns the class's name.
+func (c Class) String() string {
+	if c == Long {
+		return "long"
+	}
+	return "short"
+}
 
 // Request is what the picker needs to know of a request.
 type Request struct {
 	// Seed is a random number drawn by the caller of Pick.
 	Seed uint64
+	// Class is the request's learned class.
+	Class Class
 	// Avoid is the address of a target not to be picked again, or empty.
 	Avoid string
+	// Probe is set when the request may run more than once, so that it may
+	// try a suspected target.
+	Probe bool
+	// RemoteAllowed is set when the link's budget has room for the request.
+	RemoteAllowed bool
+	// NowUnixNano is the time of the request.
+	NowUnixNano int64
 }
 
-// Picker picks among the live targets of one service.
-type Picker struct {
-	local  []Target
-	remote []Target
-}
-
-// NewPicker returns a picker that prefers targets of the given region.
-func NewPicker(region string, targets []Target) *Picker {
-	p := &Picker{}
-	for _, t := range targets {
-		if t.State != charts.TargetLive {
-			continue
-		}
-		if t.Region == region {
-			p.local = append(p.local, t)
-		} else {
-			p.remote = append(p.remote, t)
-		}
-	}
-	return p
-}
-
-// Size returns the number of live targets.
-func (p *Picker) Size() int { return len(p.local) + len(p.remote) }
-
-// Pick returns the less loaded of two random targets, local ones first. The
-// result is nil when no target is live. The caller counts the request with
-// Usage.Begin and Usage.End.
-func (p *Picker) Pick(r Request) *Target {
-	if t := pickFrom(p.local, r); t != nil {
-		return t
-	}
-	return pickFrom(p.remote, r)
-}
+// Outcome says why a pick gave a target or none.
+type Outcome uint8
 
-func pickFrom(targets []Target, r Request) *Target {
-	n := uint64(len(targets))
-	if n == 0 {
-		return nil
-	}
-	a := &targets[(r.Seed&0xffffffff)%n]
-	b := &targets[(r.Seed>>32)%n]
-	if a.Address == r.Avoid {
-		a = b
-	}
-	if b.Address == r.Avoid {
-		b = a
-	}
-	if a.Address == r.Avoid {
-		a = &targets[((r.Seed&0xffffffff)+1)%n]
-		b = a
-	}
-	if b.load() < a.load() {
-		return b
-	}
-	return a
-}
+// Outcomes of a pick.
+const (
+	// Picked means that a target was found and the request is counted on it.
+	Picked Outcome = iota
+	// NoTarget means that no target is live.
+	NoTarget
+	// ConnectionsFull means that this daemon's share of connections is in use.
+	ConnectionsFull
+	// LongFull means that this daemon's share of slots for long work is in use.
+	LongFull
+)
 
-// load is the target's in-flight requests per slot, in thousandths.
-func (t *Target) load() int {
-	return (t.Usage.InFlight() + t.PeerInFlight) * 1000 / t.Slots
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"picked", "no live target", "connections full", "slots for long work full"}[o]
 }
