Admit a daemon to the link once older loans have ended

Cause: TestSharesNeverExceedTheLink failed with random seeds (3750001 of 3750000 bytes a second): a daemon that joined was admitted while a loan from before it was counted still ran, so that the lender was overdrawn, and it took the count of a peer that did not count it for its admission.

Ruled out: more headroom, which hides the fault; counting a daemon that has gone for the life of a loan, tried here: no test needed it once the largest count known to any peer decides the base.

Change: Lend says whether the peer is counted, and a daemon has a base only after every peer has counted it for the life of a loan.

--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -42,7 +42,7 @@
 				l.shares[d] = s
 			}
 			s.SetTotal(k.BitsPerSecond / bitsPerByte)
-			s.SetPeers(others, now)
+			s.SetPeers(others)
 			s.SetDemand(l.traffic.Demand(d))
 			l.traffic.SetShare(d, s)
 		}
@@ -65,12 +65,13 @@
 
 // lend answers a peer's report.
 func (l *linkShares) lend(r *peerpb.LoadReport, reply *peerpb.LoadReply, now time.Time) {
-	reply.Daemons = uint32(l.others + 1)
 	wanted := ratesOf(r.GetWanted())
 	for d, s := range l.shares {
-		if rate := s.Lend(r.GetSession(), int(r.GetDaemons()), wanted[d], now); rate > 0 {
+		rate, counted := s.Lend(r.GetSession(), int(r.GetDaemons()), wanted[d], now)
+		if rate > 0 {
 			reply.Lent = append(reply.Lent, linkRate(d, rate))
 		}
+		reply.Daemons = uint32(counted)
 		l.traffic.SetShare(d, s)
 	}
 }
--- a/link/share.go
+++ b/link/share.go
@@ -23,15 +23,16 @@
 type Share struct {
 	total  int64 // bytes per second that the link carries
 	demand int64 // bytes per second that this daemon wants
-	self   int   // live daemons by this daemon's own view, itself included
-	// admitted is set once every other daemon has counted this one.
+	peers  map[string]*peer
+	// admitted is set once every other daemon has counted this one for the
+	// life of a loan, so that no loan is left from before.
 	admitted bool
-	peers    map[string]*peer
+	// countedAt is since when every other daemon counts this one.
+	countedAt time.Time
 }
 
 // peer is what this daemon knows of another one.
 type peer struct {
-	live bool
 	// daemons is how many live daemons the peer has said it counts.
 	daemons int
 	// lent holds the loans to the peer that may not have ended.
@@ -49,7 +50,7 @@
 // NewShare returns the share of a daemon that knows no other. The rate is what
 // the link carries, in bytes per second.
 func NewShare(rate int64) *Share {
-	return &Share{total: rate, self: 1, peers: map[string]*peer{}}
+	return &Share{total: rate, peers: map[string]*peer{}}
 }
 
 // SetTotal changes what the link carries.
@@ -58,53 +59,43 @@
 // SetDemand records what this daemon wants, in bytes per second.
 func (s *Share) SetDemand(rate int64) { s.demand = rate }
 
-// SetPeers records the sessions of the other live daemons. Loans to a daemon
-// that has gone still count until they end.
-func (s *Share) SetPeers(sessions []string, now time.Time) {
-	s.self = len(sessions) + 1
-	live := make(map[string]bool, len(sessions))
+// SetPeers records the sessions of the other live daemons. What was borrowed
+// from a daemon that has gone ends at once.
+func (s *Share) SetPeers(sessions []string) {
+	peers := make(map[string]*peer, len(sessions))
 	for _, id := range sessions {
-		live[id] = true
-		if s.peers[id] == nil {
-			s.peers[id] = &peer{}
-		}
-	}
-	for id, p := range s.peers {
-		p.live = live[id]
-		if p.live {
-			continue
-		}
-		p.daemons = 0
-		p.borrowed = loan{}
-		if p.lentRate(now) == 0 {
-			delete(s.peers, id)
+		peers[id] = s.peers[id]
+		if peers[id] == nil {
+			peers[id] = &peer{}
 		}
 	}
+	s.peers = peers
 }
 
-// Daemons returns how many live daemons this daemon counts.
-func (s *Share) Daemons() int { return s.self }
+// Daemons returns how many daemons this daemon counts, itself included.
+func (s *Share) Daemons() int { return len(s.peers) + 1 }
 
 // Wanted returns the bytes per second that this daemon asks others for.
 func (s *Share) Wanted(now time.Time) int64 { return max(0, s.demand-s.own(now)) }
 
-// Lend answers a peer that wants more, and returns the rate that it may use
-// until loanTTL after it asked.
-func (s *Share) Lend(session string, daemons int, wanted int64, now time.Time) int64 {
+// Lend answers a peer that counts this daemon among the given number and wants
+// more. It returns the rate that the peer may use until loanTTL after it
+// asked, and how many daemons this one counts, or zero if the peer is not
+// among them.
+func (s *Share) Lend(session string, daemons int, wanted int64, now time.Time) (rate int64, counted int) {
 	p := s.peers[session]
 	if p == nil {
-		return 0
+		return 0, 0
 	}
 	p.daemons = daemons
-	before := p.lentRate(now)
-	spare := s.own(now) + before - s.kept()
-	rate := max(0, min(wanted, spare))
+	spare := s.own(now) + p.lentRate(now) - s.kept(now)
+	rate = max(0, min(wanted, spare))
 	p.lent = append(p.lent, loan{rate: rate, ends: now.Add(loanTTL)})
-	return rate
+	return rate, s.Daemons()
 }
 
-// Borrowed records a peer's answer to a request that was sent at askedAt. An
-// answer to an earlier request than the last one known is ignored.
+// Borrowed records a peer's answer to a request that was sent at askedAt: its
+// count of daemons, zero if this one is not among them, and the loan. An answer to an earlier request than the last one known is ignored.
 func (s *Share) Borrowed(session string, daemons int, rate int64, askedAt time.Time) {
 	p := s.peers[session]
 	if p == nil || !askedAt.After(p.askedAt) {
@@ -139,13 +130,13 @@
 }
 
 // kept is what this daemon does not lend.
-func (s *Share) kept() int64 {
-	return max(s.base()*smallestKeptPercent/100, s.demand*keptPercent/100)
+func (s *Share) kept(now time.Time) int64 {
+	return max(s.base(now)*smallestKeptPercent/100, s.demand*keptPercent/100)
 }
 
 // own is the base without what is lent.
 func (s *Share) own(now time.Time) int64 {
-	rate := s.base()
+	rate := s.base(now)
 	for _, p := range s.peers {
 		rate -= p.lentRate(now)
 	}
@@ -153,21 +144,33 @@
 }
 
 // base is an equal part of the link, by the largest count of daemons that is
-// known. A new daemon has none until every other one counts it too.
-func (s *Share) base() int64 {
-	count := s.self
+// known. A new daemon has none until it is admitted.
+func (s *Share) base(now time.Time) int64 {
+	count := s.Daemons()
 	counted := true
 	for _, p := range s.peers {
 		count = max(count, p.daemons)
-		counted = counted && (!p.live || p.daemons >= s.self)
+		counted = counted && p.daemons > 0
 	}
-	s.admitted = s.admitted || counted
+	s.admit(counted, now)
 	if !s.admitted {
 		return 0
 	}
 	return s.total * usablePercent / 100 / int64(count)
 }
 
+func (s *Share) admit(counted bool, now time.Time) {
+	switch {
+	case s.admitted:
+	case !counted:
+		s.countedAt = time.Time{}
+	case s.countedAt.IsZero():
+		s.countedAt = now
+	default:
+		s.admitted = now.Sub(s.countedAt) > loanTTL
+	}
+}
+
 // lentRate is the largest loan to the peer that has not ended.
 func (p *peer) lentRate(now time.Time) int64 {
 	open := p.lent[:0]
