--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -31,7 +31,7 @@
 }
 
 // refresh takes in the links and daemons of now and sets the rates.
-func (l *linkShares) refresh(links []rules.Link, others []string, now time.Time) {
+func (l *linkShares) refresh(links []rules.Link, others []string) {
 	l.others = len(others)
 	for _, k := range links {
 		for i, from := range k.Regions {
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -100,7 +100,7 @@
 	c.loads.expire(now)
 	self := c.keeper.Self()
 	report := c.loadReport(self.ID)
-	c.links.refresh(c.config.Document().Rules.Links, c.otherSessions(now), now)
+	c.links.refresh(c.config.Document().Rules.Links, c.otherSessions(now))
 	addresses := map[string]bool{}
 	for _, s := range c.keeper.Live(now) {
 		if s.ID == self.ID {
--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -82,6 +82,9 @@
 	// byte belongs to an answer that has ended.
 	waiting atomic.Bool
 	broken  atomic.Bool
+	// unsent is set from when a request takes the connection until its first
+	// byte is written; stray is set by bytes that arrive in between.
+	unsent, stray bool
 }
 
 // Write implements net.Conn. Bytes count as written before they leave.
@@ -113,6 +116,7 @@
 		return 0, errSealed
 	}
 	c.written += int64(len(p))
+	c.unsent = false
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	if err != nil {
@@ -133,6 +137,9 @@
 	n, err := c.Conn.Read(p)
 	c.waiting.Store(false)
 	c.read.Add(int64(n))
+	c.mu.Lock()
+	c.stray = c.stray || (n > 0 && c.unsent)
+	c.mu.Unlock()
 	if c.pacer != nil {
 		c.pacer.AfterRead(n)
 	}
@@ -163,5 +170,19 @@
 	return c.written
 }
 
+// expectNothing begins a request: no byte may arrive before one is written.
+func (c *countedConn) expectNothing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unsent = true
+}
+
+// early reports whether bytes arrived that no request had asked for.
+func (c *countedConn) early() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stray
+}
+
 // quiet reports whether the connection is open and nothing is left to read.
 func (c *countedConn) quiet() bool { return c.waiting.Load() && !c.broken.Load() }
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,6 +17,10 @@
 // stayed silent.
 var errStalled = errors.New("the connection fell silent")
 
+// errForeign is the cause of a request given up because an answer to another
+// request came in on its connection.
+var errForeign = errors.New("the answer belongs to another request")
+
 // exchange sends a request on a connection and waits for the answer to begin.
 // The connection goes back to the pool or is closed in every case.
 func (c *Client) exchange(ctx context.Context, p *pool, conn *connection, address string, r Request) (*Answer, error) {
@@ -23,8 +28,10 @@
 	b := &body{client: c, pool: p, conn: conn, sentBefore: before, readBefore: conn.conn.read.Load()}
 	attempt, cancel := context.WithCancelCause(ctx)
 	b.cancel = cancel
+	conn.conn.expectNothing()
 	sent := c.now()
-	req, err := newHTTPRequest(attempt, address, r)
+	id := c.prefix + strconv.FormatUint(c.attempts.Add(1), 36)
+	req, err := newHTTPRequest(attempt, address, id, r)
 	if err != nil {
 		p.failed(conn)
 		cancel(nil)
@@ -33,6 +40,10 @@
 	stop := c.watch(conn, r, cancel)
 	resp, err := conn.transport.RoundTrip(req)
 	stop()
+	if err == nil && foreign(resp, conn, id) {
+		_ = resp.Body.Close()
+		err = errForeign
+	}
 	if err != nil {
 		v := verdict.MayHaveRun
 		if conn.conn.seal() == before {
@@ -61,18 +72,26 @@
 	return func() { halt() }
 }
 
-func newHTTPRequest(ctx context.Context, address string, r Request) (*http.Request, error) {
+func newHTTPRequest(ctx context.Context, address, id string, r Request) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, err
 	}
-	req.Header = r.Header
+	req.Header = r.Header.Clone()
 	if req.Header == nil {
 		req.Header = http.Header{}
 	}
+	req.Header.Set(HeaderAttempt, id)
 	return req, nil
 }
 
+// foreign reports whether an answer is known to belong to another request: it
+// names another attempt, or began to arrive before this one was sent.
+func foreign(resp *http.Response, conn *connection, id string) bool {
+	named := resp.Header.Get(HeaderAttempt)
+	return (named != "" && named != id) || conn.conn.early()
+}
+
 // judge reads the target's own word about itself off an answer's header.
 func (c *Client) judge(a *Answer, address string) (*Answer, error) {
 	a.Leaving = a.Header.Get(HeaderTarget) == leavingValue
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bambooyard/bambooyard/link"
@@ -37,6 +39,10 @@
 // leavingValue is the value of HeaderTarget that says the target leaves.
 const leavingValue = "leaving"
 
+// HeaderAttempt is the request header that is different for every try. A
+// target that repeats it in its answer proves whose answer it is.
+const HeaderAttempt = "Bambooyard-Attempt-Id"
+
 // Request is a quick request as it goes to a target.
 type Request struct {
 	Method string
@@ -107,13 +113,17 @@
 
 // Client sends requests to targets. It is safe for concurrent use.
 type Client struct {
-	opts  Options
-	mu    sync.Mutex
-	pools map[string]*pool
+	opts     Options
+	prefix   string // of the attempts' IDs
+	attempts atomic.Uint64
+	mu       sync.Mutex
+	pools    map[string]*pool
 }
 
 // NewClient returns a client without connections.
-func NewClient(o Options) *Client { return &Client{opts: o, pools: map[string]*pool{}} }
+func NewClient(o Options) *Client {
+	return &Client{opts: o, prefix: rand.Text() + "-", pools: map[string]*pool{}}
+}
 
 // SystemClock returns options that use the system's clock and never refuse a
 // second try.
@@ -137,21 +147,33 @@
 		r.Connections = defaultConnections
 	}
 	p := c.pool(address)
+	first := verdict.NotRun
 	if r.Repeatable {
 		if conn := p.reuse(c.opts.Now()); conn != nil {
 			answer, err := c.exchange(ctx, p, conn, address, r)
 			if err == nil || ctx.Err() != nil || !c.mayMove(err) {
 				return answer, err
 			}
+			first = verdict.Of(err)
 		}
 	}
 	// A request that must not be repeated always gets a new connection, whose
 	// handshake has just shown that both ends know of it.
 	conn, err := c.dial(ctx, p, address, r)
 	if err != nil {
-		return nil, err
+		return nil, after(first, err)
+	}
+	answer, err := c.exchange(ctx, p, conn, address, r)
+	return answer, after(first, err)
+}
+
+// after returns the error of a second try with the verdict of both.
+func after(first verdict.Verdict, err error) error {
+	var e *verdict.RequestError
+	if first != verdict.NotRun && errors.As(err, &e) {
+		e.Verdict = first
 	}
-	return c.exchange(ctx, p, conn, address, r)
+	return err
 }
 
 // mayMove reports whether a repeatable request may be sent again.
