Let the test of the retry budget demand an error

Change: the test demands an error first. Shown failing: mayMove() with '|| true'. Conclusion: it now proves what it says.

--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -410,6 +410,7 @@
 	b.allowed = 0
 	warm(t, b, r.address(), 1)
 	_, err := b.overdueGet(r.address(), unanswered)
+	is.True(err != nil)
 	is.Equal(verdict.Of(err), verdict.MayHaveRun)
 }
 
