--- /dev/null
+++ b/internal/batch/input.go
@@ -0,0 +1,62 @@
+package batch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/bambooyard/bambooyard/charts"
+	"github.com/bambooyard/bambooyard/place"
+	"github.com/bambooyard/bambooyard/shard"
+)
+
+// planInput describes the shard to the planner.
+func (o *owner) planInput(now time.Time) place.Input {
+	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines(), Quotas: o.directory.quotasOf(o.name)}
+	for _, id := range o.taskIDs() {
+		t := o.state.Tasks[id]
+		switch {
+		case t.State == charts.TaskPending:
+			d := demand(t)
+			d.FailedOn = o.failedOn(t)
+			in.Pending = append(in.Pending, d)
+		case t.Holds():
+			in.Running = append(in.Running, place.Running{
+				Demand:        demand(t),
+				Machine:       t.VM,
+				StartedUnixMS: t.StartByUnixMS - startWindow.Milliseconds(),
+				Stopping:      t.State != charts.TaskRunning,
+
+				ThrottlePerMille: o.throttled[id],
+			})
+		}
+	}
+	return in
+}
+
+// demand describes a task to the planner.
+func demand(t *shard.Task) place.Demand {
+	return place.Demand{
+		Task:           string(t.Spec.ID),
+		Job:            t.Spec.Job,
+		Member:         t.Spec.Member,
+		Kind:           t.Spec.Kind,
+		Resources:      t.Spec.Resources,
+		RunTimeMS:      t.Spec.RunTimeMS,
+		DeadlineUnixMS: t.Spec.DeadlineUnixMS,
+		Urgent:         t.Spec.Urgent,
+		Avoid:          t.Spec.Avoid,
+	}
+}
+
+// machines describes the shard's VMs to the planner, sorted by name.
+func (o *owner) machines() []place.Machine {
+	machines := make([]place.Machine, 0, len(o.vms))
+	for name, vm := range o.vms {
+		m := o.directory.describe(vm)
+		m.Free = m.Capacity.Sub(o.state.Committed[name])
+		m.Draining = m.Draining || o.silent[name]
+		machines = append(machines, m)
+	}
+	sort.Slice(machines, func(i, j int) bool { return machines[i].Name < machines[j].Name })
+	return machines
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
@@ -44,21 +45,23 @@
 	publisher *traffic.Publisher
 	pool      *peer.Pool
 
-	state   chart.State
-	keeper  *sessions.Keeper
-	config  *configsync.Follower
-	batch   *batch.Manager
-	loads   *loadTable
-	health  *route.Tracker
-	links   *linkShares
-	sender  *traffic.Sender
-	ownWord map[string]time.Time // VMs whose target said that it leaves, and when
-	leaving map[string]bool      // VMs that the platform's list names as leaving
+	state  chart.State
+	keeper *sessions.Keeper
+	config *configsync.Follower
+	batch  *batch.Manager
+	// directories serves submissions from any goroutine.
+	directories directories
+	loads       *loadTable
+	health      *route.Tracker
+	links       *linkShares
+	sender      *traffic.Sender
+	ownWord     map[string]time.Time // VMs whose target said that it leaves, and when
+	leaving     map[string]bool      // VMs that the platform's list names as leaving
 	// lastPeer is when a peer last answered.
 	lastPeer time.Time
 }
 
-func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, sender *traffic.Sender, links *traffic.Links) *controller {
+func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, sender *traffic.Sender, links *traffic.Links, registry metrics.Registry) *controller {
 	c := &controller{
 		settings:  s,
 		loop:      loop,
@@ -82,7 +85,7 @@
 		Loop: loop, Table: client, Objects: client.Objects(), Log: logger, Adopted: c.adopted,
 	})
 	c.batch = batch.NewManager(batch.Options{
-		Loop: loop, Table: client, Workers: workers, Log: logger, Now: time.Now,
+		Loop: loop, Table: client, Objects: client.Objects(), Metrics: registry, Workers: workers, Log: logger, Now: time.Now,
 		Self: c.keeper.Self, Live: c.keeper.Live,
 		LeaseTTL: s.LeaseTTL, OwnerTTL: s.SessionTTL,
 	})
@@ -172,5 +175,6 @@
 func (c *controller) drain() {
 	c.move(charts.DaemonStop)
 	c.keeper.SetLeaving()
+	c.batch.Drain()
 	c.publish(time.Now())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/internal/burnstore"
 	"github.com/bambooyard/bambooyard/internal/claims"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/entry"
@@ -19,7 +21,6 @@
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/internal/settings"
-	"github.com/bambooyard/bambooyard/internal/target"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 
 	"github.com/bambooyard/bambooyard/charts"
@@ -29,7 +30,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
+	maxHeaderBytes    = 256 << 10
 )
 
 // Module is the daemon as an fx module. It needs settings.Settings and log.Interface.
@@ -39,8 +40,6 @@
 		traffic.NewPublisher,
 		burn.NewRecorder,
 		metrics.NewRegistry,
-		target.SystemClock,
-		target.NewClient,
 		newLinks,
 		newSender,
 		newPlatform,
@@ -49,8 +48,10 @@
 		newController,
 		newEntry,
 		newOperator,
+		newBurnStore,
+		newRequestMetrics,
 	),
-	fx.Invoke(run),
+	fx.Invoke(registerControl, run),
 )
 
 func newPlatform(s settings.Settings) *platform.Client {
@@ -59,36 +60,53 @@
 
 func newWorkers() platform.Workers { return platform.NewWorkers(platform.NewHTTPClient()) }
 
-func newClaims(client *platform.Client) *claims.Grouper { return claims.NewGrouper(client) }
-
 func newLinks(s settings.Settings) *traffic.Links {
 	return traffic.NewLinks(s.Region, time.Now, time.Sleep)
 }
 
-func newSender(s settings.Settings, p *traffic.Publisher, t *target.Client, l *traffic.Links, o target.Options) *traffic.Sender {
-	return traffic.NewSender(traffic.SenderOptions{
-		Publisher: p, Targets: t, RunTimes: traffic.NewRunTimes(), Links: l, Region: s.Region,
-		Now: o.Now, AfterFunc: o.AfterFunc,
-		Retry: func(string) bool { return o.Retry() },
+func newSender(s settings.Settings, p *traffic.Publisher, l *traffic.Links) *traffic.Sender {
+	return traffic.NewSystemSender(s.Region, p, l)
+}
+
+func newClaims(client *platform.Client, p *traffic.Publisher, r metrics.Registry, l log.Interface) *claims.Service {
+	return claims.NewService(claims.ServiceOptions{
+		Table: client, Objects: client.Objects(), Log: l, Metrics: claims.NewMetrics(r),
+		Daemons: func() int { return p.Load().Daemons },
+		Sweeps:  func() bool { return p.Load().Sweeps },
 	})
 }
 
-func newEntry(c *controller, p *traffic.Publisher, g *claims.Grouper, t *traffic.Sender, b *burn.Recorder, l log.Interface) *entry.Server {
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *traffic.Sender, m *requestMetrics, r metrics.Registry, l log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
-		Publisher: p, Claims: g, Sender: t, Gates: entry.NewGates(), Burn: b, Jobs: jobs{c}, Log: l,
-		Now:     time.Now,
-		Session: func() string { return c.settings.Name },
+		Publisher: p, Claims: g, Sender: t, Gates: entry.NewGates(entry.NewMetrics(r)), Observer: m, Jobs: jobs{c}, Log: l,
+		Now: time.Now,
 	})
 }
 
-func newOperator(c *controller, client *platform.Client, p *traffic.Publisher, b *burn.Recorder, r metrics.Registry) *operator.Server {
+func newOperator(c *controller, client *platform.Client, p *traffic.Publisher, b *burnstore.Store, r metrics.Registry) *operator.Server {
 	return operator.NewServer(operator.Options{
-		Table: client, Objects: client.Objects(), Publisher: p, Burn: b, Metrics: r, Now: time.Now,
+		Table: client, Objects: client.Objects(), Publisher: p, Burn: burnReport(b, p), Metrics: r, Now: time.Now,
 		Status:   c.status,
 		Announce: func() { c.loop.Post(c.config.Check) },
 	})
 }
 
+func newBurnStore(client *platform.Client, r *burn.Recorder) *burnstore.Store {
+	return burnstore.NewStore(burnstore.Options{
+		Table: client, Objects: client.Objects(), Recorder: r, Instance: rand.Text(), Now: time.Now,
+	})
+}
+
+func burnReport(store *burnstore.Store, p *traffic.Publisher) operator.BurnReport {
+	return func(ctx context.Context) (burn.Report, *burn.Ledger, error) {
+		ledger, err := store.Load(ctx)
+		if err != nil {
+			return burn.Report{}, nil, err
+		}
+		return burn.NewReport(ledger, p.Load().Document.Rules.Objectives, time.Now()), ledger, nil
+	}
+}
+
 // parts are what run starts and stops.
 type parts struct {
 	fx.In
@@ -97,9 +115,11 @@
 	Log        log.Interface
 	Loop       *control.Loop
 	Controller *controller
-	Claims     *claims.Grouper
 	Entry      *entry.Server
 	Operator   *operator.Server
+	Burn       *burnstore.Store
+	Recorder   *burn.Recorder
+	Publisher  *traffic.Publisher
 	Shutdown   fx.Shutdowner
 }
 
@@ -117,6 +137,7 @@
 			go peers.Serve()
 			go p.Loop.Run()
 			p.Controller.start()
+			p.keepBurn()
 			return errors.Join(
 				serve(callers, p.Settings.CallerAddress, p),
 				serve(operators, p.Settings.OperatorAddress, p),
@@ -162,8 +183,8 @@
 	time.Sleep(p.Settings.DrainDelay)
 	ctx, cancel := context.WithTimeout(ctx, p.Settings.DrainTimeout)
 	defer cancel()
-	err := callers.Shutdown(ctx)
-	p.Claims.Close()
+	err := p.Entry.Drain(ctx, callers)
+	err = errors.Join(err, p.Burn.Flush(ctx))
 	err = errors.Join(err, operators.Shutdown(ctx), peers.Close())
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
 	p.Controller.pool.Close()
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -21,12 +21,17 @@
 		Document: doc,
 		Services: map[string]*traffic.Service{},
 		Members:  map[string]bool{},
+		Weights:  map[string]int{},
+		Session:  c.keeper.Self(),
 	}
+	live := c.keeper.Live(now)
+	s.Sweeps = len(live) > 0 && live[0].ID == s.Session.ID
 	if !s.Ready {
 		s.Reason = "the daemon is " + string(c.state)
 	}
 	for _, m := range doc.Rules.Members {
 		s.Members[m.Name] = true
+		s.Weights[m.Name] = m.Weight
 	}
 	c.addServices(s, doc, now)
 	c.publisher.Publish(s)
@@ -35,7 +40,7 @@
 
 func (c *controller) addServices(s *traffic.Snapshot, doc document.Document, now time.Time) {
 	rank, others := c.rank(now)
-	s.Peers = others
+	s.Daemons = others + 1
 	vms := make(map[string]inventory.VM, len(doc.Inventory.VMs))
 	for _, vm := range doc.Inventory.VMs {
 		vms[vm.Name] = vm
@@ -55,13 +60,14 @@
 		}
 		here, elsewhere := c.loads.inFlight(service.Name, c.settings.Region)
 		picker := route.NewPicker(route.Options{
-			Region: c.settings.Region, Rank: rank, Daemons: others + 1,
+			Region: c.settings.Region, Rank: rank, Daemons: s.Daemons,
 			PeersLocal: here, PeersRemote: elsewhere, Targets: targets,
 		})
 		s.Services[service.Name] = &traffic.Service{
 			Rules:  rules,
 			Picker: picker,
-			Limit:  max(1, picker.Slots()/(others+1)),
+			Limit:  max(1, picker.Slots()/s.Daemons),
+			Slots:  picker.Slots(),
 		}
 	}
 	c.health.Retain(addresses)
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -58,6 +58,9 @@
 	// Patience is how long an answer on a reused connection may take to begin
 	// before a repeatable request moves to a new connection; zero is no limit.
 	Patience time.Duration
+	// Retry is asked before a request that may have run is sent again; nil
+	// forbids it.
+	Retry func() bool
 	// Pacer keeps the bytes within a budget; nil is no budget.
 	Pacer Pacer
 }
@@ -107,8 +110,6 @@
 	Now func() time.Time
 	// AfterFunc runs a function later unless stopped, as time.AfterFunc does.
 	AfterFunc func(d time.Duration, fn func()) (stop func() bool)
-	// Retry is asked before a request is sent a second time.
-	Retry func() bool
 }
 
 // Client sends requests to targets. It is safe for concurrent use.
@@ -125,15 +126,13 @@
 	return &Client{opts: o, prefix: rand.Text() + "-", pools: map[string]*pool{}}
 }
 
-// SystemClock returns options that use the system's clock and never refuse a
-// second try.
+// SystemClock returns options that use the system's clock.
 func SystemClock() Options {
 	return Options{
 		Now: time.Now,
 		AfterFunc: func(d time.Duration, fn func()) func() bool {
 			return time.AfterFunc(d, fn).Stop
 		},
-		Retry: func() bool { return true },
 	}
 }
 
@@ -151,7 +150,7 @@
 	if r.Repeatable {
 		if conn := p.reuse(c.opts.Now()); conn != nil {
 			answer, err := c.exchange(ctx, p, conn, address, r)
-			if err == nil || ctx.Err() != nil || !c.mayMove(err) {
+			if err == nil || ctx.Err() != nil || !mayMove(r, err) {
 				return answer, err
 			}
 			first = verdict.Of(err)
@@ -177,12 +176,12 @@
 }
 
 // mayMove reports whether a repeatable request may be sent again.
-func (c *Client) mayMove(err error) bool {
+func mayMove(r Request, err error) bool {
 	var refused *RefusedError
 	if errors.As(err, &refused) {
 		return false
 	}
-	return verdict.Of(err) == verdict.NotRun || c.opts.Retry()
+	return verdict.Of(err) == verdict.NotRun || (r.Retry != nil && r.Retry())
 }
 
 // CloseIdle closes the idle connections to a target, or to all if the address
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -126,17 +126,19 @@
 			b.overdue <- fn
 			return func() bool { return true }
 		},
-		Retry: func() bool {
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			b.retries++
-			return b.retries <= b.allowed
-		},
 	})
 	t.Cleanup(func() { b.CloseIdle("") })
 	return b
 }
 
+// retry is the retry budget.
+func (b *bench) retry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries++
+	return b.retries <= b.allowed
+}
+
 func (b *bench) advance(d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -203,6 +205,7 @@
 			request := book(path)
 			if again {
 				request = get(path)
+				request.Retry = client.retry
 			}
 			body, err := send(context.Background(), client.Client, r.address(), request)
 			runs := r.count(path)
@@ -324,6 +327,7 @@
 func (b *bench) overdueGet(address string, unanswered <-chan struct{}) (string, error) {
 	request := get("/x")
 	request.Patience = time.Second
+	request.Retry = b.retry
 	var body string
 	done := make(chan error)
 	go func() {
--- a/internal/traffic/sender.go
+++ b/internal/traffic/sender.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bambooyard/bambooyard/internal/target"
@@ -15,12 +16,8 @@
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
-const (
-	// maxTargets bounds the targets that one request is offered to.
-	maxTargets = 3
-	// retryAfterFull is when a caller may come back after a refusal.
-	retryAfterFull = time.Second
-)
+// retryAfterFull is when a caller may come back after a refusal.
+const retryAfterFull = time.Second
 
 // Call is a quick request that has been admitted.
 type Call struct {
@@ -32,16 +29,32 @@
 	Header     http.Header
 	Body       []byte
 	Repeatable bool
-	// Avoid is the address of a target not to be asked, or empty.
-	Avoid string
+	// Tried is shared by all sends of one request, so that each goes to
+	// another target than the one before; nil asks any target.
+	Tried *Tried
+	// Retry is asked before a connection that fell silent is left for a new
+	// one; nil forbids it.
+	Retry func() bool
+}
+
+// Tried remembers the target that one request was last sent to. It is safe for
+// concurrent use.
+type Tried struct{ address atomic.Pointer[string] }
+
+func (t *Tried) last() string {
+	if t == nil {
+		return ""
+	}
+	if a := t.address.Load(); a != nil {
+		return *a
+	}
+	return ""
 }
 
-// Answer is a target's answer. Its body must be closed, which frees the
-// target's slot.
-type Answer struct {
-	*http.Response
-	// Address is the target that answered.
-	Address string
+func (t *Tried) set(address string) {
+	if t != nil {
+		t.address.Store(&address)
+	}
 }
 
 // SenderOptions are the settings of a Sender.
@@ -54,8 +67,6 @@
 	Now       func() time.Time
 	// AfterFunc runs a function later unless stopped.
 	AfterFunc func(d time.Duration, fn func()) (stop func() bool)
-	// Retry is asked before a request that was not run goes to another target.
-	Retry func(service string) bool
 }
 
 // Sender sends requests to the targets that the pickers choose. It is safe for
@@ -69,34 +80,31 @@
 // NewSender returns a sender.
 func NewSender(o SenderOptions) *Sender { return &Sender{opts: o, queues: map[string]*longQueue{}} }
 
-// Send sends a request to a target. A request that has not run goes on to
-// other targets, as far as the retry budget allows.
-func (s *Sender) Send(ctx context.Context, c Call) (*Answer, error) {
-	for tried := 1; ; tried++ {
-		answer, address, err := s.attempt(ctx, c)
-		if err == nil || verdict.Of(err) != verdict.NotRun || address == "" {
-			return answer, err
-		}
-		if tried == maxTargets || ctx.Err() != nil || !s.opts.Retry(c.Service) {
-			return nil, err
-		}
-		c.Avoid = address
-	}
+// NewSystemSender returns a sender of a daemon in the given region, with its
+// own connections, that uses the system's clock.
+func NewSystemSender(region string, p *Publisher, l *Links) *Sender {
+	o := target.SystemClock()
+	return NewSender(SenderOptions{
+		Publisher: p, Targets: target.NewClient(o), RunTimes: NewRunTimes(), Links: l, Region: region,
+		Now: o.Now, AfterFunc: o.AfterFunc,
+	})
 }
 
-// attempt sends a request to one target. The address is empty when none was found.
-func (s *Sender) attempt(ctx context.Context, c Call) (*Answer, string, error) {
+// Send sends a request to one target. The body of the answer must be closed,
+// which frees the target's slot. The error is a *verdict.RequestError.
+func (s *Sender) Send(ctx context.Context, c Call) (*http.Response, error) {
 	key := learn.Key{Service: c.Service, Member: c.Member, Route: routeOf(c.Method, c.Path)}
 	e := s.opts.RunTimes.estimate(key)
 	t, err := s.pick(ctx, c, e)
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
+	c.Tried.set(t.Address)
 	remote := t.Region != s.opts.Region
 	f := s.begin(key, c.Member, t, e, remote)
 	request := target.Request{
 		Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body,
-		Repeatable: c.Repeatable, Connections: s.connections(t), Patience: e.patience,
+		Repeatable: c.Repeatable, Connections: s.connections(t), Patience: e.patience, Retry: c.Retry,
 	}
 	if remote {
 		request.Pacer = s.opts.Links.pacer(t.Region)
@@ -105,7 +113,7 @@
 	if err != nil {
 		f.end(false)
 		s.blame(ctx, t, err)
-		return nil, t.Address, err
+		return nil, err
 	}
 	if a.Leaving {
 		t.Usage.SetLeaving()
@@ -114,12 +122,12 @@
 		t.Usage.Pause(s.opts.Now().Add(a.Pause).UnixNano())
 	}
 	a.Body = &flightBody{ReadCloser: a.Body, flight: f, answer: a}
-	return &Answer{Response: a.Response, Address: t.Address}, t.Address, nil
+	return a.Response, nil
 }
 
 // connections is this daemon's part of a target's connections.
 func (s *Sender) connections(t *route.Target) int {
-	return route.ConnectionShare(t.Connections, s.opts.Publisher.Load().Peers+1)
+	return route.ConnectionShare(t.Connections, max(1, s.opts.Publisher.Load().Daemons))
 }
 
 // pick finds a target. Long work waits for its turn, short work never does.
@@ -132,10 +140,15 @@
 			t, outcome = nil, route.NoTarget
 			return true
 		}
-		t, outcome = service.Picker.Pick(route.Request{
-			Seed: rand.Uint64(), Class: e.class, Avoid: c.Avoid, Probe: c.Repeatable,
+		r := route.Request{
+			Seed: rand.Uint64(), Class: e.class, Avoid: c.Tried.last(), Probe: c.Repeatable,
 			RemoteAllowed: s.opts.Links.ready(), NowUnixNano: s.opts.Now().UnixNano(),
-		})
+		}
+		t, outcome = service.Picker.Pick(r)
+		if t == nil && r.Avoid != "" {
+			r.Avoid = ""
+			t, outcome = service.Picker.Pick(r)
+		}
 		return outcome != route.LongFull
 	}
 	if e.class == route.Short {
@@ -150,7 +163,7 @@
 	if outcome == route.NoTarget {
 		code = verdict.CodeNoTarget
 	}
-	return nil, verdict.Refuse(code, http.StatusServiceUnavailable, retryAfterFull, "service %q: %s", c.Service, outcome)
+	return nil, verdict.Refuse(code, http.StatusServiceUnavailable, retryAfterFull, "service %q has %s", c.Service, outcome)
 }
 
 // blame records what a failure tells of a target.
--- a/route/route.go
+++ b/route/route.go
@@ -76,5 +76,5 @@
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"picked", "no live target", "connections full", "slots for long work full"}[o]
+	return [...]string{"picked", "no live target", "all its connections in use", "all its slots for long work in use"}[o]
 }
