--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -11,8 +11,12 @@
 	"github.com/bambooyard/bambooyard/route"
 )
 
-// maxReportAge is how long a peer's report counts.
-const maxReportAge = 3 * time.Second
+const (
+	// maxReportAge is how long a peer's report counts.
+	maxReportAge = 3 * time.Second
+	// numberLife is how long the number of a peer's last report is kept.
+	numberLife = 5 * time.Minute
+)
 
 // serviceRegion names the targets of one service in one region.
 type serviceRegion struct{ service, region string }
@@ -87,10 +91,16 @@
 	l.reports[r.GetSession()] = report
 }
 
+// expire forgets what old reports say. Their numbers are kept for longer, so
+// that a late report does not take the place of a newer one.
 func (l *loadTable) expire(now time.Time) {
 	for session, r := range l.reports {
-		if now.Sub(r.at) > maxReportAge {
+		switch age := now.Sub(r.at); {
+		case age > numberLife:
 			delete(l.reports, session)
+		case age > maxReportAge:
+			r.inFlight, r.leaving = nil, nil
+			l.reports[session] = r
 		}
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -166,6 +166,8 @@
 	if err := stream.SetDeadline(deadline); err != nil {
 		return nil, err
 	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
 	if _, err := protodelim.MarshalTo(stream, req); err != nil {
 		return nil, err
 	}
