Close connections to targets that leave, and bill the link

Cause: idle connections were closed only when a request came by, so those to a target that had left stayed open; the bytes counted for the bill were read by nobody.

Ruled out: closing connections in use, since requests in progress finish.

Shown failing: tidy() without the listed targets is the only way by which TestSweepClosesIdleConnectionsOfTargetsThatAreNotListed ends with none open.

Conclusion: a target that leaves keeps no idle connection of ours.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -72,7 +72,7 @@
 		state:     charts.Daemon.Initial(),
 		loads:     newLoadTable(),
 		health:    route.NewTracker(),
-		links:     newLinkShares(links),
+		links:     newLinkShares(links, registry),
 		sender:    sender,
 		ownWord:   map[string]time.Time{},
 		leaving:   map[string]bool{},
--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
@@ -18,21 +20,26 @@
 	askFactor = 2
 )
 
+// metricLinkBytes is completed with both regions and the member.
+const metricLinkBytes = "link.bytes.%s.%s.%s"
+
 // linkShares holds this daemon's share of each direction of each link. It is
 // owned by the control goroutine.
 type linkShares struct {
 	traffic *traffic.Links
 	shares  map[traffic.Direction]*link.Share
 	others  int
+	metrics metrics.Registry
 }
 
-func newLinkShares(t *traffic.Links) *linkShares {
-	return &linkShares{traffic: t, shares: map[traffic.Direction]*link.Share{}}
+func newLinkShares(t *traffic.Links, r metrics.Registry) *linkShares {
+	return &linkShares{traffic: t, shares: map[traffic.Direction]*link.Share{}, metrics: r}
 }
 
 // refresh takes in the links and daemons of now and sets the rates.
 func (l *linkShares) refresh(links []rules.Link, others []string) {
 	l.others = len(others)
+	l.reportBill()
 	for _, k := range links {
 		for i, from := range k.Regions {
 			d := traffic.Direction{From: from, To: k.Regions[(i+1)%len(k.Regions)]}
@@ -49,6 +56,14 @@
 	}
 }
 
+// reportBill brings the bill's metrics up to date.
+func (l *linkShares) reportBill() {
+	for _, line := range l.traffic.Bill() {
+		name := fmt.Sprintf(metricLinkBytes, line.From, line.To, line.Member)
+		metrics.GetOrRegisterGauge(name, l.metrics).Update(line.Bytes)
+	}
+}
+
 // ask completes a copy of a report for one peer with the rates to borrow of it.
 func (l *linkShares) ask(report *peerpb.LoadReport, now time.Time) *peerpb.LoadReport {
 	report = proto.CloneOf(report)
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -33,12 +33,14 @@
 		s.Members[m.Name] = true
 		s.Weights[m.Name] = m.Weight
 	}
-	c.addServices(s, doc, now)
+	listed := c.addServices(s, doc, now)
 	c.publisher.Publish(s)
-	c.sender.Refreshed()
+	c.sender.Refreshed(listed)
 }
 
-func (c *controller) addServices(s *traffic.Snapshot, doc document.Document, now time.Time) {
+// addServices fills in the services and returns the addresses of the targets
+// that are not leaving.
+func (c *controller) addServices(s *traffic.Snapshot, doc document.Document, now time.Time) map[string]bool {
 	rank, others := c.rank(now)
 	s.Daemons = others + 1
 	vms := make(map[string]inventory.VM, len(doc.Inventory.VMs))
@@ -46,7 +48,7 @@
 		vms[vm.Name] = vm
 	}
 	places := doc.Inventory.Places()
-	addresses := map[string]bool{}
+	addresses, listed := map[string]bool{}, map[string]bool{}
 	clear(c.loads.own)
 	for _, service := range doc.Inventory.Services {
 		rules, ok := doc.Rules.Service(service.Name)
@@ -56,6 +58,7 @@
 		targets := c.serviceTargets(service, vms, places, now)
 		for _, t := range targets {
 			addresses[t.Address] = true
+			listed[t.Address] = t.State != charts.TargetLeaving
 			c.loads.own[serviceRegion{service.Name, t.Region}] += t.Usage.InFlight()
 		}
 		here, elsewhere := c.loads.inFlight(service.Name, c.settings.Region)
@@ -71,6 +74,7 @@
 		}
 	}
 	c.health.Retain(addresses)
+	return listed
 }
 
 // rank returns this daemon's place among the daemons that are live or have
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -143,12 +143,17 @@
 	})
 }
 
-// closeIdle closes the idle connections.
-func (p *pool) closeIdle() {
+// tidy sweeps the idle connections, or closes them all unless the target is
+// listed, and returns the number that are open.
+func (p *pool) tidy(now time.Time, listed bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle {
-		p.end(c)
+	p.sweep(now)
+	if !listed {
+		for _, c := range p.idle {
+			p.end(c)
+		}
+		p.idle = nil
 	}
-	p.idle = nil
+	return p.open
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -184,14 +184,15 @@
 	return verdict.Of(err) == verdict.NotRun || (r.Retry != nil && r.Retry())
 }
 
-// CloseIdle closes the idle connections to a target, or to all if the address
-// is empty.
-func (c *Client) CloseIdle(address string) {
+// Sweep closes idle connections that broke or rested too long, and all idle
+// ones to targets that are not listed.
+func (c *Client) Sweep(listed map[string]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for a, p := range c.pools {
-		if address == "" || a == address {
-			p.closeIdle()
+	now := c.opts.Now()
+	for address, p := range c.pools {
+		if open := p.tidy(now, listed[address]); open == 0 && !listed[address] {
+			delete(c.pools, address)
 		}
 	}
 }
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -127,7 +127,7 @@
 			return func() bool { return true }
 		},
 	})
-	t.Cleanup(func() { b.CloseIdle("") })
+	t.Cleanup(func() { b.Sweep(nil) })
 	return b
 }
 
@@ -472,3 +472,18 @@
 	wg.Wait()
 	is.True(r.opened() <= 4)
 }
+
+func TestSweepClosesIdleConnectionsOfTargetsThatAreNotListed(t *testing.T) {
+	is := is.New(t)
+	r := serve(t, silent(0, nil))
+	b := newBench(t)
+	warm(t, b, r.address(), 2)
+	b.Sweep(map[string]bool{r.address(): true})
+	is.Equal(b.Open(r.address()), 2)
+	b.advance(time.Minute)
+	b.Sweep(map[string]bool{r.address(): true})
+	is.Equal(b.Open(r.address()), 0) // they rested too long
+	warm(t, b, r.address(), 2)
+	b.Sweep(nil)
+	is.Equal(b.Open(r.address()), 0)
+}
--- a/internal/traffic/sender.go
+++ b/internal/traffic/sender.go
@@ -181,8 +181,10 @@
 	}
 }
 
-// Refreshed lets waiting requests try again on a new snapshot.
-func (s *Sender) Refreshed() {
+// Refreshed lets waiting requests try again on a new snapshot. Idle connections
+// to targets that are not listed are closed.
+func (s *Sender) Refreshed(listed map[string]bool) {
+	s.opts.Targets.Sweep(listed)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, q := range s.queues {
--- a/internal/traffic/sender_test.go
+++ b/internal/traffic/sender_test.go
@@ -52,7 +52,7 @@
 			return func() bool { return true }
 		},
 	})
-	t.Cleanup(func() { b.opts.Targets.CloseIdle("") })
+	t.Cleanup(func() { b.opts.Targets.Sweep(nil) })
 	return b
 }
 
