Pass on a target's own word by its address

Cause: a target's own word that it leaves was passed on as its VM's, so that the restart of one service's runner took the other services of its VM away on all other daemons.

Ruled out: inferring the VM's state from several targets.

Change: reports name leaving targets by address beside VMs from the list; the golden file of the protocol has the new field.

Conclusion: each sign alone ends new work at the next view.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -55,7 +55,7 @@
 	health      *route.Tracker
 	links       *linkShares
 	sender      *traffic.Sender
-	ownWord     map[string]time.Time // VMs whose target said that it leaves, and when
+	ownWord     map[string]time.Time // addresses of targets that said they leave, and when
 	leaving     map[string]bool      // VMs that the platform's list names as leaving
 	// lastPeer is when a peer last answered.
 	lastPeer time.Time
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bambooyard/bambooyard/internal/control"
@@ -33,7 +34,7 @@
 	sequence uint64
 	at       time.Time
 	inFlight map[serviceRegion]int
-	leaving  map[string]bool
+	leaving  map[string]bool // names of VMs and addresses of targets
 }
 
 func newLoadTable() *loadTable {
@@ -67,9 +68,10 @@
 	return here, elsewhere
 }
 
-func (l *loadTable) leaving(vm string) bool {
+// leaving reports whether a peer named a VM, or the address of a target.
+func (l *loadTable) leaving(name string) bool {
 	for _, r := range l.reports {
-		if r.leaving[vm] {
+		if r.leaving[name] {
 			return true
 		}
 	}
@@ -85,8 +87,8 @@
 	for _, s := range r.GetServices() {
 		report.inFlight[serviceRegion{s.GetService(), s.GetRegion()}] += int(s.GetInFlight())
 	}
-	for _, vm := range r.GetLeavingVms() {
-		report.leaving[vm] = true
+	for _, name := range slices.Concat(r.GetLeavingVms(), r.GetLeavingTargets()) {
+		report.leaving[name] = true
 	}
 	l.reports[r.GetSession()] = report
 }
@@ -109,7 +111,7 @@
 func (c *controller) reportLoad(now time.Time) {
 	c.loads.expire(now)
 	self := c.keeper.Self()
-	report := c.loadReport(self.ID)
+	report := c.loadReport(self.ID, now)
 	c.links.refresh(c.config.Document().Rules.Links, c.otherSessions(now))
 	addresses := map[string]bool{}
 	for _, s := range c.keeper.Live(now) {
@@ -122,14 +124,14 @@
 	c.pool.Retain(addresses)
 }
 
-func (c *controller) loadReport(session string) *peerpb.LoadReport {
+func (c *controller) loadReport(session string, now time.Time) *peerpb.LoadReport {
 	c.loads.number++
 	report := &peerpb.LoadReport{
-		Session:    session,
-		Sequence:   c.loads.number,
-		LeavingVms: c.firstHandLeaving(),
-		Revision:   int64(c.config.Head().Revision),
+		Session:  session,
+		Sequence: c.loads.number,
+		Revision: int64(c.config.Head().Revision),
 	}
+	c.addLeaving(report, now)
 	for at, n := range c.loads.own {
 		if n > 0 {
 			report.Services = append(report.Services, &peerpb.ServiceLoad{Service: at.service, Region: at.region, InFlight: uint32(n)})
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/inventory"
 	"github.com/bambooyard/bambooyard/route"
@@ -120,9 +121,10 @@
 			Slots: t.Slots, Connections: t.Connections, Usage: usage,
 		})
 		if usage.Leaving() {
-			c.ownWord[t.VM] = now
+			c.ownWord[t.Address] = now
 		}
-		sightings = append(sightings, route.Sighting{Address: t.Address, Usage: usage, Leaving: c.vmLeaving(vm)})
+		leaving := c.vmLeaving(vm) || c.loads.leaving(t.Address)
+		sightings = append(sightings, route.Sighting{Address: t.Address, Usage: usage, Leaving: leaving})
 	}
 	for i, state := range c.health.Update(sightings, now) {
 		targets[i].State = state
@@ -138,19 +140,10 @@
 // ownWordLife is how long a target's own word that it leaves is passed on.
 const ownWordLife = 5 * time.Second
 
-// firstHandLeaving lists the VMs that the platform's list or a target of theirs
-// names as leaving. What peers said is not passed on, so that it can end.
-func (c *controller) firstHandLeaving() []string {
-	names := map[string]bool{}
-	for name := range c.leaving {
-		names[name] = true
-	}
-	for name, at := range c.ownWord {
-		if time.Since(at) > ownWordLife {
-			delete(c.ownWord, name)
-			continue
-		}
-		names[name] = true
-	}
-	return slices.Sorted(maps.Keys(names))
+// addLeaving tells in a report what this daemon knows at first hand to be
+// leaving. What peers said is not passed on, so that it can end.
+func (c *controller) addLeaving(r *peerpb.LoadReport, now time.Time) {
+	r.LeavingVms = slices.Sorted(maps.Keys(c.leaving))
+	maps.DeleteFunc(c.ownWord, func(_ string, at time.Time) bool { return now.Sub(at) > ownWordLife })
+	r.LeavingTargets = slices.Sorted(maps.Keys(c.ownWord))
 }
--- a/internal/peer/session_test.go
+++ b/internal/peer/session_test.go
@@ -52,7 +52,7 @@
 	return []*peerpb.Request{
 		load(&peerpb.LoadReport{Session: "d1-A", Sequence: 1, Revision: 4, Daemons: 2}),
 		load(&peerpb.LoadReport{
-			Session: "d1-A", Sequence: 2, Revision: 5, Daemons: 2, LeavingVms: []string{"w003"},
+			Session: "d1-A", Sequence: 2, Revision: 5, Daemons: 2, LeavingVms: []string{"w003"}, LeavingTargets: []string{"127.0.0.1:22007"},
 			Services: []*peerpb.ServiceLoad{{Service: "stock-check", Region: "hobart", InFlight: 41}},
 			Wanted:   []*peerpb.LinkRate{{From: "hobart", To: "launceston", BytesPerSecond: 900_000}},
 		}),
