--- a/internal/daemon/load_test.go
+++ b/internal/daemon/load_test.go
@@ -10,9 +10,9 @@
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 )
 
-func reportOf(session string, number uint64, vm string) *peerpb.LoadReport {
+func reportOf(number uint64, leaving string) *peerpb.LoadReport {
 	return &peerpb.LoadReport{
-		Session: session, Sequence: number, LeavingVms: []string{vm},
+		Session: "s", Sequence: number, LeavingVms: []string{leaving},
 		Services: []*peerpb.ServiceLoad{{Service: "stock", Region: "hobart", InFlight: uint32(number)}},
 	}
 }
@@ -29,7 +29,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 			table.expire(now)
 			number := rapid.Uint64Range(1, 40).Draw(t, "number")
-			table.take(reportOf("s", number, "w1"), now)
+			table.take(reportOf(number, "w1"), now)
 			if number > newest {
 				newest, newestAt = number, now
 			}
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	table := newLoadTable()
 	now := time.Unix(0, 0)
-	table.take(reportOf("s", 1, "w1"), now)
+	table.take(reportOf(1, "w1"), now)
 	is.True(table.leaving("w1"))
 	table.expire(now.Add(maxReportAge + time.Millisecond)) // the peer is silent
 	is.True(!table.leaving("w1"))
--- a/internal/daemon/view_test.go
+++ b/internal/daemon/view_test.go
@@ -34,8 +34,8 @@
 	for name, sign := range map[string]func(c *controller){
 		"list":           func(c *controller) { c.leaving["w1"] = true },
 		"own word":       func(c *controller) { c.loads.usage("a1").SetLeaving() },
-		"peer on VM":     func(c *controller) { c.loads.take(reportOf("s", 1, "w1"), now) },
-		"peer on target": func(c *controller) { c.loads.take(reportOf("s", 1, "a1"), now) },
+		"peer on VM":     func(c *controller) { c.loads.take(reportOf(1, "w1"), now) },
+		"peer on target": func(c *controller) { c.loads.take(reportOf(1, "a1"), now) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -55,7 +55,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	c := newView()
-	c.loads.take(reportOf("s", 1, "w1"), now)
+	c.loads.take(reportOf(1, "w1"), now)
 	c.loads.usage("a1").SetLeaving()
 	c.leaving["w9"] = true
 	c.stateAt(now, false)
