--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"sort"
 	"time"
 
 	"github.com/apex/log"
@@ -23,6 +22,7 @@
 	"github.com/bambooyard/bambooyard/internal/settings"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/membership"
+	"github.com/bambooyard/bambooyard/route"
 )
 
 // Intervals of the control goroutine.
@@ -53,10 +53,14 @@
 	directories directories
 	canceller   *batch.Canceller
 	loads       *loadTable
-	leaving     map[string]bool // VMs that the platform's list names as leaving
+	health      *route.Tracker
+	links       *linkShares
+	sender      *traffic.Sender
+	ownWord     map[string]time.Time // addresses of targets that said they leave, and when
+	leaving     map[string]bool      // VMs that the platform's list names as leaving
 }
 
-func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, registry metrics.Registry) *controller {
+func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, sender *traffic.Sender, links *traffic.Links, registry metrics.Registry) *controller {
 	c := &controller{
 		settings:  s,
 		loop:      loop,
@@ -67,6 +71,10 @@
 		canceller: batch.NewCanceller(client),
 		state:     charts.Daemon.Initial(),
 		loads:     newLoadTable(),
+		health:    route.NewTracker(),
+		links:     newLinkShares(links, registry),
+		sender:    sender,
+		ownWord:   map[string]time.Time{},
 		leaving:   map[string]bool{},
 	}
 	c.keeper = sessions.NewKeeper(sessions.Options{
@@ -181,7 +189,7 @@
 			for _, t := range service.Targets {
 				list = append(list, operator.Target{
 					Service: service.Name, VM: t.VM, Address: t.Address,
-					Place: operator.Place(places[vms[t.VM].Rack]), State: string(c.targetState(vms[t.VM])),
+					Place: operator.Place(places[vms[t.VM].Rack]), State: string(c.health.State(t.Address)),
 					Slots: t.Slots, InFlight: c.loads.usage(t.Address).InFlight(),
 				})
 			}
@@ -215,12 +223,3 @@
 		}
 	}
 }
-
-func (c *controller) leavingVMs() []string {
-	names := make([]string, 0, len(c.leaving))
-	for name := range c.leaving {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/internal/settings"
-	"github.com/bambooyard/bambooyard/internal/target"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 
 	"github.com/bambooyard/bambooyard/charts"
@@ -44,7 +43,8 @@
 		traffic.NewPublisher,
 		burn.NewRecorder,
 		metrics.NewRegistry,
-		target.NewClient,
+		newLinks,
+		newSender,
 		newPlatform,
 		newWorkers,
 		newClaims,
@@ -63,6 +63,14 @@
 
 func newWorkers() platform.Workers { return platform.NewWorkers(platform.NewHTTPClient()) }
 
+func newLinks(s settings.Settings) *traffic.Links {
+	return traffic.NewLinks(s.Region, time.Now, time.Sleep)
+}
+
+func newSender(s settings.Settings, p *traffic.Publisher, l *traffic.Links) *traffic.Sender {
+	return traffic.NewSystemSender(s.Region, p, l)
+}
+
 func newClaims(client *platform.Client, p *traffic.Publisher, r metrics.Registry, l log.Interface) *claims.Service {
 	return claims.NewService(claims.ServiceOptions{
 		Table: client, Objects: client.Objects(), Log: l, Metrics: claims.NewMetrics(r),
@@ -71,9 +79,9 @@
 	})
 }
 
-func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *target.Client, m *requestMetrics, r metrics.Registry, l log.Interface) *entry.Server {
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *traffic.Sender, m *requestMetrics, r metrics.Registry, l log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
-		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(entry.NewMetrics(r)), Observer: m, Jobs: jobs{c}, Log: l,
+		Publisher: p, Claims: g, Sender: t, Gates: entry.NewGates(entry.NewMetrics(r)), Observer: m, Jobs: jobs{c}, Log: l,
 		Now: time.Now,
 	})
 }
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -51,6 +51,8 @@
 	body     []byte
 	method   string
 	header   http.Header
+	// tried is shared by all sends of the request.
+	tried *traffic.Tried
 }
 
 // repeatable reports whether the request may run more than once.
