Count moved requests as retries, and prove the budget through the handler

Cause: a repeatable request that moved from a broken reused connection to a new one was counted as a hedge, and the tenth was proved for the budget alone, not for everything that sends.

Ruled out: a budget of its own for connections (the sum would pass a tenth).

Change: moves and hedges draw on the same budget under their own names. TestSecondSendsStayWithinBudget counts what reaches a target that breaks off a third of its requests.

Conclusion: second sends of all kinds stay within a tenth of the first ones.

--- a/internal/entry/gates.go
+++ b/internal/entry/gates.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/bambooyard/bambooyard/admit"
 	"github.com/bambooyard/bambooyard/retry"
 )
@@ -78,12 +80,17 @@
 	return allowed
 }
 
-// take uses the budget for a hedge, if it allows it.
-func (g *gate) take() bool {
+// hedge uses the budget for a send beside a slow one, if it allows it.
+func (g *gate) hedge() bool { return g.take(g.metrics.hedges) }
+
+// move uses the budget for a send on another connection, if it allows it.
+func (g *gate) move() bool { return g.take(g.metrics.retries) }
+
+func (g *gate) take(kind metrics.Counter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	allowed := g.budget.Take()
-	g.metrics.secondSend(g.metrics.hedges, allowed)
+	g.metrics.secondSend(kind, allowed)
 	return allowed
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -83,7 +83,7 @@
 	case <-timer.C:
 	}
 	waiting := 1
-	if g.take() {
+	if g.hedge() {
 		start()
 		waiting = 2
 	}
@@ -134,7 +134,7 @@
 func (s *Server) exchange(ctx context.Context, q call, g *gate) (*answer, error) {
 	a, err := s.opts.Sender.Send(ctx, traffic.Call{
 		Service: q.serviceName, Member: q.member, Method: q.method, Path: q.path, Header: q.header,
-		Body: q.body, Repeatable: q.repeatable(), Tried: q.tried, Retry: g.take,
+		Body: q.body, Repeatable: q.repeatable(), Tried: q.tried, Retry: g.move,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -109,6 +109,27 @@
 	is.True(strings.Contains(body, `"verdict":"may-have-run"`))
 }
 
+// With a third of the requests failing at the target, those sent again on other
+// connections, as retries or as hedges are at most a tenth of the first sends.
+func TestSecondSendsStayWithinBudget(t *testing.T) {
+	is := is.New(t)
+	const requests = 600
+	var asked atomic.Int32
+	c := newCluster(t, func(_ *cluster, w http.ResponseWriter, _ *http.Request) bool {
+		return asked.Add(1)%3 == 0 && answerRaw(w, "")
+	})
+	answered := 0
+	for range requests {
+		if resp, _ := c.ask(t, "GET", "stock-check/gloves", ""); resp.StatusCode == http.StatusOK {
+			answered++
+		}
+	}
+	is.True(asked.Load() <= requests*11/10)
+	is.True(asked.Load() > requests) // the budget is used
+	is.True(answered > requests*2/3)
+	is.True(answered < requests)
+}
+
 // A repeatable request whose target is stuck is answered by a second send.
 func TestHedge(t *testing.T) {
 	is := is.New(t)
