Make the caller of the test leave before its answer comes

Cause: TestOutcomeIsKeptForCallerThatLeft failed once in 15 runs on a busy machine: the answer could reach the caller before its own leaving did, and the test demands that the caller got none.

Ruled out: taking either end for good, which would let the test pass without bringing its failure about.

Change: the target answers only after the caller has gone, which is stricter.

Conclusion: the test no longer depends on who is faster.

--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -252,8 +252,10 @@
 func TestOutcomeIsKeptForCallerThatLeft(t *testing.T) {
 	is := is.New(t)
 	ctx, leave := context.WithCancel(context.Background())
+	gone := make(chan struct{})
 	c := newCluster(t, func(*cluster, http.ResponseWriter, *http.Request) bool {
 		leave()
+		<-gone
 		return false
 	})
 	kept := make(chan struct{})
@@ -269,6 +271,7 @@
 	req.Header.Set("Idempotency-Key", "order-1")
 	_, err = http.DefaultClient.Do(req)
 	is.True(errors.Is(err, context.Canceled))
+	close(gone)
 	<-kept
 	resp, _ := c.ask(t, "POST", "reorder/orders", "order-1")
 	is.Equal(resp.Header.Get("Bambooyard-Replayed"), "true")
