Keep the histories' probe from moving the daemons that it looks at

Cause: the probe asked each guard to decide, also for frozen daemons, so that a frozen daemon noticed its expiry before it woke.

Ruled out: leaving the count of daemons that serve without a session away, since a harness that brings that about nowhere must fail.

Change: the probe reads the standing of the last refresh.

--- a/internal/configsync/histories_test.go
+++ b/internal/configsync/histories_test.go
@@ -93,7 +93,7 @@
 			h.failf("daemon %s went back from revision %d to %d", d.name, h.highest[d], r)
 		}
 		h.highest[d] = r
-		if d.keeper.Evidence(d.now()).Abandoned {
+		if d.standing == membership.Detached {
 			h.seen.detached++
 		}
 	}
