--- a/internal/batch/input.go
+++ b/internal/batch/input.go
@@ -54,7 +54,7 @@
 	for name, vm := range o.vms {
 		m := o.directory.describe(vm)
 		m.Free = m.Capacity.Sub(o.state.Committed[name])
-		m.Draining = m.Draining || o.silent[name]
+		m.Draining = !o.usable(vm)
 		machines = append(machines, m)
 	}
 	sort.Slice(machines, func(i, j int) bool { return machines[i].Name < machines[j].Name })
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -70,6 +72,7 @@
 	counters counters
 	revision document.Revision
 	owners   map[string]*owner
+	sorted   []string // names of the owners, or nil after one was added
 	keeper   *leaseKeeper
 	watch    watch
 	inbox    inbox
@@ -77,6 +80,7 @@
 	// otherSince is since when another daemon should own a shard, by shard.
 	otherSince map[string]time.Time
 	handedOver time.Time
+	namesRead  time.Time // when the names of all shards were read
 }
 
 // NewManager returns a manager without shards.
@@ -128,9 +132,7 @@
 		byRack[vm.Rack] = append(byRack[vm.Rack], vm)
 	}
 	for name := range byRack {
-		if _, ok := m.owners[name]; !ok {
-			m.owners[name] = newOwner(name, m)
-		}
+		m.owner(name)
 	}
 	directory := NewDirectory(doc)
 	for name, o := range m.owners {
@@ -139,9 +141,22 @@
 	}
 }
 
+// owner returns a shard seen from this daemon. A shard that is not in the
+// inventory has no VMs.
+func (m *Manager) owner(name string) *owner {
+	o, ok := m.owners[name]
+	if !ok {
+		o = newOwner(name, m)
+		m.owners[name] = o
+		m.sorted = nil
+	}
+	return o
+}
+
 // Tick advances every shard.
 func (m *Manager) Tick(now time.Time) {
 	m.keeper.renew(now)
+	m.findShards(now)
 	live := m.opts.Live(now)
 	candidates := make(map[string]string, len(m.owners))
 	for name := range m.owners {
@@ -157,12 +172,10 @@
 
 // names returns the names of the shards, sorted.
 func (m *Manager) names() []string {
-	names := make([]string, 0, len(m.owners))
-	for name := range m.owners {
-		names = append(names, name)
+	if m.sorted == nil {
+		m.sorted = slices.Sorted(maps.Keys(m.owners))
 	}
-	sort.Strings(names)
-	return names
+	return m.sorted
 }
 
 // Owned returns the shards that this daemon owns, sorted.
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -1,9 +1,6 @@
 package batch
 
 import (
-	"maps"
-	"slices"
-	"sort"
 	"time"
 
 	"github.com/bambooyard/bambooyard/charts"
@@ -23,7 +20,12 @@
 	}
 	o.changed, o.plannedAt = false, now
 	o.forgetEnded(now)
-	o.evictExcess()
+	o.evictRemoved()
+	o.freeVMs()
+	if len(o.vms) == 0 {
+		o.rehome()
+		return
+	}
 	o.place(now)
 }
 
@@ -37,8 +39,10 @@
 		o.record(shard.Record{Event: charts.TaskEvict, Task: shard.TaskID(e.Task), Reason: e.Reason})
 	}
 	for _, s := range plan.Starts {
-		if o.start(now, shard.TaskID(s.Task), s.Machine) && s.ThrottlePerMille > 0 {
-			o.throttled[shard.TaskID(s.Task)] = s.ThrottlePerMille
+		id := shard.TaskID(s.Task)
+		delete(o.throttled, id) // of an earlier attempt
+		if o.start(now, id, s.Machine) && s.ThrottlePerMille > 0 {
+			o.throttled[id] = s.ThrottlePerMille
 		}
 	}
 	for _, t := range plan.Throttles {
@@ -47,11 +51,16 @@
 	}
 }
 
+// usable reports whether the VM may receive new work.
+func (o *owner) usable(vm inventory.VM) bool {
+	return !vm.Draining && !o.silent[vm.Name] && o.state.VMs[vm.Name]
+}
+
 // load returns what the shard has free and what waits for it.
 func (o *owner) load() shard.Load {
 	var l shard.Load
 	for name, vm := range o.vms {
-		if !vm.Draining && !o.silent[name] {
+		if o.usable(vm) {
 			l.FreeMilliProcessors += max(0, vm.Usable().Sub(o.state.Committed[name]).MilliProcessors)
 		}
 	}
@@ -67,8 +76,8 @@
 // once more, whatever the planner says.
 func (o *owner) start(now time.Time, id shard.TaskID, vm string) bool {
 	t, v := o.state.Tasks[id], o.vms[vm]
-	if t == nil || !o.state.Committed[vm].Add(t.Spec.Resources).Fits(v.Usable()) {
-		o.log.WithField("event", "start_refused").WithField("task", id).Warn("does not fit VM " + vm)
+	if t == nil || !o.state.VMs[vm] || !o.state.Committed[vm].Add(t.Spec.Resources).Fits(v.Usable()) {
+		o.log.WithField("event", "start_refused").WithField("task", id).Warn("does not fit VM " + vm + ", or the VM is another shard's")
 		return false
 	}
 	startBy := now.Add(startWindow).UnixMilli()
@@ -92,38 +101,13 @@
 	return true
 }
 
-// evictExcess evicts tasks from VMs that were shrunk below what they have been
-// committed to, or that have left the inventory: the latest deadlines first.
-func (o *owner) evictExcess() {
-	for _, vm := range slices.Sorted(maps.Keys(o.state.Committed)) {
-		if o.state.Excess(vm, o.vms[vm].Usable()) == (inventory.Resources{}) {
-			continue
-		}
-		o.evictFrom(vm)
-	}
-}
-
-func (o *owner) evictFrom(vm string) {
-	var running []*shard.Task
-	excess := o.state.Excess(vm, o.vms[vm].Usable())
+// evictRemoved evicts the tasks of VMs that have left the inventory. Those of
+// VMs that were shrunk are the planner's to choose.
+func (o *owner) evictRemoved() {
 	for _, id := range o.taskIDs() {
 		t := o.state.Tasks[id]
-		switch {
-		case t.VM != vm:
-		case t.State == charts.TaskRunning:
-			running = append(running, t)
-		default: // is being stopped already
-			excess = excess.Sub(t.Spec.Resources)
-		}
-	}
-	sort.SliceStable(running, func(i, j int) bool {
-		return running[i].Spec.DeadlineUnixMS > running[j].Spec.DeadlineUnixMS
-	})
-	for _, t := range running {
-		if excess.Fits(inventory.Resources{}) {
-			return
+		if _, listed := o.vms[t.VM]; !listed && t.State == charts.TaskRunning {
+			o.record(shard.Record{Event: charts.TaskEvict, Task: id, Reason: "VM " + t.VM + " has left the inventory"})
 		}
-		excess = excess.Sub(t.Spec.Resources)
-		o.record(shard.Record{Event: charts.TaskEvict, Task: t.Spec.ID, Reason: "VM " + vm + " was shrunk or removed"})
 	}
 }
