--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -20,7 +20,6 @@
 	"github.com/bambooyard/bambooyard/internal/entry"
 	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/internal/platform"
-	"github.com/bambooyard/bambooyard/internal/target"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/membership"
 	"github.com/bambooyard/bambooyard/route"
@@ -100,7 +99,7 @@
 		s.Session = membership.Session{ID: id, ExpiresUnixMS: time.Now().Add(time.Hour).UnixMilli()}
 		d.publisher.Publish(&s)
 		d.server = entry.NewServer(entry.Options{
-			Publisher: d.publisher, Claims: d.claims, Targets: target.NewClient(),
+			Publisher: d.publisher, Claims: d.claims, Sender: traffic.NewSystemSender("hobart", d.publisher, traffic.NewLinks("hobart", time.Now, time.Sleep)),
 			Gates: entry.NewGates(entry.NewMetrics(metrics.NewRegistry())), Observer: noObserver{}, Log: logger, Now: time.Now,
 		})
 		d.http = httptest.NewServer(d.server.Handler())
@@ -121,5 +120,5 @@
 			State: charts.TargetLive, Usage: &route.Usage{},
 		})
 	}
-	return &traffic.Service{Rules: r, Picker: route.NewPicker("hobart", targets), Limit: 64, Slots: 64}
+	return &traffic.Service{Rules: r, Picker: route.NewPicker(route.Options{Region: "hobart", Daemons: daemonCount, Targets: targets}), Limit: 64, Slots: 64}
 }
