Count peers that serve on without the store

Cause: ranks, connection shares and the link's base counted live sessions only; in an outage of the store these expire together, while daemons that may still serve were left to their reports alone.

Ruled out: session rows alone, which an outage empties.

Change: otherSessions reads keeper.Peers, which keeps all that were live when the store last answered, beside those that reported lately.

No test brings an outage to this function; the rule of Peers has its own.

Conclusion: shares do not grow because the store is down.

--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -94,11 +94,11 @@
 	return rank, len(sessions)
 }
 
-// otherSessions returns the sessions that are live by the store's list or have
+// otherSessions returns the sessions whose daemons may be serving or have
 // reported lately, so that an outage of the store does not empty the list.
 func (c *controller) otherSessions(now time.Time) []string {
 	others := map[string]bool{}
-	for _, s := range c.keeper.Live(now) {
+	for _, s := range c.keeper.Peers(now) {
 		others[s.ID] = true
 	}
 	for session, r := range c.loads.reports {
