--- a/internal/batch/outcome.go
+++ b/internal/batch/outcome.go
@@ -12,26 +12,17 @@
 	"github.com/bambooyard/bambooyard/shard"
 )
 
-// Failed attempts after which the fault is the task's own.
-const (
-	maxFailedVMs = 3 // on so many different VMs
-	maxFailures  = 6 // on any VMs
-)
-
-// failure returns the event of a failed attempt. A task is tried on other VMs
-// first, since the fault may be the worker's.
-func (o *owner) failure(t *shard.Task) chart.Event {
+// failure returns the event of a failed attempt with its reason. A task is
+// tried on other VMs first, since the fault may be the worker's.
+func (o *owner) failure(t *shard.Task, reason string) (chart.Event, string) {
 	if t.State != charts.TaskRunning {
-		return charts.TaskStopped
-	}
-	failed := len(t.FailedOn)
-	if !slices.Contains(t.FailedOn, t.VM) {
-		failed++
+		return charts.TaskStopped, reason
 	}
-	if failed >= min(maxFailedVMs, len(o.vms)) || t.Failures+1 >= maxFailures {
-		return charts.TaskFail
+	failedOn := append(slices.Clone(t.FailedOn), t.VM)
+	if why, final := o.planner.FailureIsFinal(failedOn, t.Failures+1); final {
+		return charts.TaskFail, why + ": " + reason
 	}
-	return charts.TaskRetry
+	return charts.TaskRetry, reason
 }
 
 // failedOn returns the VMs that a task should not be tried on again, or nil
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -28,13 +28,14 @@
 
 // owner is one shard seen from this daemon. Its methods run on the control loop.
 type owner struct {
-	name      string
-	manager   *Manager
-	opts      *Options
-	counters  *counters
-	log       log.Interface
-	phase     chart.State
-	vms       map[string]inventory.VM
+	name     string
+	manager  *Manager
+	opts     *Options
+	counters *counters
+	log      log.Interface
+	phase    chart.State
+	vms      map[string]inventory.VM
+	// directory is of the document that the VMs are from.
 	directory *Directory
 
 	// busy is set while the shard is being taken or its state recovered.
--- a/internal/capacity/slope_test.go
+++ b/internal/capacity/slope_test.go
@@ -146,13 +146,13 @@
 func BenchmarkPickerBuild(b *testing.B) {
 	slope(b, "ns/target", targetSizes, func(n int) float64 {
 		targets := targetsOf(n)
-		return nanos(func() { route.NewPicker("hobart", targets) })
+		return nanos(func() { route.NewPicker(route.Options{Region: "hobart", Daemons: 8, Targets: targets}) })
 	})
 }
 
 func BenchmarkPickerMemory(b *testing.B) {
 	slope(b, "B/target", targetSizes, func(n int) float64 {
-		return heap(func() any { return route.NewPicker("hobart", targetsOf(n)) })
+		return heap(func() any { return route.NewPicker(route.Options{Region: "hobart", Daemons: 8, Targets: targetsOf(n)}) })
 	})
 }
 
@@ -169,10 +169,10 @@
 }
 
 func BenchmarkPeerReportBytes(b *testing.B) {
-	slope(b, "B/target", targetSizes, func(n int) float64 {
-		report := &peerpb.LoadReport{Session: "d1-FMAXFWV2DFDKN5HCRPYJVV3NGY", Sequence: 1000, Revision: 100}
-		for _, t := range targetsOf(n) {
-			report.Targets = append(report.Targets, &peerpb.TargetLoad{Address: t.Address, InFlight: 3})
+	slope(b, "B/service", []int{2, 10, 50, 400}, func(n int) float64 {
+		report := &peerpb.LoadReport{Session: "d1-FMAXFWV2DFDKN5HCRPYJVV3NGY", Sequence: 1000, Revision: 100, Daemons: 8}
+		for i := range n {
+			report.Services = append(report.Services, &peerpb.ServiceLoad{Service: fmt.Sprintf("service-%d", i), Region: "hobart", InFlight: 30})
 		}
 		return float64(proto.Size(report))
 	})
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -1,28 +1,30 @@
 package cli
 
-import (
-	"fmt"
-	"os"
-
-	"github.com/bambooyard/bambooyard/document"
-)
+import "fmt"
 
 type validateCommand struct {
 	tool *tool
+	outputOption
 	File string `short:"f" long:"file" required:"true" description:"document in YAML"`
 }
 
+// documentCount is what a valid document holds.
+type documentCount struct {
+	VMs      int `json:"vms"`
+	Services int `json:"services"`
+	Members  int `json:"members"`
+}
+
 // Execute implements flags.Commander.
 func (c *validateCommand) Execute([]string) error {
-	body, err := os.ReadFile(c.File)
+	_, doc, err := readDocument(c.File)
 	if err != nil {
 		return err
 	}
-	doc, err := document.Decode(body)
-	if err != nil {
-		return err
+	count := documentCount{len(doc.Inventory.VMs), len(doc.Inventory.Services), len(doc.Rules.Members)}
+	if c.json() {
+		return printJSON(c.tool.out, count)
 	}
-	_, _ = fmt.Fprintf(c.tool.out, "%d VMs, %d services, %d members\n",
-		len(doc.Inventory.VMs), len(doc.Inventory.Services), len(doc.Rules.Members))
+	_, _ = fmt.Fprintf(c.tool.out, "VMs: %d, services: %d, members: %d\n", count.VMs, count.Services, count.Members)
 	return nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/internal/settings"
-	"github.com/bambooyard/bambooyard/internal/target"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 
 	"github.com/bambooyard/bambooyard/charts"
@@ -32,6 +31,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 256 << 10
+
+	operatorReadTimeout  = 30 * time.Second
+	operatorWriteTimeout = time.Minute
 )
 
 // Module is the daemon as an fx module. It needs settings.Settings and log.Interface.
@@ -41,7 +43,8 @@
 		traffic.NewPublisher,
 		burn.NewRecorder,
 		metrics.NewRegistry,
-		target.NewClient,
+		newLinks,
+		newSender,
 		newPlatform,
 		newWorkers,
 		newClaims,
@@ -60,6 +63,14 @@
 
 func newWorkers() platform.Workers { return platform.NewWorkers(platform.NewHTTPClient()) }
 
+func newLinks(s settings.Settings) *traffic.Links {
+	return traffic.NewLinks(s.Region, time.Now, time.Sleep)
+}
+
+func newSender(s settings.Settings, p *traffic.Publisher, l *traffic.Links) *traffic.Sender {
+	return traffic.NewSystemSender(s.Region, p, l)
+}
+
 func newClaims(client *platform.Client, p *traffic.Publisher, r metrics.Registry, l log.Interface) *claims.Service {
 	return claims.NewService(claims.ServiceOptions{
 		Table: client, Objects: client.Objects(), Log: l, Metrics: claims.NewMetrics(r),
@@ -68,9 +79,9 @@
 	})
 }
 
-func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *target.Client, m *requestMetrics, r metrics.Registry, l log.Interface) *entry.Server {
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *traffic.Sender, m *requestMetrics, r metrics.Registry, l log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
-		Publisher: p, Claims: g, Targets: t, Gates: entry.NewGates(entry.NewMetrics(r)), Observer: m, Jobs: jobs{c}, Log: l,
+		Publisher: p, Claims: g, Sender: t, Gates: entry.NewGates(entry.NewMetrics(r)), Observer: m, Jobs: jobs{c}, Log: l,
 		Now: time.Now,
 	})
 }
@@ -78,7 +89,10 @@
 func newOperator(c *controller, client *platform.Client, p *traffic.Publisher, b *burnstore.Store, r metrics.Registry) *operator.Server {
 	return operator.NewServer(operator.Options{
 		Table: client, Objects: client.Objects(), Publisher: p, Burn: burnReport(b, p), Metrics: r, Now: time.Now,
+		NewID:    rand.Text,
 		Status:   c.status,
+		Targets:  c.targets,
+		Token:    c.settings.OperatorToken,
 		Announce: func() { c.loop.Post(c.config.Check) },
 	})
 }
@@ -118,6 +132,7 @@
 func run(lc fx.Lifecycle, p parts) {
 	callers := newHTTPServer(p.Entry.Handler())
 	operators := newHTTPServer(p.Operator.Handler())
+	operators.ReadTimeout, operators.WriteTimeout = operatorReadTimeout, operatorWriteTimeout
 	var peers *peer.Server
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -182,6 +197,9 @@
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
 	p.Controller.pool.Close()
 	p.Loop.Stop()
+	if err := p.Controller.keeper.Release(ctx); err != nil {
+		p.Log.WithField("event", "session_not_released").WithError(err).Warn("the session runs out by itself")
+	}
 	p.Log.WithField("event", "stopped").Info("stopped")
 	return err
 }
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
@@ -11,12 +13,20 @@
 	"github.com/bambooyard/bambooyard/route"
 )
 
-// maxReportAge is how long a peer's report counts.
-const maxReportAge = 3 * time.Second
+const (
+	// maxReportAge is how long a peer's report counts.
+	maxReportAge = 3 * time.Second
+	// numberLife is how long the number of a peer's last report is kept.
+	numberLife = 5 * time.Minute
+)
+
+// serviceRegion names the targets of one service in one region.
+type serviceRegion struct{ service, region string }
 
 // loadTable holds this daemon's load and the peers' last reports.
 type loadTable struct {
 	usages  map[string]*route.Usage // by target address
+	own     map[serviceRegion]int   // requests in flight at the last view
 	reports map[string]peerReport   // by session
 	number  uint64
 }
@@ -24,12 +34,12 @@
 type peerReport struct {
 	sequence uint64
 	at       time.Time
-	inFlight map[string]int
-	leaving  map[string]bool
+	inFlight map[serviceRegion]int
+	leaving  map[string]bool // names of VMs and addresses of targets
 }
 
 func newLoadTable() *loadTable {
-	return &loadTable{usages: map[string]*route.Usage{}, reports: map[string]peerReport{}}
+	return &loadTable{usages: map[string]*route.Usage{}, own: map[serviceRegion]int{}, reports: map[string]peerReport{}}
 }
 
 // usage returns the counter of a target, which outlives snapshots.
@@ -42,20 +52,27 @@
 	return u
 }
 
-// inFlight sums the peers' reports on a target and returns the oldest's age.
-func (l *loadTable) inFlight(address string, now time.Time) (sum int, age time.Duration) {
+// inFlight sums what the peers reported of a service, in the given region and
+// in all others.
+func (l *loadTable) inFlight(service, region string) (here, elsewhere int) {
 	for _, r := range l.reports {
-		if n := r.inFlight[address]; n > 0 {
-			sum += n
-			age = max(age, now.Sub(r.at))
+		for at, n := range r.inFlight {
+			switch {
+			case at.service != service:
+			case at.region == region:
+				here += n
+			default:
+				elsewhere += n
+			}
 		}
 	}
-	return sum, age
+	return here, elsewhere
 }
 
-func (l *loadTable) leaving(vm string) bool {
+// leaving reports whether a peer named a VM, or the address of a target.
+func (l *loadTable) leaving(name string) bool {
 	for _, r := range l.reports {
-		if r.leaving[vm] {
+		if r.leaving[name] {
 			return true
 		}
 	}
@@ -67,20 +84,26 @@
 	if r.GetSequence() <= l.reports[r.GetSession()].sequence {
 		return
 	}
-	report := peerReport{sequence: r.GetSequence(), at: now, inFlight: map[string]int{}, leaving: map[string]bool{}}
-	for _, t := range r.GetTargets() {
-		report.inFlight[t.GetAddress()] = int(t.GetInFlight())
+	report := peerReport{sequence: r.GetSequence(), at: now, inFlight: map[serviceRegion]int{}, leaving: map[string]bool{}}
+	for _, s := range r.GetServices() {
+		report.inFlight[serviceRegion{s.GetService(), s.GetRegion()}] += int(s.GetInFlight())
 	}
-	for _, vm := range r.GetLeavingVms() {
-		report.leaving[vm] = true
+	for _, name := range slices.Concat(r.GetLeavingVms(), r.GetLeavingTargets()) {
+		report.leaving[name] = true
 	}
 	l.reports[r.GetSession()] = report
 }
 
+// expire forgets what old reports say. Their numbers are kept for longer, so
+// that a late report does not take the place of a newer one.
 func (l *loadTable) expire(now time.Time) {
 	for session, r := range l.reports {
-		if now.Sub(r.at) > maxReportAge {
+		switch age := now.Sub(r.at); {
+		case age > numberLife:
 			delete(l.reports, session)
+		case age > maxReportAge:
+			r.inFlight, r.leaving = nil, nil
+			l.reports[session] = r
 		}
 	}
 }
@@ -89,29 +112,30 @@
 func (c *controller) reportLoad(now time.Time) {
 	c.loads.expire(now)
 	self := c.keeper.Self()
-	report := c.loadReport(self.ID)
+	report := c.loadReport(self.ID, now)
+	c.links.refresh(c.config.Document().Rules.Links, c.otherSessions(now))
 	addresses := map[string]bool{}
-	for _, s := range c.keeper.Live(now) {
+	for _, s := range c.keeper.Peers(now) {
 		if s.ID == self.ID {
 			continue
 		}
 		addresses[s.PeerAddress] = true
-		c.sendLoad(s, report)
+		c.sendLoad(s, c.links.ask(report, now))
 	}
 	c.pool.Retain(addresses)
 }
 
-func (c *controller) loadReport(session string) *peerpb.LoadReport {
+func (c *controller) loadReport(session string, now time.Time) *peerpb.LoadReport {
 	c.loads.number++
 	report := &peerpb.LoadReport{
-		Session:    session,
-		Sequence:   c.loads.number,
-		LeavingVms: c.leavingVMs(),
-		Revision:   int64(c.config.Head().Revision),
+		Session:  session,
+		Sequence: c.loads.number,
+		Revision: int64(c.config.Head().Revision),
 	}
-	for address, usage := range c.loads.usages {
-		if n := usage.InFlight(); n > 0 {
-			report.Targets = append(report.Targets, &peerpb.TargetLoad{Address: address, InFlight: uint32(n)})
+	c.addLeaving(report, now)
+	for at, n := range c.loads.own {
+		if n > 0 {
+			report.Services = append(report.Services, &peerpb.ServiceLoad{Service: at.service, Region: at.region, InFlight: uint32(n)})
 		}
 	}
 	return report
@@ -119,14 +143,20 @@
 
 func (c *controller) sendLoad(s membership.Session, report *peerpb.LoadReport) {
 	req := &peerpb.Request{Kind: &peerpb.Request_Load{Load: report}}
+	askedAt := time.Now()
 	control.Async(c.loop, func(ctx context.Context) (*peerpb.Response, error) {
 		return c.pool.Call(ctx, s.PeerAddress, req)
 	}, func(resp *peerpb.Response, err error) {
 		if err != nil {
 			return // the peer's session tells whether it is gone
 		}
-		c.lastPeer = time.Now()
-		c.noticeRevision(resp.GetLoad().GetRevision())
+		reply := resp.GetLoad()
+		c.keeper.Hear(membership.Evidence{
+			Session: reply.GetSession(), Abandoned: reply.GetAbandoned(),
+			Revision: document.Revision(reply.GetRevision()), AskedAt: askedAt,
+		})
+		c.links.borrowed(reply, askedAt)
+		c.noticeRevision(reply.GetRevision())
 	})
 }
 
@@ -154,9 +184,10 @@
 	err := c.loop.Do(ctx, func() {
 		now := time.Now()
 		c.loads.take(r, now)
-		c.lastPeer = now
 		c.noticeRevision(r.GetRevision())
-		reply.Session = c.keeper.Self().ID
+		c.links.lend(r, reply, now)
+		own := c.keeper.Evidence(now)
+		reply.Session, reply.Abandoned = own.Session, own.Abandoned
 		reply.Revision = int64(c.config.Head().Revision)
 	})
 	if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 
 	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/internal/claims"
-	"github.com/bambooyard/bambooyard/internal/target"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/verdict"
 )
@@ -39,7 +38,7 @@
 type Options struct {
 	Publisher *traffic.Publisher
 	Claims    *claims.Service
-	Targets   *target.Client
+	Sender    *traffic.Sender
 	Gates     *Gates
 	Observer  Observer
 	Jobs      Jobs
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -20,7 +20,6 @@
 	"github.com/bambooyard/bambooyard/internal/entry"
 	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/internal/platform"
-	"github.com/bambooyard/bambooyard/internal/target"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/membership"
 	"github.com/bambooyard/bambooyard/route"
@@ -81,7 +80,8 @@
 	once := quick
 	once.AtMostOnce = true
 	c.snapshot = &traffic.Snapshot{
-		Ready: true, Daemons: daemonCount, Members: map[string]bool{"conservators": true},
+		At: time.Now().Add(time.Hour), Ready: true, ValidUntil: time.Now().Add(time.Hour), Daemons: daemonCount,
+		Members: map[string]bool{"conservators": true},
 		Services: map[string]*traffic.Service{
 			"stock-check": c.service(quick, c.target.URL), "reorder": c.service(once, c.target.URL),
 			"no-targets": c.service(once), "closed-target": c.service(once, closed.URL),
@@ -99,7 +99,7 @@
 		s.Session = membership.Session{ID: id, ExpiresUnixMS: time.Now().Add(time.Hour).UnixMilli()}
 		d.publisher.Publish(&s)
 		d.server = entry.NewServer(entry.Options{
-			Publisher: d.publisher, Claims: d.claims, Targets: target.NewClient(),
+			Publisher: d.publisher, Claims: d.claims, Sender: traffic.NewSystemSender("hobart", d.publisher, traffic.NewLinks("hobart", time.Now, time.Sleep)),
 			Gates: entry.NewGates(entry.NewMetrics(metrics.NewRegistry())), Observer: noObserver{}, Log: logger, Now: time.Now,
 		})
 		d.http = httptest.NewServer(d.server.Handler())
@@ -116,9 +116,9 @@
 	var targets []route.Target
 	for _, u := range urls {
 		targets = append(targets, route.Target{
-			Address: strings.TrimPrefix(u, "http://"), Region: "hobart", Slots: 8, Connections: 64,
+			Address: strings.TrimPrefix(u, "http://"), Region: "hobart", Slots: 64, Connections: 512,
 			State: charts.TargetLive, Usage: &route.Usage{},
 		})
 	}
-	return &traffic.Service{Rules: r, Picker: route.NewPicker("hobart", targets), Limit: 64, Slots: 64}
+	return &traffic.Service{Rules: r, Picker: route.NewPicker(route.Options{Region: "hobart", Daemons: daemonCount, Targets: targets}), Limit: 64, Slots: 64}
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -3,23 +3,19 @@
 import (
 	"context"
 	"errors"
-	mathrand "math/rand/v2"
-	"net/http"
 	"time"
 
-	"github.com/bambooyard/bambooyard/internal/target"
+	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/retry"
-	"github.com/bambooyard/bambooyard/route"
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
-const retryAfterNoTarget = time.Second
-
 // send sends the request until it is answered or may not be sent again. Its
 // error says not-run only if no send may have run.
 func (s *Server) send(ctx context.Context, q call, o *once) (*answer, error) {
 	g := s.opts.Gates.service(q.serviceName)
 	g.first()
+	q.tried = &traffic.Tried{}
 	var ran error // of the last send that may have run
 	for sends := 1; ; sends++ {
 		if !o.maySend() {
@@ -123,7 +119,7 @@
 // attempt sends the request to one target and reads the begin of its answer.
 func (s *Server) attempt(ctx context.Context, q call, g *gate) (*answer, error) {
 	begun := s.opts.Now()
-	a, err := s.exchange(ctx, q)
+	a, err := s.exchange(ctx, q, g)
 	now := s.opts.Now()
 	switch {
 	case err == nil:
@@ -135,22 +131,17 @@
 }
 
 // exchange sends the request to a target that the picker chooses.
-func (s *Server) exchange(ctx context.Context, q call) (*answer, error) {
-	t := q.service.Picker.Pick(route.Request{Seed: mathrand.Uint64()})
-	if t == nil {
-		return nil, verdict.Refuse(verdict.CodeNoTarget, http.StatusServiceUnavailable, retryAfterNoTarget, "service %q has no live target", q.serviceName)
-	}
-	t.Usage.Begin()
-	resp, err := s.opts.Targets.Do(ctx, t.Address, target.Request{
-		Method: q.method, Path: q.path, Header: q.header, Body: q.body, Repeatable: q.repeatable(),
+func (s *Server) exchange(ctx context.Context, q call, g *gate) (*answer, error) {
+	a, err := s.opts.Sender.Send(ctx, traffic.Call{
+		Service: q.serviceName, Member: q.member, Method: q.method, Path: q.path, Header: q.header,
+		Body: q.body, Repeatable: q.repeatable(), Tried: q.tried, Retry: g.take,
 	})
 	if err != nil {
-		t.Usage.End()
 		return nil, err
 	}
 	limit := int64(maxBufferedAnswer)
 	if q.key != "" {
 		limit = maxKeptBody
 	}
-	return receive(q.method, resp, limit, t.Usage.End)
+	return receive(q.method, a, limit, func() {})
 }
--- a/place/faults.go
+++ b/place/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"strings"
 )
 
@@ -16,7 +17,7 @@
 	// finalMachines is how many workers a task must fail on to end as failed.
 	finalMachines = 3
 	// maxFailures ends a task whatever the workers.
-	maxFailures       = 8
+	maxFailures       = 6
 	firstProbeDelayMS = 10_000
 	maxProbeDelayMS   = 600_000
 	// maxFailuresKept bounds the failures remembered of one worker or job.
@@ -27,8 +28,7 @@
 type faults struct {
 	workers map[string]*workerRecord
 	jobs    map[string]*jobRecord
-	tasks   map[string][]string // VMs that each task failed on, in order
-	live    int                 // workers that may receive work
+	live    int // workers that may receive work
 }
 
 // workerRecord is what is known of a worker since a task last finished on it.
@@ -48,7 +48,7 @@
 }
 
 func newFaults() *faults {
-	return &faults{workers: map[string]*workerRecord{}, jobs: map[string]*jobRecord{}, tasks: map[string][]string{}}
+	return &faults{workers: map[string]*workerRecord{}, jobs: map[string]*jobRecord{}}
 }
 
 // observeEnd learns from an attempt.
@@ -63,7 +63,6 @@
 
 func (f *faults) finished(e *TaskEnd) {
 	delete(f.workers, e.Machine)
-	delete(f.tasks, e.Task)
 	j := f.job(e.Job)
 	if !j.finished {
 		j.finished = true
@@ -72,7 +71,6 @@
 }
 
 func (f *faults) failed(e *TaskEnd) {
-	f.tasks[e.Task] = append(f.tasks[e.Task], e.Machine)
 	j := f.job(e.Job)
 	if !contains(j.failedOn, e.Machine) && len(j.failedOn) < maxFailuresKept {
 		j.failedOn = append(j.failedOn, e.Machine)
@@ -105,26 +103,52 @@
 // suspect tells whether the job's failures are held to be its own.
 func (f *faults) suspect(job string) bool {
 	j, ok := f.jobs[job]
-	return ok && !j.finished && len(j.failedOn) >= f.needed(suspectMachines)
+	return ok && !j.finished && len(j.failedOn) >= f.atMostLive(suspectMachines)
 }
 
-// needed bounds a number of distinct workers by those that there are.
-func (f *faults) needed(workers int) int {
+// atMostLive bounds a number of workers by those that there are.
+func (f *faults) atMostLive(n int) int {
 	if f.live == 0 {
-		return workers
+		return n
 	}
-	return min(workers, f.live)
+	return min(n, f.live)
 }
 
-// judgeAll quarantines and releases workers. A release happens when the
-// failures turn out to be a job's own.
-func (f *faults) judgeAll(now int64) {
+// healthy counts the workers that may receive work and are not quarantined.
+func (f *faults) healthy() int {
+	n := f.live
 	for _, w := range f.workers {
-		bad := f.blamed(w) >= quarantineFailures
-		if bad && !w.quarantined {
-			w.probeAfterUnixMS = now + w.probeDelayMS
+		if w.quarantined {
+			n--
+		}
+	}
+	return max(n, 0)
+}
+
+// judgeAll releases and quarantines workers. A release happens when the
+// failures turn out to be a job's own. At most half of the workers are
+// quarantined, so that the others can tell bad tasks from bad workers.
+func (f *faults) judgeAll(now int64) {
+	quarantined := 0
+	var bad []string
+	for name, w := range f.workers {
+		blame := f.blamed(w) >= quarantineFailures
+		w.quarantined = w.quarantined && blame
+		switch {
+		case w.quarantined:
+			quarantined++
+		case blame:
+			bad = append(bad, name)
+		}
+	}
+	sort.Strings(bad)
+	for _, name := range bad {
+		if f.live > 0 && quarantined >= f.live/2 {
+			return
 		}
-		w.quarantined = bad
+		w := f.workers[name]
+		w.quarantined, w.probeAfterUnixMS = true, now+w.probeDelayMS
+		quarantined++
 	}
 }
 
@@ -149,39 +173,41 @@
 }
 
 // accepts tells whether a machine's health lets the task start on it. A
-// quarantined worker is probed with one task at a time, never an urgent one.
-// A task that has failed before is taken for a probe only when no other task
-// came for another delay, so that it does not wait for ever.
+// quarantined worker is probed with one task at a time. A task that has failed
+// before is taken only when no other came for another delay, and an urgent one
+// only when all workers are quarantined.
 func (f *faults) accepts(m *machineState, d *candidate, now int64) bool {
 	w, ok := f.workers[m.Name]
 	if !ok || !w.quarantined {
 		return true
 	}
 	probeAfter := w.probeAfterUnixMS
-	if len(f.tasks[d.Task])+len(d.FailedOn) > 0 {
+	if len(d.FailedOn) > 0 {
 		probeAfter += w.probeDelayMS
 	}
 	idle := len(m.tasks)+m.started == 0
-	return idle && now >= probeAfter && !d.Urgent
+	return idle && now >= probeAfter && (!d.Urgent || f.healthy() == 0)
 }
 
-func (f *faults) failedOn(task, machine string) bool { return contains(f.tasks[task], machine) }
-
 // final tells whether a task that has failed is to end as failed, and why.
 // Failures on quarantined workers speak against these, not the task.
-func (f *faults) final(task string) (reason string, final bool) {
+func (f *faults) final(failedOn []string, failures int) (reason string, final bool) {
 	var distinct []string
-	for _, machine := range f.tasks[task] {
+	for _, machine := range failedOn {
 		w, ok := f.workers[machine]
 		if (!ok || !w.quarantined) && !contains(distinct, machine) {
 			distinct = append(distinct, machine)
 		}
 	}
+	needed := f.atMostLive(finalMachines)
+	if n := f.healthy(); n > 0 {
+		needed = min(needed, n)
+	}
 	switch {
-	case len(distinct) >= f.needed(finalMachines):
-		return fmt.Sprintf("failed on %d VMs: %s", len(distinct), strings.Join(distinct, ", ")), true
-	case len(f.tasks[task]) >= maxFailures:
-		return fmt.Sprintf("failed %d times", len(f.tasks[task])), true
+	case len(distinct) >= needed:
+		return fmt.Sprintf("failed on %d VMs (%s)", len(distinct), strings.Join(distinct, ", ")), true
+	case failures >= maxFailures:
+		return fmt.Sprintf("failed %d times", failures), true
 	}
 	return "", false
 }
@@ -194,18 +220,16 @@
 			delete(f.workers, name)
 		}
 	}
-	if len(f.tasks) == 0 && len(f.jobs) == 0 {
+	if len(f.jobs) == 0 {
 		return
 	}
-	tasks, jobs := map[string]bool{}, map[string]bool{}
-	see := func(d *Demand) { tasks[d.Task], jobs[d.Job] = true, true }
+	jobs := map[string]bool{}
 	for i := range in.Pending {
-		see(&in.Pending[i])
+		jobs[in.Pending[i].Job] = true
 	}
 	for i := range in.Running {
-		see(&in.Running[i].Demand)
+		jobs[in.Running[i].Job] = true
 	}
-	keep(f.tasks, tasks)
 	keep(f.jobs, jobs)
 }
 
--- a/place/plan.go
+++ b/place/plan.go
@@ -12,8 +12,6 @@
 	corrections  *corrections
 	interference *interference
 	faults       *faults
-	// throttles is the limit of each throttled task in thousandths.
-	throttles map[string]int
 	// evicted is the tasks evicted by the present plan.
 	evicted   map[string]bool
 	nowUnixMS int64
@@ -25,7 +23,6 @@
 		corrections:  newCorrections(),
 		interference: newInterference(),
 		faults:       newFaults(),
-		throttles:    map[string]int{},
 	}
 }
 
@@ -41,17 +38,17 @@
 // ObserveLatency learns from a measurement of a quick service.
 func (p *Planner) ObserveLatency(l ServiceLatency) { p.interference.observe(&l) }
 
-// FailureIsFinal tells whether a task whose failure was observed should end as
-// failed, with the reason, rather than be tried on another VM.
-func (p *Planner) FailureIsFinal(task string) (reason string, final bool) {
-	return p.faults.final(task)
+// FailureIsFinal tells whether a task that has failed so often, on these VMs,
+// should end as failed, with the reason, rather than be tried on another VM.
+// The last failure must have been observed.
+func (p *Planner) FailureIsFinal(failedOn []string, failures int) (reason string, final bool) {
+	return p.faults.final(failedOn, failures)
 }
 
 // Plan tells which tasks to reject, evict, throttle and start now.
 func (p *Planner) Plan(in Input) Plan {
 	p.nowUnixMS = in.NowUnixMS
 	p.evicted = map[string]bool{}
-	in.Running = p.withThrottles(in.Running)
 	var plan Plan
 	var pending []Demand
 	plan.Rejections, pending = reject(&in)
@@ -64,35 +61,17 @@
 	return plan
 }
 
-// withThrottles returns the running tasks with the limits that this planner
-// has set, and forgets the limits of others.
-func (p *Planner) withThrottles(running []Running) []Running {
-	if len(p.throttles) == 0 {
-		return running
-	}
-	known := make(map[string]bool, len(p.throttles))
-	limited := append([]Running(nil), running...)
-	for i := range limited {
-		if perMille, ok := p.throttles[limited[i].Task]; ok {
-			limited[i].ThrottlePerMille = perMille
-			known[limited[i].Task] = true
-		}
-	}
-	keep(p.throttles, known)
-	return limited
-}
-
 // startAll starts what fits, in order, and makes room for urgent work.
 func (p *Planner) startAll(in *Input, cl *cluster, pending []Demand, plan *Plan) {
 	held := newHoldings(in)
 	live := cl.live()
 	refused := map[shape]bool{}
 	for _, d := range queue(pending, in, p.corrections, held, cl.largest) {
-		d.anywhere = len(d.FailedOn)+len(p.faults.tasks[d.Task]) >= live
+		d.anywhere = len(d.FailedOn) >= live
 		if !held.allows(&d.Demand) || live == 0 {
 			continue
 		}
-		key, plain := p.shapeOf(&d)
+		key, plain := shapeOf(&d)
 		if plain && refused[key] {
 			continue
 		}
@@ -101,7 +80,6 @@
 		case ok:
 			held.take(&d.Demand)
 			cl.start(c.machine, &d.Demand, d.size, c.perMille)
-			p.limit(d.Task, c.perMille)
 			plan.Starts = append(plan.Starts, Start{Task: d.Task, Machine: cl.machines[c.machine].Name, ThrottlePerMille: c.perMille})
 		case d.Urgent:
 			held.take(&d.Demand)
@@ -112,14 +90,6 @@
 	}
 }
 
-func (p *Planner) limit(task string, perMille int) {
-	if perMille > 0 {
-		p.throttles[task] = perMille
-	} else {
-		delete(p.throttles, task)
-	}
-}
-
 // shape is all of a task that decides whether some machine takes it.
 type shape struct {
 	kind  string
@@ -129,8 +99,8 @@
 
 // shapeOf returns a task's shape, and whether tasks of that shape are alike:
 // urgent tasks and those with failures are not.
-func (p *Planner) shapeOf(d *candidate) (shape, bool) {
-	plain := !d.Urgent && len(d.FailedOn) == 0 && len(p.faults.tasks[d.Task]) == 0
+func shapeOf(d *candidate) (shape, bool) {
+	plain := !d.Urgent && len(d.FailedOn) == 0
 	avoid := ""
 	for _, service := range d.Avoid {
 		avoid += service + "\x00"
