Stop gracefully also while the table service is out

Cause: a daemon that could not release its shards at a stop would have ended with an error after the drain's timeout. Change: it logs the shards that others take over after their expiry, and ends. Ruled out: waiting for the service, since a planned stop must end.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -206,20 +206,22 @@
 	c.publish(time.Now())
 }
 
-// handOver waits until others own the shards of this daemon; it runs on any
-// goroutine.
-func (c *controller) handOver(ctx context.Context) error {
+// handOver waits until the shards of this daemon are released; it runs on any
+// goroutine. Shards that are not, because the table service does not answer,
+// are taken over after their expiry.
+func (c *controller) handOver(ctx context.Context) {
 	ticker := time.NewTicker(batchInterval)
 	defer ticker.Stop()
 	for {
 		owned := 0
 		if err := c.loop.Do(ctx, func() { owned = len(c.batch.Owned()) }); err != nil || owned == 0 {
-			return err
+			return
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return ctx.Err()
+			c.log.WithFields(log.Fields{"event": "hand_over_timed_out", "shards": owned}).Warn("others take over after the expiry")
+			return
 		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -193,7 +193,7 @@
 	err := p.Entry.Drain(ctx, callers)
 	err = errors.Join(err, p.Burn.Flush(ctx))
 	err = errors.Join(err, operators.Shutdown(ctx), peers.Close())
-	err = errors.Join(err, p.Controller.handOver(ctx))
+	p.Controller.handOver(ctx)
 	_ = p.Loop.Do(ctx, func() { p.Controller.move(charts.DaemonDrained) })
 	p.Controller.pool.Close()
 	p.Loop.Stop()
