Let planners learn services' latencies, and count batch tasks in the burn report

Cause: nothing fed the planner's interference learning in a daemon, evictions did not reach the burn report, and an idle daemon reported its load to every peer four times a second. Ruled out: asking targets for their latency, since nothing of ours runs there. Change: daemons take the 99th percentile of short requests by service and VM every 5 s and put it into the peers' reports, so that the VM's shard learns it wherever it is owned. Written records count how tasks ended. A daemon with nothing new to say reports every 2 s while the store answers. Before: ObserveLatency had no caller; 28 exchanges a second for 8 idle daemons each.

--- a/burn/ledger.go
+++ b/burn/ledger.go
@@ -46,7 +46,7 @@
 	Series  Series
 	Outcome Outcome
 	// Latency is the time from arrival to the end of the answer; it counts
-	// only for complete answers.
+	// only for complete answers, and zero is not known.
 	Latency time.Duration
 }
 
@@ -56,7 +56,7 @@
 	c := b.Counts[o.Series]
 	c[o.Outcome]++
 	b.Counts[o.Series] = c
-	if o.Outcome == OutcomeGood || o.Outcome == OutcomeLate {
+	if o.Latency > 0 && (o.Outcome == OutcomeGood || o.Outcome == OutcomeLate) {
 		l.latency(o.At, o.Series.Service).Record(o.Latency)
 	}
 }
--- a/internal/batch/flush.go
+++ b/internal/batch/flush.go
@@ -223,6 +223,7 @@
 		if r.Event == charts.TaskEvict || r.Event == charts.TaskCancel {
 			o.stop(r.Task)
 		}
+		o.observeRecord(r)
 	}
 	o.snapshot()
 }
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/document"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/platform"
@@ -30,6 +31,9 @@
 	Self func() membership.Session
 	// Live returns the live sessions; it is called on the loop.
 	Live func(now time.Time) []membership.Session
+	// Observe is told how tasks ended, once that is written; nil tells nobody.
+	// It is called on the loop.
+	Observe func(burn.Observation)
 	// Metrics is where the counters are registered; nil keeps them private.
 	Metrics metrics.Registry
 	// LeaseTTL is how long a worker may run a task without renewal.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/document"
@@ -56,11 +57,14 @@
 	health      *route.Tracker
 	links       *linkShares
 	sender      *traffic.Sender
+	latencyAt   time.Time            // when latencies were last taken
+	reportedAt  time.Time            // when the peers were last told this daemon's load
+	reported    document.Revision    // the revision that they were told
 	ownWord     map[string]time.Time // addresses of targets that said they leave, and when
 	leaving     map[string]bool      // VMs that the platform's list names as leaving
 }
 
-func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, sender *traffic.Sender, links *traffic.Links, registry metrics.Registry) *controller {
+func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, sender *traffic.Sender, links *traffic.Links, recorder *burn.Recorder, registry metrics.Registry) *controller {
 	c := &controller{
 		settings:  s,
 		loop:      loop,
@@ -92,6 +96,7 @@
 		Loop: loop, Table: client, Objects: client.Objects(), Metrics: registry, Workers: workers, Log: logger, Now: time.Now,
 		Self: c.keeper.Self, Live: c.keeper.Live,
 		LeaseTTL: s.LeaseTTL, OwnerTTL: s.SessionTTL,
+		Observe: recorder.Observe,
 	})
 	return c
 }
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -108,9 +108,26 @@
 	}
 }
 
+// quiet reports whether the peers need no report now: nothing is in flight,
+// nothing leaves, the revision is known to them and the store answers.
+func (c *controller) quiet(now time.Time) bool {
+	for _, n := range c.loads.own {
+		if n > 0 {
+			return false
+		}
+	}
+	busy := len(c.leaving)+len(c.ownWord) > 0 || c.config.Head().Revision != c.reported
+	attached := c.keeper.Decide(now).Standing == membership.Attached
+	return !busy && attached && now.Sub(c.reportedAt) < quietInterval
+}
+
 // reportLoad tells every peer this daemon's load.
 func (c *controller) reportLoad(now time.Time) {
 	c.loads.expire(now)
+	if c.quiet(now) {
+		return
+	}
+	c.reportedAt, c.reported = now, c.config.Head().Revision
 	self := c.keeper.Self()
 	report := c.loadReport(self.ID, now)
 	c.links.refresh(c.config.Document().Rules.Links, c.otherSessions(now))
@@ -133,6 +150,7 @@
 		Revision: int64(c.config.Head().Revision),
 	}
 	c.addLeaving(report, now)
+	c.addLatencies(report, now)
 	for at, n := range c.loads.own {
 		if n > 0 {
 			report.Services = append(report.Services, &peerpb.ServiceLoad{Service: at.service, Region: at.region, InFlight: uint32(n)})
@@ -185,6 +203,7 @@
 		now := time.Now()
 		c.loads.take(r, now)
 		c.noticeRevision(r.GetRevision())
+		c.learnLatencies(r.GetLatencies())
 		c.links.lend(r, reply, now)
 		own := c.keeper.Evidence(now)
 		reply.Session, reply.Abandoned = own.Session, own.Abandoned
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/internal/batch"
 	"github.com/bambooyard/bambooyard/internal/claims"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/entry"
@@ -21,6 +22,7 @@
 	newRequestMetrics(burn.NewRecorder(), registry)
 	claims.NewMetrics(registry)
 	entry.NewMetrics(registry)
+	batch.NewManager(batch.Options{Metrics: registry})
 	is.NoErr(registerControl(control.NewLoop(), registry))
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	is.NoErr(err)
--- a/internal/traffic/flight.go
+++ b/internal/traffic/flight.go
@@ -63,6 +63,9 @@
 	if complete {
 		f.sender.opts.RunTimes.observe(f.key, f.sender.opts.Now().Sub(f.started))
 		f.target.Usage.Succeeded()
+		if f.class == route.Short {
+			f.sender.latencies.observe(ServiceVM{f.key.Service, f.target.VM}, f.sender.opts.Now().Sub(f.started))
+		}
 	}
 	if f.class == route.Long {
 		f.sender.queue(f.key.Service).wake()
--- a/internal/traffic/sender.go
+++ b/internal/traffic/sender.go
@@ -72,13 +72,19 @@
 // Sender sends requests to the targets that the pickers choose. It is safe for
 // concurrent use.
 type Sender struct {
-	opts   SenderOptions
-	mu     sync.Mutex
-	queues map[string]*longQueue
+	opts      SenderOptions
+	latencies *Latencies
+	mu        sync.Mutex
+	queues    map[string]*longQueue
 }
 
 // NewSender returns a sender.
-func NewSender(o SenderOptions) *Sender { return &Sender{opts: o, queues: map[string]*longQueue{}} }
+func NewSender(o SenderOptions) *Sender {
+	return &Sender{opts: o, latencies: NewLatencies(), queues: map[string]*longQueue{}}
+}
+
+// Latencies returns how long short requests take on each VM.
+func (s *Sender) Latencies() *Latencies { return s.latencies }
 
 // NewSystemSender returns a sender of a daemon in the given region, with its
 // own connections, that uses the system's clock.
