--- a/admit/bench_test.go
+++ b/admit/bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/bambooyard/bambooyard/admit"
 )
 
-// BenchmarkArrive decides at a crest, with every request refused or ended 50 ms
+// BenchmarkArrive decides at a overload, with every request refused or ended 50 ms
 // later, over 6 and over 400 members.
 func BenchmarkArrive(b *testing.B) {
 	for _, members := range []int{6, 400} {
--- a/admit/crest_test.go
+++ b/admit/overload_test.go
@@ -13,25 +13,25 @@
 
 // The order desk of today, with a demand swing.
 const (
-	daemons      = 8
-	targets      = 65
-	slots        = 8
-	connections  = 64
-	meanService  = 50 * time.Millisecond
-	deadline     = 250 * time.Millisecond
-	capacity     = targets * slots * float64(time.Second) / float64(meanService) // requests a second
-	calm         = 2 * time.Second
-	rise         = 2 * time.Second
-	crest        = 3 * time.Second
-	targetChoice = 2
-	crestSeeds   = 2
+	daemons       = 8
+	targets       = 65
+	slots         = 8
+	connections   = 64
+	meanService   = 50 * time.Millisecond
+	deadline      = 250 * time.Millisecond
+	capacity      = targets * slots * float64(time.Second) / float64(meanService) // requests a second
+	calm          = 2 * time.Second
+	rise          = 2 * time.Second
+	overload      = 3 * time.Second
+	targetChoice  = 2
+	overloadSeeds = 2
 )
 
-// demand is a member's weight and its demand at the crest, in capacities.
+// demand is a member's weight and its demand at the overload, in capacities.
 type demand struct {
-	name   string
-	weight int
-	crest  float64
+	name     string
+	weight   int
+	overload float64
 }
 
 var demands = []demand{
@@ -78,7 +78,7 @@
 	gates   []gate
 	targets [targets]target
 	load    [daemons][targets]int
-	// offered and good count, by member, what arrived at the crest and what of
+	// offered and good count, by member, what arrived at the overload and what of
 	// it was answered in time.
 	offered, good map[string]float64
 }
@@ -91,19 +91,19 @@
 	for _, d := range demands {
 		e.arrivals(d)
 	}
-	e.clock.Run(calm + rise + crest)
+	e.clock.Run(calm + rise + overload)
 	return e
 }
 
 // arrivals begins a member's arrivals: half of its share of half the capacity
-// in calm, its full demand at the crest.
+// in calm, its full demand at the overload.
 func (e *experiment) arrivals(d demand) {
 	begun := e.clock.Now()
 	var next func()
 	next = func() {
 		at := e.clock.Now().Sub(begun)
 		swing := min(1, max(0, float64(at-calm)/float64(rise)))
-		perSecond := capacity * d.crest * (0.1 + 0.9*swing)
+		perSecond := capacity * d.overload * (0.1 + 0.9*swing)
 		e.clock.After(time.Duration(e.clock.Rand().ExpFloat64()/perSecond*float64(time.Second)), func() {
 			e.arrive(d, e.clock.Rand().IntN(daemons), at > calm+rise/2)
 			next()
@@ -175,14 +175,14 @@
 	for _, n := range e.good {
 		total += n
 	}
-	return total / (capacity * (rise/2 + crest).Seconds())
+	return total / (capacity * (rise/2 + overload).Seconds())
 }
 
 // worst is the lowest ratio of a member's goodput to its fair share: what it
 // wants, up to the same part of the capacity for each unit of weight.
 func (e *experiment) worst() float64 {
 	level := 0.0
-	for step := 1.0; e.granted(level+step) <= capacity*(rise/2+crest).Seconds(); {
+	for step := 1.0; e.granted(level+step) <= capacity*(rise/2+overload).Seconds(); {
 		level += step
 	}
 	lowest := math.Inf(1)
@@ -202,9 +202,9 @@
 
 // While five times the capacity arrives, the goodput stays near the capacity
 // and every member has its fair share.
-func TestCrest(t *testing.T) {
+func TestOverload(t *testing.T) {
 	is := is.New(t)
-	for seed := range uint64(crestSeeds) {
+	for seed := range uint64(overloadSeeds) {
 		adaptive := run(seed, func() gate {
 			return admit.NewGate(admit.Capacity{Share: targets * slots / daemons, Slots: targets * slots})
 		})
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -23,7 +23,7 @@
 	o.evictRemoved()
 	o.freeVMs()
 	if len(o.vms) == 0 {
-		o.rehome()
+		o.reassign()
 		return
 	}
 	o.place(now)
--- a/internal/batch/rehome.go
+++ b/internal/batch/reassign.go
@@ -48,9 +48,9 @@
 	})
 }
 
-// rehome moves the jobs of a shard without VMs to other shards, once none of
+// reassign moves the jobs of a shard without VMs to other shards, once none of
 // their tasks holds a VM.
-func (o *owner) rehome() {
+func (o *owner) reassign() {
 	if o.moving || len(o.manager.targets()) == 0 {
 		return
 	}
--- a/internal/claims/writes_test.go
+++ b/internal/claims/writes_test.go
@@ -64,7 +64,7 @@
 }
 
 // A claim and an outcome in transactions of their own cost 2,000 transactions
-// for 1,000 bookings. Grouped, a crest stays within the daemons' write budget.
+// for 1,000 bookings. Grouped, a overload stays within the daemons' write budget.
 func TestGroupingBoundsWrites(t *testing.T) {
 	is := is.New(t)
 	for _, perSecond := range []int{10, 100, 1000, 3000} {
--- a/internal/daemon/burn.go
+++ b/internal/daemon/burn.go
@@ -15,10 +15,7 @@
 
 // keepBurn stores the burn counts at intervals, off the control goroutine.
 func (p parts) keepBurn() {
-	p.Loop.Every(burnFlushInterval, func(time.Time) {
-		p.Recorder.SetObjectives(p.Publisher.Load().Document.Rules.Objectives)
-		p.background("burn_flush", p.Burn.Flush)
-	})
+	p.Loop.Every(burnFlushInterval, func(time.Time) { p.background("burn_flush", p.Burn.Flush) })
 	p.Loop.Every(burnRollUpInterval, func(time.Time) { p.background("burn_roll_up", p.Burn.RollUp) })
 }
 
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -51,35 +51,37 @@
 	config *configsync.Follower
 	batch  *batch.Manager
 	// directories serves submissions from any goroutine.
-	directories directories
-	canceller   *batch.Canceller
-	loads       *loadTable
-	health      *route.Tracker
-	links       *linkShares
-	sender      *traffic.Sender
-	latencyAt   time.Time            // when latencies were last taken
-	reportedAt  time.Time            // when the peers were last told this daemon's load
-	reported    document.Revision    // the revision that they were told
-	ownWord     map[string]time.Time // addresses of targets that said they leave, and when
-	leaving     map[string]bool      // VMs that the platform's list names as leaving
+	directories  directories
+	canceller    *batch.Canceller
+	loads        *loadTable
+	recorder     *burn.Recorder
+	health       *route.Tracker
+	links        *linkShares
+	sender       *traffic.Sender
+	latencyAt    time.Time            // when latencies were last taken
+	reportedAt   time.Time            // when the peers were last told this daemon's load
+	reported     document.Revision    // the revision that they were told
+	selfReported map[string]time.Time // addresses of targets that said they leave, and when
+	leaving      map[string]bool      // VMs that the platform's list names as leaving
 }
 
 func newController(s settings.Settings, loop *control.Loop, client *platform.Client, workers platform.Workers, logger log.Interface, publisher *traffic.Publisher, sender *traffic.Sender, links *traffic.Links, recorder *burn.Recorder, registry metrics.Registry) *controller {
 	c := &controller{
-		settings:  s,
-		loop:      loop,
-		platform:  client,
-		log:       logger,
-		publisher: publisher,
-		pool:      peer.NewPool(),
-		canceller: batch.NewCanceller(client),
-		state:     charts.Daemon.Initial(),
-		loads:     newLoadTable(),
-		health:    route.NewTracker(),
-		links:     newLinkShares(links, registry),
-		sender:    sender,
-		ownWord:   map[string]time.Time{},
-		leaving:   map[string]bool{},
+		settings:     s,
+		loop:         loop,
+		platform:     client,
+		log:          logger,
+		publisher:    publisher,
+		pool:         peer.NewPool(),
+		canceller:    batch.NewCanceller(client),
+		state:        charts.Daemon.Initial(),
+		loads:        newLoadTable(),
+		recorder:     recorder,
+		health:       route.NewTracker(),
+		links:        newLinkShares(links, registry),
+		sender:       sender,
+		selfReported: map[string]time.Time{},
+		leaving:      map[string]bool{},
 	}
 	c.keeper = sessions.NewKeeper(sessions.Options{
 		Loop: loop, Table: client, TTL: s.SessionTTL, Log: logger, Now: time.Now,
@@ -117,6 +119,7 @@
 func (c *controller) adopted(head document.Head, doc document.Document) {
 	c.keeper.SetRevision(head.Revision)
 	c.batch.Adopt(head, doc)
+	c.recorder.SetObjectives(doc.Rules.Objectives)
 	c.refresh(time.Now())
 }
 
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -116,7 +116,7 @@
 			return false
 		}
 	}
-	busy := len(c.leaving)+len(c.ownWord) > 0 || c.config.Head().Revision != c.reported
+	busy := len(c.leaving)+len(c.selfReported) > 0 || c.config.Head().Revision != c.reported
 	attached := c.keeper.Decide(now).Standing == membership.Attached
 	return !busy && attached && now.Sub(c.reportedAt) < quietInterval
 }
--- /dev/null
+++ b/internal/daemon/module.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+
+	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/internal/burnstore"
+	"github.com/bambooyard/bambooyard/internal/claims"
+	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/entry"
+	"github.com/bambooyard/bambooyard/internal/operator"
+	"github.com/bambooyard/bambooyard/internal/platform"
+	"github.com/bambooyard/bambooyard/internal/settings"
+	"github.com/bambooyard/bambooyard/internal/traffic"
+)
+
+// Module is the daemon as an fx module. It needs settings.Settings and log.Interface.
+var Module = fx.Module("daemon",
+	fx.Provide(
+		control.NewLoop,
+		traffic.NewPublisher,
+		burn.NewRecorder,
+		metrics.NewRegistry,
+		newLinks,
+		newSender,
+		newPlatform,
+		newWorkers,
+		newClaims,
+		newController,
+		newEntry,
+		newOperator,
+		newBurnStore,
+		newRequestMetrics,
+	),
+	fx.Invoke(registerControl, run),
+)
+
+func newPlatform(s settings.Settings) *platform.Client {
+	return platform.NewClient(s.PlatformAddress, platform.NewHTTPClient())
+}
+
+func newWorkers() platform.Workers { return platform.NewWorkers(platform.NewHTTPClient()) }
+
+func newLinks(s settings.Settings) *traffic.Links {
+	return traffic.NewLinks(s.Region, time.Now, time.Sleep)
+}
+
+func newSender(s settings.Settings, p *traffic.Publisher, l *traffic.Links) *traffic.Sender {
+	return traffic.NewSystemSender(s.Region, p, l)
+}
+
+func newClaims(client *platform.Client, p *traffic.Publisher, r metrics.Registry, l log.Interface) *claims.Service {
+	return claims.NewService(claims.ServiceOptions{
+		Table: client, Objects: client.Objects(), Log: l, Metrics: claims.NewMetrics(r),
+		Daemons: func() int { return p.Load().Daemons },
+		Sweeps:  func() bool { return p.Load().Sweeps },
+	})
+}
+
+func newEntry(c *controller, p *traffic.Publisher, g *claims.Service, t *traffic.Sender, m *requestMetrics, r metrics.Registry, l log.Interface) *entry.Server {
+	return entry.NewServer(entry.Options{
+		Publisher: p, Claims: g, Sender: t, Gates: entry.NewGates(entry.NewMetrics(r)), Observer: m, Jobs: jobs{c}, Log: l,
+		Now: time.Now,
+	})
+}
+
+func newOperator(c *controller, client *platform.Client, p *traffic.Publisher, b *burnstore.Store, r metrics.Registry) *operator.Server {
+	return operator.NewServer(operator.Options{
+		Table: client, Objects: client.Objects(), Publisher: p, Burn: burnReport(b, p), Metrics: r, Now: time.Now,
+		NewID:    rand.Text,
+		Status:   c.status,
+		Targets:  c.targets,
+		Token:    c.settings.OperatorToken,
+		Announce: func() { c.loop.Post(c.config.Check) },
+	})
+}
+
+func newBurnStore(client *platform.Client, r *burn.Recorder) *burnstore.Store {
+	return burnstore.NewStore(burnstore.Options{
+		Table: client, Objects: client.Objects(), Recorder: r, Instance: rand.Text(), Now: time.Now,
+	})
+}
+
+func burnReport(store *burnstore.Store, p *traffic.Publisher) operator.BurnReport {
+	return func(ctx context.Context) (burn.Report, *burn.Ledger, error) {
+		ledger, err := store.Load(ctx)
+		if err != nil {
+			return burn.Report{}, nil, err
+		}
+		return burn.NewReport(ledger, p.Load().Document.Rules.Objectives, time.Now()), ledger, nil
+	}
+}
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -114,7 +114,7 @@
 // target chart.
 func (c *controller) serviceTargets(service inventory.Service, vms map[string]inventory.VM, places map[string]inventory.Place, now time.Time) []route.Target {
 	targets := make([]route.Target, 0, len(service.Targets))
-	sightings := make([]route.Sighting, 0, len(service.Targets))
+	observations := make([]route.Observation, 0, len(service.Targets))
 	for _, t := range service.Targets {
 		vm := vms[t.VM]
 		place := places[vm.Rack]
@@ -124,12 +124,12 @@
 			Slots: t.Slots, Connections: t.Connections, Usage: usage,
 		})
 		if usage.Leaving() {
-			c.ownWord[t.Address] = now
+			c.selfReported[t.Address] = now
 		}
 		leaving := c.vmLeaving(vm) || c.loads.leaving(t.Address)
-		sightings = append(sightings, route.Sighting{Address: t.Address, Usage: usage, Leaving: leaving})
+		observations = append(observations, route.Observation{Address: t.Address, Usage: usage, Leaving: leaving})
 	}
-	for i, state := range c.health.Update(sightings, now) {
+	for i, state := range c.health.Update(observations, now) {
 		targets[i].State = state
 	}
 	return targets
@@ -140,13 +140,13 @@
 	return vm.Draining || c.leaving[vm.Name] || c.loads.leaving(vm.Name)
 }
 
-// ownWordLife is how long a target's own word that it leaves is passed on.
-const ownWordLife = 5 * time.Second
+// selfReportLife is how long a target's own word that it leaves is passed on.
+const selfReportLife = 5 * time.Second
 
 // addLeaving tells in a report what this daemon knows at first hand to be
 // leaving. What peers said is not passed on, so that it can end.
 func (c *controller) addLeaving(r *peerpb.LoadReport, now time.Time) {
 	r.LeavingVms = slices.Sorted(maps.Keys(c.leaving))
-	maps.DeleteFunc(c.ownWord, func(_ string, at time.Time) bool { return now.Sub(at) > ownWordLife })
-	r.LeavingTargets = slices.Sorted(maps.Keys(c.ownWord))
+	maps.DeleteFunc(c.selfReported, func(_ string, at time.Time) bool { return now.Sub(at) > selfReportLife })
+	r.LeavingTargets = slices.Sorted(maps.Keys(c.selfReported))
 }
--- a/internal/daemon/view_test.go
+++ b/internal/daemon/view_test.go
@@ -17,7 +17,7 @@
 func newView() *controller {
 	return &controller{
 		loads: newLoadTable(), health: route.NewTracker(),
-		leaving: map[string]bool{}, ownWord: map[string]time.Time{},
+		leaving: map[string]bool{}, selfReported: map[string]time.Time{},
 	}
 }
 
@@ -64,6 +64,6 @@
 	is.Equal(r.GetLeavingVms(), []string{"w9"})
 	is.Equal(r.GetLeavingTargets(), []string{"a1"})
 	r = &peerpb.LoadReport{}
-	c.addLeaving(r, now.Add(ownWordLife+time.Second))
+	c.addLeaving(r, now.Add(selfReportLife+time.Second))
 	is.Equal(len(r.GetLeavingTargets()), 0)
 }
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -65,10 +65,10 @@
 
 // watch gives up a request on a reused connection that stays silent.
 func (c *Client) watch(conn *connection, r Request, cancel context.CancelCauseFunc) (stop func()) {
-	if !conn.reused || r.Patience <= 0 {
+	if !conn.reused || r.StallTimeout <= 0 {
 		return func() {}
 	}
-	halt := c.opts.AfterFunc(r.Patience, func() { cancel(errStalled) })
+	halt := c.opts.AfterFunc(r.StallTimeout, func() { cancel(errStalled) })
 	return func() { halt() }
 }
 
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -55,9 +55,9 @@
 	// Connections bounds the open connections to the target; zero is the
 	// limit of a target that only this daemon uses.
 	Connections int
-	// Patience is how long an answer on a reused connection may take to begin
+	// StallTimeout is how long an answer on a reused connection may take to begin
 	// before a repeatable request moves to a new connection; zero is no limit.
-	Patience time.Duration
+	StallTimeout time.Duration
 	// Retry is asked before a request that may have run is sent again; nil
 	// forbids it.
 	Retry func() bool
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -323,10 +323,10 @@
 }
 
 // overdueGet sends a repeatable request that meets a silent connection and
-// lets its patience end once the target has read it.
+// lets its stallTimeout end once the target has read it.
 func (b *bench) overdueGet(address string, unanswered <-chan struct{}) (string, error) {
 	request := get("/x")
-	request.Patience = time.Second
+	request.StallTimeout = time.Second
 	request.Retry = b.retry
 	var body string
 	done := make(chan error)
--- a/internal/traffic/runtimes.go
+++ b/internal/traffic/runtimes.go
@@ -24,14 +24,14 @@
 	// threshold is the run time beyond which the request counts as long after
 	// all; zero is not known.
 	threshold time.Duration
-	// patience is when an answer is overdue; zero is not known.
-	patience time.Duration
+	// stallTimeout is how long an answer may take to begin; zero is not known.
+	stallTimeout time.Duration
 }
 
 func (r *RunTimes) estimate(k learn.Key) estimate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := estimate{threshold: r.table.Threshold(k.Service), patience: r.table.Patience(k)}
+	e := estimate{threshold: r.table.Threshold(k.Service), stallTimeout: r.table.StallTimeout(k)}
 	if r.table.Long(k) {
 		e.class = route.Long
 	}
--- a/internal/traffic/sender.go
+++ b/internal/traffic/sender.go
@@ -110,7 +110,7 @@
 	f := s.begin(key, c.Member, t, e, remote)
 	request := target.Request{
 		Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body,
-		Repeatable: c.Repeatable, Connections: s.connections(t), Patience: e.patience, Retry: c.Retry,
+		Repeatable: c.Repeatable, Connections: s.connections(t), StallTimeout: e.stallTimeout, Retry: c.Retry,
 	}
 	if remote {
 		request.Pacer = s.opts.Links.pacer(t.Region)
--- a/learn/learn.go
+++ b/learn/learn.go
@@ -106,9 +106,9 @@
 	return longFactor * s.quantile(50)
 }
 
-// Patience returns the time after which an answer to a request of the key is
+// StallTimeout returns the time after which an answer to a request of the key is
 // overdue, or zero when that is not known yet.
-func (t *Table) Patience(k Key) time.Duration {
+func (t *Table) StallTimeout(k Key) time.Duration {
 	w := t.keys[k]
 	if w == nil || w.samples() < minSamples {
 		return 0
--- a/route/health.go
+++ b/route/health.go
@@ -42,8 +42,8 @@
 // NewTracker returns a tracker that knows no target.
 func NewTracker() *Tracker { return &Tracker{targets: map[string]*Health{}} }
 
-// Sighting is what is known of one target at an update.
-type Sighting struct {
+// Observation is what is known of one target at an update.
+type Observation struct {
 	Address string
 	Usage   *Usage
 	// Leaving is set when the operators, the list of VMs or a peer say so.
@@ -52,19 +52,19 @@
 
 // Update moves the targets of one service through the target chart and returns
 // their states in the same order. At most half of them become suspected.
-func (t *Tracker) Update(sightings []Sighting, now time.Time) []chart.State {
+func (t *Tracker) Update(observations []Observation, now time.Time) []chart.State {
 	suspected := 0
-	for _, s := range sightings {
+	for _, s := range observations {
 		if t.health(s.Address).state == charts.TargetSuspected {
 			suspected++
 		}
 	}
-	states := make([]chart.State, len(sightings))
-	for i, s := range sightings {
+	states := make([]chart.State, len(observations))
+	for i, s := range observations {
 		h := t.health(s.Address)
 		before := h.state
 		h.follow(s, now)
-		h.judge(s.Usage, (suspected+1)*maxSuspectedDivisor <= len(sightings), now)
+		h.judge(s.Usage, (suspected+1)*maxSuspectedDivisor <= len(observations), now)
 		if before == charts.TargetLive && h.state == charts.TargetSuspected {
 			suspected++
 		}
@@ -112,7 +112,7 @@
 
 // follow applies the signs that the target is leaving: the operators', the
 // list's and the peers', and the target's own word.
-func (h *Health) follow(s Sighting, now time.Time) {
+func (h *Health) follow(s Observation, now time.Time) {
 	own := s.Usage.Leaving()
 	switch {
 	case s.Leaving || (own && h.state != charts.TargetLeaving):
--- a/route/health_test.go
+++ b/route/health_test.go
@@ -13,10 +13,10 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func sightings(list []route.Target) []route.Sighting {
-	out := make([]route.Sighting, len(list))
+func observations(list []route.Target) []route.Observation {
+	out := make([]route.Observation, len(list))
 	for i, t := range list {
-		out[i] = route.Sighting{Address: t.Address, Usage: t.Usage}
+		out[i] = route.Observation{Address: t.Address, Usage: t.Usage}
 	}
 	return out
 }
@@ -31,7 +31,7 @@
 		lastSign := make(map[string]time.Time)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(250 * time.Millisecond)
-			seen := sightings(list)
+			seen := observations(list)
 			for i := range seen {
 				switch rapid.IntRange(0, 9).Draw(t, "sign") {
 				case 0: // the list or a peer
@@ -84,7 +84,7 @@
 	}
 	var probes []time.Duration
 	for at := time.Duration(0); at < 70*time.Second; at += 250 * time.Millisecond {
-		for i, state := range tracker.Update(sightings(list), start.Add(at)) {
+		for i, state := range tracker.Update(observations(list), start.Add(at)) {
 			list[i].State = state
 		}
 		p := route.NewPicker(route.Options{Region: home, Daemons: 1, Targets: list})
@@ -105,7 +105,7 @@
 		is.True(probes[i]-probes[i-1] > probes[i-1]-probes[i-2])
 	}
 	list[0].Usage.Succeeded()
-	is.Equal(tracker.Update(sightings(list), start.Add(2*time.Minute))[0], charts.TargetLive)
+	is.Equal(tracker.Update(observations(list), start.Add(2*time.Minute))[0], charts.TargetLive)
 }
 
 // However many targets fail, at least half stay live.
@@ -120,7 +120,7 @@
 				}
 			}
 			live := 0
-			for _, state := range tracker.Update(sightings(list), start.Add(time.Duration(step)*time.Second)) {
+			for _, state := range tracker.Update(observations(list), start.Add(time.Duration(step)*time.Second)) {
 				if state == charts.TargetLive {
 					live++
 				}
--- a/verdict/verdict_test.go
+++ b/verdict/verdict_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -20,6 +21,15 @@
 	is.Equal(verdict.Of(fmt.Errorf("wrapped: %w", refused)), verdict.NotRun)
 }
 
+func Example() {
+	err := verdict.Refuse(verdict.CodeOverloaded, 503, time.Second, "service %q is overloaded", "reorder")
+	fmt.Println(err)
+	fmt.Println("may be tried again:", verdict.Of(err) == verdict.NotRun)
+	// Output:
+	// overloaded: service "reorder" is overloaded (not-run)
+	// may be tried again: true
+}
+
 func TestTextRoundTrip(t *testing.T) {
 	is := is.New(t)
 	for _, v := range []verdict.Verdict{verdict.MayHaveRun, verdict.NotRun, verdict.Ran} {
