--- a/internal/burnpage/page_test.go
+++ b/internal/burnpage/page_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/matryer/is"
 
 	"github.com/bambooyard/bambooyard/burn"
@@ -61,7 +62,9 @@
 	}
 	want, err := os.ReadFile(golden)
 	is.NoErr(err)
-	is.Equal(string(page), string(want))
+	if diff := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(string(page), "\n")); diff != "" {
+		t.Fatalf("page differs (-want +got):\n%s", diff)
+	}
 }
 
 func TestPageIsWellFormedAndNeedsNoOtherFile(t *testing.T) {
