--- a/internal/capacity/slope_test.go
+++ b/internal/capacity/slope_test.go
@@ -225,22 +225,48 @@
 	})
 }
 
+var leaseSizes = []int{1, 8, 32, 128}
+
+// exchangeOf returns an exchange and a report with a number of leases.
+func exchangeOf(leases int) (platform.Exchange, platform.Report) {
+	e := platform.Exchange{Shard: "hobart-1-r1", Epoch: 12, LeaseUntilUnixMS: 1767225600000}
+	var r platform.Report
+	for i := range leases {
+		ref := platform.LeaseRef{Task: fmt.Sprintf("state-library:reconcile-1234/%d", i), Attempt: 1}
+		e.Renew = append(e.Renew, ref)
+		r.Leases = append(r.Leases, platform.Lease{
+			LeaseRef: ref, State: platform.LeaseRunning, RanMS: 30000,
+			Usage: inventory.Resources{MilliProcessors: 900, MemoryMB: 800},
+		})
+	}
+	return e, r
+}
+
 func BenchmarkExchangeBytes(b *testing.B) {
-	slope(b, "B/lease", []int{1, 8, 32, 128}, func(n int) float64 {
-		e := platform.Exchange{Shard: "hobart-1-r1", Epoch: 12, LeaseUntilUnixMS: 1767225600000}
-		var r platform.Report
-		for i := range n {
-			ref := platform.LeaseRef{Task: fmt.Sprintf("state-library:reconcile-1234/%d", i), Attempt: 1}
-			e.Renew = append(e.Renew, ref)
-			r.Leases = append(r.Leases, platform.Lease{
-				LeaseRef: ref, State: platform.LeaseRunning, RanMS: 30000,
-				Usage: inventory.Resources{MilliProcessors: 900, MemoryMB: 800},
-			})
-		}
+	slope(b, "B/lease", leaseSizes, func(n int) float64 {
+		e, r := exchangeOf(n)
 		return encoded(b, e) + encoded(b, r)
 	})
 }
 
+// The owner's part: the exchange is written and the report is read.
+func BenchmarkExchangeCodec(b *testing.B) {
+	slope(b, "ns/lease", leaseSizes, func(n int) float64 {
+		e, r := exchangeOf(n)
+		body, err := json.Marshal(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return nanos(func() {
+			encoded(b, e)
+			var got platform.Report
+			if err := json.Unmarshal(body, &got); err != nil {
+				b.Fatal(err)
+			}
+		})
+	})
+}
+
 func BenchmarkClaimBytes(b *testing.B) {
 	slope(b, "B/claim", []int{1, 16, 64, 256}, func(n int) float64 {
 		var txn platform.Txn
--- a/scripts/idle.sh
+++ b/scripts/idle.sh
@@ -59,6 +59,8 @@
     -v reads="$(($(echo "$store1" | field reads) - $(echo "$store0" | field reads)))" \
     -v writes="$(($(echo "$store1" | field row_writes) - $(echo "$store0" | field row_writes)))" \
     'BEGIN { printf "%d daemons, %d VMs, each: %.1f MB resident, %.2f%% of a core, %.0f B/s, %.2f reads/s, %.2f row writes/s\n", n, vms, rss / n / 1000, 100 * cpu / hz / span / n, bytes / span / n, reads / span / n, writes / span / n }'
+  # The daemons have nothing to hand over to: they are ended at once.
+  for ((i = 1; i <= n; i++)); do kill -KILL "${pids[d$i]}"; done
   stop_all
   pids=()
 }
