Run nothing that waits once the control loop is stopped

Cause: TestResultsArriveOnTheLoopAndTicksAreNotQueuedTwice failed once on a busy machine: after Stop the loop chose at random between its queue and its end, so that a tick could run after the stop. Ruled out: the test's count, which is exact in virtual time once nothing runs after the stop. Change: the loop looks for its end before each function. Before: TestStopDropsWhatWaits fails without the change. Conclusion: a stopped daemon does no more control work.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -80,6 +80,9 @@
 	for {
 		select {
 		case fn := <-l.queue:
+			if l.ctx.Err() != nil {
+				return
+			}
 			l.run(fn)
 		case <-l.ctx.Done():
 			return
--- a/internal/control/loop_test.go
+++ b/internal/control/loop_test.go
@@ -55,3 +55,19 @@
 	is.True(!l.Post(func() { t.Error("ran after the stop") }))
 	is.Equal(l.Do(context.Background(), func() {}), control.ErrStopped)
 }
+
+// What waits when the loop is stopped does not run, whichever the loop sees
+// first.
+func TestStopDropsWhatWaits(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			l := control.NewLoop()
+			for range 10 {
+				l.Post(func() { t.Error("ran after the stop") })
+			}
+			go l.Stop()
+			synctest.Wait()
+			l.Run()
+		})
+	}
+}
