Refuse documents that shrink a VM below what its tasks hold

Cause: the check was built and tested, but no daemon knew the commitments of shards that others own. Change: a daemon asks the live daemons for the commitments of their shards; one that does not answer is passed over, and tasks are evicted as before. Before: such a document was accepted. After: the drill shows two daemons, of which at most one owns the shard, refuse it with the VM and what is held. Conclusion: the refusal is help for operators; the promise does not rest on it.

--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -213,6 +213,20 @@
 	return names
 }
 
+// Committed returns what tasks hold of the VMs of the shards that this daemon
+// owns, by VM name.
+func (m *Manager) Committed() map[string]inventory.Resources {
+	sum := map[string]inventory.Resources{}
+	for _, name := range m.names() {
+		if o := m.owners[name]; o.owning() {
+			for vm, held := range o.state.Committed {
+				sum[vm] = sum[vm].Add(held)
+			}
+		}
+	}
+	return sum
+}
+
 // JobTasks returns the tasks of a job in a shard that this daemon owns, and
 // whether it owns the shard. With cancel, the tasks are cancelled first.
 func (m *Manager) JobTasks(shardName, job string, cancel bool) ([]TaskStatus, bool) {
--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -92,11 +92,7 @@
 	var peers []string
 	err := j.c.loop.Do(ctx, func() {
 		tasks, owned = j.c.batch.JobTasks(job.Shard, job.ID(), cancel)
-		for _, s := range j.c.keeper.Live(time.Now()) {
-			if s.ID != j.c.keeper.Self().ID {
-				peers = append(peers, s.PeerAddress)
-			}
-		}
+		peers = j.c.peerAddresses(time.Now())
 	})
 	if err != nil || owned {
 		return tasks, err
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -192,6 +192,8 @@
 		return c.handleLoad(ctx, kind.Load)
 	case *peerpb.Request_Job:
 		return c.handleJob(ctx, kind.Job)
+	case *peerpb.Request_Committed:
+		return c.handleCommitted(ctx)
 	default:
 		return peer.Refuse("request kind %T is not known", kind)
 	}
--- a/scripts/drill.sh
+++ b/scripts/drill.sh
@@ -37,6 +37,23 @@
 start_daemon 3 hobart hobart-1
 until_true "daemon d3 is not ready again" curl -sf http://127.0.0.1:7103/readyz
 
+echo "== a VM is shrunk below what a task holds"
+bin/bambooyard job submit --member state-library --key big --milli-processors 40000 --payload run=30s > /dev/null
+big() { bin/bambooyard --caller 127.0.0.1:7001 job describe --member state-library --key big; }
+running() { big | grep -q running; }
+until_true "job big does not run" running
+vm=$(big | awk '/running/ { print $3 }')
+awk -v vm="$vm" '$0 ~ "- name: " vm "$" { here = 1 } here && /capacity/ { sub(/64000/, "20000"); here = 0 } { print }' \
+  examples/association.yaml > "$work/shrunk.yaml"
+for n in 1 2; do
+  if bin/bambooyard --operator "127.0.0.1:710$n" apply -f "$work/shrunk.yaml" > "$work/shrink" 2>&1; then
+    fail "daemon d$n accepted a document that shrinks $vm below what a task holds"
+  fi
+  expect "$work/shrink" "is below what tasks on VM \"$vm\" hold"
+done
+bin/bambooyard job cancel --member state-library --key big > /dev/null
+echo "the document was refused by each daemon"
+
 echo "== a frozen daemon wakes after a change"
 kill -STOP "${pids[d2]}"
 sed 's/deadline_ms: 5000/deadline_ms: 5500/' examples/association.yaml > "$work/changed.yaml"
