Move jobs that only another shard can run

Cause: a job whose shard could no longer hold its tasks, after an inventory change, was rejected as never runnable although another shard could run it. Ruled out: choosing again at submission, since the change comes later. Change: the owner asks the directory of the document before it rejects; such jobs take the way of jobs of shards without VMs, in one transaction. The directory belongs to the manager, so that shards which left the inventory have one too (their moves panicked in the histories at first). Before: TestJobMovesToShardThatCanRunIt fails, the job stays in r0. Conclusion: rejected now means that no shard can run it.

--- a/internal/batch/input.go
+++ b/internal/batch/input.go
@@ -11,7 +11,7 @@
 
 // planInput describes the shard to the planner.
 func (o *owner) planInput(now time.Time) place.Input {
-	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines(), Quotas: o.directory.quotasOf(o.name)}
+	in := place.Input{NowUnixMS: now.UnixMilli(), Machines: o.machines(), Quotas: o.manager.directory.quotasOf(o.name)}
 	for _, id := range o.taskIDs() {
 		t := o.state.Tasks[id]
 		switch {
@@ -52,7 +52,7 @@
 func (o *owner) machines() []place.Machine {
 	machines := make([]place.Machine, 0, len(o.vms))
 	for name, vm := range o.vms {
-		m := o.directory.describe(vm)
+		m := o.manager.directory.describe(vm)
 		m.Free = m.Capacity.Sub(o.state.Committed[name])
 		m.Draining = !o.usable(vm)
 		machines = append(machines, m)
--- a/internal/batch/manager.go
+++ b/internal/batch/manager.go
@@ -75,12 +75,14 @@
 	timing   shard.Timing
 	counters counters
 	revision document.Revision
-	owners   map[string]*owner
-	sorted   []string // names of the owners, or nil after one was added
-	keeper   *leaseKeeper
-	watch    watch
-	inbox    inbox
-	draining bool
+	// directory is of the adopted document.
+	directory *Directory
+	owners    map[string]*owner
+	sorted    []string // names of the owners, or nil after one was added
+	keeper    *leaseKeeper
+	watch     watch
+	inbox     inbox
+	draining  bool
 	// candidates is the session that should own each shard, of those that were
 	// able to when it was found.
 	candidates map[string]string
@@ -104,6 +106,7 @@
 	}
 	m := &Manager{
 		opts:       opts,
+		directory:  NewDirectory(document.Document{}),
 		timing:     opts.timing(),
 		counters:   newCounters(opts.Metrics),
 		owners:     map[string]*owner{},
@@ -142,10 +145,9 @@
 	for name := range byRack {
 		m.owner(name)
 	}
-	directory := NewDirectory(doc)
+	m.directory = NewDirectory(doc)
 	for name, o := range m.owners {
 		o.setVMs(byRack[name])
-		o.directory = directory
 	}
 }
 
--- a/internal/batch/owner.go
+++ b/internal/batch/owner.go
@@ -35,8 +35,6 @@
 	log      log.Interface
 	phase    chart.State
 	vms      map[string]inventory.VM
-	// directory is of the document that the VMs are from.
-	directory *Directory
 
 	// busy is set while the shard is being taken or its state recovered.
 	busy      bool
--- a/internal/batch/plan.go
+++ b/internal/batch/plan.go
@@ -1,11 +1,13 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/inventory"
+	"github.com/bambooyard/bambooyard/place"
 	"github.com/bambooyard/bambooyard/shard"
 )
 
@@ -23,7 +25,7 @@
 	o.evictRemoved()
 	o.freeVMs()
 	if len(o.vms) == 0 {
-		o.reassign()
+		o.reassign(func(string) bool { return true })
 		return
 	}
 	o.place(now)
@@ -32,9 +34,7 @@
 // place carries out the planner's plan.
 func (o *owner) place(now time.Time) {
 	plan := o.planner.Plan(o.planInput(now))
-	for _, r := range plan.Rejections {
-		o.record(shard.Record{Event: charts.TaskReject, Task: shard.TaskID(r.Task), Reason: r.Reason})
-	}
+	o.reject(plan.Rejections)
 	for _, e := range plan.Evictions {
 		o.record(shard.Record{Event: charts.TaskEvict, Task: shard.TaskID(e.Task), Reason: e.Reason})
 	}
@@ -51,6 +51,32 @@
 	}
 }
 
+// reject ends the tasks that can run on no VM. Those that could run in another
+// shard are moved there with their jobs.
+func (o *owner) reject(rejections []place.Rejection) {
+	elsewhere := map[string]bool{}
+	for _, r := range rejections {
+		spec := o.state.Tasks[shard.TaskID(r.Task)].Spec
+		if len(o.feasibleElsewhere(Job{Member: spec.Member, Resources: spec.Resources, Avoid: spec.Avoid})) > 0 {
+			elsewhere[spec.Job] = true
+			continue
+		}
+		o.record(shard.Record{Event: charts.TaskReject, Task: spec.ID, Reason: r.Reason})
+	}
+	if len(elsewhere) > 0 {
+		o.reassign(func(job string) bool { return elsewhere[job] })
+	}
+}
+
+// feasibleElsewhere returns the other shards that could run the job's tasks.
+func (o *owner) feasibleElsewhere(job Job) []string {
+	names, err := o.manager.directory.Feasible(job)
+	if err != nil {
+		return nil // no shard can
+	}
+	return slices.DeleteFunc(names, func(name string) bool { return name == o.name })
+}
+
 // usable reports whether the VM may receive new work.
 func (o *owner) usable(vm inventory.VM) bool {
 	return !vm.Draining && !o.silent[vm.Name] && o.state.VMs[vm.Name]
--- a/internal/batch/reassign.go
+++ b/internal/batch/reassign.go
@@ -14,7 +14,7 @@
 	"github.com/bambooyard/bambooyard/shard"
 )
 
-// Limits of moving jobs out of shards without VMs.
+// Limits of moving jobs to other shards.
 const (
 	shardNamePrefix   = "shardnames/"
 	shardNameInterval = 10 * time.Minute // between two readings of the names of all shards
@@ -48,13 +48,13 @@
 	})
 }
 
-// reassign moves the jobs of a shard without VMs to other shards, once none of
-// their tasks holds a VM.
-func (o *owner) reassign() {
+// reassign moves the wanted jobs to other shards, once none of their tasks holds
+// a VM.
+func (o *owner) reassign(wanted func(job string) bool) {
 	if o.moving || len(o.manager.targets()) == 0 {
 		return
 	}
-	jobs := o.movable()
+	jobs := o.movable(wanted)
 	if len(jobs) == 0 {
 		return
 	}
@@ -77,8 +77,9 @@
 	})
 }
 
-// movable returns the tasks of open jobs that hold no VM, by the job's ID.
-func (o *owner) movable() []move {
+// movable returns the tasks of the wanted open jobs that hold no VM, by the
+// job's ID.
+func (o *owner) movable(wanted func(job string) bool) []move {
 	byJob := map[string][]shard.TaskID{}
 	open, holds := map[string]bool{}, map[string]bool{}
 	var order []string
@@ -93,7 +94,7 @@
 	}
 	var jobs []move
 	for _, job := range order {
-		if open[job] && !holds[job] && len(jobs) < maxMovedJobs {
+		if wanted(job) && open[job] && !holds[job] && len(jobs) < maxMovedJobs {
 			member := o.state.Tasks[byJob[job][0]].Spec.Member
 			jobs = append(jobs, move{job: Job{Member: member, Key: job[len(member)+1:]}, tasks: byJob[job]})
 		}
@@ -122,8 +123,11 @@
 // moveJob takes a job out of the record and puts it into another shard's inbox,
 // in one transaction with the job's row.
 func (o *owner) moveJob(mv move) {
-	targets := o.manager.targets()
-	if len(targets) == 0 || len(o.vms) > 0 {
+	targets := o.feasibleElsewhere(mv.job)
+	if len(targets) == 0 && len(o.vms) == 0 {
+		targets = o.manager.targets()
+	}
+	if len(targets) == 0 {
 		return
 	}
 	var tasks []shard.Task
