Log the libraries' messages as events

Cause: net/http wrote lines of its own form to the daemon's log. Ruled out: dropping them, since they tell of targets that answer twice. Before: plain lines. After: event=library (TestLibraryMessagesAreEvents).

--- a/cmd/bambooyardd/main.go
+++ b/cmd/bambooyardd/main.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	stdlog "log"
 	"os"
 
 	"github.com/apex/log"
@@ -47,6 +48,8 @@
 // run runs the daemon until it is told to stop.
 func run(s settings.Settings) {
 	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(daemon.LibraryLog{Log: logger.WithField("daemon", s.Name)})
 	fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(s.DrainDelay+2*s.DrainTimeout),
