Take members' turns over a shorter span, and test deadlines at both sizes

Cause: on 65 VMs over half an hour the planner missed one deadline of 3,792 that earliest deadline with best fit met. Within a span of 5 s of latest starts a member's share decides the order, which put one task behind for too long. Ruled out: the rule for late work (without it the count is the same); learning. The test had been moved to 24 VMs over an hour, where it passed; that hid the fault, so the first size is back beside it. Change: the span is 2 s.

--- a/place/deadline_test.go
+++ b/place/deadline_test.go
@@ -12,19 +12,23 @@
 // At 90% utilisation with run times off by up to four times, at least as many
 // deadlines are met as under the better of two simple policies.
 func TestDeadlinesMetAgainstBaselines(t *testing.T) {
-	const machines, untilMS = 24, 3_600_000
-	for _, seed := range []uint64{1, 2, 3} {
-		var counts []int
-		for _, policy := range []planner{place.NewPlanner(), firstInFirstOut{}, deadlineBestFit{}} {
-			tasks := drawTasks(rand.New(rand.NewPCG(seed, seed)), machines*56, 0.9, untilMS)
-			s := &simulation{policy: policy, machines: association(machines), tasks: tasks}
-			s.run(untilMS)
-			met, all := s.met()
-			counts = append(counts, met)
-			t.Logf("seed %d %T: %d of %d deadlines met (%.2f%%), %.1f evictions per 1,000 tasks",
-				seed, policy, met, all, 100*float64(met)/float64(all), 1000*float64(s.evicted)/float64(len(tasks)))
-			is.New(t).Equal(s.over, 0)
+	for _, size := range []struct{ machines, untilMS int64 }{
+		{24, 3_600_000},
+		{65, 1_800_000},
+	} {
+		for _, seed := range []uint64{1, 2, 3} {
+			var counts []int
+			for _, policy := range []planner{place.NewPlanner(), firstInFirstOut{}, deadlineBestFit{}} {
+				tasks := drawTasks(rand.New(rand.NewPCG(seed, seed)), size.machines*56, 0.9, size.untilMS)
+				s := &simulation{policy: policy, machines: association(int(size.machines)), tasks: tasks}
+				s.run(size.untilMS)
+				met, all := s.met()
+				counts = append(counts, met)
+				t.Logf("%d VMs, seed %d %T: %d of %d deadlines met (%.2f%%), %.1f evictions per 1,000 tasks", size.machines,
+					seed, policy, met, all, 100*float64(met)/float64(all), 1000*float64(s.evicted)/float64(len(tasks)))
+				is.New(t).Equal(s.over, 0)
+			}
+			is.New(t).True(counts[0] >= max(counts[1], counts[2]))
 		}
-		is.New(t).True(counts[0] >= max(counts[1], counts[2]))
 	}
 }
--- a/place/queue.go
+++ b/place/queue.go
@@ -9,7 +9,7 @@
 
 // shareBucketMS is the span of latest start times in milliseconds within which
 // the members' shares decide the order.
-const shareBucketMS = 5_000
+const shareBucketMS = 2_000
 
 // candidate is a pending task with what is expected of it.
 type candidate struct {
