Tell short pauses from silent connections

An answer counted as overdue after three times the 99th percentile of its kind, a few milliseconds for run times below one; a short pause then closed the connection and its siblings, and when the retry budget was used up the request failed. Ruled out: admission (the refusals were target_failed, not overloaded), and the machine, since the direct calls never failed. Change: the stall timeout is 100 ms at the least. Conclusion: a silent connection costs a repeatable request 100 ms, a pause nothing. Left: a request whose move the budget denies fails instead of waiting on.

--- a/learn/learn.go
+++ b/learn/learn.go
@@ -16,6 +16,9 @@
 	unit = 100 * time.Microsecond
 	// significantFigures of a run time that are kept.
 	significantFigures = 1
+	// minStallTimeout keeps a short pause of either end from being taken for a
+	// silent connection.
+	minStallTimeout = 100 * time.Millisecond
 	// minSamples is how many run times an estimate needs.
 	minSamples = 4
 	// windowSamples is how many run times a window holds before it is replaced.
@@ -26,11 +29,11 @@
 	longFactor = 8
 	// keyQuantile is the percentile of a key's run times that decides its class.
 	keyQuantile = 75
-	// patienceQuantile is the percentile of a key's run times after which an
+	// stallQuantile is the percentile of a key's run times after which an
 	// answer is overdue.
-	patienceQuantile = 99
-	// patienceFactor is how many times that run time is waited.
-	patienceFactor = 3
+	stallQuantile = 99
+	// stallFactor is how many times that run time is waited.
+	stallFactor = 3
 )
 
 // Key names a kind of request whose run times are alike.
@@ -113,7 +116,7 @@
 	if w == nil || w.samples() < minSamples {
 		return 0
 	}
-	return patienceFactor * w.quantile(patienceQuantile)
+	return max(minStallTimeout, stallFactor*w.quantile(stallQuantile))
 }
 
 // Size returns the number of keys.
--- a/learn/learn_test.go
+++ b/learn/learn_test.go
@@ -80,3 +80,16 @@
 		table.Long(k)
 	}
 }
+
+// Answers that take a millisecond do not make a pause of some milliseconds
+// count as a silent connection.
+func TestStallTimeoutOutlastsShortPauses(t *testing.T) {
+	table := learn.NewTable()
+	key := learn.Key{Service: "stock-check", Member: "m", Route: "GET /x"}
+	for range 100 {
+		table.Observe(key, time.Millisecond)
+	}
+	if got := table.StallTimeout(key); got != 100*time.Millisecond {
+		t.Fatalf("stall timeout is %v, want 100 ms", got)
+	}
+}
