Refresh the link's shares on every tick again

Cause: quiet daemons report every 2 s, and the refresh of their shares of links had come to stand behind that check, so that it was late by as much when a daemon joined or left. The loans kept the sum under the link's rate all the same. Ruled out: a report at each change of sessions, which the refresh does not need. Change: the refresh stands before the check, as it ran before quiet daemons. Before and after: the tests of links and daemons and the drill pass; no figure was taken.

--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -124,13 +124,13 @@
 // reportLoad tells every peer this daemon's load.
 func (c *controller) reportLoad(now time.Time) {
 	c.loads.expire(now)
+	c.links.refresh(c.config.Document().Rules.Links, c.otherSessions(now))
 	if c.quiet(now) {
 		return
 	}
 	c.reportedAt, c.reported = now, c.config.Head().Revision
 	self := c.keeper.Self()
 	report := c.loadReport(self.ID, now)
-	c.links.refresh(c.config.Document().Rules.Links, c.otherSessions(now))
 	addresses := map[string]bool{}
 	for _, s := range c.keeper.Peers(now) {
 		if s.ID == self.ID {
