Run jobs on the users' platform: a thin whole path

A cell of workers has one owner, fenced by an epoch in the platform's store. Entries store jobs, the owner runs a pure dispatch engine and talks to the workers, and platform/ translates the published protocol.

--- a/cmd/bambooyardd/main.go
+++ b/cmd/bambooyardd/main.go
@@ -13,8 +13,10 @@
 	"go.uber.org/fx"
 
 	"github.com/bambooyard/bambooyard/internal/daemon"
+	"github.com/bambooyard/bambooyard/internal/node"
 	"github.com/bambooyard/bambooyard/internal/settings"
 	"github.com/bambooyard/bambooyard/internal/version"
+	"github.com/bambooyard/bambooyard/platform"
 )
 
 // Exit codes.
@@ -24,6 +26,9 @@
 )
 
 func main() {
+	if platform.HasSettings() {
+		os.Exit(runNode())
+	}
 	parsed, err := settings.Parse(os.Args[1:])
 	var flagsErr *flags.Error
 	switch {
@@ -45,6 +50,19 @@
 	run(parsed.Settings)
 }
 
+// runNode runs the daemon on the users' platform, which has written its settings.
+func runNode() int {
+	s, err := platform.ReadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	logger := &log.Logger{Handler: logfmt.New(os.Stdout), Level: log.InfoLevel}
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(daemon.LibraryLog{Log: logger.WithField("daemon", s.Name)})
+	return node.Run(s, logger.WithField("daemon", s.Name))
+}
+
 // run runs the daemon until it is told to stop.
 func run(s settings.Settings) {
 	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,329 @@
+// Package dispatch decides which task of which job runs on which worker.
+//
+// An Engine holds what one cell's owner believes: open jobs, workers and the
+// runs on them. Events go in through its methods, each with the time of the
+// steady clock; orders and changed jobs come out of Take. It does no input or
+// output, starts no goroutine and is not safe for concurrent use.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// Options are the bounds that the platform sets for an installation.
+type Options struct {
+	// LeaseMax is the longest lease that a worker grants.
+	LeaseMax time.Duration
+	// StartWindow is how long after it is given a start order may be carried out.
+	StartWindow time.Duration
+	// RemoteFactor is how many times longer a task runs away from its data.
+	RemoteFactor float64
+}
+
+// clockRate is the slowest that a worker's clock may run against ours; the
+// platform allows 2%.
+const clockRate = 0.98
+
+// RunState is what is known of a run.
+type RunState int
+
+// States of a run.
+const (
+	// RunOrdered means that the start order has no response yet.
+	RunOrdered RunState = iota
+	// RunDoubtful means that the start order got no response: the run may
+	// exist, or may come to exist until the order's time limit.
+	RunDoubtful
+	// RunActive means that the worker has confirmed the run.
+	RunActive
+)
+
+// Run is one attempt of a task on a worker.
+type Run struct {
+	Task    *Task
+	Worker  *Worker
+	Attempt int
+	State   RunState
+	// Percent is how far the run is allowed to work; 100 is fully.
+	Percent int
+	// Figure is the tail latency in milliseconds for a service task and the
+	// processors in use for others, as last listed.
+	Figure float64
+
+	orderedAt   time.Time
+	confirmedAt time.Time
+	notAfterMS  int64
+	stopping    bool
+	stopSent    bool // a stop order is on its way
+	stoppedAt   time.Time
+	missing     int // listings in a row that lacked the run
+	overSince   time.Time
+	calmSince   time.Time
+}
+
+// Task is one task of a job.
+type Task struct {
+	ID       job.TaskID
+	Job      *Job
+	Step     *job.Step
+	Done     bool
+	Attempt  int // highest number given so far
+	Failures []int
+	// Checkpoint is the last one known; empty if none.
+	Checkpoint string
+	Runs       []*Run
+	// inherited is set for a task that a former owner may have started.
+	inherited bool
+	// placedOn is the worker that a former owner last recorded for the task.
+	placedOn  string
+	avoid     map[string]bool // workers that failed the task
+	label     string
+	notBefore time.Time
+	readyAt   time.Time // when its turn was seen to have come; zero if it has not
+}
+
+// ReadySince returns when the turn of a task just started was seen to have come.
+func (t *Task) ReadySince(now time.Time) time.Time {
+	if t.readyAt.IsZero() {
+		return now
+	}
+	return t.readyAt
+}
+
+// Arrived returns when the job became known to this owner.
+func (j *Job) Arrived() time.Time { return j.arrived }
+
+// name returns the task's name as workers know it.
+func (t *Task) name() string { return t.label }
+
+// Job is an open job or one that has just become final.
+type Job struct {
+	Spec  job.Spec
+	Queue job.Queue
+	State job.State
+	// Begun is set once any task has been started.
+	Begun       bool
+	occurrences []*occurrence
+	objective   time.Time
+	arrived     time.Time
+	chain       time.Duration
+	work        float64
+}
+
+// occurrence is one run of a job's steps.
+type occurrence struct {
+	number int
+	due    time.Time
+	tasks  [][]*Task
+	left   []int // tasks not done, by step
+}
+
+func (o *occurrence) done() bool {
+	for _, n := range o.left {
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// ready reports whether all predecessors of a step are done.
+func (o *occurrence) ready(step *job.Step) bool {
+	for _, before := range step.After {
+		if o.left[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Engine is the state of a cell's owner.
+type Engine struct {
+	options Options
+	jobs    map[string]*Job
+	tasks   map[string]*Task // of open jobs, by name
+	workers map[string]*Worker
+	queues  map[string]job.Queue
+	// silent are workers that a former owner may have left tasks on and that
+	// have not been heard of, with the time when those tasks are gone.
+	silent map[string]time.Time
+	// tookOver is when the engine was told to expect runs of a former owner.
+	tookOver time.Time
+	out      Output
+}
+
+// Output is what the owner has to do.
+type Output struct {
+	Starts    []*Run
+	Stops     []*Run
+	Strays    []Stray
+	Throttles []Throttle
+	// Changed are jobs whose progress is to be committed. The value is true
+	// when an end is among the changes, false when the commit may wait.
+	Changed map[*Job]bool
+	// Finished are jobs that have become final.
+	Finished []*Job
+}
+
+// Stray is a run that must not be, and whose task has no record of it.
+type Stray struct {
+	Worker  *Worker
+	Task    string
+	Attempt int
+}
+
+// Throttle limits a run to a percentage of its processors.
+type Throttle struct {
+	Run     *Run
+	Percent int
+}
+
+// NewEngine returns an engine without jobs and workers.
+func NewEngine(o Options) *Engine {
+	return &Engine{
+		options: o,
+		jobs:    map[string]*Job{},
+		tasks:   map[string]*Task{},
+		workers: map[string]*Worker{},
+		queues:  map[string]job.Queue{},
+		silent:  map[string]time.Time{},
+		out:     Output{Changed: map[*Job]bool{}},
+	}
+}
+
+// Take returns the orders and changes since the last call.
+func (e *Engine) Take() Output {
+	out := e.out
+	e.out = Output{Changed: map[*Job]bool{}}
+	return out
+}
+
+// Job returns an open job, or nil.
+func (e *Engine) Job(id string) *Job { return e.jobs[id] }
+
+// Jobs returns all open jobs; the caller must not change them.
+func (e *Engine) Jobs() map[string]*Job { return e.jobs }
+
+// SetQueues takes in the operators' queues. A queue that is gone keeps its last
+// settings for the jobs that it has left.
+func (e *Engine) SetQueues(queues []job.Queue) {
+	for _, q := range queues {
+		e.queues[q.Name] = q
+	}
+	for _, j := range e.jobs {
+		if q, ok := e.queues[j.Spec.Queue]; ok {
+			j.Queue = q
+		}
+	}
+}
+
+// Add takes in an accepted job. A job that is known already is left as it is.
+func (e *Engine) Add(spec job.Spec, now time.Time, wallMS int64) *Job {
+	if j := e.jobs[spec.ID]; j != nil {
+		return j
+	}
+	j := &Job{Spec: spec, Queue: e.queues[spec.Queue], State: job.Queued, arrived: now}
+	// A former owner that does not know yet may have been told of it, too.
+	contested := len(e.silent) > 0 && now.Sub(e.tookOver) < handoverWindow
+	for k := range spec.Occurrences() {
+		o := &occurrence{number: k, due: now}
+		if due := spec.DueUnixMS(k); due > 0 {
+			o.due = now.Add(time.Duration(due-wallMS) * time.Millisecond)
+		}
+		for s := range spec.Steps {
+			step := &j.Spec.Steps[s]
+			row := make([]*Task, step.Tasks)
+			for i := range row {
+				id := job.TaskID{Job: spec.ID, Occurrence: k, Step: s, Index: i}
+				t := &Task{ID: id, Job: j, Step: step, label: id.String(), inherited: contested}
+				row[i] = t
+				e.tasks[t.name()] = t
+			}
+			o.tasks = append(o.tasks, row)
+			o.left = append(o.left, step.Tasks)
+		}
+		j.occurrences = append(j.occurrences, o)
+	}
+	j.setObjective()
+	e.jobs[spec.ID] = j
+	return j
+}
+
+// handoverWindow is how long after a take-over a former owner may still give
+// orders: it calls workers many times a second, and those that have been called
+// under the new epoch refuse it.
+const handoverWindow = time.Second
+
+// setObjective works out when the job should be done.
+func (j *Job) setObjective() {
+	j.chain = j.Spec.LongestChain()
+	stretch := j.Queue.Stretch
+	if stretch == 0 {
+		stretch = 1
+	}
+	j.objective = j.arrived.Add(time.Duration(stretch*float64(j.chain)) + j.Queue.Slack)
+	for _, s := range j.Spec.Steps {
+		j.work += float64(s.Tasks) * float64(s.EstimateMS) * float64(s.Resources.MilliCPU)
+	}
+}
+
+// Cancel ends a job at its caller's wish: nothing of it starts any more and
+// what runs is stopped. It reports false for a job that is not open.
+func (e *Engine) Cancel(id string) bool {
+	j := e.jobs[id]
+	if j == nil {
+		return false
+	}
+	e.finish(j, job.Cancelled)
+	return true
+}
+
+// finish makes a job final and stops what it still runs.
+func (e *Engine) finish(j *Job, state job.State) {
+	if j.State.Final() {
+		return
+	}
+	j.State = state
+	e.out.Finished = append(e.out.Finished, j)
+	delete(e.out.Changed, j)
+	delete(e.jobs, j.Spec.ID)
+	for _, o := range j.occurrences {
+		for _, row := range o.tasks {
+			for _, t := range row {
+				delete(e.tasks, t.name())
+				for _, r := range t.Runs {
+					e.stop(r)
+				}
+			}
+		}
+	}
+}
+
+// stop orders the end of a run. It is repeated until the run has ended.
+func (e *Engine) stop(r *Run) {
+	r.stopping = true
+	if !r.stopSent && r.State != RunOrdered {
+		r.stopSent = true
+		e.out.Stops = append(e.out.Stops, r)
+	}
+}
+
+// changed marks a job's progress for a commit.
+func (e *Engine) changed(j *Job, ended bool) {
+	if !j.State.Final() {
+		e.out.Changed[j] = e.out.Changed[j] || ended
+	}
+}
+
+// Pending returns the number of open jobs of a queue without a started task.
+func (e *Engine) Pending(queue string) int {
+	n := 0
+	for _, j := range e.jobs {
+		if !j.Begun && j.Spec.Queue == queue {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,210 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// Plan starts every task whose turn has come and for which there is room, and
+// looks after what runs.
+func (e *Engine) Plan(now time.Time) {
+	e.Expire(now)
+	e.evacuate(now)
+	for _, j := range e.byUrgency(now) {
+		for _, o := range j.occurrences {
+			if now.Before(o.due) {
+				continue
+			}
+			for s := range j.Spec.Steps {
+				step := &j.Spec.Steps[s]
+				if o.left[s] > 0 && o.ready(step) {
+					e.planStep(step, o.tasks[s], now)
+				}
+			}
+		}
+	}
+}
+
+// byUrgency returns the open jobs, first those that lose most by waiting.
+func (e *Engine) byUrgency(now time.Time) []*Job {
+	jobs := make([]*Job, 0, len(e.jobs))
+	for _, j := range e.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(
+			cmp.Compare(boolInt(a.hopeless(now)), boolInt(b.hopeless(now))),
+			cmp.Compare(a.Queue.Priority, b.Queue.Priority),
+			a.latestStart().Compare(b.latestStart()),
+			cmp.Compare(a.Spec.ID, b.Spec.ID),
+		)
+	})
+	return jobs
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// lateFactor is how many times its objective a job may take and still be worth
+// something; the platform's pages say three.
+const lateFactor = 3
+
+// hopeless reports whether the job is too late to be worth anything. Services
+// and scheduled jobs never are.
+func (j *Job) hopeless(now time.Time) bool {
+	if j.Spec.Schedule.Times > 0 || j.service() {
+		return false
+	}
+	return now.Sub(j.arrived) > lateFactor*j.objective.Sub(j.arrived)
+}
+
+func (j *Job) service() bool {
+	return slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return s.Service })
+}
+
+func (j *Job) latestStart() time.Time { return j.objective.Add(-j.chain) }
+
+// planStep starts the tasks of a step that may start.
+func (e *Engine) planStep(step *job.Step, tasks []*Task, now time.Time) {
+	if step.Gang {
+		e.planGang(step, tasks, now)
+		return
+	}
+	for _, t := range tasks {
+		if !e.mayStart(t, now) {
+			continue
+		}
+		w := e.choose(t, tasks, now, nil)
+		if w == nil {
+			return // like tasks do not fit either
+		}
+		e.start(t, w, t.Attempt+1, now)
+	}
+}
+
+// mayStart reports whether a task waits for nothing but room.
+func (e *Engine) mayStart(t *Task, now time.Time) bool {
+	if t.Done || len(t.Runs) > 0 || now.Before(t.notBefore) {
+		return false
+	}
+	if t.inherited && len(e.silent) > 0 && !t.Step.Speculative {
+		return false
+	}
+	if t.readyAt.IsZero() {
+		t.readyAt = now
+	}
+	return true
+}
+
+// planGang starts all tasks of a gang, or none.
+func (e *Engine) planGang(step *job.Step, tasks []*Task, now time.Time) {
+	attempt := 0
+	for _, t := range tasks {
+		if !e.mayStart(t, now) {
+			return
+		}
+		attempt = max(attempt, t.Attempt)
+	}
+	reserved := &reservation{taken: map[*Worker]job.Resources{}, count: map[*Worker]int{}}
+	chosen := make([]*Worker, len(tasks))
+	for i, t := range tasks {
+		w := e.choose(t, tasks, now, reserved)
+		if w == nil {
+			return
+		}
+		reserved.taken[w] = reserved.taken[w].Add(demand(step))
+		reserved.count[w]++
+		chosen[i] = w
+	}
+	checkpoint := ""
+	for _, t := range tasks {
+		if t.Checkpoint != "" {
+			checkpoint = t.Checkpoint
+		}
+	}
+	for i, t := range tasks {
+		t.Checkpoint = checkpoint
+		e.start(t, chosen[i], attempt+1, now)
+	}
+}
+
+// reservation is room that other members of a gang will take.
+type reservation struct {
+	taken map[*Worker]job.Resources
+	count map[*Worker]int
+}
+
+// start orders a run of a task.
+func (e *Engine) start(t *Task, w *Worker, attempt int, now time.Time) {
+	t.Attempt = attempt
+	r := &Run{
+		Task: t, Worker: w, Attempt: attempt, State: RunOrdered,
+		orderedAt: now, Percent: 100,
+		notAfterMS: w.ClockMS(now) + e.options.StartWindow.Milliseconds(),
+	}
+	// A start extends the worker's lease like a renewal.
+	w.leaseMS = max(w.leaseMS, r.notAfterMS)
+	w.attach(r)
+	e.begin(t.Job)
+	e.changed(t.Job, false)
+	e.out.Starts = append(e.out.Starts, r)
+}
+
+// NotAfterMS is the time on the worker's clock past which it refuses the start.
+func (r *Run) NotAfterMS() int64 { return r.notAfterMS }
+
+// evacuationMargin is the least time before a draining worker leaves at which
+// what still runs there is stopped, so that its checkpoint is kept and its end
+// is heard of. Stops take up to 200 ms and a round trip.
+const evacuationMargin = 700 * time.Millisecond
+
+// evacuate moves services off draining workers, and stops what would be lost
+// when they leave.
+func (e *Engine) evacuate(now time.Time) {
+	for _, w := range e.workers {
+		if !w.Entry.Draining || len(w.runs) == 0 {
+			continue
+		}
+		leaving := w.Entry.Remaining <= evacuationMargin
+		for _, r := range w.sortedRuns() {
+			if r.stopping || r.State != RunActive {
+				continue
+			}
+			if leaving || (r.Task.Step.Service && e.mayTakeAway(r.Task)) {
+				e.stop(r)
+			}
+		}
+	}
+}
+
+// mayTakeAway reports whether a service step bears the loss of one more task.
+func (e *Engine) mayTakeAway(t *Task) bool {
+	limit := t.Step.MaxUnavailable
+	if limit < 0 {
+		return true
+	}
+	away := 0
+	for _, other := range t.Job.occurrences[t.ID.Occurrence].tasks[t.ID.Step] {
+		if other != t && !other.atWork() {
+			away++
+		}
+	}
+	return away < max(limit, 1)
+}
+
+// atWork reports whether a service task serves.
+func (t *Task) atWork() bool {
+	for _, r := range t.Runs {
+		if r.State == RunActive && !r.stopping && r.Percent == 100 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dispatch/progress.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// TaskProgress is what is recorded of one task that has been started.
+type TaskProgress struct {
+	Occurrence int    `json:"k,omitempty"`
+	Step       int    `json:"s,omitempty"`
+	Index      int    `json:"i,omitempty"`
+	Done       bool   `json:"d,omitempty"`
+	Attempt    int    `json:"a"`
+	Failures   []int  `json:"f,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+	// Worker is where the task was last started; empty when nothing runs.
+	Worker string `json:"w,omitempty"`
+}
+
+// Progress is what is recorded of an open job, for the next owner.
+type Progress struct {
+	Tasks []TaskProgress `json:"tasks"`
+}
+
+// Progress returns what is to be recorded of the job.
+func (j *Job) Progress() Progress {
+	var p Progress
+	for _, o := range j.occurrences {
+		for _, row := range o.tasks {
+			for _, t := range row {
+				if t.Attempt == 0 && !t.Done {
+					continue
+				}
+				tp := TaskProgress{
+					Occurrence: t.ID.Occurrence, Step: t.ID.Step, Index: t.ID.Index,
+					Done: t.Done, Attempt: t.Attempt, Failures: t.Failures,
+				}
+				if !t.Done {
+					tp.Checkpoint = t.Checkpoint
+					if len(t.Runs) > 0 {
+						tp.Worker = t.Runs[0].Worker.Entry.ID
+					}
+				}
+				p.Tasks = append(p.Tasks, tp)
+			}
+		}
+	}
+	return p
+}
+
+// attemptGap is left between the attempts that a former owner recorded and our
+// first, for starts that it had no time to record.
+const attemptGap = 16
+
+// Restore takes in what a former owner recorded of a job just added. Every task
+// of the job may still run somewhere, recorded or not.
+func (e *Engine) Restore(j *Job, p Progress) error {
+	for _, o := range j.occurrences {
+		for _, row := range o.tasks {
+			for _, t := range row {
+				t.inherited = true
+			}
+		}
+	}
+	for _, tp := range p.Tasks {
+		id := job.TaskID{Job: j.Spec.ID, Occurrence: tp.Occurrence, Step: tp.Step, Index: tp.Index}
+		t := e.tasks[id.String()]
+		if t == nil {
+			return fmt.Errorf("progress of job %s names task %s, which it does not have", j.Spec.ID, id)
+		}
+		t.Attempt = max(t.Attempt, tp.Attempt)
+		t.Failures = slices.Clone(tp.Failures)
+		t.Checkpoint = tp.Checkpoint
+		t.placedOn = tp.Worker
+		if tp.Done && !t.Done {
+			t.Done = true
+			o := j.occurrences[tp.Occurrence]
+			o.left[tp.Step]--
+		}
+	}
+	if len(p.Tasks) > 0 {
+		j.Begun, j.State = true, job.Running
+	}
+	for _, o := range j.occurrences {
+		for _, row := range o.tasks {
+			for _, t := range row {
+				t.Attempt += attemptGap
+			}
+		}
+	}
+	return nil
+}
+
+// ExpectFrom records that workers may run tasks of a former owner until they
+// are heard of, or until the longest lease is over on the slowest clock.
+func (e *Engine) ExpectFrom(ids []string, now time.Time) {
+	e.tookOver = now
+	until := now.Add(time.Duration(float64(e.options.LeaseMax)/clockRate) + leaseSlack)
+	for _, id := range ids {
+		if w := e.workers[id]; w == nil || !w.heard {
+			e.silent[id] = until
+		}
+	}
+	for _, j := range e.jobs {
+		for _, o := range j.occurrences {
+			for _, row := range o.tasks {
+				for _, t := range row {
+					if t.placedOn != "" && (e.workers[t.placedOn] == nil || !e.workers[t.placedOn].heard) {
+						e.silent[t.placedOn] = until
+					}
+				}
+			}
+		}
+	}
+}
+
+// leaseSlack is added to the longest lease for a former owner's call that was
+// still on its way when the ownership changed.
+const leaseSlack = time.Second
+
+// Silent returns the number of workers that may run tasks of a former owner.
+func (e *Engine) Silent() int { return len(e.silent) }
--- /dev/null
+++ b/dispatch/worker.go
@@ -0,0 +1,230 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// Worker is one life of a worker.
+type Worker struct {
+	Entry port.WorkerEntry
+	// Listed is set while the platform's list has the worker.
+	Listed bool
+
+	boot    int64
+	heard   bool      // a listing has been taken under our epoch
+	clockMS int64     // its clock at clockAt, at the least
+	clockAt time.Time // zero if its clock is not known
+	// leaseMS is the latest time on its clock until which anything may run.
+	leaseMS int64
+	// lostBy is when whatever ran on a worker that was never heard is gone.
+	lostBy  time.Time
+	seenEnd int64 // highest number of an end taken in
+	runs    map[runKey]*Run
+	used    job.Resources
+
+	// answeredAt is when the worker last answered anything.
+	answeredAt time.Time
+	// unansweredSince is when the oldest call without a response was sent.
+	unansweredSince time.Time
+	// roundTrip is the shortest time that a start order took.
+	roundTrip    time.Duration
+	failures     int // failed ends in a row
+	refusedUntil time.Time
+	lastFailure  time.Time
+}
+
+type runKey struct {
+	task    string
+	attempt int
+}
+
+// Runs returns the number of runs on the worker.
+func (w *Worker) Runs() int { return len(w.runs) }
+
+// Heard reports whether the worker has been heard of under our epoch.
+func (w *Worker) Heard() bool { return w.heard }
+
+// Doubtful reports whether it is not known whether a run exists.
+func (w *Worker) Doubtful() bool {
+	for _, r := range w.runs {
+		if r.State == RunDoubtful {
+			return true
+		}
+	}
+	return false
+}
+
+// Mixed reports whether best-effort tasks run beside a service with a target.
+func (w *Worker) Mixed() bool {
+	services, bestEffort, _ := w.neighbours()
+	return services > 0 && bestEffort > 0
+}
+
+// Target returns the worker's address.
+func (w *Worker) Target() port.Target { return port.Target{ID: w.Entry.ID, Address: w.Entry.Address} }
+
+// SeenEnd returns the number of the last end taken in, which may be
+// acknowledged once it is committed, and the boot that it belongs to.
+func (w *Worker) SeenEnd() (number, boot int64) { return w.seenEnd, w.boot }
+
+// ClockMS returns the least that the worker's clock can show now; zero if it
+// is not known.
+func (w *Worker) ClockMS(now time.Time) int64 {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	return w.clockMS + int64(clockRate*float64(now.Sub(w.clockAt).Milliseconds()))
+}
+
+// setClock takes in the worker's clock from a response received now.
+func (w *Worker) setClock(ms int64, now time.Time) {
+	if ms <= 0 || ms < w.ClockMS(now) {
+		return
+	}
+	w.clockMS, w.clockAt = ms, now
+}
+
+// Lease returns a lease on the worker's clock that ends after d, and remembers
+// it; zero while its clock is not known.
+func (w *Worker) Lease(now time.Time, d time.Duration) int64 {
+	if w.clockAt.IsZero() {
+		return 0
+	}
+	until := w.ClockMS(now) + d.Milliseconds()
+	w.leaseMS = max(w.leaseMS, until)
+	return until
+}
+
+// free returns what no run occupies.
+func (w *Worker) free() job.Resources { return w.Entry.Capacity.Sub(w.used) }
+
+// demand is what a run counts against its worker's capacity.
+func demand(s *job.Step) job.Resources {
+	r := s.Resources
+	if s.BestEffort {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+func (w *Worker) attach(r *Run) {
+	w.runs[runKey{r.Task.name(), r.Attempt}] = r
+	w.used = w.used.Add(demand(r.Task.Step))
+	r.Task.Runs = append(r.Task.Runs, r)
+}
+
+func (w *Worker) detach(r *Run) {
+	key := runKey{r.Task.name(), r.Attempt}
+	if w.runs[key] != r {
+		return
+	}
+	delete(w.runs, key)
+	w.used = w.used.Sub(demand(r.Task.Step))
+	r.Task.Runs = slices.DeleteFunc(r.Task.Runs, func(o *Run) bool { return o == r })
+}
+
+// Workers returns all workers; the caller must not change them.
+func (e *Engine) Workers() map[string]*Worker { return e.workers }
+
+// Worker returns a worker by its ID, or nil.
+func (e *Engine) Worker(id string) *Worker { return e.workers[id] }
+
+// SetWorkers takes in the platform's list. Workers that it lacks get no more
+// work; they are forgotten once nothing can run on them.
+func (e *Engine) SetWorkers(list []port.WorkerEntry, now time.Time) {
+	for _, w := range e.workers {
+		w.Listed = false
+	}
+	for _, entry := range list {
+		w := e.workers[entry.ID]
+		if w == nil {
+			w = &Worker{runs: map[runKey]*Run{}, boot: entry.Boot}
+			e.workers[entry.ID] = w
+		}
+		if entry.Boot > w.boot {
+			e.reborn(w, entry.Boot, now)
+		}
+		if entry.Boot >= w.boot {
+			w.Entry = entry
+		}
+		w.Listed = true
+	}
+	for id, w := range e.workers {
+		if !w.Listed && len(w.runs) == 0 {
+			if _, silent := e.silent[id]; !silent {
+				delete(e.workers, id)
+			}
+		}
+	}
+}
+
+// reborn takes in that a worker has started again: what was confirmed on it
+// has ended without a trace. Orders without a response may still arrive.
+func (e *Engine) reborn(w *Worker, boot int64, now time.Time) {
+	w.boot = boot
+	w.clockAt, w.clockMS = time.Time{}, 0
+	w.seenEnd = 0
+	w.leaseMS = 0
+	w.failures = 0
+	w.refusedUntil = time.Time{}
+	for _, r := range w.sortedRuns() {
+		if r.State == RunActive {
+			e.lost(r)
+			continue
+		}
+		// The order was written for a clock that no longer exists: it can be
+		// carried out for as long as a lease lasts on the new one.
+		r.State = RunDoubtful
+		r.notAfterMS = e.options.LeaseMax.Milliseconds() + r.notAfterMS
+	}
+}
+
+// sortedRuns returns the runs in a fixed order.
+func (w *Worker) sortedRuns() []*Run {
+	runs := make([]*Run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *Run) int {
+		if c := a.orderedAt.Compare(b.orderedAt); c != 0 {
+			return c
+		}
+		return compareNames(a, b)
+	})
+	return runs
+}
+
+// Expire gives up runs on workers whose leases have run out, and the caution
+// towards workers that a former owner may have left tasks on.
+func (e *Engine) Expire(now time.Time) {
+	for id, until := range e.silent {
+		if now.After(until) {
+			delete(e.silent, id)
+		}
+	}
+	for _, w := range e.workers {
+		if len(w.runs) == 0 || w.clockAt.IsZero() {
+			continue
+		}
+		if w.ClockMS(now) > w.leaseMS {
+			for _, r := range w.sortedRuns() {
+				if r.State == RunOrdered || w.ClockMS(now) <= r.notAfterMS {
+					continue
+				}
+				e.lost(r)
+			}
+		}
+	}
+}
+
+// lost takes in that a run has ended without a word of it.
+func (e *Engine) lost(r *Run) {
+	r.Worker.detach(r)
+	r.Task.readyAt = time.Time{}
+	e.breakGang(r)
+	e.changed(r.Task.Job, false)
+}
--- /dev/null
+++ b/internal/cell/converse.go
@@ -0,0 +1,159 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooyard/bambooyard/dispatch"
+	"github.com/bambooyard/bambooyard/internal/port"
+)
+
+// Times of the conversation with a worker.
+const (
+	// listWait is how long a listing may wait for an end. Each listing renews
+	// the lease, which must last several of them.
+	listWait = time.Second
+	// watchWait is the pace of listings while best-effort tasks run beside a
+	// service, whose latency figure covers half a second.
+	watchWait = 400 * time.Millisecond
+	// listSlack is added to the wait for a round trip between regions and a
+	// slow answer.
+	listSlack = 500 * time.Millisecond
+	// retryPause is the pace of listings of a worker that does not answer.
+	retryPause = 150 * time.Millisecond
+	// idleRetry is the pace while nothing is known to run there.
+	idleRetry = time.Second
+	// commitWait is how long a listing waits for the commit of ends that the
+	// worker would only list again.
+	commitWait = 150 * time.Millisecond
+)
+
+// talk is the conversation with one worker.
+type talk struct {
+	busy    bool
+	triedAt time.Time
+	failed  bool
+	// acked is the number up to which ends are committed, of a boot.
+	committed, boot int64
+	// acknowledged is the number that the worker has been told.
+	acknowledged int64
+	// takenAt is when an end that is not committed was first listed.
+	takenAt time.Time
+}
+
+// converseAll asks each worker that must be heard for a listing.
+func (t *tenure) converseAll(now time.Time) {
+	if !t.loaded || t.unconfirmed || t.releasing {
+		return
+	}
+	workers := t.engine.Workers()
+	for id := range t.talks {
+		if workers[id] == nil {
+			delete(t.talks, id)
+		}
+	}
+	for id, w := range workers {
+		k := t.talks[id]
+		if k == nil {
+			k = &talk{}
+			t.talks[id] = k
+		}
+		if !k.busy {
+			t.converse(k, w, now)
+		}
+	}
+}
+
+// converse asks a worker for a listing if one is needed now.
+func (t *tenure) converse(k *talk, w *dispatch.Worker, now time.Time) {
+	seen, boot := w.SeenEnd()
+	if boot != k.boot {
+		k.boot, k.committed, k.acknowledged = boot, 0, 0
+	}
+	uncommitted := seen > k.committed
+	unacknowledged := k.committed > k.acknowledged
+	busy := w.Runs() > 0
+	switch {
+	case k.failed:
+		pace := idleRetry
+		if busy || !w.Heard() {
+			pace = retryPause
+		}
+		if now.Sub(k.triedAt) < pace || !w.Listed && !busy {
+			return
+		}
+	case uncommitted && now.Sub(k.takenAt) < commitWait:
+		return
+	case !busy && !unacknowledged && w.Heard():
+		return
+	}
+	wait := time.Duration(0)
+	if busy && !uncommitted && !k.failed && w.Heard() && !w.Doubtful() {
+		wait = listWait
+		if w.Mixed() {
+			wait = watchWait
+		}
+	}
+	t.list(k, w, wait, now)
+}
+
+// list asks a worker for a listing and renews its lease.
+func (t *tenure) list(k *talk, w *dispatch.Worker, wait time.Duration, now time.Time) {
+	id, target := w.Entry.ID, w.Target()
+	order := port.ListOrder{
+		Epoch: t.record.Epoch, Acknowledge: k.committed, Wait: wait,
+		LeaseUntilMS: w.Lease(now, t.c.Lease),
+	}
+	boot := k.boot
+	k.busy, k.triedAt = true, now
+	do(t, wait+listSlack, func(ctx context.Context) (port.Listing, error) {
+		return t.c.Workers.List(ctx, target, order)
+	}, func(l port.Listing, err error) {
+		k.busy = false
+		done := t.c.Now()
+		if err != nil {
+			t.listFailed(k, w, err, now)
+			t.kick()
+			return
+		}
+		k.failed = false
+		if l.Boot == boot {
+			k.acknowledged = max(k.acknowledged, order.Acknowledge)
+		}
+		t.logEnds(w, l)
+		t.engine.Listed(id, l, now, done)
+		if seen, _ := w.SeenEnd(); seen > k.committed && k.takenAt.Before(now) {
+			k.takenAt = done
+			t.urgent = true
+		}
+		t.kick()
+	})
+}
+
+func (t *tenure) listFailed(k *talk, w *dispatch.Worker, err error, sent time.Time) {
+	if !k.failed {
+		t.log.WithFields(log.Fields{"event": "worker_silent", "worker": w.Entry.ID, "runs": w.Runs()}).WithError(err).Warn("no listing")
+	}
+	k.failed = true
+	var refused *port.RefusedError
+	if errors.As(err, &refused) && refused.Reason == port.RefusedLife {
+		t.engine.Replaced(w.Entry.ID, t.c.Now())
+		return
+	}
+	t.orderAnswered(err)
+	t.engine.Unanswered(w.Entry.ID, sent)
+}
+
+// logEnds writes a line for each end that was not listed before.
+func (t *tenure) logEnds(w *dispatch.Worker, l port.Listing) {
+	seen, boot := w.SeenEnd()
+	for _, e := range l.Ended {
+		if e.Number > seen || l.Boot != boot {
+			t.log.WithFields(log.Fields{"event": "task_end", "task": e.Task, "attempt": e.Attempt, "worker": w.Entry.ID,
+				"reason": e.Reason, "saved": e.Checkpoint != ""}).Info("listed")
+		}
+	}
+}
