Protect services from best-effort tasks beside them

The engine learns which image disturbs which service, places best-effort tasks where they disturb least, and moves or throttles the heaviest when a service is over its target. Ended jobs are remembered.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/bambooyard/bambooyard/job"
 )
 
 // Penalties order the workers that could run a task. A penalty is in
@@ -13,7 +15,7 @@
 	penaltyFailedHere   = 1e9 // the task has failed on the worker
 	penaltyAwayFromData = 1e7 // the task runs RemoteFactor times as long
 	penaltyCold         = 1e6 // the worker is slow after its start
-	penaltyBeside       = 1e6 // best-effort tasks disturb services
+	penaltyBeside       = 3e5 // best-effort tasks disturb services
 	bonusWithServices   = 1e5 // services together leave other workers to best-effort tasks
 	penaltyPerMS        = 200 // a round trip delays the start and the end
 )
@@ -53,12 +55,21 @@
 	if !demand(t.Step).Fits(free) {
 		return false
 	}
+	if t.Step.BestEffort && !e.bearable(t.Step, w) {
+		return false
+	}
 	if t.Step.Label != "" && !slices.Contains(w.Entry.Labels, t.Step.Label) {
 		return false
 	}
 	return t.Step.MaxPerWorker == 0 || e.countOn(t, w, reserved) < t.Step.MaxPerWorker
 }
 
+// bearable reports whether a worker's services would stay below their targets
+// beside one more best-effort task.
+func (e *Engine) bearable(step *job.Step, w *Worker) bool {
+	return len(e.mixture(w).services) == 0 || e.predictedTail(w, step) < bearableTail
+}
+
 // countOn returns how many of a task's step run on a worker.
 func (e *Engine) countOn(t *Task, w *Worker, reserved *reservation) int {
 	n := 0
@@ -81,16 +92,25 @@
 		left -= reserved.taken[w].MilliCPU
 	}
 	p := float64(left)
-	services, bestEffort, used := w.neighbours()
+	mix := e.mixture(w)
+	services, bestEffort := len(mix.services), mix.bestEffort
 	switch {
 	case t.Step.BestEffort:
-		// What others leave is what the task gets.
-		p = float64(used) - float64(left) + penaltyBeside*float64(services)
+		// A crowd slows nobody down, and leaves other workers to services.
+		p = float64(w.free().MemoryMB)
+		if services > 0 {
+			p = penaltyBeside * (1 + e.predictedTail(w, t.Step))
+		}
 	case t.Step.Service:
-		p += penaltyBeside * float64(bestEffort)
 		if services > 0 {
 			p -= bonusWithServices
 		}
+		if bestEffort > 0 {
+			p += bonusWithServices * e.predictedTail(w, t.Step)
+		}
+	case services > 0:
+		// What services leave is kept for more of them.
+		p += bonusWithServices
 	}
 	if t.avoid[w.Entry.ID] {
 		p += penaltyFailedHere
@@ -107,19 +127,17 @@
 	return p + penaltyPerMS*float64(w.roundTrip.Milliseconds())
 }
 
-// neighbours counts what runs on a worker: service tasks, best-effort tasks and
-// the processors that the latter ask for.
-func (w *Worker) neighbours() (services, bestEffort int, used int64) {
+// neighbours counts the service tasks and the best-effort tasks on a worker.
+func (w *Worker) neighbours() (services, bestEffort int) {
 	for _, r := range w.runs {
 		if r.Task.Step.Service {
 			services++
 		}
 		if r.Task.Step.BestEffort {
 			bestEffort++
-			used += r.Task.Step.Resources.MilliCPU
 		}
 	}
-	return services, bestEffort, used
+	return services, bestEffort
 }
 
 // rackOf returns the label that the runs of a step share most, or "".
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -46,8 +46,11 @@
 	Worker  *Worker
 	Attempt int
 	State   RunState
-	// Percent is how far the run is allowed to work; 100 is fully.
-	Percent int
+	// Pace is the percentage at which the run may work, as last confirmed.
+	Pace int
+	// Progress is the percentage of the work that is done, as last listed; a
+	// service task serves when it is 100.
+	Progress int
 	// Figure is the tail latency in milliseconds for a service task and the
 	// processors in use for others, as last listed.
 	Figure float64
@@ -58,9 +61,10 @@
 	stopping    bool
 	stopSent    bool // a stop order is on its way
 	stoppedAt   time.Time
-	missing     int // listings in a row that lacked the run
-	overSince   time.Time
-	calmSince   time.Time
+	missing     int       // listings in a row that lacked the run
+	limit       int       // the percentage at which the run should work
+	heldAt      time.Time // when limit was last lowered
+	pacing      bool      // a throttle order is on its way
 }
 
 // Task is one task of a job.
@@ -145,13 +149,19 @@
 	jobs    map[string]*Job
 	tasks   map[string]*Task // of open jobs, by name
 	workers map[string]*Worker
-	queues  map[string]job.Queue
+	// final are jobs that became final in this engine's life: late news of them
+	// must not begin them anew.
+	final  map[string]time.Time
+	queues map[string]job.Queue
 	// silent are workers that a former owner may have left tasks on and that
 	// have not been heard of, with the time when those tasks are gone.
 	silent map[string]time.Time
 	// tookOver is when the engine was told to expect runs of a former owner.
-	tookOver time.Time
-	out      Output
+	tookOver     time.Time
+	interference interference
+	// now is the time of the last plan.
+	now time.Time
+	out Output
 }
 
 // Output is what the owner has to do.
@@ -187,9 +197,13 @@
 		jobs:    map[string]*Job{},
 		tasks:   map[string]*Task{},
 		workers: map[string]*Worker{},
+		final:   map[string]time.Time{},
 		queues:  map[string]job.Queue{},
 		silent:  map[string]time.Time{},
-		out:     Output{Changed: map[*Job]bool{}},
+
+		interference: newInterference(),
+
+		out: Output{Changed: map[*Job]bool{}},
 	}
 }
 
@@ -219,11 +233,19 @@
 	}
 }
 
+// endedRetention is how long an ended job is remembered. Late news of a job
+// comes within seconds of its end, and the store's rows are gone by then.
+const endedRetention = 5 * time.Minute
+
 // Add takes in an accepted job. A job that is known already is left as it is.
+// It returns nil for a job that has ended.
 func (e *Engine) Add(spec job.Spec, now time.Time, wallMS int64) *Job {
 	if j := e.jobs[spec.ID]; j != nil {
 		return j
 	}
+	if _, ended := e.final[spec.ID]; ended {
+		return nil
+	}
 	j := &Job{Spec: spec, Queue: e.queues[spec.Queue], State: job.Queued, arrived: now}
 	// A former owner that does not know yet may have been told of it, too.
 	contested := len(e.silent) > 0 && now.Sub(e.tookOver) < handoverWindow
@@ -289,6 +311,7 @@
 	e.out.Finished = append(e.out.Finished, j)
 	delete(e.out.Changed, j)
 	delete(e.jobs, j.Spec.ID)
+	e.final[j.Spec.ID] = e.now
 	for _, o := range j.occurrences {
 		for _, row := range o.tasks {
 			for _, t := range row {
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -53,6 +53,10 @@
 			e.unlisted(r, l, sent)
 		}
 	}
+	w.mix.valid = false
+	e.learn(w, now)
+	e.protect(w, now)
+	w.mix.valid = false
 	delete(e.silent, id)
 	return true
 }
@@ -68,12 +72,13 @@
 	}
 	if r.State != RunActive {
 		r.State, r.confirmedAt = RunActive, now
+		w.mixed(r, now)
 		if r.stopping && !r.stopSent {
 			e.stop(r)
 		}
 	}
 	r.missing = 0
-	r.Percent, r.Figure = entry.Percent, entry.Figure
+	r.Progress, r.Figure = entry.Percent, entry.Figure
 	if entry.Checkpoint != "" && entry.Checkpoint != r.Task.Checkpoint {
 		r.Task.Checkpoint = entry.Checkpoint
 		e.changed(r.Task.Job, false)
@@ -83,6 +88,13 @@
 	}
 }
 
+// mixed takes in that a run came, went or changed its pace.
+func (w *Worker) mixed(r *Run, now time.Time) {
+	if r.Task.Step.BestEffort {
+		w.mixedAt = now
+	}
+}
+
 // stopRepeat is how long after an answered stop order a run may still be
 // listed before the order is repeated; workers need 200 ms.
 const stopRepeat = time.Second
@@ -94,7 +106,7 @@
 	if t == nil || t.Done || (len(t.Runs) > 0 && !t.Step.Speculative) {
 		return nil
 	}
-	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, orderedAt: now, Percent: entry.Percent}
+	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, orderedAt: now, Pace: 100, limit: 100, Progress: entry.Percent}
 	w.attach(r)
 	t.Attempt = max(t.Attempt, entry.Attempt)
 	e.begin(t.Job)
@@ -137,6 +149,7 @@
 	if r != nil {
 		t = r.Task
 		w.detach(r)
+		w.mixed(r, now)
 		t.readyAt = time.Time{}
 	}
 	e.judge(w, end, now)
@@ -168,7 +181,6 @@
 		w.failures = 0
 	case port.EndFailed:
 		w.failures++
-		w.lastFailure = now
 		if w.failures >= sickFailures {
 			pause := sickPause << min(w.failures-sickFailures, sickDoublings)
 			w.refusedUntil = now.Add(pause)
@@ -297,6 +309,7 @@
 		}
 		if r.State != RunActive {
 			r.State, r.confirmedAt = RunActive, now
+			w.mixed(r, now)
 		}
 		if r.stopping {
 			e.stop(r)
@@ -362,8 +375,10 @@
 
 // Throttled takes in the response to a throttle order.
 func (e *Engine) Throttled(r *Run, percent int, err error, now time.Time) {
+	r.pacing = false
 	if err == nil {
-		r.Percent = percent
+		r.Pace = percent
+		r.Worker.mixed(r, now)
 		r.Worker.answered(now)
 	}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -11,6 +11,7 @@
 // Plan starts every task whose turn has come and for which there is room, and
 // looks after what runs.
 func (e *Engine) Plan(now time.Time) {
+	e.now = now
 	e.Expire(now)
 	e.evacuate(now)
 	for _, j := range e.byUrgency(now) {
@@ -146,7 +147,7 @@
 	t.Attempt = attempt
 	r := &Run{
 		Task: t, Worker: w, Attempt: attempt, State: RunOrdered,
-		orderedAt: now, Percent: 100,
+		orderedAt: now, Pace: 100, limit: 100,
 		notAfterMS: w.ClockMS(now) + e.options.StartWindow.Milliseconds(),
 	}
 	// A start extends the worker's lease like a renewal.
@@ -202,7 +203,7 @@
 // atWork reports whether a service task serves.
 func (t *Task) atWork() bool {
 	for _, r := range t.Runs {
-		if r.State == RunActive && !r.stopping && r.Percent == 100 {
+		if r.State == RunActive && !r.stopping && r.Progress == 100 {
 			return true
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -34,7 +34,10 @@
 	roundTrip    time.Duration
 	failures     int // failed ends in a row
 	refusedUntil time.Time
-	lastFailure  time.Time
+	sharing      sharing
+	// mixedAt is when a best-effort task last came, went or changed its pace.
+	mixedAt time.Time
+	mix     mixture
 }
 
 type runKey struct {
@@ -60,7 +63,7 @@
 
 // Mixed reports whether best-effort tasks run beside a service with a target.
 func (w *Worker) Mixed() bool {
-	services, bestEffort, _ := w.neighbours()
+	services, bestEffort := w.neighbours()
 	return services > 0 && bestEffort > 0
 }
 
@@ -114,6 +117,7 @@
 func (w *Worker) attach(r *Run) {
 	w.runs[runKey{r.Task.name(), r.Attempt}] = r
 	w.used = w.used.Add(demand(r.Task.Step))
+	w.mix.valid = false
 	r.Task.Runs = append(r.Task.Runs, r)
 }
 
@@ -124,6 +128,7 @@
 	}
 	delete(w.runs, key)
 	w.used = w.used.Sub(demand(r.Task.Step))
+	w.mix.valid = false
 	r.Task.Runs = slices.DeleteFunc(r.Task.Runs, func(o *Run) bool { return o == r })
 }
 
@@ -201,6 +206,14 @@
 // Expire gives up runs on workers whose leases have run out, and the caution
 // towards workers that a former owner may have left tasks on.
 func (e *Engine) Expire(now time.Time) {
+	for id, at := range e.final {
+		switch {
+		case at.IsZero():
+			e.final[id] = now // ended before the first plan
+		case now.Sub(at) > endedRetention:
+			delete(e.final, id)
+		}
+	}
 	for id, until := range e.silent {
 		if now.After(until) {
 			delete(e.silent, id)
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -254,10 +254,13 @@
 	if j := t.engine.Job(spec.ID); j != nil {
 		return j
 	}
-	if state, ok := t.c.news.state(spec.ID, now); ok && state.Final() {
-		return nil
+	if state, ok := t.c.news.state(spec.ID, now); t.ready[spec.ID] != nil || ok && state.Final() {
+		return nil // it has ended; its row is gone with the next commit
 	}
 	j := t.engine.Add(spec, now, t.c.Wall().UnixMilli())
+	if j == nil {
+		return nil
+	}
 	t.log.WithFields(log.Fields{"event": "job_known", "job": spec.ID, "queue": spec.Queue, "steps": len(spec.Steps),
 		"age_ms": t.c.Wall().UnixMilli() - spec.AcceptedUnixMS}).Info("accepted")
 	t.c.news.announce(spec.ID, j.State, now)
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -127,7 +127,7 @@
 	Task       string
 	Attempt    int
 	Checkpoint string
-	// Percent is how far the run is at work; 100 is fully.
+	// Percent is how much of the work is done; a service task serves at 100.
 	Percent int
 	// Figure is the tail latency in milliseconds for a service task and the
 	// processors in use, in thousandths, for others.
