Do not begin a job anew when its submission is repeated after its end

News of a job now carries the version of its row; an owner ignores rows that were there when it read the store. Ruled out: attempts given twice (the reruns came with attempt 1 from news, not from restored rows).

--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -46,20 +46,31 @@
 		Checks:    []port.Check{{Table: tableJobs, Key: spec.ID}, {Table: tableOutcomes, Key: spec.ID}},
 		Puts:      []port.Put{{Table: tableJobs, Key: spec.ID, Value: body}},
 	}
-	err := c.write(ctx, txn)
+	version, err := c.write(ctx, txn)
 	var conflict *port.ConflictError
 	if errors.As(err, &conflict) {
-		err = nil // stored by an earlier request
+		// Stored by an earlier request; the job may have ended since.
+		version, err = findRow(conflict.Rows, tableJobs, spec.ID).Version, nil
+		c.Log.WithFields(log.Fields{"event": "job_resubmitted", "job": spec.ID, "open": version > 0}).Info("stored already")
+		if version == 0 {
+			return nil
+		}
 	}
 	if err != nil {
 		c.Log.WithFields(log.Fields{"event": "job_not_stored", "job": spec.ID, "verdict": verdict.Of(err)}).WithError(err).Warn("refused")
 		return err
 	}
 	c.news.set(spec.ID, job.Queued, c.Now())
-	c.tell(&peerpb.NewsRequest{Jobs: [][]byte{body}}, []job.Spec{spec}, nil)
+	c.tell(&peerpb.NewsRequest{Jobs: []*peerpb.StoredJob{{Version: version, Body: body}}}, []storedJob{{version, spec}}, nil)
 	return nil
 }
 
+// storedJob is a job and the version of its row.
+type storedJob struct {
+	version int64
+	spec    job.Spec
+}
+
 // refuseWithoutStore refuses at once while the store is known to be away.
 func (c *Cell) refuseWithoutStore() error {
 	if c.gate.open(c.Now()) {
@@ -70,16 +81,16 @@
 
 // write commits a caller's transaction, again if a response was lost: its
 // conditions make it happen once. Conflicts are returned as they are.
-func (c *Cell) write(ctx context.Context, txn port.Txn) error {
+func (c *Cell) write(ctx context.Context, txn port.Txn) (int64, error) {
 	uncertain := false
 	for try := 0; ; try++ {
-		err := c.writeOnce(ctx, txn)
+		version, err := c.writeOnce(ctx, txn)
 		var conflict *port.ConflictError
 		var refused *port.RefusedError
 		switch {
 		case err == nil, errors.As(err, &conflict):
 			c.gate.answered(c.Now())
-			return err
+			return version, err
 		case errors.As(err, &refused):
 		default:
 			var unanswered *port.UnansweredError
@@ -87,16 +98,15 @@
 		}
 		c.gate.failed(c.Now())
 		if ctx.Err() != nil || try+1 >= storeTries || pause(ctx, storeRetryPause) != nil {
-			return storeError(err, uncertain)
+			return 0, storeError(err, uncertain)
 		}
 	}
 }
 
-func (c *Cell) writeOnce(ctx context.Context, txn port.Txn) error {
+func (c *Cell) writeOnce(ctx context.Context, txn port.Txn) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := c.Store.Commit(ctx, txn)
-	return err
+	return c.Store.Commit(ctx, txn)
 }
 
 // storeError is what a caller is told when the store did not confirm a write.
@@ -113,12 +123,12 @@
 }
 
 // tell passes stored jobs and cancellations on to the owner, without waiting.
-func (c *Cell) tell(news *peerpb.NewsRequest, specs []job.Spec, cancelled []string) {
+func (c *Cell) tell(news *peerpb.NewsRequest, jobs []storedJob, cancelled []string) {
 	view := c.View()
 	if view.Self {
 		c.Loop.Post(func() {
 			if c.tenure != nil {
-				c.tenure.accept(specs, cancelled)
+				c.tenure.accept(jobs, cancelled)
 			}
 		})
 		return
@@ -228,7 +238,7 @@
 		if state.Final() {
 			return nil
 		}
-		err = c.write(ctx, port.Txn{
+		_, err = c.write(ctx, port.Txn{
 			Partition: c.Partition,
 			Checks:    []port.Check{{Table: tableJobs, Key: id, Version: version}},
 			Puts:      []port.Put{{Table: tableCancels, Key: id, Value: []byte("{}")}},
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -97,6 +97,7 @@
 	t.engine.ExpectFrom(ids, now)
 	t.changes[tableJobs].version = in.jobs.Version
 	t.changes[tableCancels].version = in.cancels.Version
+	t.inherited = in.jobs.Version
 	t.loaded = true
 }
 
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -25,8 +25,9 @@
 	log     log.Interface
 
 	begun     time.Time
-	loaded    bool // the jobs of former owners are known
-	recovered bool // every worker has been heard of, or can run nothing
+	loaded    bool  // the jobs of former owners are known
+	inherited int64 // the version of the store as of which they are
+	recovered bool  // every worker has been heard of, or can run nothing
 	ended     bool
 	releasing bool
 	// unconfirmed is set after a pause, until a commit shows that this daemon
@@ -235,13 +236,17 @@
 }
 
 // accept takes in jobs and cancellations that entries have stored.
-func (t *tenure) accept(specs []job.Spec, cancelled []string) {
+func (t *tenure) accept(jobs []storedJob, cancelled []string) {
 	if !t.loaded {
 		return // they are among the rows that are being read, or change after
 	}
 	now := t.c.Now()
-	for _, spec := range specs {
-		t.add(spec, now)
+	for _, j := range jobs {
+		// A row that was there when the rows were read, and is not known, has
+		// gone since: the job has ended under a former owner.
+		if j.version > t.inherited {
+			t.add(j.spec, now)
+		}
 	}
 	for _, id := range cancelled {
 		t.cancel(id)
