--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bambooyard/bambooyard/job"
@@ -112,8 +113,10 @@
 	occurrences []*occurrence
 	objective   time.Time
 	arrived     time.Time
-	chain       time.Duration
-	work        float64
+	// latestStart is when the job's longest chain must start to meet the objective.
+	latestStart time.Time
+	service     bool // a step runs until the job is cancelled
+	late        bool // as of the last plan, too late to be worth anything
 }
 
 // occurrence is one run of a job's steps.
@@ -159,6 +162,8 @@
 	// tookOver is when the engine was told to expect runs of a former owner.
 	tookOver     time.Time
 	interference interference
+	noRoom       noRoom
+	sorted       []*Job // the open jobs as of the last plan
 	// now is the time of the last plan.
 	now time.Time
 	out Output
@@ -202,6 +207,7 @@
 		silent:  map[string]time.Time{},
 
 		interference: newInterference(),
+		noRoom:       noRoom{},
 
 		out: Output{Changed: map[*Job]bool{}},
 	}
@@ -280,15 +286,14 @@
 
 // setObjective works out when the job should be done.
 func (j *Job) setObjective() {
-	j.chain = j.Spec.LongestChain()
+	chain := j.Spec.LongestChain()
 	stretch := j.Queue.Stretch
 	if stretch == 0 {
 		stretch = 1
 	}
-	j.objective = j.arrived.Add(time.Duration(stretch*float64(j.chain)) + j.Queue.Slack)
-	for _, s := range j.Spec.Steps {
-		j.work += float64(s.Tasks) * float64(s.EstimateMS) * float64(s.Resources.MilliCPU)
-	}
+	j.objective = j.arrived.Add(time.Duration(stretch*float64(chain)) + j.Queue.Slack)
+	j.latestStart = j.objective.Add(-chain)
+	j.service = slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return s.Service })
 }
 
 // Cancel ends a job at its caller's wish: nothing of it starts any more and
--- /dev/null
+++ b/dispatch/harness_test.go
@@ -0,0 +1,18 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+var testOptions = Options{LeaseMax: 6 * time.Second, StartWindow: 1500 * time.Millisecond, RemoteFactor: 1.5}
+
+// worker returns the entry of a sound worker.
+func worker(id string, milliCPU, memoryMB int64) port.WorkerEntry {
+	return port.WorkerEntry{
+		ID: id, Pool: "pool", Address: "127.0.0.1:1", Boot: 1, Labels: []string{"a", "r1"}, Rack: "r1",
+		Capacity: job.Resources{MilliCPU: milliCPU, MemoryMB: memoryMB},
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -1,8 +1,8 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bambooyard/bambooyard/job"
@@ -14,6 +14,7 @@
 	e.now = now
 	e.Expire(now)
 	e.evacuate(now)
+	e.noRoom.reset()
 	for _, j := range e.byUrgency(now) {
 		for _, o := range j.occurrences {
 			if now.Before(o.due) {
@@ -29,19 +30,26 @@
 	}
 }
 
-// byUrgency returns the open jobs, first those that lose most by waiting.
+// byUrgency returns the open jobs, first those that lose most by waiting. The
+// slice is used again by the next plan.
 func (e *Engine) byUrgency(now time.Time) []*Job {
-	jobs := make([]*Job, 0, len(e.jobs))
+	jobs := e.sorted[:0]
 	for _, j := range e.jobs {
+		j.late = j.hopeless(now)
 		jobs = append(jobs, j)
 	}
+	e.sorted = jobs
 	slices.SortFunc(jobs, func(a, b *Job) int {
-		return cmp.Or(
-			cmp.Compare(boolInt(a.hopeless(now)), boolInt(b.hopeless(now))),
-			cmp.Compare(a.Queue.Priority, b.Queue.Priority),
-			a.latestStart().Compare(b.latestStart()),
-			cmp.Compare(a.Spec.ID, b.Spec.ID),
-		)
+		if a.late != b.late {
+			return boolInt(a.late) - boolInt(b.late)
+		}
+		if a.Queue.Priority != b.Queue.Priority {
+			return a.Queue.Priority - b.Queue.Priority
+		}
+		if c := a.latestStart.Compare(b.latestStart); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Spec.ID, b.Spec.ID)
 	})
 	return jobs
 }
@@ -60,18 +68,12 @@
 // hopeless reports whether the job is too late to be worth anything. Services
 // and scheduled jobs never are.
 func (j *Job) hopeless(now time.Time) bool {
-	if j.Spec.Schedule.Times > 0 || j.service() {
+	if j.Spec.Schedule.Times > 0 || j.service {
 		return false
 	}
 	return now.Sub(j.arrived) > lateFactor*j.objective.Sub(j.arrived)
 }
 
-func (j *Job) service() bool {
-	return slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return s.Service })
-}
-
-func (j *Job) latestStart() time.Time { return j.objective.Add(-j.chain) }
-
 // planStep starts the tasks of a step that may start.
 func (e *Engine) planStep(step *job.Step, tasks []*Task, now time.Time) {
 	if step.Gang {
@@ -82,14 +84,61 @@
 		if !e.mayStart(t, now) {
 			continue
 		}
+		if e.noRoom.covers(t) {
+			return
+		}
 		w := e.choose(t, tasks, now, nil)
 		if w == nil {
+			e.noRoom.add(t)
 			return // like tasks do not fit either
 		}
 		e.start(t, w, t.Attempt+1, now)
 	}
 }
 
+// demandKind is what, besides its size, decides where a task fits.
+type demandKind struct {
+	pool, image, label  string
+	service, bestEffort bool
+}
+
+// noRoom remembers, within one plan, for which tasks there was no room. Room
+// only shrinks during a plan, so tasks of a kind that ask for as much or more
+// need not be tried.
+type noRoom map[demandKind][]job.Resources
+
+// sizesPerKind bounds the sizes remembered of a kind; further ones are tried.
+const sizesPerKind = 8
+
+func (n noRoom) reset() { clear(n) }
+
+func kindOf(t *Task) demandKind {
+	k := demandKind{pool: t.Job.Queue.Pool, label: t.Step.Label, service: t.Step.Service, bestEffort: t.Step.BestEffort}
+	if k.bestEffort {
+		k.image = t.Step.Image // services bear some images and not others
+	}
+	return k
+}
+
+// covers reports whether a task needs no try.
+func (n noRoom) covers(t *Task) bool {
+	for _, size := range n[kindOf(t)] {
+		if size.Fits(t.Step.Resources) {
+			return true
+		}
+	}
+	return false
+}
+
+// add takes in that no worker can run a task. Tasks with a bound on neighbours
+// of their own step say nothing about others.
+func (n noRoom) add(t *Task) {
+	k := kindOf(t)
+	if t.Step.MaxPerWorker == 0 && len(n[k]) < sizesPerKind {
+		n[k] = append(n[k], t.Step.Resources)
+	}
+}
+
 // mayStart reports whether a task waits for nothing but room.
 func (e *Engine) mayStart(t *Task, now time.Time) bool {
 	if t.Done || len(t.Runs) > 0 || now.Before(t.notBefore) {
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -35,7 +35,9 @@
 	unconfirmed bool
 
 	pumping bool // a pump is posted
-	talks   map[string]*talk
+	// restUntil is when the next plan may be made out of turn.
+	restUntil time.Time
+	talks     map[string]*talk
 
 	committer
 
@@ -95,22 +97,45 @@
 	t.pump()
 }
 
+// Pace of planning. A plan that takes long is followed by a pause, so that
+// orders and their answers get most of the processor.
+const (
+	planRest    = 2
+	maxPlanRest = 40 * time.Millisecond
+)
+
 // kick lets the engine plan soon: after what is in the control loop's queue.
 func (t *tenure) kick() {
 	if t.pumping {
 		return
 	}
-	t.pumping = t.c.Loop.Post(func() {
+	run := func() {
 		t.pumping = false
 		if !t.ended {
 			t.pump()
 		}
+	}
+	rest := t.restUntil.Sub(t.c.Now())
+	if rest <= 0 {
+		t.pumping = t.c.Loop.Post(run)
+		return
+	}
+	t.pumping = true
+	t.c.Loop.Go(func(ctx context.Context) func() {
+		if err := pause(ctx, rest); err != nil {
+			return func() {}
+		}
+		return run
 	})
 }
 
 // pump plans and carries out what the engine wants.
 func (t *tenure) pump() {
 	now := t.c.Now()
+	defer func() {
+		done := t.c.Now()
+		t.restUntil = done.Add(min(maxPlanRest, planRest*done.Sub(now)))
+	}()
 	if t.loaded && !t.releasing && !t.unconfirmed {
 		t.engine.Plan(now)
 	}
