Blame first what is believed to disturb, and adopt runs whose job is not known yet

Cause 1: errors of the interference estimate were spread over all images on a worker, so that harmless ones were avoided and heavy ones were not; work that is held or moved without need makes ledger jobs late.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -55,7 +55,7 @@
 	if !demand(t.Step).Fits(free) {
 		return false
 	}
-	if t.Step.BestEffort && !e.bearable(t.Step, w) {
+	if t.Step.BestEffort && !e.bearable(t.Step, w, now) {
 		return false
 	}
 	if t.Step.Label != "" && !slices.Contains(w.Entry.Labels, t.Step.Label) {
@@ -64,10 +64,15 @@
 	return t.Step.MaxPerWorker == 0 || e.countOn(t, w, reserved) < t.Step.MaxPerWorker
 }
 
-// bearable reports whether a worker's services would stay below their targets
-// beside one more best-effort task.
-func (e *Engine) bearable(step *job.Step, w *Worker) bool {
-	return len(e.mixture(w).services) == 0 || e.predictedTail(w, step) < bearableTail
+// bearable reports whether a worker's services can do with one more best-effort
+// task.
+func (e *Engine) bearable(step *job.Step, w *Worker, now time.Time) bool {
+	if len(e.mixture(w).services) == 0 {
+		return true
+	}
+	over := w.sharing.overSince
+	held := !over.IsZero() && now.Sub(over) >= time.Duration(moveAfter*float64(e.options.Impact))
+	return !held && e.predictedTail(w, step) < bearableTail
 }
 
 // countOn returns how many of a task's step run on a worker.
@@ -106,7 +111,7 @@
 			p -= bonusWithServices
 		}
 		if bestEffort > 0 {
-			p += bonusWithServices * e.predictedTail(w, t.Step)
+			p += bonusWithServices * e.servicePressure(w, t.Step)
 		}
 	case services > 0:
 		// What services leave is kept for more of them.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -21,6 +21,8 @@
 	StartWindow time.Duration
 	// RemoteFactor is how many times longer a task runs away from its data.
 	RemoteFactor float64
+	// Impact is how long a service may be over its target because of others.
+	Impact time.Duration
 }
 
 // clockRate is the slowest that a worker's clock may run against ours; the
@@ -62,10 +64,9 @@
 	stopping    bool
 	stopSent    bool // a stop order is on its way
 	stoppedAt   time.Time
-	missing     int       // listings in a row that lacked the run
-	limit       int       // the percentage at which the run should work
-	heldAt      time.Time // when limit was last lowered
-	pacing      bool      // a throttle order is on its way
+	missing     int  // listings in a row that lacked the run
+	limit       int  // the percentage at which the run should work
+	pacing      bool // a throttle order is on its way
 }
 
 // Task is one task of a job.
@@ -163,7 +164,9 @@
 	tookOver     time.Time
 	interference interference
 	noRoom       noRoom
-	sorted       []*Job // the open jobs as of the last plan
+	// strayTasks counts the listed runs of tasks that have no record of them.
+	strayTasks map[string]int
+	sorted     []*Job // the open jobs as of the last plan
 	// now is the time of the last plan.
 	now time.Time
 	out Output
@@ -208,6 +211,7 @@
 
 		interference: newInterference(),
 		noRoom:       noRoom{},
+		strayTasks:   map[string]int{},
 
 		out: Output{Changed: map[*Job]bool{}},
 	}
@@ -276,6 +280,7 @@
 	}
 	j.setObjective()
 	e.jobs[spec.ID] = j
+	e.claimStrays(j, now)
 	return j
 }
 
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -18,7 +18,9 @@
 	// A pair is believed to disturb sooner than it is believed not to: a low
 	// figure may come from a low load of the service's own.
 	raisingRate  = 0.5
-	loweringRate = 0.1
+	loweringRate = 0.03
+	// leastPressure keeps a pair from being believed harmless for good.
+	leastPressure = 0.05
 	// ownStrain is what swings of a service's own load may look like. Below it,
 	// figures show how little a pair disturbs, but not how much.
 	ownStrain = 0.5
@@ -31,12 +33,11 @@
 	// maxStrain is where a tail is many times its usual one; beyond it figures
 	// say no more than that there is too much.
 	maxStrain = 0.9
-	// bearableTail is the expected tail at the crest of a service's load, as a
-	// share of its target, up to which a task may be placed beside it at all.
-	bearableTail = 1.5
-	// tailLimit is the share of the target up to which throttled tasks may work
-	// again; the rest is for swings of the service's load.
-	tailLimit = 0.8
+	// bearableTail is the expected tail at the crest of a service's load, relative
+	// to its target, up to which a task may be placed beside it.
+	bearableTail = 3.0
+	// safeTail is the same where a task is moved to spare another service.
+	safeTail = 1.0
 )
 
 type imagePair struct{ service, bestEffort string }
@@ -98,20 +99,21 @@
 		return
 	}
 	seen := min(maxStrain, max(0, i.strainAt(service, tail)))
-	expected, norm := i.strain(service, shares), 0.0
-	for _, share := range shares {
-		norm += share * share
-	}
-	if norm == 0 || seen >= expected && (seen < ownStrain || expected >= maxStrain) {
+	expected := i.strain(service, shares)
+	if expected == 0 || seen >= expected && (seen < ownStrain || expected >= maxStrain) {
 		return
 	}
 	rate := loweringRate
 	if seen > expected {
 		rate = raisingRate
 	}
+	// What is already believed to disturb is blamed first, so that harmless
+	// images are not blamed for their company.
 	for image, share := range shares {
-		p := i.pressureOf(service, image) + rate*(seen-expected)*share/norm
-		i.pressure[imagePair{service, image}] = max(0, p)
+		p := i.pressureOf(service, image)
+		part := p * share / expected
+		p += rate * (seen - expected) * part / share
+		i.pressure[imagePair{service, image}] = max(leastPressure, p)
 	}
 }
 
@@ -127,6 +129,8 @@
 // serviceMix is one service image among its neighbours.
 type serviceMix struct {
 	image string
+	// tasks is the number of service tasks of the image.
+	tasks int
 	// tail is the highest listed, relative to its target, and crest what is
 	// expected of the image alone at the crest of its load.
 	tail, crest float64
@@ -171,10 +175,11 @@
 	for k := range m.services {
 		if m.services[k].image == step.Image {
 			m.services[k].tail = max(m.services[k].tail, tail)
+			m.services[k].tasks++
 			return
 		}
 	}
-	m.services = append(m.services, serviceMix{image: step.Image, tail: tail})
+	m.services = append(m.services, serviceMix{image: step.Image, tail: tail, tasks: 1})
 }
 
 // shares returns the share of the worker's processors that each best-effort
@@ -209,33 +214,21 @@
 	}
 }
 
-// predictedTail returns the highest tail, relative to its target, of a
-// worker's services at the crest of their load after a task is added.
+// predictedTail returns the highest tail, relative to its target, of a worker's
+// services at the crest of their load beside one more best-effort task.
 func (e *Engine) predictedTail(w *Worker, added *job.Step) float64 {
 	share := float64(added.Resources.MilliCPU) / max(1, float64(w.Entry.Capacity.MilliCPU))
 	worst := 0.0
 	for _, s := range e.mixture(w).services {
-		more := 0.0
-		if added.BestEffort {
-			more = e.interference.pressureOf(s.image, added.Image) * share
-		}
+		more := e.interference.pressureOf(s.image, added.Image) * share
 		worst = max(worst, s.crest/(1-min(maxStrain, s.strain+more)), s.tail/(1-min(maxStrain, more)))
 	}
-	if added.Service && w.mix.bestEffort > 0 {
-		strain := e.interference.strain(added.Image, w.shares())
-		worst = max(worst, e.interference.crestOf(added.Image)/(1-min(maxStrain, strain)))
-	}
 	return worst
 }
 
-// tailWith returns the highest tail of a worker's services, relative to its
-// target, if one more best-effort task worked beside them now.
-func (e *Engine) tailWith(w *Worker, added *job.Step) float64 {
-	share := float64(added.Resources.MilliCPU) / max(1, float64(w.Entry.Capacity.MilliCPU))
-	worst := 0.0
-	for _, s := range e.mixture(w).services {
-		more := e.interference.pressureOf(s.image, added.Image) * share
-		worst = max(worst, s.tail/(1-min(maxStrain, more)))
-	}
-	return worst
+// servicePressure returns the tail, relative to its target, that a service
+// task is expected to have beside a worker's best-effort tasks.
+func (e *Engine) servicePressure(w *Worker, added *job.Step) float64 {
+	strain := e.interference.strain(added.Image, w.shares())
+	return e.interference.crestOf(added.Image) / (1 - min(maxStrain, strain))
 }
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -48,6 +48,7 @@
 		listed[runKey{entry.Task, entry.Attempt}] = true
 		e.running(w, entry, now)
 	}
+	e.dropStrays(w, func(key runKey) bool { return !listed[key] })
 	for _, r := range w.sortedRuns() {
 		if !listed[runKey{r.Task.name(), r.Attempt}] {
 			e.unlisted(r, l, sent)
@@ -66,7 +67,7 @@
 	r := w.runs[runKey{entry.Task, entry.Attempt}]
 	if r == nil {
 		if r = e.adopt(w, entry, now); r == nil {
-			e.out.Strays = append(e.out.Strays, Stray{w, entry.Task, entry.Attempt})
+			e.keepStray(w, entry, now)
 			return
 		}
 	}
@@ -153,6 +154,9 @@
 		t.readyAt = time.Time{}
 	}
 	e.judge(w, end, now)
+	if _, final := e.final[jobOf(end.Task)]; t == nil && !final {
+		w.orphans = append(w.orphans, orphan{end, now})
+	}
 	if t == nil || t.Job.State.Final() {
 		return
 	}
@@ -395,6 +399,7 @@
 // one that we knew has ended with everything on it.
 func (e *Engine) replaced(w *Worker, now time.Time) {
 	w.refusedUntil = now.Add(replacedPause)
+	e.dropStrays(w, func(runKey) bool { return true })
 	for _, r := range w.sortedRuns() {
 		e.lost(r)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -141,7 +141,7 @@
 
 // mayStart reports whether a task waits for nothing but room.
 func (e *Engine) mayStart(t *Task, now time.Time) bool {
-	if t.Done || len(t.Runs) > 0 || now.Before(t.notBefore) {
+	if t.Done || len(t.Runs) > 0 || now.Before(t.notBefore) || e.strayTasks[t.name()] > 0 {
 		return false
 	}
 	if t.inherited && len(e.silent) > 0 && !t.Step.Speculative {
--- a/dispatch/sharing.go
+++ b/dispatch/sharing.go
@@ -1,25 +1,22 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 // Protection of services from best-effort tasks beside them. A service may be
-// over its target for a few seconds only, and its figure covers half a second.
+// over its target for Options.Impact on end; work that stands still makes its
+// job late, so it is held only shortly and only when that time runs out. The
+// stages are shares of Options.Impact: figures lag by half a second and orders
+// take a round trip.
 const (
-	// easeShare of a target is where throttled tasks may work again.
-	easeShare = 0.8
-	// easeAfter is how long the figures must stay below easeShare before a step.
-	easeAfter = 300 * time.Millisecond
+	moveAfter    = 0.1
+	holdAfter    = 0.3
+	holdAllAfter = 0.7
 	// settleAfter is how long an order takes to show in the figures.
 	settleAfter = 700 * time.Millisecond
-	// overLimit is how long a service may be over its target before every
-	// best-effort task beside it stands still.
-	overLimit = 2500 * time.Millisecond
-	// heldLimit is how long a task without checkpoints stands still before it is
-	// started anew elsewhere.
-	heldLimit = time.Second
 	// lightStrain is what a task may put on a service without being suspected.
 	lightStrain = 0.03
 	// relievedTail is the share of a target that relief aims at.
@@ -30,72 +27,57 @@
 type sharing struct {
 	// changedAt is when the protection last gave orders.
 	changedAt time.Time
-	// calmSince is since when every service has been well below its target, and
-	// overSince since when one has been over it; zero if not so.
-	calmSince, overSince time.Time
+	// overSince is since when a service has been over its target; zero if none is.
+	overSince time.Time
 }
 
 // protect looks after a worker's services by what they were last listed at.
 func (e *Engine) protect(w *Worker, now time.Time) {
 	worst, image := w.worstTail()
 	s := &w.sharing
-	s.note(worst, image != "", now)
-	_, bestEffort := w.neighbours()
-	if bestEffort == 0 {
+	switch {
+	case worst < 1:
+		s.overSince = time.Time{}
+	case s.overSince.IsZero():
+		s.overSince = now
+	}
+	if e.mixture(w).bestEffort == 0 {
 		return
 	}
+	stage := func(share float64) bool {
+		return now.Sub(s.overSince) >= time.Duration(share*float64(e.options.Impact))
+	}
 	settled := now.Sub(s.changedAt) >= settleAfter
 	switch {
-	case image == "":
-		w.limitAll(100, now)
-	case worst >= 1 && now.Sub(s.overSince) >= overLimit:
-		w.limitAll(0, now)
-	case worst >= 1 && settled:
+	case worst < 1:
+		w.holdAll(false)
+	case stage(holdAllAfter):
+		w.holdAll(true)
+	case stage(moveAfter) && settled:
 		s.changedAt = now
-		e.relieve(w, image, worst, now)
-	case !s.calmSince.IsZero() && now.Sub(s.calmSince) >= easeAfter && settled:
-		if e.ease(w) {
-			s.changedAt = now
-		}
+		e.relieve(w, image, worst, stage(holdAfter), now)
 	}
-	e.rehome(w, now)
 	e.setPace(w)
 }
 
 // worstTail returns the highest tail of a worker's services, relative to its
-// target, and its image; "" if there is no such service.
+// target, and its image; zero if there is no such service.
 func (w *Worker) worstTail() (worst float64, image string) {
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runs {
 		step := r.Task.Step
 		if !step.Service || step.TargetLatencyMS <= 0 || r.State != RunActive {
 			continue
 		}
-		if tail := r.Figure / step.TargetLatencyMS; image == "" || tail > worst {
+		if tail := r.Figure / step.TargetLatencyMS; tail > worst || tail == worst && step.Image < image {
 			worst, image = tail, step.Image
 		}
 	}
 	return worst, image
 }
 
-// note keeps since when the services have been calm, or over their targets.
-func (s *sharing) note(worst float64, services bool, now time.Time) {
-	switch {
-	case !services || worst >= easeShare:
-		s.calmSince = time.Time{}
-	case s.calmSince.IsZero():
-		s.calmSince = now
-	}
-	switch {
-	case !services || worst < 1:
-		s.overSince = time.Time{}
-	case s.overSince.IsZero():
-		s.overSince = now
-	}
-}
-
-// relieve moves away, or throttles, the tasks that by what has been learned
-// weigh most on a service.
-func (e *Engine) relieve(w *Worker, image string, worst float64, now time.Time) {
+// relieve moves away the tasks that by what has been learned weigh most on a
+// service, or holds them where that is asked for.
+func (e *Engine) relieve(w *Worker, image string, worst float64, hold bool, now time.Time) {
 	capacity := max(1, float64(w.Entry.Capacity.MilliCPU))
 	weight := func(r *Run) float64 {
 		step := r.Task.Step
@@ -104,67 +86,39 @@
 	victims := slices.DeleteFunc(w.sortedRuns(), func(r *Run) bool {
 		return !r.Task.Step.BestEffort || r.stopping || r.limit == 0 || weight(r) < lightStrain
 	})
-	slices.SortStableFunc(victims, func(a, b *Run) int {
-		switch wa, wb := weight(a), weight(b); {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(victims, func(a, b *Run) int { return cmp.Compare(weight(b), weight(a)) })
 	excess := e.interference.strainAt(image, worst) - e.interference.strainAt(image, relievedTail)
 	for _, r := range victims {
 		if excess <= 0 {
 			return
 		}
-		excess -= weight(r)
-		if r.Task.Step.Checkpoints && e.hasHome(r, now) {
+		switch {
+		case r.Task.Step.Checkpoints && e.hasHome(r, now):
 			e.stop(r)
-		} else {
-			r.limit, r.heldAt = 0, now
+			excess -= weight(r)
+		case hold:
+			r.limit = 0
+			excess -= weight(r)
 		}
 	}
 }
 
-// hasHome reports whether a run could go on elsewhere.
+// hasHome reports whether a best-effort run could go on where it disturbs nobody.
 func (e *Engine) hasHome(r *Run, now time.Time) bool {
 	o := r.Task.Job.occurrences[r.Task.ID.Occurrence]
 	other := e.choose(r.Task, o.tasks[r.Task.ID.Step], now, nil)
-	return other != nil && other != r.Worker
+	return other != nil && other != r.Worker && e.predictedTail(other, r.Task.Step) < safeTail
 }
 
-// limitAll sets the pace of every best-effort run.
-func (w *Worker) limitAll(percent int, now time.Time) {
-	for _, r := range w.runs {
-		if r.Task.Step.BestEffort && r.limit != percent {
-			r.limit, r.heldAt = percent, now
-		}
+// holdAll makes every best-effort run stand still, or work again.
+func (w *Worker) holdAll(hold bool) {
+	limit := 100
+	if hold {
+		limit = 0
 	}
-}
-
-// ease lets throttled runs work again as far as the services are expected to
-// bear it.
-func (e *Engine) ease(w *Worker) bool {
-	eased := false
-	for _, r := range w.sortedRuns() {
-		if r.Task.Step.BestEffort && r.limit < 100 && !r.stopping && e.tailWith(w, r.Task.Step) < tailLimit {
-			r.limit = 100
-			eased = true
-		}
-	}
-	return eased
-}
-
-// rehome moves throttled runs that could go on elsewhere.
-func (e *Engine) rehome(w *Worker, now time.Time) {
-	for _, r := range w.sortedRuns() {
-		if !r.Task.Step.BestEffort || r.limit == 100 || r.stopping {
-			continue
-		}
-		// Work without a checkpoint is thrown away only if it would stand still.
-		if (r.Task.Step.Checkpoints || now.Sub(r.heldAt) >= heldLimit) && e.hasHome(r, now) {
-			e.stop(r)
+	for _, r := range w.runs {
+		if r.Task.Step.BestEffort {
+			r.limit = limit
 		}
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -24,6 +24,8 @@
 	lostBy  time.Time
 	seenEnd int64 // highest number of an end taken in
 	runs    map[runKey]*Run
+	strays  map[runKey]stray
+	orphans []orphan
 	used    job.Resources
 
 	// answeredAt is when the worker last answered anything.
@@ -67,12 +69,21 @@
 	return services > 0 && bestEffort > 0
 }
 
+// Strained reports whether a service on the worker is over its target.
+func (w *Worker) Strained() bool { return !w.sharing.overSince.IsZero() }
+
 // Target returns the worker's address.
 func (w *Worker) Target() port.Target { return port.Target{ID: w.Entry.ID, Address: w.Entry.Address} }
 
 // SeenEnd returns the number of the last end taken in, which may be
 // acknowledged once it is committed, and the boot that it belongs to.
-func (w *Worker) SeenEnd() (number, boot int64) { return w.seenEnd, w.boot }
+func (w *Worker) SeenEnd() (number, boot int64) {
+	number = w.seenEnd
+	for _, o := range w.orphans {
+		number = min(number, o.end.Number-1)
+	}
+	return number, w.boot
+}
 
 // ClockMS returns the least that the worker's clock can show now; zero if it
 // is not known.
@@ -147,7 +158,7 @@
 	for _, entry := range list {
 		w := e.workers[entry.ID]
 		if w == nil {
-			w = &Worker{runs: map[runKey]*Run{}, boot: entry.Boot}
+			w = &Worker{runs: map[runKey]*Run{}, strays: map[runKey]stray{}, boot: entry.Boot}
 			e.workers[entry.ID] = w
 		}
 		if entry.Boot > w.boot {
@@ -159,7 +170,7 @@
 		w.Listed = true
 	}
 	for id, w := range e.workers {
-		if !w.Listed && len(w.runs) == 0 {
+		if !w.Listed && len(w.runs)+len(w.strays) == 0 {
 			if _, silent := e.silent[id]; !silent {
 				delete(e.workers, id)
 			}
@@ -174,6 +185,8 @@
 	w.clockAt, w.clockMS = time.Time{}, 0
 	w.seenEnd = 0
 	w.leaseMS = 0
+	w.orphans = nil
+	e.dropStrays(w, func(runKey) bool { return true })
 	w.failures = 0
 	w.refusedUntil = time.Time{}
 	for _, r := range w.sortedRuns() {
@@ -220,10 +233,12 @@
 		}
 	}
 	for _, w := range e.workers {
-		if len(w.runs) == 0 || w.clockAt.IsZero() {
+		w.expireOrphans(now)
+		if len(w.runs)+len(w.strays) == 0 || w.clockAt.IsZero() {
 			continue
 		}
 		if w.ClockMS(now) > w.leaseMS {
+			e.dropStrays(w, func(runKey) bool { return true })
 			for _, r := range w.sortedRuns() {
 				if r.State == RunOrdered || w.ClockMS(now) <= r.notAfterMS {
 					continue
--- a/internal/cell/converse.go
+++ b/internal/cell/converse.go
@@ -19,6 +19,8 @@
 	// watchWait is the pace of listings while best-effort tasks run beside a
 	// service, whose latency figure covers half a second.
 	watchWait = 400 * time.Millisecond
+	// strainedWait is the pace while a service is over its target.
+	strainedWait = 200 * time.Millisecond
 	// listSlack is added to the wait for a round trip between regions and a
 	// slow answer.
 	listSlack = 500 * time.Millisecond
@@ -85,7 +87,7 @@
 		if now.Sub(k.triedAt) < pace || !w.Listed && !busy {
 			return
 		}
-	case uncommitted && now.Sub(k.takenAt) < commitWait:
+	case uncommitted && now.Sub(k.takenAt) < commitWait, w.Orphans() && now.Sub(k.triedAt) < commitWait:
 		return
 	case !busy && !unacknowledged && w.Heard():
 		return
@@ -93,7 +95,10 @@
 	wait := time.Duration(0)
 	if busy && !uncommitted && !k.failed && w.Heard() && !w.Doubtful() {
 		wait = listWait
-		if w.Mixed() {
+		switch {
+		case w.Mixed() && w.Strained():
+			wait = strainedWait
+		case w.Mixed():
 			wait = watchWait
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,7 @@
 		Configs:   platform.NewConfigSource(store),
 		Peers:     pool,
 		Log:       logger,
-		Engine:    dispatch.Options{LeaseMax: s.LeaseMax, StartWindow: startWindow, RemoteFactor: s.RemoteFactor},
+		Engine:    dispatch.Options{LeaseMax: s.LeaseMax, StartWindow: startWindow, RemoteFactor: s.RemoteFactor, Impact: s.Impact},
 		Lease:     min(lease, s.LeaseMax),
 		Now:       time.Now,
 		Wall:      time.Now,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -30,6 +30,8 @@
 	LeaseMax time.Duration
 	// RemoteFactor is how many times longer a task runs away from its data.
 	RemoteFactor float64
+	// Impact is how long a service may be over its target because of others.
+	Impact time.Duration
 }
 
 // Check returns every mistake, joined; each is an *Error.
@@ -45,6 +47,7 @@
 		checkPositive("config-within", n.ConfigWithin),
 		checkPositive("stop-within", n.StopWithin),
 		checkPositive("lease-max", n.LeaseMax),
+		checkPositive("impact", n.Impact),
 	)
 }
 
