--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/bambooyard/bambooyard/job"
 )
 
 // Penalties order the workers that could run a task. A penalty is in
@@ -55,7 +53,7 @@
 	if !demand(t.Step).Fits(free) {
 		return false
 	}
-	if t.Step.BestEffort && !e.bearable(t.Step, w, now) {
+	if t.Step.BestEffort && !e.bearable(t, w, now) {
 		return false
 	}
 	if t.Step.Label != "" && !slices.Contains(w.Entry.Labels, t.Step.Label) {
@@ -66,13 +64,17 @@
 
 // bearable reports whether a worker's services can do with one more best-effort
 // task.
-func (e *Engine) bearable(step *job.Step, w *Worker, now time.Time) bool {
+func (e *Engine) bearable(t *Task, w *Worker, now time.Time) bool {
 	if len(e.mixture(w).services) == 0 {
 		return true
 	}
 	over := w.sharing.overSince
 	held := !over.IsZero() && now.Sub(over) >= time.Duration(moveAfter*float64(e.options.Impact))
-	return !held && e.predictedTail(w, step) < bearableTail
+	limit := patientTail
+	if t.hurried(now) {
+		limit = hurriedTail
+	}
+	return !held && e.predictedTail(w, t.Step) < limit
 }
 
 // countOn returns how many of a task's step run on a worker.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -114,6 +114,8 @@
 	occurrences []*occurrence
 	objective   time.Time
 	arrived     time.Time
+	// remaining is the longest chain of work that begins with each step.
+	remaining []time.Duration
 	// latestStart is when the job's longest chain must start to meet the objective.
 	latestStart time.Time
 	service     bool // a step runs until the job is cancelled
@@ -291,7 +293,8 @@
 
 // setObjective works out when the job should be done.
 func (j *Job) setObjective() {
-	chain := j.Spec.LongestChain()
+	j.remaining = j.Spec.Remaining()
+	chain := slices.Max(j.remaining)
 	stretch := j.Queue.Stretch
 	if stretch == 0 {
 		stretch = 1
@@ -301,6 +304,15 @@
 	j.service = slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return s.Service })
 }
 
+// slack returns how long a task may wait for its job to meet the objective; it
+// is negative when the job is late.
+func (t *Task) slack(now time.Time) time.Duration {
+	return t.Job.objective.Sub(now) - t.Job.remaining[t.ID.Step]
+}
+
+// hurried reports whether a task cannot wait for a better place.
+func (t *Task) hurried(now time.Time) bool { return !t.Job.late && t.slack(now) < hurry }
+
 // Cancel ends a job at its caller's wish: nothing of it starts any more and
 // what runs is stopped. It reports false for a job that is not open.
 func (e *Engine) Cancel(id string) bool {
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -33,9 +33,14 @@
 	// maxStrain is where a tail is many times its usual one; beyond it figures
 	// say no more than that there is too much.
 	maxStrain = 0.9
-	// bearableTail is the expected tail at the crest of a service's load, relative
-	// to its target, up to which a task may be placed beside it.
-	bearableTail = 3.0
+	// patientTail is the expected tail at the crest of a service's load, relative
+	// to its target, up to which a task is placed beside it while its job has
+	// time, and hurriedTail when it has not.
+	patientTail = 2.5
+	hurriedTail = 8.0
+	// hurry is the slack below which a task does not wait for a better place. It
+	// covers a stop and a new start.
+	hurry = time.Second
 	// safeTail is the same where a task is moved to spare another service.
 	safeTail = 1.0
 )
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -84,12 +84,12 @@
 		if !e.mayStart(t, now) {
 			continue
 		}
-		if e.noRoom.covers(t) {
+		if e.noRoom.covers(t, now) {
 			return
 		}
 		w := e.choose(t, tasks, now, nil)
 		if w == nil {
-			e.noRoom.add(t)
+			e.noRoom.add(t, now)
 			return // like tasks do not fit either
 		}
 		e.start(t, w, t.Attempt+1, now)
@@ -98,8 +98,8 @@
 
 // demandKind is what, besides its size, decides where a task fits.
 type demandKind struct {
-	pool, image, label  string
-	service, bestEffort bool
+	pool, image, label           string
+	service, bestEffort, hurried bool
 }
 
 // noRoom remembers, within one plan, for which tasks there was no room. Room
@@ -112,17 +112,18 @@
 
 func (n noRoom) reset() { clear(n) }
 
-func kindOf(t *Task) demandKind {
+func kindOf(t *Task, now time.Time) demandKind {
 	k := demandKind{pool: t.Job.Queue.Pool, label: t.Step.Label, service: t.Step.Service, bestEffort: t.Step.BestEffort}
 	if k.bestEffort {
 		k.image = t.Step.Image // services bear some images and not others
+		k.hurried = t.hurried(now)
 	}
 	return k
 }
 
 // covers reports whether a task needs no try.
-func (n noRoom) covers(t *Task) bool {
-	for _, size := range n[kindOf(t)] {
+func (n noRoom) covers(t *Task, now time.Time) bool {
+	for _, size := range n[kindOf(t, now)] {
 		if size.Fits(t.Step.Resources) {
 			return true
 		}
@@ -132,8 +133,8 @@
 
 // add takes in that no worker can run a task. Tasks with a bound on neighbours
 // of their own step say nothing about others.
-func (n noRoom) add(t *Task) {
-	k := kindOf(t)
+func (n noRoom) add(t *Task, now time.Time) {
+	k := kindOf(t, now)
 	if t.Step.MaxPerWorker == 0 && len(n[k]) < sizesPerKind {
 		n[k] = append(n[k], t.Step.Resources)
 	}
--- a/job/job.go
+++ b/job/job.go
@@ -213,16 +213,15 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
-// LongestChain returns the declared run time of the longest chain of steps.
-func (s Spec) LongestChain() time.Duration {
-	ends := make([]int64, len(s.Steps))
-	longest := int64(0)
-	for i, step := range s.Steps {
-		for _, before := range step.After {
-			ends[i] = max(ends[i], ends[before])
+// Remaining returns, for each step, the declared run time of the longest chain
+// of steps that begins with it.
+func (s Spec) Remaining() []time.Duration {
+	remaining := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		remaining[i] += time.Duration(s.Steps[i].EstimateMS) * time.Millisecond
+		for _, before := range s.Steps[i].After {
+			remaining[before] = max(remaining[before], remaining[i])
 		}
-		ends[i] += step.EstimateMS
-		longest = max(longest, ends[i])
 	}
-	return time.Duration(longest) * time.Millisecond
+	return remaining
 }
