Spread jobs over partitions of the store

Jobs and cancellations lie in 16 partitions by a hash of the ID, written by entries; what the owner commits stays in one, fenced.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -291,6 +291,9 @@
 // under the new epoch refuse it.
 const handoverWindow = time.Second
 
+// MarkEnded takes in that a job has ended under a former owner.
+func (e *Engine) MarkEnded(id string, now time.Time) { e.final[id] = now }
+
 // setObjective works out when the job should be done.
 func (j *Job) setObjective() {
 	j.remaining = j.Spec.Remaining()
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -59,6 +59,8 @@
 	Engine dispatch.Options
 	// Lease is how long a worker may run tasks without a word of the owner.
 	Lease time.Duration
+	// Retention is how long ended jobs are remembered.
+	Retention time.Duration
 	// Now is the steady clock, and Wall the time of day.
 	Now  func() time.Time
 	Wall func() time.Time
@@ -79,16 +81,6 @@
 	storeTimeout  = time.Second
 )
 
-// Tables of the cell, in its partition.
-const (
-	tableOwners   = "owners"
-	tableJobs     = "jobs"
-	tableCancels  = "cancels"
-	tableProgress = "progress"
-	tableOutcomes = "outcomes"
-	ownerKey      = "owner"
-)
-
 // Cell is one daemon's part in a cell.
 type Cell struct {
 	Options
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -12,7 +12,6 @@
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/port"
-	"github.com/bambooyard/bambooyard/job"
 )
 
 // Pace and size of commits.
@@ -22,9 +21,9 @@
 	urgentPause = 30 * time.Millisecond
 	// lazyPause is for placements and checkpoints, which only a next owner needs.
 	lazyPause = 250 * time.Millisecond
-	// maxEntries is below the 100 that a transaction may hold, with room for
-	// the last job's.
-	maxEntries = 90
+	// maxEntries is below the 100 that a transaction may hold, with room for the
+	// last job's and for outcomes that are deleted.
+	maxEntries = 50
 	// maxCommitBytes is below the 1 MB that a transaction may hold, encoded.
 	maxCommitBytes = 500 << 10
 	commitTimeout  = time.Second
@@ -42,16 +41,15 @@
 	triedAt     time.Time
 	committing  bool
 	failing     bool
-	// progressRows and cancelRows are the rows that are known to exist.
+	// progressRows are the jobs that may have a row of progress.
 	progressRows map[string]bool
-	cancelRows   map[string]bool
 }
 
 func newCommitter(now time.Time) committer {
 	return committer{
 		dirty: map[string]*dispatch.Job{}, ready: map[string]*dispatch.Job{},
-		progressRows: map[string]bool{}, cancelRows: map[string]bool{},
-		committedAt: now,
+		progressRows: map[string]bool{},
+		committedAt:  now,
 	}
 }
 
@@ -86,12 +84,6 @@
 	t.commit(now, false)
 }
 
-// outcomeRecord is the value of a final job's row.
-type outcomeRecord struct {
-	State  job.State `json:"state"`
-	UnixMS int64     `json:"at"`
-}
-
 // batch is one commit of the owner.
 type batch struct {
 	txn     port.Txn
@@ -102,6 +94,8 @@
 	// the ends taken in so far may be acknowledged.
 	whole bool
 	ends  map[string]endMark
+	// gone is how many outcomes are deleted.
+	gone int
 }
 
 type endMark struct{ number, boot int64 }
@@ -137,6 +131,10 @@
 		bytes += t.putProgress(&b, j)
 		delete(t.dirty, j.Spec.ID)
 	}
+	for _, id := range t.janitor.gone {
+		b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableOutcomes, Key: id})
+	}
+	b.gone = len(t.janitor.gone)
 	b.record = t.record
 	b.record.Beat++
 	b.record.Released = release && b.whole
@@ -163,13 +161,9 @@
 	id := j.Spec.ID
 	value := encode(outcomeRecord{State: j.State, UnixMS: t.c.Wall().UnixMilli()})
 	b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableOutcomes, Key: id, Value: value})
-	b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableJobs, Key: id})
 	if t.progressRows[id] {
 		b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableProgress, Key: id})
 	}
-	if t.cancelRows[id] || j.State == job.Cancelled {
-		b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableCancels, Key: id})
-	}
 	b.outcome = append(b.outcome, j)
 }
 
@@ -180,15 +174,6 @@
 	return len(value)
 }
 
-// encode returns a record of texts and numbers as JSON.
-func encode(record any) []byte {
-	value, err := json.Marshal(record)
-	if err != nil {
-		panic(err) // records have only texts and numbers
-	}
-	return value
-}
-
 // commitDone takes in the outcome of a commit. A commit without a response is
 // repeated: if it was applied, the conflict shows our own row.
 func (t *tenure) commitDone(b batch, version int64, err error, sent time.Time) {
@@ -237,11 +222,12 @@
 	for _, j := range b.outcome {
 		delete(t.ready, j.Spec.ID)
 		delete(t.progressRows, j.Spec.ID)
-		delete(t.cancelRows, j.Spec.ID)
+		t.janitor.add(endedJob{j.Spec.ID, j.State, now})
 		t.log.WithFields(log.Fields{"event": "job_final", "job": j.Spec.ID, "state": j.State, "queue": j.Spec.Queue,
 			"known_ms": now.Sub(j.Arrived()).Milliseconds()}).Info("committed")
 		t.c.news.announce(j.Spec.ID, j.State, now)
 	}
+	t.janitor.gone = t.janitor.gone[b.gone:]
 	if b.whole {
 		for id, mark := range b.ends {
 			if k := t.talks[id]; k != nil && k.boot == mark.boot {
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -171,13 +171,13 @@
 
 // handleNews takes in jobs and cancellations that another daemon has stored.
 func (c *Cell) handleNews(ctx context.Context, news *peerpb.NewsRequest) *peerpb.Response {
-	var jobs []storedJob
-	for _, stored := range news.GetJobs() {
-		j := storedJob{version: stored.GetVersion()}
-		if err := json.Unmarshal(stored.GetBody(), &j.spec); err != nil {
+	var specs []job.Spec
+	for _, body := range news.GetJobs() {
+		var spec job.Spec
+		if err := json.Unmarshal(body, &spec); err != nil {
 			return peer.Refuse("job is not valid: %v", err)
 		}
-		jobs = append(jobs, j)
+		specs = append(specs, spec)
 	}
 	owner := false
 	err := c.Loop.Do(ctx, func() {
@@ -185,7 +185,7 @@
 			return
 		}
 		owner = true
-		c.tenure.accept(jobs, news.GetCancelled())
+		c.tenure.accept(specs, news.GetCancelled())
 	})
 	if err != nil || !owner {
 		return peer.Refuse("not the owner")
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -25,7 +24,7 @@
 	storeRetryPause = 40 * time.Millisecond
 	// writeTimeout is below the callers' usual 3 s, so that a lost answer can
 	// be asked for again.
-	writeTimeout = 800 * time.Millisecond
+	writeTimeout = 1100 * time.Millisecond
 	// newsTimeout bounds telling the owner, who finds the row anyway.
 	newsTimeout = 500 * time.Millisecond
 )
@@ -40,37 +39,26 @@
 	if err := c.refuseWithoutStore(); err != nil {
 		return err
 	}
-	body := encode(spec)
-	txn := port.Txn{
-		Partition: c.Partition,
-		Checks:    []port.Check{{Table: tableJobs, Key: spec.ID}, {Table: tableOutcomes, Key: spec.ID}},
-		Puts:      []port.Put{{Table: tableJobs, Key: spec.ID, Value: body}},
-	}
-	version, err := c.write(ctx, txn)
+	partition := c.jobPartition(spec.ID)
+	_, err := c.write(ctx, port.Txn{
+		Partition: partition,
+		Checks:    []port.Check{{Table: tableJobs, Key: spec.ID}},
+		Puts:      []port.Put{{Table: tableJobs, Key: spec.ID, Value: encode(jobRecord{Spec: &spec})}},
+	})
 	var conflict *port.ConflictError
 	if errors.As(err, &conflict) {
-		// Stored by an earlier request; the job may have ended since.
-		version, err = findRow(conflict.Rows, tableJobs, spec.ID).Version, nil
-		c.Log.WithFields(log.Fields{"event": "job_resubmitted", "job": spec.ID, "open": version > 0}).Info("stored already")
-		if version == 0 {
-			return nil
-		}
+		c.Log.WithFields(log.Fields{"event": "job_resubmitted", "job": spec.ID}).Info("stored already")
+		err = nil
 	}
 	if err != nil {
 		c.Log.WithFields(log.Fields{"event": "job_not_stored", "job": spec.ID, "verdict": verdict.Of(err)}).WithError(err).Warn("refused")
 		return err
 	}
 	c.news.set(spec.ID, job.Queued, c.Now())
-	c.tell(&peerpb.NewsRequest{Jobs: []*peerpb.StoredJob{{Version: version, Body: body}}}, []storedJob{{version, spec}}, nil)
+	c.tell(&peerpb.NewsRequest{Jobs: [][]byte{encode(spec)}}, []job.Spec{spec}, nil)
 	return nil
 }
 
-// storedJob is a job and the version of its row.
-type storedJob struct {
-	version int64
-	spec    job.Spec
-}
-
 // refuseWithoutStore refuses at once while the store is known to be away.
 func (c *Cell) refuseWithoutStore() error {
 	if c.gate.open(c.Now()) {
@@ -92,11 +80,14 @@
 			c.gate.answered(c.Now())
 			return version, err
 		case errors.As(err, &refused):
+			if refused.Reason != port.RefusedRate {
+				c.gate.failed(c.Now())
+			}
 		default:
+			c.gate.failed(c.Now())
 			var unanswered *port.UnansweredError
 			uncertain = uncertain || !errors.As(err, &unanswered) || !unanswered.NotSent
 		}
-		c.gate.failed(c.Now())
 		if ctx.Err() != nil || try+1 >= storeTries || pause(ctx, storeRetryPause) != nil {
 			return 0, storeError(err, uncertain)
 		}
@@ -123,12 +114,12 @@
 }
 
 // tell passes stored jobs and cancellations on to the owner, without waiting.
-func (c *Cell) tell(news *peerpb.NewsRequest, jobs []storedJob, cancelled []string) {
+func (c *Cell) tell(news *peerpb.NewsRequest, specs []job.Spec, cancelled []string) {
 	view := c.View()
 	if view.Self {
 		c.Loop.Post(func() {
 			if c.tenure != nil {
-				c.tenure.accept(jobs, cancelled)
+				c.tenure.accept(specs, cancelled)
 			}
 		})
 		return
@@ -166,53 +157,60 @@
 	return state, err
 }
 
-// storedState reads a job's state from the store, and the version of its row
-// while it is open.
+// storedState reads a job's state from the store, and the version of its row.
 func (c *Cell) storedState(ctx context.Context, id string) (job.State, int64, error) {
-	// The owner moves a job from one table to the other: what is missed in the
-	// first is in the second, or by then in the first.
-	for _, table := range []string{tableOutcomes, tableJobs, tableOutcomes} {
-		row, err := c.readRow(ctx, table, id)
-		if err != nil {
-			return "", 0, err
-		}
-		if row.Version == 0 {
-			continue
-		}
-		if table == tableJobs {
-			state, err := c.openState(ctx, id)
-			return state, row.Version, err
-		}
-		var outcome outcomeRecord
-		if err := json.Unmarshal(row.Value, &outcome); err != nil {
-			c.Log.WithFields(log.Fields{"event": "outcome_unreadable", "job": id}).WithError(err).Error("job")
-			return "", 0, storeError(err, true)
-		}
-		return outcome.State, 0, nil
+	row, err := c.readRow(ctx, tableJobs, c.jobPartition(id), id)
+	if err != nil {
+		return "", 0, err
+	}
+	if row.Version == 0 {
+		return "", 0, ErrNoJob
+	}
+	record, err := decode[jobRecord](row)
+	if err != nil {
+		c.Log.WithField("event", "job_row_unreadable").WithError(err).Error("job")
+		return "", 0, storeError(err, true)
+	}
+	if record.Ended != "" {
+		return record.Ended, row.Version, nil
 	}
-	return "", 0, ErrNoJob
+	state, err := c.openState(ctx, id)
+	return state, row.Version, err
 }
 
-// openState tells cancelled, begun and waiting jobs apart.
+// openState tells the states of a job apart whose row does not say that it has
+// ended.
 func (c *Cell) openState(ctx context.Context, id string) (job.State, error) {
-	cancel, err := c.readRow(ctx, tableCancels, id)
+	row, err := c.readRow(ctx, tableOutcomes, c.Partition, id)
+	if err != nil {
+		return "", err
+	}
+	if row.Version > 0 {
+		outcome, err := decode[outcomeRecord](row)
+		if err != nil {
+			c.Log.WithField("event", "outcome_unreadable").WithError(err).Error("job")
+			return "", storeError(err, true)
+		}
+		return outcome.State, nil
+	}
+	cancel, err := c.readRow(ctx, tableCancels, c.jobPartition(id), id)
 	if err != nil || cancel.Version > 0 {
 		return job.Cancelled, err
 	}
-	progress, err := c.readRow(ctx, tableProgress, id)
+	progress, err := c.readRow(ctx, tableProgress, c.Partition, id)
 	if err != nil || progress.Version > 0 {
 		return job.Running, err
 	}
 	return job.Queued, nil
 }
 
-func (c *Cell) readRow(ctx context.Context, table, key string) (port.Row, error) {
+func (c *Cell) readRow(ctx context.Context, table, partition, key string) (port.Row, error) {
 	if err := c.refuseWithoutStore(); err != nil {
 		return port.Row{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	page, err := c.Store.Range(ctx, table, c.Partition, key, key+"\x00", 1)
+	page, err := c.Store.Range(ctx, table, partition, key, key+"\x00", 1)
 	if err != nil {
 		c.gate.failed(c.Now())
 		return port.Row{}, storeError(err, true)
@@ -239,7 +237,7 @@
 			return nil
 		}
 		_, err = c.write(ctx, port.Txn{
-			Partition: c.Partition,
+			Partition: c.jobPartition(id),
 			Checks:    []port.Check{{Table: tableJobs, Key: id, Version: version}},
 			Puts:      []port.Put{{Table: tableCancels, Key: id, Value: []byte("{}")}},
 		})
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -14,8 +16,8 @@
 
 // inheritance is what former owners have left in the store.
 type inheritance struct {
-	jobs, cancels, progress port.Page
-	workers                 []port.WorkerEntry
+	jobs, cancels, progress, outcomes port.Page
+	workers                           []port.WorkerEntry
 }
 
 // recoverPause is the pace of further tries to read what former owners left.
@@ -53,28 +55,30 @@
 	}
 }
 
-// inherit reads jobs before progress and cancellations: a job that ends in
-// between cannot, because only the owner ends jobs.
+// inherit reads what former owners have left. They cannot end a job any more:
+// the ownership row has changed.
 func (t *tenure) inherit(ctx context.Context) (inheritance, error) {
 	var in inheritance
-	var err error
-	read := func(table string) port.Page {
-		var page port.Page
-		if err == nil {
-			page, err = scan(ctx, t.c.Store, table, t.c.Partition)
-		}
-		return page
+	reads := []func() error{
+		func() (err error) { in.jobs, err = t.c.scanJobs(ctx, tableJobs); return err },
+		func() (err error) { in.cancels, err = t.c.scanJobs(ctx, tableCancels); return err },
+		func() (err error) { in.progress, err = scan(ctx, t.c.Store, tableProgress, t.c.Partition); return err },
+		func() (err error) { in.outcomes, err = scan(ctx, t.c.Store, tableOutcomes, t.c.Partition); return err },
+		func() (err error) { in.workers, err = t.c.Directory.List(ctx); return err },
 	}
-	in.jobs, in.progress, in.cancels = read(tableJobs), read(tableProgress), read(tableCancels)
-	if err == nil {
-		in.workers, err = t.c.Directory.List(ctx)
+	errs := make([]error, len(reads))
+	var wg sync.WaitGroup
+	for i, read := range reads {
+		wg.Go(func() { errs[i] = read() })
 	}
-	return in, err
+	wg.Wait()
+	return in, errors.Join(errs...)
 }
 
 // restore takes in what former owners have left.
 func (t *tenure) restore(in inheritance, now time.Time) {
 	t.engine.SetWorkers(in.workers, now)
+	t.restoreEnded(in.outcomes, now)
 	progress := map[string]port.Row{}
 	for _, row := range in.progress.Rows {
 		progress[row.Key] = row
@@ -88,7 +92,6 @@
 	}
 	for _, row := range in.cancels.Rows {
 		t.cancel(row.Key)
-		t.cancelRows[row.Key] = true
 	}
 	ids := make([]string, 0, len(in.workers))
 	for _, w := range in.workers {
@@ -97,10 +100,24 @@
 	t.engine.ExpectFrom(ids, now)
 	t.changes[tableJobs].version = in.jobs.Version
 	t.changes[tableCancels].version = in.cancels.Version
-	t.inherited = in.jobs.Version
 	t.loaded = true
 }
 
+// restoreEnded takes in which jobs have ended, so that late news of them does
+// not begin them anew.
+func (t *tenure) restoreEnded(outcomes port.Page, now time.Time) {
+	for _, row := range outcomes.Rows {
+		outcome, err := decode[outcomeRecord](row)
+		if err != nil {
+			t.log.WithField("event", "outcome_unreadable").WithError(err).Error("job")
+			continue
+		}
+		t.engine.MarkEnded(row.Key, now)
+		t.c.news.announce(row.Key, outcome.State, now)
+		t.janitor.add(endedJob{row.Key, outcome.State, now})
+	}
+}
+
 func (t *tenure) restoreJob(j *dispatch.Job, row port.Row) {
 	var p dispatch.Progress
 	if row.Version > 0 {
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -25,9 +24,8 @@
 	log     log.Interface
 
 	begun     time.Time
-	loaded    bool  // the jobs of former owners are known
-	inherited int64 // the version of the store as of which they are
-	recovered bool  // every worker has been heard of, or can run nothing
+	loaded    bool // the jobs of former owners are known
+	recovered bool // every worker has been heard of, or can run nothing
 	ended     bool
 	releasing bool
 	// unconfirmed is set after a pause, until a commit shows that this daemon
@@ -40,6 +38,10 @@
 	talks     map[string]*talk
 
 	committer
+	janitor janitor
+
+	// cancelled are jobs that are not known, or not any more.
+	cancelled map[string]bool
 
 	directoryAt   time.Time
 	directoryBusy bool
@@ -54,11 +56,14 @@
 		log:    c.Log.WithField("epoch", record.Epoch),
 		begun:  now,
 		talks:  map[string]*talk{},
+
+		cancelled: map[string]bool{},
 		changes: map[string]*changeCursor{
 			tableJobs: {}, tableCancels: {},
 		},
 	}
 	t.committer = newCommitter(now)
+	t.janitor = newJanitor(c)
 	t.engine.SetQueues(c.queues())
 	return t
 }
@@ -88,6 +93,7 @@
 		t.pollDirectory(now)
 		t.pollChanges(now)
 		t.checkRecovered(now)
+		t.sweep(now)
 	}
 	if t.loaded && now.Sub(t.prunedAt) > time.Minute {
 		t.prunedAt = now
@@ -261,17 +267,13 @@
 }
 
 // accept takes in jobs and cancellations that entries have stored.
-func (t *tenure) accept(jobs []storedJob, cancelled []string) {
+func (t *tenure) accept(specs []job.Spec, cancelled []string) {
 	if !t.loaded {
 		return // they are among the rows that are being read, or change after
 	}
 	now := t.c.Now()
-	for _, j := range jobs {
-		// A row that was there when the rows were read, and is not known, has
-		// gone since: the job has ended under a former owner.
-		if j.version > t.inherited {
-			t.add(j.spec, now)
-		}
+	for _, spec := range specs {
+		t.add(spec, now)
 	}
 	for _, id := range cancelled {
 		t.cancel(id)
@@ -294,11 +296,20 @@
 	t.log.WithFields(log.Fields{"event": "job_known", "job": spec.ID, "queue": spec.Queue, "steps": len(spec.Steps),
 		"age_ms": t.c.Wall().UnixMilli() - spec.AcceptedUnixMS}).Info("accepted")
 	t.c.news.announce(spec.ID, j.State, now)
+	if t.cancelled[spec.ID] {
+		delete(t.cancelled, spec.ID)
+		t.cancel(spec.ID)
+		return nil
+	}
 	return j
 }
 
 // cancel takes in a stored cancellation.
 func (t *tenure) cancel(id string) {
+	if t.engine.Job(id) == nil {
+		t.cancelled[id] = true // its job may be read after it
+		return
+	}
 	if t.engine.Cancel(id) {
 		t.log.WithFields(log.Fields{"event": "job_cancel", "job": id}).Info("cancelled by its caller")
 	}
@@ -361,7 +372,7 @@
 // rescan reads a table whole, because the store no longer knows its changes.
 func (t *tenure) rescan(table string, cursor *changeCursor) {
 	do(t, 2*storeTimeout, func(ctx context.Context) (port.Page, error) {
-		return scan(ctx, t.c.Store, table, t.c.Partition)
+		return t.c.scanJobs(ctx, table)
 	}, func(page port.Page, err error) {
 		cursor.busy = false
 		t.c.storeAnswered(err, t.c.Now())
@@ -373,32 +384,11 @@
 	})
 }
 
-// scan reads a table's partition. The version is that of its first page:
-// changes after it may be missing from the rows and come with the changes.
-func scan(ctx context.Context, store port.Store, table, partition string) (port.Page, error) {
-	whole := port.Page{}
-	from := ""
-	for {
-		page, err := store.Range(ctx, table, partition, from, "", 0)
-		if err != nil {
-			return whole, err
-		}
-		if whole.Version == 0 {
-			whole.Version = page.Version
-		}
-		whole.Rows = append(whole.Rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			return whole, nil
-		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
-	}
-}
-
 // takeRows takes in rows of jobs or cancellations.
 func (t *tenure) takeRows(table string, rows []port.Row) {
 	now := t.c.Now()
 	for _, row := range rows {
-		if row.Partition != t.c.Partition || row.Version == 0 {
+		if row.Version == 0 || row.Partition != t.c.jobPartition(row.Key) {
 			continue
 		}
 		if table == tableCancels {
@@ -412,11 +402,15 @@
 	t.kick()
 }
 
+// readSpec reads a job's row. It reports false for one that has ended or cannot
+// be read.
 func (t *tenure) readSpec(row port.Row) (job.Spec, bool) {
-	var spec job.Spec
-	if err := json.Unmarshal(row.Value, &spec); err != nil || spec.ID != row.Key {
-		t.log.WithFields(log.Fields{"event": "job_row_unreadable", "job": row.Key, "version": row.Version}).WithError(err).Error("job")
-		return spec, false
+	record, err := decode[jobRecord](row)
+	if err != nil {
+		t.log.WithField("event", "job_row_unreadable").WithError(err).Error("job")
+	}
+	if err != nil || record.Spec == nil || record.Spec.ID != row.Key {
+		return job.Spec{}, false
 	}
-	return spec, true
+	return *record.Spec, true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,8 @@
 	stopMargin = 500 * time.Millisecond
 	// memoryShare of the bound is where the collector works harder.
 	memoryShare = 0.75
+	// retentionFactor leaves time for a daemon that is slow to notice.
+	retentionFactor = 2
 	// partition is the only cell of an installation today.
 	partition = "c0"
 
@@ -98,6 +100,7 @@
 		Log:       logger,
 		Engine:    dispatch.Options{LeaseMax: s.LeaseMax, StartWindow: startWindow, RemoteFactor: s.RemoteFactor, Impact: s.Impact},
 		Lease:     min(lease, s.LeaseMax),
+		Retention: retentionFactor * s.StatusFor,
 		Now:       time.Now,
 		Wall:      time.Now,
 		Awake:     sinceBoot,
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -219,6 +219,8 @@
 	RefusedLife Refusal = "life"
 	// RefusedBusy means that nothing was done, for now.
 	RefusedBusy Refusal = "busy"
+	// RefusedRate means that nothing was done because of too many calls.
+	RefusedRate Refusal = "rate"
 	// RefusedInvalid means that the order cannot be carried out as it is.
 	RefusedInvalid Refusal = "invalid"
 )
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -26,6 +26,8 @@
 	ConfigWithin time.Duration
 	// StopWithin is when the process must have ended after it is told to.
 	StopWithin time.Duration
+	// StatusFor is how long callers may ask for the state of an ended job.
+	StatusFor time.Duration
 	// LeaseMax is the longest lease that a worker grants.
 	LeaseMax time.Duration
 	// RemoteFactor is how many times longer a task runs away from its data.
@@ -46,6 +48,7 @@
 		CheckAddress("store-address", n.StoreAddress),
 		checkPositive("config-within", n.ConfigWithin),
 		checkPositive("stop-within", n.StopWithin),
+		checkPositive("status-for", n.StatusFor),
 		checkPositive("lease-max", n.LeaseMax),
 		checkPositive("impact", n.Impact),
 	)
