--- a/internal/cell/converse.go
+++ b/internal/cell/converse.go
@@ -108,9 +108,11 @@
 // list asks a worker for a listing and renews its lease.
 func (t *tenure) list(k *talk, w *dispatch.Worker, wait time.Duration, now time.Time) {
 	id, target := w.Entry.ID, w.Target()
-	order := port.ListOrder{
-		Epoch: t.record.Epoch, Acknowledge: k.committed, Wait: wait,
-		LeaseUntilMS: w.Lease(now, t.c.Lease),
+	order := port.ListOrder{Epoch: t.record.Epoch, Acknowledge: k.committed, Wait: wait}
+	if !k.failed {
+		// A worker that does not answer gets no further lease: each call may have
+		// reached it, and its tasks start elsewhere only when the last has run out.
+		order.LeaseUntilMS = w.Lease(now, t.c.Lease)
 	}
 	boot := k.boot
 	k.busy, k.triedAt = true, now
