Find out about gone, hanging and slow workers

Cause: tasks on crashed workers waited for their lease (4.5 s), those on hanging ones for ever. The list of machines is asked while a worker is silent; a task without progress for 1.5 s is moved, and its worker rested; workers are compared by their tasks' speeds.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -13,6 +13,7 @@
 	penaltyFailedHere   = 1e9 // the task has failed on the worker
 	penaltyAwayFromData = 1e7 // the task runs RemoteFactor times as long
 	penaltyCold         = 1e6 // the worker is slow after its start
+	penaltySlow         = 2e6 // tasks on the worker proceed slowly
 	penaltyBeside       = 3e5 // best-effort tasks disturb services
 	bonusWithServices   = 1e5 // services together leave other workers to best-effort tasks
 	penaltyPerMS        = 200 // a round trip delays the start and the end
@@ -31,6 +32,9 @@
 			continue
 		}
 		p := e.penalty(t, w, rack, reserved)
+		if e.slow(w, now) {
+			p += penaltySlow
+		}
 		if p < bestPenalty || (p == bestPenalty && w.Entry.ID < best.Entry.ID) {
 			best, bestPenalty = w, p
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,9 +64,14 @@
 	stopping    bool
 	stopSent    bool // a stop order is on its way
 	stoppedAt   time.Time
-	missing     int  // listings in a row that lacked the run
-	limit       int  // the percentage at which the run should work
-	pacing      bool // a throttle order is on its way
+	missing     int // listings in a row that lacked the run
+	// progressAt is when the progress last changed, and progressFrom what it was
+	// at sampledAt, from which the speed is measured.
+	progressAt, sampledAt time.Time
+	progressFrom          int
+
+	limit  int  // the percentage at which the run should work
+	pacing bool // a throttle order is on its way
 }
 
 // Task is one task of a job.
@@ -165,6 +170,7 @@
 	// tookOver is when the engine was told to expect runs of a former owner.
 	tookOver     time.Time
 	interference interference
+	usualSpeed   float64 // declared run time done in a unit of time, over all workers
 	noRoom       noRoom
 	// strayTasks counts the listed runs of tasks that have no record of them.
 	strayTasks map[string]int
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -57,6 +57,7 @@
 	w.mix.valid = false
 	e.learn(w, now)
 	e.protect(w, now)
+	e.unstick(w, now)
 	w.mix.valid = false
 	delete(e.silent, id)
 	return true
@@ -79,6 +80,7 @@
 		}
 	}
 	r.missing = 0
+	e.progressed(r, entry.Percent, now)
 	r.Progress, r.Figure = entry.Percent, entry.Figure
 	if entry.Checkpoint != "" && entry.Checkpoint != r.Task.Checkpoint {
 		r.Task.Checkpoint = entry.Checkpoint
--- /dev/null
+++ b/dispatch/speed.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// Comparison of workers by how fast their tasks proceed. Declared run times are
+// often far off, so a worker is judged by several tasks, against all workers.
+const (
+	// stallAfter is how long a task may show no progress; a listing comes every
+	// second at the least.
+	stallAfter = 1500 * time.Millisecond
+	// stallPause is how long a worker with a stalled task gets no more work.
+	stallPause = 3 * time.Second
+	// speedSamples is how many tasks' speeds are kept of a worker, and
+	// leastSamples how many it takes to judge it.
+	speedSamples = 8
+	leastSamples = 3
+	// slowShare is the share of the usual speed below which a worker is slow.
+	slowShare = 0.4
+	// slowMemory is how long a worker counts as slow without a further sample.
+	slowMemory = 4 * time.Second
+	// moveWorth is the remaining work for which a checkpointed task is moved off
+	// a slow worker; a move costs about half a second.
+	moveWorth = 2 * time.Second
+	// usualRate is how fast the estimate of the usual speed moves.
+	usualRate = 0.02
+)
+
+// speeds are the speeds of a worker's last tasks: declared run time done in a
+// unit of time.
+type speeds struct {
+	last []float64
+	at   time.Time
+}
+
+// progressed takes in a run's listed progress.
+func (e *Engine) progressed(r *Run, percent int, now time.Time) {
+	if r.Task.Step.Service || r.Task.Step.EstimateMS == 0 {
+		return
+	}
+	if r.progressAt.IsZero() {
+		r.progressAt, r.progressFrom, r.Progress = now, percent, percent
+		r.sampledAt = now
+		return
+	}
+	if percent != r.Progress {
+		r.progressAt = now
+	}
+	r.Progress = percent
+	if took := now.Sub(r.sampledAt); took >= sampleTime && r.limit == 100 {
+		done := float64(percent-r.progressFrom) / 100 * float64(r.Task.Step.EstimateMS)
+		e.sample(r.Worker, done/float64(took.Milliseconds()), now)
+		r.sampledAt, r.progressFrom = now, percent
+	}
+}
+
+// sampleTime is the least time over which a speed is measured.
+const sampleTime = 700 * time.Millisecond
+
+func (e *Engine) sample(w *Worker, speed float64, now time.Time) {
+	if e.usualSpeed == 0 {
+		e.usualSpeed = speed
+	}
+	e.usualSpeed += usualRate * (speed - e.usualSpeed)
+	s := &w.speeds
+	s.last = append(s.last, speed)
+	s.at = now
+	if len(s.last) > speedSamples {
+		s.last = s.last[1:]
+	}
+}
+
+// slow reports whether a worker's tasks proceed much slower than others'.
+func (e *Engine) slow(w *Worker, now time.Time) bool {
+	s := &w.speeds
+	if len(s.last) < leastSamples || now.Sub(s.at) > slowMemory {
+		return false
+	}
+	sorted := slices.Sorted(slices.Values(s.last))
+	return sorted[len(sorted)/2] < slowShare*e.usualSpeed
+}
+
+// unstick moves tasks that stand still or crawl to other workers.
+func (e *Engine) unstick(w *Worker, now time.Time) {
+	slow := e.slow(w, now)
+	for _, r := range w.sortedRuns() {
+		step := r.Task.Step
+		if r.State != RunActive || r.stopping || step.Service || step.Gang || r.limit < 100 || r.progressAt.IsZero() {
+			continue
+		}
+		if now.Sub(r.progressAt) > stallAfter {
+			w.refusedUntil = now.Add(stallPause)
+			e.stop(r)
+			continue
+		}
+		left := time.Duration(step.EstimateMS*int64(100-r.Progress)/100) * time.Millisecond
+		if slow && step.Checkpoints && left > moveWorth && e.hasOther(r, now) {
+			e.stop(r)
+		}
+	}
+}
+
+// hasOther reports whether a run could go on on another worker that is not slow.
+func (e *Engine) hasOther(r *Run, now time.Time) bool {
+	o := r.Task.Job.occurrences[r.Task.ID.Occurrence]
+	other := e.choose(r.Task, o.tasks[r.Task.ID.Step], now, nil)
+	return other != nil && other != r.Worker && !e.slow(other, now)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -40,6 +40,7 @@
 	// mixedAt is when a best-effort task last came, went or changed its pace.
 	mixedAt time.Time
 	mix     mixture
+	speeds  speeds
 }
 
 type runKey struct {
@@ -189,6 +190,7 @@
 	e.dropStrays(w, func(runKey) bool { return true })
 	w.failures = 0
 	w.refusedUntil = time.Time{}
+	w.speeds = speeds{}
 	for _, r := range w.sortedRuns() {
 		if r.State == RunActive {
 			e.lost(r)
@@ -201,6 +203,20 @@
 	}
 }
 
+// SilentFor returns the workers that hold runs, or may hold a former owner's,
+// and have not answered for a time.
+func (e *Engine) SilentFor(now time.Time, d time.Duration) []string {
+	var ids []string
+	for id, w := range e.workers {
+		_, expected := e.silent[id]
+		if (len(w.runs) > 0 || expected) && !w.unansweredSince.IsZero() && now.Sub(w.unansweredSince) >= d {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // sortedRuns returns the runs in a fixed order.
 func (w *Worker) sortedRuns() []*Run {
 	runs := make([]*Run, 0, len(w.runs))
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -52,9 +52,11 @@
 	Store     port.Store
 	Workers   port.Workers
 	Directory port.Directory
-	Configs   port.ConfigSource
-	Peers     Peers
-	Log       log.Interface
+	// Machines may be nil; then only leases tell when a silent worker is gone.
+	Machines port.Machines
+	Configs  port.ConfigSource
+	Peers    Peers
+	Log      log.Interface
 	// Engine holds the platform's bounds.
 	Engine dispatch.Options
 	// Lease is how long a worker may run tasks without a word of the owner.
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -38,7 +38,8 @@
 	talks     map[string]*talk
 
 	committer
-	janitor janitor
+	janitor  janitor
+	suspects suspects
 
 	// cancelled are jobs that are not known, or not any more.
 	cancelled map[string]bool
@@ -64,6 +65,7 @@
 	}
 	t.committer = newCommitter(now)
 	t.janitor = newJanitor(c)
+	t.suspects.absent = map[string]int{}
 	t.engine.SetQueues(c.queues())
 	return t
 }
@@ -93,6 +95,7 @@
 		t.pollDirectory(now)
 		t.pollChanges(now)
 		t.checkRecovered(now)
+		t.pollSuspects(now)
 		t.sweep(now)
 	}
 	if t.loaded && now.Sub(t.prunedAt) > time.Minute {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/bambooyard/bambooyard/internal/cell"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/peer"
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/internal/settings"
 	"github.com/bambooyard/bambooyard/platform"
 )
@@ -88,6 +89,10 @@
 
 func newCell(s settings.Node, loop *control.Loop, client *platform.Client, pool *peer.Pool, logger log.Interface) *cell.Cell {
 	store := platform.NewStore(client, s.StoreAddress)
+	var machines port.Machines
+	if s.MachinesAddress != "" {
+		machines = platform.NewMachines(client, s.MachinesAddress)
+	}
 	return cell.New(cell.Options{
 		Partition: partition,
 		Self:      cell.Identity{Name: s.Name, Boot: fmt.Sprintf("%016x", rand.Uint64()), Address: s.PeerAddress},
@@ -95,6 +100,7 @@
 		Store:     store,
 		Workers:   platform.NewWorkers(client),
 		Directory: platform.NewDirectory(store, logger),
+		Machines:  machines,
 		Configs:   platform.NewConfigSource(store),
 		Peers:     pool,
 		Log:       logger,
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -200,6 +200,13 @@
 	List(ctx context.Context) ([]WorkerEntry, error)
 }
 
+// Machines says what the platform knows of the machines that workers run on.
+type Machines interface {
+	// Alive returns the IDs of the workers whose machines are up. A worker that
+	// it lacks has ended, or has only just begun.
+	Alive(ctx context.Context) (map[string]bool, error)
+}
+
 // Refusal is why a worker or the store refused.
 type Refusal string
 
