--- /dev/null
+++ b/internal/fake/rowstore.go
@@ -0,0 +1,214 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+)
+
+// RowStore stands in for the platform's row store: linearizable transactions
+// within a partition, ranges and changes. It is safe for concurrent use.
+type RowStore struct {
+	mu      sync.Mutex
+	rows    map[rowKey]port.Row
+	version int64
+	changed []port.Row // the last change of each row, in order
+	oldest  int64      // versions up to this one are forgotten
+	commits int
+	fault   func(op string) RowFault
+	applied func(port.Txn)
+}
+
+type rowKey struct{ table, partition, key string }
+
+// RowFault is what happens to a call of the store.
+type RowFault int
+
+// Faults of a call.
+const (
+	RowServed RowFault = iota
+	// RowRefused means that nothing is done and the caller is told so.
+	RowRefused
+	// RowSilent means that nothing is done and no response comes.
+	RowSilent
+	// RowAnswerLost means that the call is carried out without a response.
+	RowAnswerLost
+)
+
+var errNoResponse = errors.New("no response")
+
+// NewRowStore returns an empty store.
+func NewRowStore() *RowStore {
+	return &RowStore{rows: map[rowKey]port.Row{}, fault: func(string) RowFault { return RowServed }}
+}
+
+// SetFault decides from now on what happens to each call; op is "commit",
+// "range" or "changes".
+func (s *RowStore) SetFault(fault func(op string) RowFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+}
+
+// OnCommit calls fn, under the store's lock, for each transaction applied.
+func (s *RowStore) OnCommit(fn func(port.Txn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applied = fn
+}
+
+// Compact forgets the history of changes.
+func (s *RowStore) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changed, s.oldest = nil, s.version
+}
+
+// Commits returns the number of transactions applied.
+func (s *RowStore) Commits() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commits
+}
+
+// Put writes a row as the platform or an operator does.
+func (s *RowStore) Put(table, partition, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.write(rowKey{table, partition, key}, value)
+}
+
+// Rows returns the rows of a table's partition in key order.
+func (s *RowStore) Rows(table, partition string) []port.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.between(table, partition, "", "")
+}
+
+func (s *RowStore) write(k rowKey, value []byte) {
+	row := port.Row{Table: k.table, Partition: k.partition, Key: k.key, Value: slices.Clone(value), Version: s.version}
+	s.rows[k] = row
+	s.note(row)
+}
+
+func (s *RowStore) note(row port.Row) {
+	s.changed = slices.DeleteFunc(s.changed, func(r port.Row) bool {
+		return r.Table == row.Table && r.Partition == row.Partition && r.Key == row.Key
+	})
+	s.changed = append(s.changed, row)
+}
+
+// begin applies the fault of a call. Reads without a response do nothing.
+func (s *RowStore) begin(ctx context.Context, op string) (RowFault, error) {
+	s.mu.Lock()
+	fault := s.fault(op)
+	s.mu.Unlock()
+	switch {
+	case fault == RowRefused:
+		return fault, &port.RefusedError{Op: op, Reason: port.RefusedBusy}
+	case fault == RowSilent || fault == RowAnswerLost && op != "commit":
+		<-ctx.Done()
+		return fault, &port.UnansweredError{Op: op, Err: ctx.Err()}
+	}
+	return fault, ctx.Err()
+}
+
+// Commit implements port.Store.
+func (s *RowStore) Commit(ctx context.Context, txn port.Txn) (int64, error) {
+	fault, err := s.begin(ctx, "commit")
+	if err != nil {
+		return 0, err
+	}
+	version, err := s.commit(txn)
+	if fault == RowAnswerLost {
+		<-ctx.Done()
+		return 0, &port.UnansweredError{Op: "commit", Err: errNoResponse}
+	}
+	return version, err
+}
+
+func (s *RowStore) commit(txn port.Txn) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conflict := false
+	var found []port.Row
+	for _, c := range txn.Checks {
+		row := s.rows[rowKey{c.Table, txn.Partition, c.Key}]
+		row.Table, row.Partition, row.Key = c.Table, txn.Partition, c.Key
+		conflict = conflict || row.Version != c.Version
+		found = append(found, row)
+	}
+	if conflict {
+		return 0, &port.ConflictError{Rows: found}
+	}
+	s.version++
+	s.commits++
+	for _, p := range txn.Puts {
+		s.write(rowKey{p.Table, txn.Partition, p.Key}, p.Value)
+	}
+	for _, d := range txn.Deletes {
+		delete(s.rows, rowKey{d.Table, txn.Partition, d.Key})
+		s.note(port.Row{Table: d.Table, Partition: txn.Partition, Key: d.Key})
+	}
+	if s.applied != nil {
+		s.applied(txn)
+	}
+	return s.version, nil
+}
+
+// rowsPerPage is small, so that tests read several pages.
+const rowsPerPage = 7
+
+// Range implements port.Store.
+func (s *RowStore) Range(ctx context.Context, table, partition, from, to string, limit int) (port.Page, error) {
+	if _, err := s.begin(ctx, "range"); err != nil {
+		return port.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := s.between(table, partition, from, to)
+	if limit <= 0 || limit > rowsPerPage {
+		limit = rowsPerPage
+	}
+	page := port.Page{Rows: rows, Version: s.version}
+	if len(rows) > limit {
+		page.Rows, page.More = rows[:limit], true
+	}
+	return page, nil
+}
+
+func (s *RowStore) between(table, partition, from, to string) []port.Row {
+	var rows []port.Row
+	for k, row := range s.rows {
+		if k.table == table && k.partition == partition && k.key >= from && (to == "" || k.key < to) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b port.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
+
+// Changes implements port.Store. It does not wait.
+func (s *RowStore) Changes(ctx context.Context, table string, after int64, _ time.Duration) (port.Page, error) {
+	if _, err := s.begin(ctx, "changes"); err != nil {
+		return port.Page{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.oldest {
+		return port.Page{}, &port.RefusedError{Op: "changes", Reason: port.RefusedOld}
+	}
+	page := port.Page{Version: s.version}
+	for _, row := range s.changed {
+		if row.Table == table && (row.Version > after || row.Version == 0) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, nil
+}
