--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -310,6 +310,7 @@
 	}
 	if err == nil {
 		w.answered(now)
+		w.lostStarts = 0
 		if took := now.Sub(sent); w.roundTrip == 0 || took < w.roundTrip {
 			w.roundTrip = took
 		}
@@ -351,6 +352,13 @@
 	refusedPause = 5 * time.Millisecond
 )
 
+// A worker that leaves start orders unanswered gets no more for a pause that
+// doubles each time.
+const (
+	lostPause     = 1500 * time.Millisecond
+	lostDoublings = 4
+)
+
 func (e *Engine) startUnanswered(r *Run, err error, sent time.Time) {
 	if unanswered, ok := err.(*port.UnansweredError); ok && unanswered.NotSent {
 		r.Worker.detach(r)
@@ -361,6 +369,9 @@
 	if r.State == RunOrdered {
 		r.State = RunDoubtful
 	}
+	w := r.Worker
+	w.refusedUntil = sent.Add(lostPause << min(w.lostStarts, lostDoublings))
+	w.lostStarts++
 	e.Unanswered(r.Worker.Entry.ID, sent)
 	e.stop(r)
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -40,7 +40,9 @@
 	// mixedAt is when a best-effort task last came, went or changed its pace.
 	mixedAt time.Time
 	mix     mixture
-	speeds  speeds
+	// lostStarts is the number of start orders in a row without a response.
+	lostStarts int
+	speeds     speeds
 }
 
 type runKey struct {
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -77,12 +77,12 @@
 	return s
 }
 
-// learnConfig takes in another daemon's word on the configuration.
-func (c *Cell) learnConfig(s *peerpb.ConfigState, now time.Time) {
+// learnConfig takes in another daemon's configuration, which was the newest at
+// a time.
+func (c *Cell) learnConfig(s *peerpb.ConfigState, at time.Time) {
 	if s == nil {
 		return
 	}
-	at := now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond)
 	if c.config != nil && s.GetVersion() == c.config.Version {
 		c.adopt(c.config, at)
 		return
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -97,7 +97,10 @@
 		depths[d.GetQueue()] = int(d.GetPending())
 	}
 	c.news.refresh(depths, now)
-	c.learnConfig(reply.GetConfig(), now)
+	// The age is of a moment after the request was sent: taken from then, it
+	// makes the version look older than it is, and never newer.
+	age := time.Duration(reply.GetConfig().GetAgeMs()) * time.Millisecond
+	c.learnConfig(reply.GetConfig(), l.triedAt.Add(-age))
 	c.publish()
 	c.follow(now)
 }
@@ -118,7 +121,7 @@
 	after, epoch := req.GetAfter(), int64(0)
 	known := int64(0)
 	err := c.Loop.Do(ctx, func() {
-		c.learnConfig(req.GetConfig(), c.Now())
+		c.learnConfig(req.GetConfig(), c.configAt)
 		if c.tenure != nil {
 			epoch = c.tenure.record.Epoch
 		}
@@ -129,12 +132,10 @@
 	if err != nil || epoch == 0 {
 		return peer.Refuse("not the owner")
 	}
-	if req.GetEpoch() != epoch {
-		after = 0
-	}
-	changes, _, changed := c.news.since(after)
+	first := req.GetEpoch() != epoch
+	changes, _, changed := c.news.since(after, first)
 	behind := req.GetConfig().GetVersion() < known
-	if len(changes) == 0 && !behind && after > 0 {
+	if len(changes) == 0 && !behind && !first {
 		timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 		defer timer.Stop()
 		select {
@@ -143,11 +144,11 @@
 		case <-ctx.Done():
 		}
 	}
-	return c.followReply(ctx, after, epoch, req.GetConfig().GetVersion())
+	return c.followReply(ctx, after, first, epoch, req.GetConfig().GetVersion())
 }
 
 // followReply describes the owner's state now.
-func (c *Cell) followReply(ctx context.Context, after uint64, epoch, configVersion int64) *peerpb.Response {
+func (c *Cell) followReply(ctx context.Context, after uint64, first bool, epoch, configVersion int64) *peerpb.Response {
 	reply := &peerpb.FollowReply{Epoch: epoch}
 	owner := false
 	err := c.Loop.Do(ctx, func() {
@@ -161,7 +162,7 @@
 		for queue, n := range t.depths() {
 			reply.Depths = append(reply.Depths, &peerpb.QueueDepth{Queue: queue, Pending: uint32(n)})
 		}
-		reply.Changes, reply.Sequence, _ = c.news.since(after)
+		reply.Changes, reply.Sequence, _ = c.news.since(after, first)
 	})
 	if err != nil || !owner {
 		return peer.Refuse("not the owner")
--- a/internal/cell/news.go
+++ b/internal/cell/news.go
@@ -98,13 +98,13 @@
 }
 
 // since returns the changes after a number, the number of the last one and a
-// channel that is closed at the next. A follower that is too far behind gets
-// every state that is known.
-func (b *newsBook) since(after uint64) ([]*peerpb.JobChange, uint64, <-chan struct{}) {
+// channel that is closed at the next. A follower that is new or too far behind
+// gets every state that is known.
+func (b *newsBook) since(after uint64, first bool) ([]*peerpb.JobChange, uint64, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	oldest := b.sequence - uint64(len(b.changes))
-	if after >= oldest && after <= b.sequence && after > 0 {
+	if !first && after >= oldest && after <= b.sequence {
 		return b.changes[after-oldest:], b.sequence, b.changed
 	}
 	all := make([]*peerpb.JobChange, 0, len(b.states))
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -281,6 +281,9 @@
 		return nil
 	}
 	f := w.fleet
+	for _, other := range f.workers {
+		other.settle() // also those that nobody reaches
+	}
 	f.starts[o.Task]++
 	if f.running[o.Task]++; f.running[o.Task] > 1 {
 		f.breach("task %s runs on two workers", o.Task)
