--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,7 +64,8 @@
 	stopping    bool
 	stopSent    bool // a stop order is on its way
 	stoppedAt   time.Time
-	missing     int // listings in a row that lacked the run
+	missing     int  // listings in a row that lacked the run
+	listed      bool // by the worker's present life
 	// progressAt is when the progress last changed, and progressFrom what it was
 	// at sampledAt, from which the speed is measured.
 	progressAt, sampledAt time.Time
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -79,7 +79,7 @@
 			e.stop(r)
 		}
 	}
-	r.missing = 0
+	r.missing, r.listed = 0, true
 	e.progressed(r, entry.Percent, now)
 	r.Progress, r.Figure = entry.Percent, entry.Figure
 	if entry.Checkpoint != "" && entry.Checkpoint != r.Task.Checkpoint {
@@ -138,7 +138,8 @@
 	case RunDoubtful:
 		refusedFromNow := l.ClockMS > r.notAfterMS
 		stopped := !r.stoppedAt.IsZero() && sent.After(r.stoppedAt)
-		if refusedFromNow || stopped {
+		elsewhere := !r.confirmedAt.IsZero() && sent.After(r.confirmedAt)
+		if refusedFromNow || stopped || elsewhere {
 			e.lost(r)
 		}
 	case RunOrdered:
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -194,14 +195,18 @@
 	w.refusedUntil = time.Time{}
 	w.speeds = speeds{}
 	for _, r := range w.sortedRuns() {
-		if r.State == RunActive {
+		if r.listed {
 			e.lost(r)
 			continue
 		}
-		// The order was written for a clock that no longer exists: it can be
-		// carried out for as long as a lease lasts on the new one.
+		// The order may have reached the new life, or may still do so: it was
+		// written for a clock that no longer exists, so only a stop prevents that.
 		r.State = RunDoubtful
-		r.notAfterMS = e.options.LeaseMax.Milliseconds() + r.notAfterMS
+		r.notAfterMS = math.MaxInt64
+		r.stopSent, r.stoppedAt = false, time.Time{}
+		if r.confirmedAt.IsZero() {
+			e.stop(r)
+		}
 	}
 }
 
--- a/internal/cell/converse.go
+++ b/internal/cell/converse.go
@@ -108,7 +108,12 @@
 // list asks a worker for a listing and renews its lease.
 func (t *tenure) list(k *talk, w *dispatch.Worker, wait time.Duration, now time.Time) {
 	id, target := w.Entry.ID, w.Target()
-	order := port.ListOrder{Epoch: t.record.Epoch, Acknowledge: k.committed, Wait: wait}
+	order := port.ListOrder{Epoch: t.record.Epoch, Wait: wait}
+	if k.committed > k.acknowledged {
+		// Sent once only: a worker that has started again under its ID counts its
+		// ends anew, and would forget them by the old number.
+		order.Acknowledge = k.committed
+	}
 	if !k.failed {
 		// A worker that does not answer gets no further lease: each call may have
 		// reached it, and its tasks start elsewhere only when the last has run out.
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -182,6 +182,9 @@
 	}
 	owner := false
 	err := c.Loop.Do(ctx, func() {
+		if c.tenure != nil && news.GetEpoch() > c.tenure.record.Epoch {
+			c.lose("the next owner says so")
+		}
 		if c.tenure == nil {
 			return
 		}
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -9,6 +9,7 @@
 
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 	"github.com/bambooyard/bambooyard/internal/port"
 )
 
@@ -195,6 +196,9 @@
 
 // own begins this daemon's tenure.
 func (c *Cell) own(record ownerRecord, version int64, now time.Time) {
+	if c.owner.Address != "" && c.owner.Address != c.Self.Address {
+		c.depose(c.owner.Address, record.Epoch)
+	}
 	c.owner, c.ownerRow, c.ownerSince = record, version, now
 	if c.stopping {
 		return
@@ -206,6 +210,19 @@
 	c.publish()
 }
 
+// depose tells the former owner, which may be cut off from the store and would
+// go on until a worker refuses its epoch.
+func (c *Cell) depose(address string, epoch int64) {
+	c.Loop.Go(func(ctx context.Context) func() {
+		ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+		defer cancel()
+		_, err := c.Peers.Call(ctx, address, &peerpb.Request{Kind: &peerpb.Request_News{News: &peerpb.NewsRequest{Epoch: epoch}}})
+		return func() {
+			c.Log.WithFields(log.Fields{"event": "former_owner_told", "address": address, "answered": err == nil}).Debug("cell")
+		}
+	})
+}
+
 // lose ends this daemon's tenure because another daemon owns the cell.
 func (c *Cell) lose(reason string) {
 	if c.tenure == nil {
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -330,14 +330,18 @@
 // listPoll is how often a waiting listing looks for an end.
 const listPoll = 10 * time.Millisecond
 
-// listing answers a request for a listing at once; ended reports whether it
-// holds an end.
-func (f *Fleet) listing(ctx context.Context, to port.Target, o port.ListOrder) (port.Listing, bool, error) {
+// listing answers a request for a listing at once, and reports whether it holds
+// an end. A boot other than zero is the life that must answer.
+func (f *Fleet) listing(ctx context.Context, to port.Target, o port.ListOrder, boot int64) (port.Listing, bool, error) {
 	w, err := f.reach(ctx, "list", to)
 	if err != nil {
 		return port.Listing{}, false, err
 	}
 	defer f.mu.Unlock()
+	if boot != 0 && boot != w.entry.Boot {
+		// The connection ended with the life that it was opened to.
+		return port.Listing{}, false, &port.UnansweredError{Op: "list", Err: errNoResponse}
+	}
 	if o.Epoch < w.epoch {
 		return port.Listing{}, false, w.refuse("list", port.RefusedEpoch)
 	}
@@ -377,11 +381,13 @@
 // List implements port.Workers.
 func (f FleetWorkers) List(ctx context.Context, to port.Target, o port.ListOrder) (port.Listing, error) {
 	deadline := f.now().Add(o.Wait)
+	boot := int64(0)
 	for {
-		l, ended, err := f.listing(ctx, to, o)
+		l, ended, err := f.listing(ctx, to, o, boot)
 		if err != nil || ended || !f.now().Before(deadline) {
 			return l, err
 		}
+		boot = l.Boot
 		select {
 		case <-time.After(listPoll):
 		case <-ctx.Done():
