Log through a bounded queue, and test the dispatch engine

Events go to a goroutine of their own, with a limit for each kind and a count of what is left out; logging never waits.

--- a/cmd/bambooyardd/main.go
+++ b/cmd/bambooyardd/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	stdlog "log"
 	"os"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
@@ -13,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/bambooyard/bambooyard/internal/daemon"
+	"github.com/bambooyard/bambooyard/internal/eventlog"
 	"github.com/bambooyard/bambooyard/internal/node"
 	"github.com/bambooyard/bambooyard/internal/settings"
 	"github.com/bambooyard/bambooyard/internal/version"
@@ -57,7 +59,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
-	logger := &log.Logger{Handler: logfmt.New(os.Stdout), Level: log.InfoLevel}
+	events := eventlog.New(logfmt.New(os.Stdout), time.Now)
+	defer events.Close()
+	logger := &log.Logger{Handler: events, Level: log.InfoLevel}
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(daemon.LibraryLog{Log: logger.WithField("daemon", s.Name)})
 	return node.Run(s, logger.WithField("daemon", s.Name))
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	if l.Boot > w.boot {
-		e.reborn(w, l.Boot, now)
+		e.reborn(w, l.Boot)
 	}
 	w.setClock(l.ClockMS, now)
 	w.answered(now)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -13,7 +13,7 @@
 func (e *Engine) Plan(now time.Time) {
 	e.now = now
 	e.Expire(now)
-	e.evacuate(now)
+	e.evacuate()
 	e.noRoom.reset()
 	for _, j := range e.byUrgency(now) {
 		for _, o := range j.occurrences {
@@ -218,7 +218,7 @@
 
 // evacuate moves services off draining workers, and stops what would be lost
 // when they leave.
-func (e *Engine) evacuate(now time.Time) {
+func (e *Engine) evacuate() {
 	for _, w := range e.workers {
 		if !w.Entry.Draining || len(w.runs) == 0 {
 			continue
--- /dev/null
+++ b/dispatch/sharing_test.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// crowdBeside returns a rig whose only worker runs a service and best-effort
+// tasks, and the runs of both.
+func crowdBeside(t *testing.T) (r *rig, service *Run, crowd []*Run) {
+	t.Helper()
+	r = newRig(worker("a", 16000, 64000))
+	s := job.Step{Tasks: 1, Service: true, Image: "desk", TargetLatencyMS: 50, MaxUnavailable: -1, Resources: job.Resources{MilliCPU: 4000, MemoryMB: 1000}}
+	b := job.Step{Tasks: 3, BestEffort: true, Image: "scan", EstimateMS: 60000, Resources: job.Resources{MilliCPU: 3000, MemoryMB: 1000}}
+	r.Add(spec("service", s), r.now, 0)
+	r.Add(spec("crowd", b), r.now, 0)
+	out := r.plan(0)
+	r.begin(out)
+	for _, run := range out.Starts {
+		if run.Task.Step.Service {
+			service = run
+		} else {
+			crowd = append(crowd, run)
+		}
+	}
+	if service == nil || len(crowd) != 3 {
+		t.Fatalf("started %d tasks", len(out.Starts))
+	}
+	return r, service, crowd
+}
+
+// figures lists the service with a tail latency, and the crowd at work.
+func (r *rig) figures(service *Run, crowd []*Run, tailMS float64, percent int) {
+	l := port.Listing{Running: []port.Running{{Task: service.Task.ID.String(), Attempt: 1, Percent: 100, Figure: tailMS}}}
+	for _, run := range crowd {
+		l.Running = append(l.Running, port.Running{Task: run.Task.ID.String(), Attempt: 1, Percent: percent, Figure: 3000})
+	}
+	r.listed("a", l)
+}
+
+// confirm answers throttle orders.
+func (r *rig) confirm(out Output) {
+	for _, th := range out.Throttles {
+		r.Throttled(th.Run, th.Percent, nil, r.now)
+	}
+}
+
+func TestCrowdStandsStillBeforeAServicesTimeRunsOut(t *testing.T) {
+	is := is.New(t)
+	r, service, crowd := crowdBeside(t)
+	began := r.now
+	for i := 1; ; i++ {
+		r.now = r.now.Add(200 * time.Millisecond)
+		r.figures(service, crowd, 500, i)
+		r.confirm(r.Take())
+		held := 0
+		for _, run := range crowd {
+			if run.Pace == 0 {
+				held++
+			}
+		}
+		if held == len(crowd) {
+			break
+		}
+		is.True(r.now.Sub(began) < testOptions.Impact)
+	}
+	is.True(r.now.Sub(began) <= time.Duration(holdAllAfter*float64(testOptions.Impact))+200*time.Millisecond)
+	r.now = r.now.Add(200 * time.Millisecond)
+	r.figures(service, crowd, 20, 60)
+	r.confirm(r.Take())
+	for _, run := range crowd {
+		is.Equal(run.Pace, 100) // given back as soon as the service is well
+	}
+}
+
+func TestHarmlessCrowdIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	r, service, crowd := crowdBeside(t)
+	for i := 1; i < 40; i++ {
+		r.now = r.now.Add(400 * time.Millisecond)
+		r.figures(service, crowd, 20+float64(i%5), i)
+		is.Equal(len(r.Take().Throttles), 0)
+	}
+}
+
+func TestInterferenceLearnsWhichImageDisturbs(t *testing.T) {
+	is := is.New(t)
+	i := newInterference()
+	for range 40 {
+		i.observe("desk", 0.4, nil)
+		i.observe("desk", 0.42, map[string]float64{"light": 0.3})
+		i.observe("desk", 4, map[string]float64{"heavy": 0.2, "light": 0.3})
+	}
+	is.True(i.pressureOf("desk", "heavy") > 3)
+	is.True(i.pressureOf("desk", "light") < 1)
+}
+
+func TestOwnSwingsTeachNothing(t *testing.T) {
+	is := is.New(t)
+	i := newInterference()
+	for n := range 60 {
+		tail := 0.3 + 0.3*float64(n%7)/6
+		i.observe("desk", tail, nil)
+		i.observe("desk", tail, map[string]float64{"scan": 0.1})
+	}
+	is.True(i.pressureOf("desk", "scan") <= unknownPressure)
+}
+
+func TestHurriedTasksDoNotWaitForAGoodPlace(t *testing.T) {
+	is := is.New(t)
+	r, _, _ := crowdBeside(t)
+	r.interference.pressure[imagePair{"desk", "rush"}] = 3
+	r.interference.pressure[imagePair{"desk", "scan"}] = 0.2
+	r.interference.base["desk"], r.interference.peak["desk"] = 0.6, 0.9
+	rush := job.Step{Tasks: 1, BestEffort: true, Image: "rush", EstimateMS: 4000, Resources: job.Resources{MilliCPU: 3500, MemoryMB: 1000}}
+	r.Add(spec("rush", rush), r.now, 0)
+	is.Equal(len(r.plan(time.Millisecond).Starts), 0) // there is time to wait for a better place
+	is.Equal(len(r.plan(4500*time.Millisecond).Starts), 1)
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -21,8 +21,6 @@
 	clockAt time.Time // zero if its clock is not known
 	// leaseMS is the latest time on its clock until which anything may run.
 	leaseMS int64
-	// lostBy is when whatever ran on a worker that was never heard is gone.
-	lostBy  time.Time
 	seenEnd int64 // highest number of an end taken in
 	runs    map[runKey]*Run
 	strays  map[runKey]stray
@@ -166,7 +164,7 @@
 			e.workers[entry.ID] = w
 		}
 		if entry.Boot > w.boot {
-			e.reborn(w, entry.Boot, now)
+			e.reborn(w, entry.Boot)
 		}
 		if entry.Boot >= w.boot {
 			w.Entry = entry
@@ -184,7 +182,7 @@
 
 // reborn takes in that a worker has started again: what was confirmed on it
 // has ended without a trace. Orders without a response may still arrive.
-func (e *Engine) reborn(w *Worker, boot int64, now time.Time) {
+func (e *Engine) reborn(w *Worker, boot int64) {
 	w.boot = boot
 	w.clockAt, w.clockMS = time.Time{}, 0
 	w.seenEnd = 0
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -104,11 +104,10 @@
 	tenure *tenure // while this daemon is the owner
 	link   link    // to the owner
 
-	config      *port.Config
-	configAt    time.Time // when the version was last known to be the newest
-	configRead  time.Time
-	configBusy  bool
-	configStore time.Time // when the store last confirmed it to this daemon
+	config     *port.Config
+	configAt   time.Time // when the version was last known to be the newest
+	configRead time.Time
+	configBusy bool
 
 	storeOK time.Time // last successful call to the store
 	lastRun time.Time
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -109,7 +109,7 @@
 		return t.c.Store.Commit(ctx, b.txn)
 	}, func(version int64, err error) {
 		t.committing = false
-		t.commitDone(b, version, err, now)
+		t.commitDone(b, version, err)
 	})
 }
 
@@ -176,7 +176,7 @@
 
 // commitDone takes in the outcome of a commit. A commit without a response is
 // repeated: if it was applied, the conflict shows our own row.
-func (t *tenure) commitDone(b batch, version int64, err error, sent time.Time) {
+func (t *tenure) commitDone(b batch, version int64, err error) {
 	now := t.c.Now()
 	conflict, conflicted := err.(*port.ConflictError)
 	switch {
@@ -185,7 +185,7 @@
 	case conflicted:
 		t.c.storeAnswered(nil, now)
 		t.restoreDirty(b)
-		t.commitConflict(conflict, now)
+		t.commitConflict(conflict)
 	default:
 		t.c.storeAnswered(err, now)
 		t.restoreDirty(b)
@@ -242,7 +242,7 @@
 
 // commitConflict finds out whether an earlier commit without a response was
 // applied, or another daemon owns the cell.
-func (t *tenure) commitConflict(conflict *port.ConflictError, now time.Time) {
+func (t *tenure) commitConflict(conflict *port.ConflictError) {
 	row := findRow(conflict.Rows, tableOwners, ownerKey)
 	var record ownerRecord
 	if row.Version > 0 {
--- a/internal/cell/converse.go
+++ b/internal/cell/converse.go
@@ -38,7 +38,7 @@
 	busy    bool
 	triedAt time.Time
 	failed  bool
-	// acked is the number up to which ends are committed, of a boot.
+	// committed is the number up to which ends are committed, of a boot.
 	committed, boot int64
 	// acknowledged is the number that the worker has been told.
 	acknowledged int64
@@ -76,33 +76,39 @@
 		k.boot, k.committed, k.acknowledged = boot, 0, 0
 	}
 	uncommitted := seen > k.committed
-	unacknowledged := k.committed > k.acknowledged
+	if k.due(w, uncommitted, now) {
+		t.list(k, w, k.wait(w, uncommitted), now)
+	}
+}
+
+// due reports whether a worker is to be asked now. Ends that are not committed
+// are not listed again before their commit had time.
+func (k *talk) due(w *dispatch.Worker, uncommitted bool, now time.Time) bool {
 	busy := w.Runs() > 0
-	switch {
-	case k.failed:
+	if k.failed {
 		pace := idleRetry
 		if busy || !w.Heard() {
 			pace = retryPause
 		}
-		if now.Sub(k.triedAt) < pace || !w.Listed && !busy {
-			return
-		}
-	case uncommitted && now.Sub(k.takenAt) < commitWait, w.Orphans() && now.Sub(k.triedAt) < commitWait:
-		return
-	case !busy && !unacknowledged && w.Heard():
-		return
+		return now.Sub(k.triedAt) >= pace && (w.Listed || busy)
 	}
-	wait := time.Duration(0)
-	if busy && !uncommitted && !k.failed && w.Heard() && !w.Doubtful() {
-		wait = listWait
-		switch {
-		case w.Mixed() && w.Strained():
-			wait = strainedWait
-		case w.Mixed():
-			wait = watchWait
-		}
+	if uncommitted && now.Sub(k.takenAt) < commitWait || w.Orphans() && now.Sub(k.triedAt) < commitWait {
+		return false
+	}
+	return busy || k.committed > k.acknowledged || !w.Heard()
+}
+
+// wait returns how long a listing may wait for an end.
+func (k *talk) wait(w *dispatch.Worker, uncommitted bool) time.Duration {
+	switch {
+	case w.Runs() == 0 || uncommitted || k.failed || !w.Heard() || w.Doubtful():
+		return 0
+	case w.Mixed() && w.Strained():
+		return strainedWait
+	case w.Mixed():
+		return watchWait
 	}
-	t.list(k, w, wait, now)
+	return listWait
 }
 
 // list asks a worker for a listing and renews its lease.
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	partition := c.jobPartition(spec.ID)
-	_, err := c.write(ctx, port.Txn{
+	err := c.write(ctx, port.Txn{
 		Partition: partition,
 		Checks:    []port.Check{{Table: tableJobs, Key: spec.ID}},
 		Puts:      []port.Put{{Table: tableJobs, Key: spec.ID, Value: encode(jobRecord{Spec: &spec})}},
@@ -69,16 +69,16 @@
 
 // write commits a caller's transaction, again if a response was lost: its
 // conditions make it happen once. Conflicts are returned as they are.
-func (c *Cell) write(ctx context.Context, txn port.Txn) (int64, error) {
+func (c *Cell) write(ctx context.Context, txn port.Txn) error {
 	uncertain := false
 	for try := 0; ; try++ {
-		version, err := c.writeOnce(ctx, txn)
+		err := c.writeOnce(ctx, txn)
 		var conflict *port.ConflictError
 		var refused *port.RefusedError
 		switch {
 		case err == nil, errors.As(err, &conflict):
 			c.gate.answered(c.Now())
-			return version, err
+			return err
 		case errors.As(err, &refused):
 			if refused.Reason != port.RefusedRate {
 				c.gate.failed(c.Now())
@@ -89,15 +89,16 @@
 			uncertain = uncertain || !errors.As(err, &unanswered) || !unanswered.NotSent
 		}
 		if ctx.Err() != nil || try+1 >= storeTries || pause(ctx, storeRetryPause) != nil {
-			return 0, storeError(err, uncertain)
+			return storeError(err, uncertain)
 		}
 	}
 }
 
-func (c *Cell) writeOnce(ctx context.Context, txn port.Txn) (int64, error) {
+func (c *Cell) writeOnce(ctx context.Context, txn port.Txn) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return c.Store.Commit(ctx, txn)
+	_, err := c.Store.Commit(ctx, txn)
+	return err
 }
 
 // storeError is what a caller is told when the store did not confirm a write.
@@ -236,7 +237,7 @@
 		if state.Final() {
 			return nil
 		}
-		_, err = c.write(ctx, port.Txn{
+		err = c.write(ctx, port.Txn{
 			Partition: c.jobPartition(id),
 			Checks:    []port.Check{{Table: tableJobs, Key: id, Version: version}},
 			Puts:      []port.Put{{Table: tableCancels, Key: id, Value: []byte("{}")}},
--- a/internal/cell/news.go
+++ b/internal/cell/news.go
@@ -58,12 +58,13 @@
 }
 
 // set takes in a job's state. A final state never changes.
-func (b *newsBook) set(id string, state job.State, now time.Time) bool {
+func (b *newsBook) set(id string, state job.State, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.setLocked(id, state, now)
+	b.setLocked(id, state, now)
 }
 
+// setLocked is set under the lock. It reports whether the state is news.
 func (b *newsBook) setLocked(id string, state job.State, now time.Time) bool {
 	old, known := b.states[id]
 	if known && (old.state == state || old.state.Final()) {
