--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -49,6 +49,8 @@
 	Worker  *Worker
 	Attempt int
 	State   RunState
+	// First is set for the first run of any task of the job, under this owner.
+	First bool
 	// Pace is the percentage at which the run may work, as last confirmed.
 	Pace int
 	// Progress is the percentage of the work that is done, as last listed; a
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -196,7 +196,7 @@
 func (e *Engine) start(t *Task, w *Worker, attempt int, now time.Time) {
 	t.Attempt = attempt
 	r := &Run{
-		Task: t, Worker: w, Attempt: attempt, State: RunOrdered,
+		Task: t, Worker: w, Attempt: attempt, State: RunOrdered, First: !t.Job.Begun,
 		orderedAt: now, Pace: 100, limit: 100,
 		notAfterMS: w.ClockMS(now) + e.options.StartWindow.Milliseconds(),
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
@@ -57,6 +58,8 @@
 	Configs  port.ConfigSource
 	Peers    Peers
 	Log      log.Interface
+	// Metrics may be nil.
+	Metrics metrics.Registry
 	// Engine holds the platform's bounds.
 	Engine dispatch.Options
 	// Lease is how long a worker may run tasks without a word of the owner.
@@ -113,9 +116,10 @@
 	lastRun time.Time
 	lastUp  time.Duration
 
-	view atomic.Pointer[View]
-	news newsBook
-	gate gate
+	view   atomic.Pointer[View]
+	news   newsBook
+	gate   gate
+	gauges *gauges
 }
 
 // View is what entries may know without asking the control loop. It is
@@ -135,7 +139,7 @@
 
 // New returns a Cell; Start begins its work.
 func New(o Options) *Cell {
-	c := &Cell{Options: o, state: charts.Shard.Initial()}
+	c := &Cell{Options: o, state: charts.Shard.Initial(), gauges: newGauges(o.Metrics)}
 	c.news.init()
 	c.view.Store(&View{})
 	return c
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -109,6 +109,7 @@
 		return t.c.Store.Commit(ctx, b.txn)
 	}, func(version int64, err error) {
 		t.committing = false
+		observe(t.c.gauges.commit, t.c.Now().Sub(now))
 		t.commitDone(b, version, err)
 	})
 }
@@ -223,6 +224,7 @@
 		delete(t.ready, j.Spec.ID)
 		delete(t.progressRows, j.Spec.ID)
 		t.janitor.add(endedJob{j.Spec.ID, j.State, now})
+		t.c.gauges.final(j.State)
 		t.log.WithFields(log.Fields{"event": "job_final", "job": j.Spec.ID, "state": j.State, "queue": j.Spec.Queue,
 			"known_ms": now.Sub(j.Arrived()).Milliseconds()}).Info("committed")
 		t.c.news.announce(j.Spec.ID, j.State, now)
--- a/internal/cell/converse.go
+++ b/internal/cell/converse.go
@@ -170,6 +170,7 @@
 	seen, boot := w.SeenEnd()
 	for _, e := range l.Ended {
 		if e.Number > seen || l.Boot != boot {
+			t.c.gauges.ended(e.Reason)
 			t.log.WithFields(log.Fields{"event": "task_end", "task": e.Task, "attempt": e.Attempt, "worker": w.Entry.ID,
 				"reason": e.Reason, "saved": e.Checkpoint != ""}).Info("listed")
 		}
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -51,9 +51,11 @@
 		err = nil
 	}
 	if err != nil {
+		c.gauges.refused.Inc(1)
 		c.Log.WithFields(log.Fields{"event": "job_not_stored", "job": spec.ID, "verdict": verdict.Of(err)}).WithError(err).Warn("refused")
 		return err
 	}
+	c.gauges.submitted.Inc(1)
 	c.news.set(spec.ID, job.Queued, c.Now())
 	c.tell(&peerpb.NewsRequest{Jobs: [][]byte{encode(spec)}}, []job.Spec{spec}, nil)
 	return nil
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -204,6 +204,7 @@
 		return
 	}
 	c.move(charts.ShardAcquire)
+	c.gauges.takeovers.Inc(1)
 	c.link.reset()
 	c.tenure = newTenure(c, record, version, now)
 	c.tenure.recover()
@@ -229,6 +230,7 @@
 		return
 	}
 	c.Log.WithFields(log.Fields{"event": "ownership_lost", "epoch": c.tenure.record.Epoch, "reason": reason}).Warn("cell")
+	c.gauges.lost.Inc(1)
 	c.tenure.ended = true
 	c.tenure = nil
 	c.move(charts.ShardLose)
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -211,6 +211,10 @@
 		Checkpoint: task.Checkpoint, Epoch: t.record.Epoch, NotAfterMS: r.NotAfterMS(),
 	}
 	target := r.Worker.Target()
+	observe(t.c.gauges.handOver, now.Sub(task.ReadySince(now)))
+	if r.First {
+		observe(t.c.gauges.firstStart, now.Sub(task.Job.Arrived()))
+	}
 	t.log.WithFields(log.Fields{"event": "task_start", "task": order.Task, "attempt": order.Attempt, "worker": target.ID,
 		"resumed": order.Checkpoint != "", "waited_ms": now.Sub(task.ReadySince(now)).Milliseconds()}).Info("ordered")
 	do(t, orderTimeout, func(ctx context.Context) (int64, error) {
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// quantiles are shown of each histogram.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// metricsHandler serves a registry as text that scrapers read: one line a
+// value, named with underscores.
+func metricsHandler(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		lines := metricLines(r)
+		if _, err := fmt.Fprint(w, strings.Join(lines, "\n"), "\n"); err != nil {
+			return // the scraper has gone
+		}
+	})
+}
+
+func metricLines(r metrics.Registry) []string {
+	var lines []string
+	r.Each(func(name string, value any) {
+		name = "bambooyard_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		switch m := value.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			for i, v := range s.Percentiles(quantiles) {
+				lines = append(lines, fmt.Sprintf("%s{quantile=%q} %g", name, fmt.Sprint(quantiles[i]), v))
+			}
+			lines = append(lines, fmt.Sprintf("%s_count %d", name, s.Count()))
+		}
+	})
+	sort.Strings(lines)
+	return lines
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/fx"
 	"golang.org/x/sys/unix"
 
@@ -72,6 +73,7 @@
 			control.NewLoop,
 			platform.NewClient,
 			peer.NewPool,
+			metrics.NewRegistry,
 			newCell,
 			newDaemon,
 		),
@@ -87,7 +89,7 @@
 	return 0
 }
 
-func newCell(s settings.Node, loop *control.Loop, client *platform.Client, pool *peer.Pool, logger log.Interface) *cell.Cell {
+func newCell(s settings.Node, loop *control.Loop, client *platform.Client, pool *peer.Pool, logger log.Interface, registry metrics.Registry) *cell.Cell {
 	store := platform.NewStore(client, s.StoreAddress)
 	var machines port.Machines
 	if s.MachinesAddress != "" {
@@ -104,6 +106,7 @@
 		Configs:   platform.NewConfigSource(store),
 		Peers:     pool,
 		Log:       logger,
+		Metrics:   registry,
 		Engine:    dispatch.Options{LeaseMax: s.LeaseMax, StartWindow: startWindow, RemoteFactor: s.RemoteFactor, Impact: s.Impact},
 		Lease:     min(lease, s.LeaseMax),
 		Retention: retentionFactor * s.StatusFor,
@@ -132,16 +135,18 @@
 	cell     *cell.Cell
 	pool     *peer.Pool
 	client   *platform.Client
+	registry metrics.Registry
 	down     fx.Shutdowner
 
 	closing atomic.Bool
 	callers *http.Server
 	ready   *http.Server
+	metrics *http.Server
 	peers   *peer.Server
 }
 
-func newDaemon(s settings.Node, logger log.Interface, loop *control.Loop, c *cell.Cell, pool *peer.Pool, client *platform.Client, down fx.Shutdowner) *daemon {
-	return &daemon{settings: s, log: logger, loop: loop, cell: c, pool: pool, client: client, down: down}
+func newDaemon(s settings.Node, logger log.Interface, loop *control.Loop, c *cell.Cell, pool *peer.Pool, client *platform.Client, registry metrics.Registry, down fx.Shutdowner) *daemon {
+	return &daemon{settings: s, log: logger, loop: loop, cell: c, pool: pool, client: client, registry: registry, down: down}
 }
 
 func (d *daemon) start(context.Context) error {
@@ -159,8 +164,13 @@
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	d.ready = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	d.metrics = &http.Server{Handler: metricsHandler(d.registry), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	d.reloadOnHangup()
-	return errors.Join(d.serve(d.callers, d.settings.CallerAddress), d.serve(d.ready, d.settings.ReadyAddress))
+	return errors.Join(
+		d.serve(d.callers, d.settings.CallerAddress),
+		d.serve(d.ready, d.settings.ReadyAddress),
+		d.serve(d.metrics, d.settings.MetricsAddress),
+	)
 }
 
 func (d *daemon) serve(server *http.Server, address string) error {
@@ -225,7 +235,7 @@
 	case <-time.After(balancerDelay - time.Since(began)):
 	case <-ctx.Done():
 	}
-	err = errors.Join(err, d.callers.Shutdown(ctx), d.ready.Close(), d.peers.Close())
+	err = errors.Join(err, d.callers.Shutdown(ctx), d.ready.Close(), d.metrics.Close(), d.peers.Close())
 	d.pool.Close()
 	d.loop.Stop()
 	d.client.Close()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -45,6 +45,7 @@
 		CheckAddress("caller-address", n.CallerAddress),
 		CheckAddress("ready-address", n.ReadyAddress),
 		CheckAddress("peer-address", n.PeerAddress),
+		CheckAddress("metrics-address", n.MetricsAddress),
 		CheckAddress("store-address", n.StoreAddress),
 		checkPositive("config-within", n.ConfigWithin),
 		checkPositive("stop-within", n.StopWithin),
