Fence workers that were reborn, and give no orders while alone

Reads of the ownership record off the control loop were a data race; the epoch of a tenure is now a constant.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -184,6 +184,7 @@
 // has ended without a trace. Orders without a response may still arrive.
 func (e *Engine) reborn(w *Worker, boot int64) {
 	w.boot = boot
+	w.heard = false // the new life has seen no epoch, and would obey a former owner
 	w.clockAt, w.clockMS = time.Time{}, 0
 	w.seenEnd = 0
 	w.leaseMS = 0
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -252,7 +252,7 @@
 			t.log.WithField("event", "owner_row_unreadable").WithError(err).Error("ownership")
 		}
 	}
-	if record.Boot != t.record.Boot || record.Epoch != t.record.Epoch {
+	if record.Boot != t.record.Boot || record.Epoch != t.epoch {
 		t.c.lose("another daemon owns the cell")
 		return
 	}
--- a/internal/cell/converse.go
+++ b/internal/cell/converse.go
@@ -114,7 +114,7 @@
 // list asks a worker for a listing and renews its lease.
 func (t *tenure) list(k *talk, w *dispatch.Worker, wait time.Duration, now time.Time) {
 	id, target := w.Entry.ID, w.Target()
-	order := port.ListOrder{Epoch: t.record.Epoch, Wait: wait}
+	order := port.ListOrder{Epoch: t.epoch, Wait: wait}
 	if k.committed > k.acknowledged {
 		// Sent once only: a worker that has started again under its ID counts its
 		// ends anew, and would forget them by the old number.
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -153,7 +153,7 @@
 	owner := false
 	err := c.Loop.Do(ctx, func() {
 		t := c.tenure
-		if t == nil || t.record.Epoch != epoch {
+		if t == nil || t.epoch != epoch {
 			return
 		}
 		owner = true
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -11,9 +11,6 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
-// histories is how many seeded histories a test run plays.
-const histories = 150
-
 // TestHistories plays random faults over a cell, alone, together and twice, and
 // checks that no task runs twice, none runs after its end was acknowledged, and
 // every accepted job ends once the faults are over.
@@ -77,9 +74,9 @@
 			d.cutAll.Store(rng.IntN(2) == 0)
 		}
 	case 8:
-		share := rng.Float64()
-		w.store.SetFault(func(string) fake.RowFault {
-			if rng.Float64() < share/2 {
+		share, calls := rng.Float64(), rand.New(rand.NewPCG(rng.Uint64(), 4))
+		w.store.SetFault(func(string) fake.RowFault { // called under the store's lock
+			if calls.Float64() < share/2 {
 				return fake.RowAnswerLost
 			}
 			return fake.RowServed
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -16,7 +16,9 @@
 // tenure is the time for which this daemon owns the cell. It belongs to the
 // control loop.
 type tenure struct {
-	c      *Cell
+	c *Cell
+	// epoch never changes, and may be read from any goroutine.
+	epoch  int64
 	record ownerRecord
 	// version is that of the ownership row after the last commit.
 	version int64
@@ -32,6 +34,9 @@
 	// still owns the cell. Meanwhile it gives no orders.
 	unconfirmed bool
 
+	// followedAt is when a follower last asked for news; zero if none has.
+	followedAt time.Time
+
 	pumping bool // a pump is posted
 	// restUntil is when the next plan may be made out of turn.
 	restUntil time.Time
@@ -52,7 +57,7 @@
 
 func newTenure(c *Cell, record ownerRecord, version int64, now time.Time) *tenure {
 	t := &tenure{
-		c: c, record: record, version: version,
+		c: c, epoch: record.Epoch, record: record, version: version,
 		engine: dispatch.NewEngine(c.Engine),
 		log:    c.Log.WithField("epoch", record.Epoch),
 		begun:  now,
@@ -89,8 +94,25 @@
 	t.kick()
 }
 
+// aloneAfter is how long an owner without a commit and without a follower goes
+// on: followers ask four times a second, and replace an owner that they do not
+// reach after staleAfter.
+const aloneAfter = staleAfter
+
+// checkAlone stops orders while this daemon may have been replaced without
+// knowing. A daemon that never had a follower has nobody to be replaced by.
+func (t *tenure) checkAlone(now time.Time) {
+	alone := !t.followedAt.IsZero() && now.Sub(t.followedAt) > aloneAfter && now.Sub(t.committedAt) > aloneAfter
+	if alone && !t.unconfirmed {
+		t.unconfirmed = true
+		t.log.WithFields(log.Fields{"event": "owner_alone", "committed_ms": now.Sub(t.committedAt).Milliseconds(),
+			"followed_ms": now.Sub(t.followedAt).Milliseconds()}).Warn("no orders until a commit succeeds")
+	}
+}
+
 // tick does what is due.
 func (t *tenure) tick(now time.Time) {
+	t.checkAlone(now)
 	if t.loaded && !t.releasing {
 		t.pollDirectory(now)
 		t.pollChanges(now)
@@ -208,7 +230,7 @@
 	task := r.Task
 	order := port.StartOrder{
 		Task: task.ID.String(), Attempt: r.Attempt, Payload: task.Job.Spec.Payload,
-		Checkpoint: task.Checkpoint, Epoch: t.record.Epoch, NotAfterMS: r.NotAfterMS(),
+		Checkpoint: task.Checkpoint, Epoch: t.epoch, NotAfterMS: r.NotAfterMS(),
 	}
 	target := r.Worker.Target()
 	observe(t.c.gauges.handOver, now.Sub(task.ReadySince(now)))
@@ -241,7 +263,7 @@
 	name, target := r.Task.ID.String(), r.Worker.Target()
 	t.log.WithFields(log.Fields{"event": "task_stop", "task": name, "attempt": r.Attempt, "worker": target.ID}).Info("ordered")
 	do(t, stopTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, t.c.Workers.Stop(ctx, target, name, r.Attempt, t.record.Epoch)
+		return struct{}{}, t.c.Workers.Stop(ctx, target, name, r.Attempt, t.epoch)
 	}, func(_ struct{}, err error) {
 		t.engine.Stopped(r, err, now, t.c.Now())
 		t.orderAnswered(err)
@@ -255,7 +277,7 @@
 	target := s.Worker.Target()
 	t.log.WithFields(log.Fields{"event": "stray_stop", "task": s.Task, "attempt": s.Attempt, "worker": target.ID}).Info("ordered")
 	do(t, stopTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, t.c.Workers.Stop(ctx, target, s.Task, s.Attempt, t.record.Epoch)
+		return struct{}{}, t.c.Workers.Stop(ctx, target, s.Task, s.Attempt, t.epoch)
 	}, func(_ struct{}, err error) {
 		t.orderAnswered(err)
 	})
@@ -266,7 +288,7 @@
 	name, target := r.Task.ID.String(), r.Worker.Target()
 	t.log.WithFields(log.Fields{"event": "task_throttle", "task": name, "attempt": r.Attempt, "worker": target.ID, "percent": th.Percent}).Info("ordered")
 	do(t, orderTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, t.c.Workers.Throttle(ctx, target, name, r.Attempt, t.record.Epoch, th.Percent)
+		return struct{}{}, t.c.Workers.Throttle(ctx, target, name, r.Attempt, t.epoch, th.Percent)
 	}, func(_ struct{}, err error) {
 		t.engine.Throttled(r, th.Percent, err, t.c.Now())
 		t.orderAnswered(err)
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -347,7 +347,9 @@
 	}
 	w.epoch = o.Epoch
 	w.leaseEnd = max(w.leaseEnd, time.Duration(o.LeaseUntilMS)*time.Millisecond)
-	w.acknowledge(o.Acknowledge)
+	if boot == 0 { // on arrival, and not again while the response waits
+		w.acknowledge(o.Acknowledge)
+	}
 	l := port.Listing{ClockMS: w.clock().Milliseconds(), Boot: w.entry.Boot, Ended: slices.Clone(w.ended)}
 	for task, r := range w.runs {
 		l.Running = append(l.Running, port.Running{Task: task, Attempt: r.attempt, Percent: w.percent(r)})
