--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -35,7 +35,7 @@
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 	}
-	return &gauges{
+	g := &gauges{
 		registry:   r,
 		firstStart: histogram("cell.first_start_ms"),
 		handOver:   histogram("cell.hand_over_ms"),
@@ -45,15 +45,26 @@
 		submitted:  metrics.GetOrRegisterCounter("cell.jobs_stored", r),
 		refused:    metrics.GetOrRegisterCounter("cell.jobs_not_stored", r),
 	}
+	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLapsed, port.EndBroken, port.EndAlone} {
+		g.endCounter(reason)
+	}
+	for _, state := range []job.State{job.Completed, job.Failed, job.Cancelled} {
+		g.finalCounter(state)
+	}
+	return g
 }
 
-func (g *gauges) ended(reason port.EndReason) {
-	metrics.GetOrRegisterCounter("cell.tasks_ended."+string(reason), g.registry).Inc(1)
+func (g *gauges) endCounter(reason port.EndReason) metrics.Counter {
+	return metrics.GetOrRegisterCounter("cell.tasks_ended."+string(reason), g.registry)
 }
 
-func (g *gauges) final(state job.State) {
-	metrics.GetOrRegisterCounter("cell.jobs_final."+string(state), g.registry).Inc(1)
+func (g *gauges) finalCounter(state job.State) metrics.Counter {
+	return metrics.GetOrRegisterCounter("cell.jobs_final."+string(state), g.registry)
 }
 
+func (g *gauges) ended(reason port.EndReason) { g.endCounter(reason).Inc(1) }
+
+func (g *gauges) final(state job.State) { g.finalCounter(state).Inc(1) }
+
 // observe adds a latency to a histogram.
 func observe(h metrics.Histogram, d time.Duration) { h.Update(d.Milliseconds()) }
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/internal/batch"
+	"github.com/bambooyard/bambooyard/internal/cell"
 	"github.com/bambooyard/bambooyard/internal/claims"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/entry"
@@ -23,6 +24,7 @@
 	claims.NewMetrics(registry)
 	entry.NewMetrics(registry)
 	batch.NewManager(batch.Options{Metrics: registry})
+	cell.New(cell.Options{Metrics: registry})
 	is.NoErr(registerControl(control.NewLoop(), registry))
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	is.NoErr(err)
