Remove what the change left unused

The remote factor was read from the settings and decided nothing; Engine.Pending stood beside the tenure's depths; two branches on the same condition are one.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -11,7 +11,7 @@
 // added to what a placement leaves unused.
 const (
 	penaltyFailedHere   = 1e9 // the task has failed on the worker
-	penaltyAwayFromData = 1e7 // the task runs RemoteFactor times as long
+	penaltyAwayFromData = 1e7 // the task runs longer than beside its data
 	penaltyCold         = 1e6 // the worker is slow after its start
 	penaltySlow         = 2e6 // tasks on the worker proceed slowly
 	penaltyBeside       = 3e5 // best-effort tasks disturb services
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -19,8 +19,6 @@
 	LeaseMax time.Duration
 	// StartWindow is how long after it is given a start order may be carried out.
 	StartWindow time.Duration
-	// RemoteFactor is how many times longer a task runs away from its data.
-	RemoteFactor float64
 	// Impact is how long a service may be over its target because of others.
 	Impact time.Duration
 }
@@ -373,14 +371,3 @@
 		e.out.Changed[j] = e.out.Changed[j] || ended
 	}
 }
-
-// Pending returns the number of open jobs of a queue without a started task.
-func (e *Engine) Pending(queue string) int {
-	n := 0
-	for _, j := range e.jobs {
-		if !j.Begun && j.Spec.Queue == queue {
-			n++
-		}
-	}
-	return n
-}
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -220,8 +220,6 @@
 	} else {
 		t.Done = true
 		o.left[t.ID.Step]--
-	}
-	if !t.Step.Gang {
 		for _, r := range t.Runs {
 			e.stop(r)
 		}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -74,7 +74,7 @@
 		Configs: staticConfig{},
 		Peers:   peers{w, d},
 		Log:     &log.Logger{Handler: discard.New()},
-		Engine:  dispatch.Options{LeaseMax: 6 * time.Second, StartWindow: 1500 * time.Millisecond, RemoteFactor: 1.5, Impact: 4 * time.Second},
+		Engine:  dispatch.Options{LeaseMax: 6 * time.Second, StartWindow: 1500 * time.Millisecond, Impact: 4 * time.Second},
 		Lease:   4500 * time.Millisecond, Retention: 4 * time.Minute,
 		Now: time.Now, Wall: time.Now,
 		Awake:  func() time.Duration { return time.Since(began) },
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 		Peers:     pool,
 		Log:       logger,
 		Metrics:   registry,
-		Engine:    dispatch.Options{LeaseMax: s.LeaseMax, StartWindow: startWindow, RemoteFactor: s.RemoteFactor, Impact: s.Impact},
+		Engine:    dispatch.Options{LeaseMax: s.LeaseMax, StartWindow: startWindow, Impact: s.Impact},
 		Lease:     min(lease, s.LeaseMax),
 		Retention: retentionFactor * s.StatusFor,
 		Now:       time.Now,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -30,8 +30,6 @@
 	StatusFor time.Duration
 	// LeaseMax is the longest lease that a worker grants.
 	LeaseMax time.Duration
-	// RemoteFactor is how many times longer a task runs away from its data.
-	RemoteFactor float64
 	// Impact is how long a service may be over its target because of others.
 	Impact time.Duration
 }
