Keep workers to services of one image each

Cause: services were packed by room alone, so a worker held two or three images, and a best-effort image that disturbs any of them had no place there. Which pairs disturb differs by image, so mixed workers multiply the conflicts.

TestServicesOfOneImageShareWorkers fails without the change.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -17,6 +17,10 @@
 	penaltyBeside       = 3e5 // best-effort tasks disturb services
 	bonusWithServices   = 1e5 // services together leave other workers to best-effort tasks
 	penaltyPerMS        = 200 // a round trip delays the start and the end
+	// penaltyOtherImage keeps workers to services of one image each: which
+	// best-effort tasks disturb a service depends on the image, so a worker with
+	// one image has room for more of them than a worker with several.
+	penaltyOtherImage = 2 * bonusWithServices
 )
 
 // choose returns the best worker for a task, or nil if none has room.
@@ -116,6 +120,7 @@
 		if services > 0 {
 			p -= bonusWithServices
 		}
+		p += penaltyOtherImage * float64(mix.otherImages(t.Step.Image))
 		if bestEffort > 0 {
 			p += bonusWithServices * e.servicePressure(w, t.Step)
 		}
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -187,6 +187,17 @@
 	m.services = append(m.services, serviceMix{image: step.Image, tail: tail, tasks: 1})
 }
 
+// otherImages counts the service images other than the given one.
+func (m *mixture) otherImages(image string) int {
+	n := 0
+	for _, s := range m.services {
+		if s.image != image {
+			n++
+		}
+	}
+	return n
+}
+
 // shares returns the share of the worker's processors that each best-effort
 // image asks for, without those that stand still.
 func (w *Worker) shares() map[string]float64 {
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,3 +123,21 @@
 	is.Equal(len(r.plan(time.Millisecond).Starts), 0) // there is time to wait for a better place
 	is.Equal(len(r.plan(4500*time.Millisecond).Starts), 1)
 }
+
+// Services of several images that arrive mixed: each worker gets one image, so
+// that best-effort work which disturbs only one of them finds room.
+func TestServicesOfOneImageShareWorkers(t *testing.T) {
+	is := is.New(t)
+	r := newRig(worker("a", 16000, 64000), worker("b", 16000, 64000), worker("c", 16000, 64000))
+	for n := range 4 {
+		for _, image := range []string{"red", "green", "blue"} {
+			s := job.Step{Tasks: 1, Service: true, Image: image, TargetLatencyMS: 50, MaxUnavailable: -1, Resources: job.Resources{MilliCPU: 4000, MemoryMB: 1000}}
+			r.Add(spec(fmt.Sprintf("%d-%s", n, image), s), r.now, 0)
+		}
+	}
+	r.begin(r.plan(0))
+	for _, w := range r.Workers() {
+		is.Equal(len(w.runs), 4)
+		is.Equal(len(r.mixture(w).services), 1)
+	}
+}
