Follow each service's own load, and gather services on fewer workers

What was learned took the mean tail alone as a base, so swings raised harmless pairs and troughs cleared heavy ones, and one figure was counted once for each task of an image.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -12,6 +12,7 @@
 const (
 	penaltyFailedHere   = 1e9 // the task has failed on the worker
 	penaltyAwayFromData = 1e7 // the task runs longer than beside its data
+	penaltyLeft         = 5e6 // the task was moved away from the worker
 	penaltyCold         = 1e6 // the worker is slow after its start
 	penaltySlow         = 2e6 // tasks on the worker proceed slowly
 	penaltyBeside       = 3e5 // best-effort tasks disturb services
@@ -128,6 +129,9 @@
 		// What services leave is kept for more of them.
 		p += bonusWithServices
 	}
+	if w.Entry.ID == t.leaving {
+		p += penaltyLeft
+	}
 	if t.avoid[w.Entry.ID] {
 		p += penaltyFailedHere
 	}
--- /dev/null
+++ b/dispatch/consolidate_test.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// scattered returns a rig with two services of two tasks, one task on each
+// worker, and best-effort work that makes a worker without services worth
+// having.
+func scattered(t *testing.T, maxUnavailable int) *rig {
+	t.Helper()
+	r := newRig(worker("a", 16000, 64000), worker("b", 16000, 64000))
+	for _, id := range []string{"red", "green"} {
+		s := job.Step{
+			Tasks: 2, Service: true, Image: "desk", TargetLatencyMS: 50, MaxUnavailable: maxUnavailable, MaxPerWorker: 2,
+			Resources: job.Resources{MilliCPU: 3000, MemoryMB: 1000},
+		}
+		r.Add(spec(id, s), r.now, 0)
+		for i, w := range []string{"a", "b"} {
+			r.start(r.Job(id).occurrences[0].tasks[0][i], r.Worker(w), 1, r.now)
+		}
+	}
+	r.Add(spec("crowd", job.Step{Tasks: 1, BestEffort: true, Image: "scan", Resources: job.Resources{MilliCPU: 1000, MemoryMB: 100}}), r.now, 0)
+	r.start(r.Job("crowd").occurrences[0].tasks[0][0], r.Worker("b"), 1, r.now)
+	r.begin(r.Take())
+	return r
+}
+
+// atWork lists every run as being at work.
+func (r *rig) atWork() {
+	for id, w := range r.Workers() {
+		var l port.Listing
+		for _, run := range w.sortedRuns() {
+			l.Running = append(l.Running, port.Running{Task: run.Task.ID.String(), Attempt: run.Attempt, Percent: 100, Figure: 10})
+		}
+		r.listed(id, l)
+	}
+}
+
+func TestScatteredServicesAreMovedTogether(t *testing.T) {
+	is := is.New(t)
+	r := scattered(t, -1)
+	number := map[string]int64{}
+	for range 10 {
+		r.atWork()
+		out := r.plan(settledFor)
+		for _, run := range out.Stops {
+			is.Equal(len(out.Stops), 1) // one at a time
+			id := run.Worker.Entry.ID
+			number[id]++
+			r.Stopped(run, nil, r.now, r.now)
+			r.end(run, number[id], port.EndStopped)
+			moved := r.plan(refusedPause)
+			is.Equal(len(moved.Starts), 1)
+			is.True(moved.Starts[0].Worker != run.Worker)
+			r.begin(moved)
+		}
+	}
+	free := 0
+	for _, w := range r.Workers() {
+		if len(r.mixture(w).services) == 0 {
+			free++
+		}
+	}
+	is.Equal(free, 1)
+}
+
+func TestServicesThatMayNotBeTakenAwayStay(t *testing.T) {
+	is := is.New(t)
+	r := scattered(t, 0)
+	r.atWork()
+	is.Equal(len(r.plan(settledFor).Stops), 0)
+}
+
+func TestServicesStayWithoutBestEffortWork(t *testing.T) {
+	is := is.New(t)
+	r := scattered(t, -1)
+	r.shared = false
+	r.atWork()
+	is.Equal(len(r.plan(settledFor).Stops), 0)
+}
+
+func TestServicesStayWhileOneOfTheirStepIsAway(t *testing.T) {
+	is := is.New(t)
+	r := scattered(t, -1)
+	r.atWork()
+	for _, id := range []string{"red", "green"} {
+		r.Job(id).occurrences[0].tasks[0][0].Runs[0].Progress = 40 // still starting
+	}
+	r.now = r.now.Add(time.Millisecond)
+	is.Equal(len(r.plan(settledFor).Stops), 0)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -89,7 +89,9 @@
 	// inherited is set for a task that a former owner may have started.
 	inherited bool
 	// placedOn is the worker that a former owner last recorded for the task.
-	placedOn  string
+	placedOn string
+	// leaving is the worker that the task was last moved away from.
+	leaving   string
 	avoid     map[string]bool // workers that failed the task
 	label     string
 	notBefore time.Time
@@ -176,6 +178,9 @@
 	// strayTasks counts the listed runs of tasks that have no record of them.
 	strayTasks map[string]int
 	sorted     []*Job // the open jobs as of the last plan
+	// shared is set once best-effort tasks have been started.
+	shared         bool
+	consolidatedAt time.Time
 	// now is the time of the last plan.
 	now time.Time
 	out Output
--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -329,7 +329,7 @@
 	service := small(3)
 	service.Service, service.MaxUnavailable = true, 1
 	r.Add(spec("j", service), r.now, 0)
-	out := r.plan(0)
+	out := r.plan(serviceGather)
 	r.begin(out)
 	var running []port.Running
 	for _, run := range out.Starts {
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -1,86 +1,100 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
+	"math"
 	"time"
 
 	"github.com/bambooyard/bambooyard/job"
 )
 
-// Learning of interference. A service behaves like a queue: its tail grows with
-// 1/(1-load), and what works beside it adds to the load. So 1 - alone/tail, the
-// strain, is linear in the shares of the worker's processors that best-effort
-// images use, whatever the service's own load is.
+// Learning of interference. A service behaves like a queue: its tail is
+// floor/(1-load), where the load is the service's own and what its best-effort
+// neighbours add to it. The own load of each worker's services is followed from
+// listing to listing; what it does not explain is put down to the neighbours.
 const (
-	// unknownPressure is assumed of a pair that was never seen together: half a
-	// worker then doubles the tail, so that a few tasks are tried and a crowd is
-	// not.
-	unknownPressure = 1.0
-	// A pair is believed to disturb sooner than it is believed not to: a low
-	// figure may come from a low load of the service's own.
-	raisingRate  = 0.5
-	loweringRate = 0.03
-	// leastPressure keeps a pair from being believed harmless for good.
-	leastPressure = 0.05
-	// ownStrain is what swings of a service's own load may look like. Below it,
-	// figures show how little a pair disturbs, but not how much.
-	ownStrain = 0.5
-	baseRate  = 0.1
-	// peakDecay lets the highest tail seen alone fade by a part with each figure.
-	peakDecay = 0.002
-	// unknownBase is a service's tail, as a share of its target, before it was
-	// seen alone.
-	unknownBase = 0.5
-	// maxStrain is where a tail is many times its usual one; beyond it figures
-	// say no more than that there is too much.
-	maxStrain = 0.9
-	// patientTail is the expected tail at the crest of a service's load, relative
-	// to its target, up to which a task is placed beside it while its job has
-	// time, and hurriedTail when it has not.
-	patientTail = 2.5
-	hurriedTail = 8.0
+	// maxLoad is where a tail is some fifteen times its floor. Beyond it there is
+	// a backlog, and figures say no more than that there is too much.
+	maxLoad = 0.93
+	// drainLoad is where a service has a backlog that takes time to drain, so
+	// that a figure that falls says nothing of the present neighbours.
+	drainLoad = 0.85
+	// unknownFloor is a service's tail without load, as a share of its target,
+	// before it was seen, and unknownCrest the highest load of its own.
+	unknownFloor = 0.3
+	unknownCrest = 0.6
+	// floorRate is how fast the estimate of the floor falls to a lower tail, and
+	// floorRise how much it rises with each listing.
+	floorRate = 0.3
+	floorRise = 0.0002
+	// crestFall lets the highest own load fade with each listing.
+	crestFall = 0.0005
+	// ownRate is how fast the estimate of a service's own load moves. Loads swing
+	// within some ten seconds, and there are two or three listings a second.
+	ownRate = 0.4
+	// overCrest is how far above its crest a service's own load is believed.
+	overCrest = 0.05
+	// figureSpan is the time that a listed figure covers.
+	figureSpan = 500 * time.Millisecond
+	// leastShare is a share of a worker that tells nothing of an image.
+	leastShare = 0.01
+	// crestWithin is the time in which a service's load may rise to its crest.
+	crestWithin = 5 * time.Second
+	// patientTail is the expected tail, relative to its target, up to which a
+	// task is placed beside a service while its job has time, and hurriedTail
+	// when it has not.
+	patientTail = 1.1
+	hurriedTail = 4
 	// hurry is the slack below which a task does not wait for a better place. It
 	// covers a stop and a new start.
 	hurry = time.Second
 	// safeTail is the same where a task is moved to spare another service.
-	safeTail = 1.0
+	safeTail = 0.8
 )
 
 type imagePair struct{ service, bestEffort string }
 
-// interference holds what has been learned of images. It is lost when the
-// owner changes, and learned again in seconds.
+// interference holds what has been learned of images.
 type interference struct {
-	pressure map[imagePair]float64
-	// base is a service image's usual tail when alone, and peak about its
-	// highest, relative to the target.
-	base, peak map[string]float64
+	pressure map[imagePair]belief
+	// floor is a service image's tail without load, relative to the target, and
+	// crest the highest load of its own.
+	floor, crest map[string]float64
 }
 
 func newInterference() interference {
-	return interference{pressure: map[imagePair]float64{}, base: map[string]float64{}, peak: map[string]float64{}}
+	return interference{pressure: map[imagePair]belief{}, floor: map[string]float64{}, crest: map[string]float64{}}
 }
 
-// baseOf returns a service image's tail when alone, relative to its target.
-func (i *interference) baseOf(image string) float64 {
-	if b, ok := i.base[image]; ok {
-		return b
-	}
-	return unknownBase
+func (i *interference) floorOf(image string) float64 {
+	return cmp.Or(i.floor[image], unknownFloor)
+}
+
+func (i *interference) crestOf(image string) float64 {
+	return cmp.Or(i.crest[image], unknownCrest)
+}
+
+// loadAt returns the load at which a service has a tail.
+func (i *interference) loadAt(image string, tail float64) float64 {
+	return max(0, min(maxLoad, 1-i.floorOf(image)/tail))
 }
 
-// crestOf returns a service image's tail when alone at the crest of its load.
-func (i *interference) crestOf(image string) float64 { return max(i.baseOf(image), i.peak[image]) }
+// tailAt returns the tail that a service has at a load.
+func (i *interference) tailAt(image string, load float64) float64 {
+	return i.floorOf(image) / (1 - min(maxLoad, load))
+}
 
-// pressureOf returns the strain that a best-effort image puts on a service when
-// it uses a whole worker's processors.
+// pressureOf returns the expected pressure of a best-effort image on a service.
 func (i *interference) pressureOf(service, bestEffort string) float64 {
-	if p, ok := i.pressure[imagePair{service, bestEffort}]; ok {
-		return p
+	if b, ok := i.pressure[imagePair{service, bestEffort}]; ok {
+		return b.mean()
 	}
-	return unknownPressure
+	return unknown.mean()
 }
 
-// strain returns what is expected from best-effort images with the given shares.
+// strain returns the load that best-effort images with the given shares of a
+// worker are expected to add to a service.
 func (i *interference) strain(service string, shares map[string]float64) float64 {
 	strain := 0.0
 	for image, share := range shares {
@@ -89,155 +103,112 @@
 	return strain
 }
 
-// strainAt returns the strain at which a service's tail, relative to its
-// target, reaches a value.
-func (i *interference) strainAt(service string, tail float64) float64 {
-	return 1 - i.baseOf(service)/tail
+// ownLoad is what is known of the load of a service image on one worker.
+type ownLoad struct {
+	// own is without neighbours, and seen what was last listed.
+	own, seen float64
+	known     bool
 }
 
-// observe takes in a service's tail, relative to its target, beside best-effort
-// images with the given shares of the worker's processors.
-func (i *interference) observe(service string, tail float64, shares map[string]float64) {
+// observe takes in the highest tail of a service image on a worker, relative to
+// the target, beside best-effort images that had the given shares.
+func (i *interference) observe(service string, tail float64, was ownLoad, shares map[string]float64) ownLoad {
+	i.observeFloor(service, tail)
+	seen := i.loadAt(service, tail)
 	if len(shares) == 0 {
-		i.base[service] = i.baseOf(service) + baseRate*(tail-i.baseOf(service))
-		i.peak[service] = max(tail, i.peak[service]*(1-peakDecay))
-		return
+		i.crest[service] = max(seen, i.crestOf(service)-crestFall)
+		return ownLoad{own: seen, seen: seen, known: true}
 	}
-	seen := min(maxStrain, max(0, i.strainAt(service, tail)))
-	expected := i.strain(service, shares)
-	if expected == 0 || seen >= expected && (seen < ownStrain || expected >= maxStrain) {
-		return
+	strain := i.strain(service, shares)
+	draining := was.seen >= drainLoad && seen <= was.seen
+	is := ownLoad{own: was.own, seen: seen, known: true}
+	if !was.known {
+		is.own = max(0, seen-strain)
 	}
-	rate := loweringRate
-	if seen > expected {
-		rate = raisingRate
+	if draining {
+		return is
 	}
-	// What is already believed to disturb is blamed first, so that harmless
-	// images are not blamed for their company.
+	updated := map[imagePair]belief{}
 	for image, share := range shares {
-		p := i.pressureOf(service, image)
-		part := p * share / expected
-		p += rate * (seen - expected) * part / share
-		i.pressure[imagePair{service, image}] = max(leastPressure, p)
-	}
-}
-
-// mixture is what shares a worker: one entry for each service image on it. It
-// is worked out again after each change, because placements ask often.
-type mixture struct {
-	valid    bool
-	services []serviceMix
-	// bestEffort is the number of best-effort tasks.
-	bestEffort int
-}
-
-// serviceMix is one service image among its neighbours.
-type serviceMix struct {
-	image string
-	// tasks is the number of service tasks of the image.
-	tasks int
-	// tail is the highest listed, relative to its target, and crest what is
-	// expected of the image alone at the crest of its load.
-	tail, crest float64
-	// strain is what the neighbours are expected to put on it.
-	strain float64
-}
-
-// mixture returns what shares a worker.
-func (e *Engine) mixture(w *Worker) *mixture {
-	if w.mix.valid {
-		return &w.mix
-	}
-	w.mix = mixture{valid: true, services: w.mix.services[:0]}
-	for _, r := range w.runs {
-		step := r.Task.Step
-		if step.BestEffort {
-			w.mix.bestEffort++
-		}
-		if step.Service {
-			w.mix.add(step, r.Figure)
-		}
-	}
-	if len(w.mix.services) > 0 && w.mix.bestEffort > 0 {
-		shares := w.shares()
-		for k := range w.mix.services {
-			s := &w.mix.services[k]
-			s.strain = e.interference.strain(s.image, shares)
+		pair := imagePair{service, image}
+		believed, ok := i.pressure[pair]
+		if !ok {
+			believed = unknown
 		}
+		updated[pair] = believed.update(seen, is.own+strain-believed.mean()*share, share)
 	}
-	for k := range w.mix.services {
-		s := &w.mix.services[k]
-		s.crest = e.interference.crestOf(s.image)
-	}
-	return &w.mix
+	maps.Copy(i.pressure, updated)
+	off := seen - min(maxLoad, is.own+i.strain(service, shares))
+	is.own = max(0, min(is.own+ownRate*off, i.crestOf(service)+overCrest))
+	return is
 }
 
-func (m *mixture) add(step *job.Step, figure float64) {
-	tail := 0.0
-	if step.TargetLatencyMS > 0 {
-		tail = figure / step.TargetLatencyMS
-	}
-	for k := range m.services {
-		if m.services[k].image == step.Image {
-			m.services[k].tail = max(m.services[k].tail, tail)
-			m.services[k].tasks++
-			return
-		}
+// observeFloor takes in a tail as a bound of the image's tail without load.
+func (i *interference) observeFloor(service string, tail float64) {
+	floor := i.floorOf(service)
+	if tail < floor {
+		floor += floorRate * (tail - floor)
 	}
-	m.services = append(m.services, serviceMix{image: step.Image, tail: tail, tasks: 1})
+	i.floor[service] = floor * (1 + floorRise)
 }
 
-// otherImages counts the service images other than the given one.
-func (m *mixture) otherImages(image string) int {
-	n := 0
-	for _, s := range m.services {
-		if s.image != image {
-			n++
-		}
-	}
-	return n
+// recentShares are a worker's shares, averaged over about the time that a
+// figure covers.
+type recentShares struct {
+	average map[string]float64
+	// now are the shares since at.
+	now map[string]float64
+	at  time.Time
 }
 
-// shares returns the share of the worker's processors that each best-effort
-// image asks for, without those that stand still.
-func (w *Worker) shares() map[string]float64 {
-	shares := map[string]float64{}
-	capacity := max(1, float64(w.Entry.Capacity.MilliCPU))
-	for _, r := range w.runs {
-		if r.Task.Step.BestEffort && r.limit > 0 && !r.stopping {
-			shares[r.Task.Step.Image] += float64(r.Task.Step.Resources.MilliCPU) / capacity
-		}
+// advance takes in what the shares are from a time on.
+func (s *recentShares) advance(shares map[string]float64, at time.Time) {
+	if s.average == nil {
+		s.average = map[string]float64{}
+	}
+	old := math.Exp(-float64(at.Sub(s.at)) / float64(figureSpan))
+	for image, share := range s.average {
+		s.average[image] = share * old
 	}
-	return shares
+	for image, share := range s.now {
+		s.average[image] += share * (1 - old)
+	}
+	maps.DeleteFunc(s.average, func(_ string, share float64) bool { return share < leastShare })
+	s.now, s.at = shares, at
 }
 
-// learn takes in a worker's figures, unless best-effort tasks came or went
-// within the time that the figures cover.
+// learn takes in a worker's figures.
 func (e *Engine) learn(w *Worker, now time.Time) {
-	if now.Sub(w.mixedAt) < settleAfter {
+	mix := e.mixture(w)
+	if len(mix.services) == 0 {
+		clear(w.loads)
 		return
 	}
-	var shares map[string]float64
-	for _, r := range w.runs {
-		step := r.Task.Step
-		if !step.Service || step.TargetLatencyMS <= 0 || r.State != RunActive || r.Figure <= 0 {
-			continue
-		}
-		if shares == nil {
-			shares = w.shares()
+	w.recent.advance(w.shares(), now)
+	for k := range mix.services {
+		s := &mix.services[k]
+		if s.tail > 0 {
+			l := e.interference.observe(s.image, s.tail, w.loads[s.image], w.recent.average)
+			w.loads[s.image] = l
+			s.own = l.own
 		}
-		e.interference.observe(step.Image, r.Figure/step.TargetLatencyMS, shares)
 	}
 }
 
-// predictedTail returns the highest tail, relative to its target, of a worker's
-// services at the crest of their load beside one more best-effort task.
+// predictedTail returns the highest tail, relative to its target, that a
+// worker's services are expected to have beside one more best-effort task while
+// it runs.
 func (e *Engine) predictedTail(w *Worker, added *job.Step) float64 {
 	share := float64(added.Resources.MilliCPU) / max(1, float64(w.Entry.Capacity.MilliCPU))
+	rise := min(1, float64(added.EstimateMS)/float64(crestWithin.Milliseconds()))
 	worst := 0.0
 	for _, s := range e.mixture(w).services {
-		more := e.interference.pressureOf(s.image, added.Image) * share
-		worst = max(worst, s.crest/(1-min(maxStrain, s.strain+more)), s.tail/(1-min(maxStrain, more)))
+		own := max(s.own, s.own+rise*(s.crest-s.own))
+		load := own + s.strain + e.interference.pressureOf(s.image, added.Image)*share
+		worst = max(worst, e.interference.tailAt(s.image, load))
+		if s.tail >= 1 {
+			worst = max(worst, s.tail)
+		}
 	}
 	return worst
 }
@@ -245,6 +216,6 @@
 // servicePressure returns the tail, relative to its target, that a service
 // task is expected to have beside a worker's best-effort tasks.
 func (e *Engine) servicePressure(w *Worker, added *job.Step) float64 {
-	strain := e.interference.strain(added.Image, w.shares())
-	return e.interference.crestOf(added.Image) / (1 - min(maxStrain, strain))
+	load := e.interference.crestOf(added.Image) + e.interference.strain(added.Image, w.shares())
+	return e.interference.tailAt(added.Image, load)
 }
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -94,7 +94,7 @@
 // mixed takes in that a run came, went or changed its pace.
 func (w *Worker) mixed(r *Run, now time.Time) {
 	if r.Task.Step.BestEffort {
-		w.mixedAt = now
+		w.recent.advance(w.shares(), now)
 	}
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -14,6 +14,7 @@
 	e.now = now
 	e.Expire(now)
 	e.evacuate()
+	e.consolidate(now)
 	e.noRoom.reset()
 	for _, j := range e.byUrgency(now) {
 		for _, o := range j.occurrences {
@@ -46,6 +47,11 @@
 		if a.Queue.Priority != b.Queue.Priority {
 			return a.Queue.Priority - b.Queue.Priority
 		}
+		if a.service || b.service {
+			if c := compareServices(a, b); c != 0 {
+				return c
+			}
+		}
 		if c := a.latestStart.Compare(b.latestStart); c != 0 {
 			return c
 		}
@@ -54,6 +60,20 @@
 	return jobs
 }
 
+// compareServices orders services behind other jobs, which are sooner over, and
+// puts together those that should share workers; the ones that are hardest to
+// place come first.
+func compareServices(a, b *Job) int {
+	if a.service != b.service {
+		return boolInt(a.service) - boolInt(b.service)
+	}
+	first, second := &a.Spec.Steps[0], &b.Spec.Steps[0]
+	if c := strings.Compare(first.Image, second.Image); c != 0 {
+		return c
+	}
+	return boolInt(first.MaxPerWorker == 0) - boolInt(second.MaxPerWorker == 0)
+}
+
 func boolInt(b bool) int {
 	if b {
 		return 1
@@ -140,6 +160,11 @@
 	}
 }
 
+// serviceGather is how long a new service waits for others that arrive with it,
+// so that they can be placed by their images. It is a small part of the shortest
+// time in which a service is missed.
+const serviceGather = 150 * time.Millisecond
+
 // mayStart reports whether a task waits for nothing but room.
 func (e *Engine) mayStart(t *Task, now time.Time) bool {
 	if t.Done || len(t.Runs) > 0 || now.Before(t.notBefore) || e.strayTasks[t.name()] > 0 {
@@ -148,6 +173,9 @@
 	if t.inherited && len(e.silent) > 0 && !t.Step.Speculative {
 		return false
 	}
+	if t.Step.Service && t.Attempt == 0 && now.Sub(t.Job.arrived) < serviceGather {
+		return false
+	}
 	if t.readyAt.IsZero() {
 		t.readyAt = now
 	}
@@ -205,6 +233,7 @@
 	w.attach(r)
 	e.begin(t.Job)
 	e.changed(t.Job, false)
+	e.shared = e.shared || t.Step.BestEffort
 	e.out.Starts = append(e.out.Starts, r)
 }
 
--- a/dispatch/sharing.go
+++ b/dispatch/sharing.go
@@ -87,7 +87,7 @@
 		return !r.Task.Step.BestEffort || r.stopping || r.limit == 0 || weight(r) < lightStrain
 	})
 	slices.SortStableFunc(victims, func(a, b *Run) int { return cmp.Compare(weight(b), weight(a)) })
-	excess := e.interference.strainAt(image, worst) - e.interference.strainAt(image, relievedTail)
+	excess := e.interference.loadAt(image, worst) - e.interference.loadAt(image, relievedTail)
 	for _, r := range victims {
 		if excess <= 0 {
 			return
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -18,19 +19,17 @@
 	r = newRig(worker("a", 16000, 64000))
 	s := job.Step{Tasks: 1, Service: true, Image: "desk", TargetLatencyMS: 50, MaxUnavailable: -1, Resources: job.Resources{MilliCPU: 4000, MemoryMB: 1000}}
 	b := job.Step{Tasks: 3, BestEffort: true, Image: "scan", EstimateMS: 60000, Resources: job.Resources{MilliCPU: 3000, MemoryMB: 1000}}
+	r.interference.pressure[imagePair{"desk", "scan"}] = belief{0: 1}
 	r.Add(spec("service", s), r.now, 0)
+	out := r.plan(serviceGather)
+	r.begin(out)
+	service = out.Starts[0]
 	r.Add(spec("crowd", b), r.now, 0)
-	out := r.plan(0)
+	out = r.plan(0)
 	r.begin(out)
-	for _, run := range out.Starts {
-		if run.Task.Step.Service {
-			service = run
-		} else {
-			crowd = append(crowd, run)
-		}
-	}
-	if service == nil || len(crowd) != 3 {
-		t.Fatalf("started %d tasks", len(out.Starts))
+	crowd = out.Starts
+	if !service.Task.Step.Service || len(crowd) != 3 {
+		t.Fatalf("started %d tasks of the crowd", len(crowd))
 	}
 	return r, service, crowd
 }
@@ -89,36 +88,76 @@
 	}
 }
 
+// listings feeds the tails of a service on one worker to what is learned.
+func listings(i *interference, own ownLoad, shares map[string]float64, tails ...float64) ownLoad {
+	for _, tail := range tails {
+		own = i.observe("desk", tail, own, shares)
+	}
+	return own
+}
+
+// tailOf returns the tail of a service without load at 0.2, at a load.
+func tailOf(load float64) float64 { return 0.2 / (1 - load) }
+
 func TestInterferenceLearnsWhichImageDisturbs(t *testing.T) {
 	is := is.New(t)
 	i := newInterference()
-	for range 40 {
-		i.observe("desk", 0.4, nil)
-		i.observe("desk", 0.42, map[string]float64{"light": 0.3})
-		i.observe("desk", 4, map[string]float64{"heavy": 0.2, "light": 0.3})
+	var own ownLoad
+	for n := range 12 {
+		load := 0.3 + 0.02*float64(n%5)
+		own = listings(&i, own, nil, tailOf(load), tailOf(load))
+		own = listings(&i, own, map[string]float64{"light": 0.3}, tailOf(load), tailOf(load))
+		own = listings(&i, own, map[string]float64{"heavy": 0.1, "light": 0.3}, tailOf(load+0.4))
 	}
 	is.True(i.pressureOf("desk", "heavy") > 3)
 	is.True(i.pressureOf("desk", "light") < 1)
 }
 
+// A service's own load swings slowly beside a small task, which is not blamed.
 func TestOwnSwingsTeachNothing(t *testing.T) {
 	is := is.New(t)
 	i := newInterference()
-	for n := range 60 {
-		tail := 0.3 + 0.3*float64(n%7)/6
-		i.observe("desk", tail, nil)
-		i.observe("desk", tail, map[string]float64{"scan": 0.1})
+	own := listings(&i, ownLoad{}, nil, tailOf(0), tailOf(0), tailOf(0), tailOf(0), tailOf(0.2))
+	for n := range 100 {
+		load := 0.4 - 0.2*math.Cos(float64(n)*0.4*2*math.Pi/20)
+		own = listings(&i, own, map[string]float64{"scan": 0.05}, tailOf(load))
 	}
-	is.True(i.pressureOf("desk", "scan") <= unknownPressure)
+	is.True(i.pressureOf("desk", "scan") <= unknown.mean())
+	is.True(math.Abs(own.own-0.2) < 0.2)
+}
+
+// A backlog that drains after its cause has left is not put down to those that
+// are still there.
+func TestDrainingBlamesNobody(t *testing.T) {
+	is := is.New(t)
+	i := newInterference()
+	own := listings(&i, ownLoad{}, nil, tailOf(0), tailOf(0), tailOf(0), tailOf(0.3), tailOf(0.3))
+	own = listings(&i, own, map[string]float64{"light": 0.2}, tailOf(0.3), tailOf(0.3), tailOf(0.3))
+	own = listings(&i, own, map[string]float64{"light": 0.2, "heavy": 0.3}, 8, 12)
+	before := i.pressureOf("desk", "light")
+	listings(&i, own, map[string]float64{"light": 0.2}, 11, 9, 7, 5, 3)
+	is.True(i.pressureOf("desk", "light") <= before)
+}
+
+func TestSharesAreAveragedOverAFiguresSpan(t *testing.T) {
+	is := is.New(t)
+	var s recentShares
+	began := time.Unix(1000, 0)
+	s.advance(map[string]float64{"scan": 1}, began)
+	is.Equal(len(s.average), 0) // it has only just come
+	s.advance(nil, began.Add(figureSpan))
+	is.True(s.average["scan"] > 0.6 && s.average["scan"] < 0.7)
+	s.advance(nil, began.Add(10*figureSpan))
+	is.Equal(len(s.average), 0)
 }
 
 func TestHurriedTasksDoNotWaitForAGoodPlace(t *testing.T) {
 	is := is.New(t)
 	r, _, _ := crowdBeside(t)
-	r.interference.pressure[imagePair{"desk", "rush"}] = 3
-	r.interference.pressure[imagePair{"desk", "scan"}] = 0.2
-	r.interference.base["desk"], r.interference.peak["desk"] = 0.6, 0.9
-	rush := job.Step{Tasks: 1, BestEffort: true, Image: "rush", EstimateMS: 4000, Resources: job.Resources{MilliCPU: 3500, MemoryMB: 1000}}
+	r.interference.pressure[imagePair{"desk", "rush"}] = belief{3: 1} // a pressure of one
+	r.interference.pressure[imagePair{"desk", "scan"}] = belief{0: 1}
+	r.interference.floor["desk"], r.interference.crest["desk"] = 0.2, 0.65
+	rush := job.Step{Tasks: 1, BestEffort: true, Image: "rush", EstimateMS: 4000, Resources: job.Resources{MilliCPU: 4000, MemoryMB: 1000}}
 	r.Add(spec("rush", rush), r.now, 0)
 	is.Equal(len(r.plan(time.Millisecond).Starts), 0) // there is time to wait for a better place
 	is.Equal(len(r.plan(4500*time.Millisecond).Starts), 1)
@@ -135,7 +174,7 @@
 			r.Add(spec(fmt.Sprintf("%d-%s", n, image), s), r.now, 0)
 		}
 	}
-	r.begin(r.plan(0))
+	r.begin(r.plan(serviceGather))
 	for _, w := range r.Workers() {
 		is.Equal(len(w.runs), 4)
 		is.Equal(len(r.mixture(w).services), 1)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -36,9 +36,11 @@
 	failures     int // failed ends in a row
 	refusedUntil time.Time
 	sharing      sharing
-	// mixedAt is when a best-effort task last came, went or changed its pace.
-	mixedAt time.Time
-	mix     mixture
+	// recent are the shares of best-effort images, and loads those of service
+	// images.
+	recent recentShares
+	loads  map[string]ownLoad
+	mix    mixture
 	// lostStarts is the number of start orders in a row without a response.
 	lostStarts int
 	speeds     speeds
@@ -160,7 +162,7 @@
 	for _, entry := range list {
 		w := e.workers[entry.ID]
 		if w == nil {
-			w = &Worker{runs: map[runKey]*Run{}, strays: map[runKey]stray{}, boot: entry.Boot}
+			w = &Worker{runs: map[runKey]*Run{}, strays: map[runKey]stray{}, loads: map[string]ownLoad{}, boot: entry.Boot}
 			e.workers[entry.ID] = w
 		}
 		if entry.Boot > w.boot {
