Learn pressures slower, and place services by the whole crowd

Pressures of harmless pairs rose from 0.3 to 2.6 within three listings, because listings half a second apart were taken for independent.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -18,6 +18,9 @@
 	penaltyBeside       = 3e5 // best-effort tasks disturb services
 	bonusWithServices   = 1e5 // services together leave other workers to best-effort tasks
 	penaltyPerMS        = 200 // a round trip delays the start and the end
+	// penaltyStrain is for a load of one that best-effort tasks would add to a
+	// service; a crowd may add several.
+	penaltyStrain = 4 * bonusWithServices
 	// penaltyOtherImage keeps workers to services of one image each: which
 	// best-effort tasks disturb a service depends on the image, so a worker with
 	// one image has room for more of them than a worker with several.
@@ -123,7 +126,7 @@
 		}
 		p += penaltyOtherImage * float64(mix.otherImages(t.Step.Image))
 		if bestEffort > 0 {
-			p += bonusWithServices * e.servicePressure(w, t.Step)
+			p += penaltyStrain * e.servicePressure(w, t.Step)
 		}
 	case services > 0:
 		// What services leave is kept for more of them.
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -213,9 +213,8 @@
 	return worst
 }
 
-// servicePressure returns the tail, relative to its target, that a service
-// task is expected to have beside a worker's best-effort tasks.
+// servicePressure returns the load that a worker's best-effort tasks are
+// expected to add to a service.
 func (e *Engine) servicePressure(w *Worker, added *job.Step) float64 {
-	load := e.interference.crestOf(added.Image) + e.interference.strain(added.Image, w.shares())
-	return e.interference.tailAt(added.Image, load)
+	return e.interference.strain(added.Image, w.shares())
 }
--- a/dispatch/pressure.go
+++ b/dispatch/pressure.go
@@ -18,10 +18,10 @@
 const (
 	// loadNoise is how far a load worked out from a figure strays: figures are
 	// rough, and a service's own load moves between two of them.
-	loadNoise = 0.12
+	loadNoise = 0.2
 	// leastProbability lets a belief change: what a pair does may differ within
 	// seconds.
-	leastProbability = 0.005
+	leastProbability = 0.002
 )
 
 // mean returns the expected pressure.
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -180,3 +180,19 @@
 		is.Equal(len(r.mixture(w).services), 1)
 	}
 }
+
+// A service that has to go where best-effort tasks run goes to the smaller
+// crowd: each of its tasks that the service displaces has to find a place.
+func TestServicesGoToTheSmallerCrowd(t *testing.T) {
+	is := is.New(t)
+	r := newRig(worker("a", 16000, 64000), worker("b", 16000, 64000))
+	for n, w := range []string{"a", "a", "a", "a", "a", "a", "a", "a", "b", "b", "b", "b"} {
+		id := fmt.Sprintf("crowd%d", n)
+		r.Add(spec(id, job.Step{Tasks: 1, BestEffort: true, Image: "scan", Resources: job.Resources{MilliCPU: 8000, MemoryMB: 1000}}), r.now, 0)
+		r.start(r.Job(id).occurrences[0].tasks[0][0], r.Worker(w), 1, r.now)
+	}
+	r.begin(r.Take())
+	r.Add(spec("service", job.Step{Tasks: 1, Service: true, Image: "desk", TargetLatencyMS: 50, MaxUnavailable: -1, Resources: job.Resources{MilliCPU: 4000, MemoryMB: 1000}}), r.now, 0)
+	out := r.plan(serviceGather)
+	is.Equal(out.Starts[0].Worker.Entry.ID, "b")
+}
