--- a/dispatch/pressure.go
+++ b/dispatch/pressure.go
@@ -36,10 +36,18 @@
 // update takes in a load seen beside a share of a worker, while a load of
 // others is expected without it.
 func (b belief) update(seen, others, share float64) belief {
-	sum := 0.0
 	for k, p := range pressures {
 		off := (seen - min(maxLoad, others+p*share)) / loadNoise
-		b[k] = max(leastProbability, b[k]*math.Exp(-off*off/2))
+		b[k] *= math.Exp(-off * off / 2)
+	}
+	return b.normalized()
+}
+
+// normalized returns probabilities that add up to one, none too small.
+func (b belief) normalized() belief {
+	sum := 0.0
+	for k := range b {
+		b[k] = max(leastProbability, b[k])
 		sum += b[k]
 	}
 	for k := range b {
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"slices"
@@ -26,8 +27,11 @@
 	maxEntries = 50
 	// maxCommitBytes is below the 1 MB that a transaction may hold, encoded.
 	maxCommitBytes = 500 << 10
-	commitTimeout  = time.Second
-	commitRetry    = 100 * time.Millisecond
+	// learnedPause is how often what has been learned of images is recorded; it
+	// is lost at a take-over otherwise, and takes seconds to learn.
+	learnedPause  = 2 * time.Second
+	commitTimeout = time.Second
+	commitRetry   = 100 * time.Millisecond
 )
 
 // committer groups what the owner has to record.
@@ -39,8 +43,12 @@
 	// one was sent.
 	committedAt time.Time
 	triedAt     time.Time
-	committing  bool
-	failing     bool
+	// learnedAt is when what has been learned was last put into a commit, and
+	// learned its value then.
+	learnedAt  time.Time
+	learned    []byte
+	committing bool
+	failing    bool
 	// progressRows are the jobs that may have a row of progress.
 	progressRows map[string]bool
 }
@@ -103,6 +111,7 @@
 // commit records what has changed on condition that the ownership is unchanged.
 func (t *tenure) commit(now time.Time, release bool) {
 	b := t.makeBatch(release)
+	t.putLearned(&b, now)
 	t.committing, t.triedAt = true, now
 	t.urgent = false
 	do(t, commitTimeout, func(ctx context.Context) (int64, error) {
@@ -168,6 +177,20 @@
 	b.outcome = append(b.outcome, j)
 }
 
+// putLearned records what has been learned of images, if that is due.
+func (t *tenure) putLearned(b *batch, now time.Time) {
+	if now.Sub(t.learnedAt) < learnedPause {
+		return
+	}
+	t.learnedAt = now
+	value := encode(t.engine.Learned())
+	if bytes.Equal(value, t.learned) {
+		return
+	}
+	t.learned = value
+	b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableLearned, Key: learnedKey, Value: value})
+}
+
 func (t *tenure) putProgress(b *batch, j *dispatch.Job) int {
 	value := encode(j.Progress())
 	b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableProgress, Key: j.Spec.ID, Value: value})
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -16,8 +16,8 @@
 
 // inheritance is what former owners have left in the store.
 type inheritance struct {
-	jobs, cancels, progress, outcomes port.Page
-	workers                           []port.WorkerEntry
+	jobs, cancels, progress, outcomes, learned port.Page
+	workers                                    []port.WorkerEntry
 }
 
 // recoverPause is the pace of further tries to read what former owners left.
@@ -64,6 +64,7 @@
 		func() (err error) { in.cancels, err = t.c.scanJobs(ctx, tableCancels); return err },
 		func() (err error) { in.progress, err = scan(ctx, t.c.Store, tableProgress, t.c.Partition); return err },
 		func() (err error) { in.outcomes, err = scan(ctx, t.c.Store, tableOutcomes, t.c.Partition); return err },
+		func() (err error) { in.learned, err = scan(ctx, t.c.Store, tableLearned, t.c.Partition); return err },
 		func() (err error) { in.workers, err = t.c.Directory.List(ctx); return err },
 	}
 	errs := make([]error, len(reads))
@@ -79,6 +80,7 @@
 func (t *tenure) restore(in inheritance, now time.Time) {
 	t.engine.SetWorkers(in.workers, now)
 	t.restoreEnded(in.outcomes, now)
+	t.restoreLearned(in.learned)
 	progress := map[string]port.Row{}
 	for _, row := range in.progress.Rows {
 		progress[row.Key] = row
@@ -118,6 +120,20 @@
 	}
 }
 
+// restoreLearned takes in what former owners have learned of images. Without it
+// the cell is worse for some seconds only.
+func (t *tenure) restoreLearned(learned port.Page) {
+	for _, row := range learned.Rows {
+		l, err := decode[dispatch.Learned](row)
+		if err == nil {
+			err = t.engine.RestoreLearned(l)
+		}
+		if err != nil {
+			t.log.WithField("event", "learned_unreadable").WithError(err).Warn("images are learned anew")
+		}
+	}
+}
+
 func (t *tenure) restoreJob(j *dispatch.Job, row port.Row) {
 	var p dispatch.Progress
 	if row.Version > 0 {
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -22,7 +22,9 @@
 	tableOwners   = "owners"
 	tableProgress = "progress"
 	tableOutcomes = "outcomes"
+	tableLearned  = "learned"
 	ownerKey      = "owner"
+	learnedKey    = "images"
 
 	tableJobs    = "jobs"
 	tableCancels = "cancels"
--- /dev/null
+++ b/internal/cell/takeover_test.go
@@ -0,0 +1,116 @@
+package cell
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/dispatch"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// contact is the time of calm after which the platform's time bounds hold again
+// for a daemon: 4 s on the installations known.
+const contact = 4 * time.Second
+
+// TestCellStartsTasksAgainAfterItsOwnerIsLost measures, for each way to lose an
+// owner, how long a cell starts no new tasks.
+func TestCellStartsTasksAgainAfterItsOwnerIsLost(t *testing.T) {
+	ways := []struct {
+		name   string
+		strike func(w *world, owner string)
+	}{
+		{"killed", func(w *world, owner string) { w.kill(owner) }},
+		{"frozen", func(w *world, owner string) {
+			w.daemons[owner].loop.Post(func() { time.Sleep(contact) })
+		}},
+		{"cut off from the store", func(w *world, owner string) { w.daemons[owner].cutStore.Store(true) }},
+		{"cut off from everybody", func(w *world, owner string) { w.daemons[owner].cutAll.Store(true) }},
+	}
+	for n, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, uint64(100+n), 3, 4, halfSecond, nil)
+				defer w.stopAll()
+				first := w.awaitOwner()
+				time.Sleep(2 * time.Second)
+				way.strike(w, first)
+				began := time.Now()
+				id := w.submitToAnother(first)
+				for w.fleet.Starts(id+".0.0.0") == 0 {
+					is.True(time.Since(began) < contact)
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("the next task was started after %s", time.Since(began))
+				w.awaitState(id, job.Completed, 10*time.Second)
+				w.check()
+			})
+		})
+	}
+}
+
+// submitToAnother submits a job of one task to a daemon other than the given
+// one, again and again until it is accepted.
+func (w *world) submitToAnother(than string) string {
+	spec := w.spec(1)
+	for {
+		for _, name := range w.names() {
+			if name != than && w.trySubmit(name, spec) == nil {
+				return spec.ID
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// An owner that reaches the store but no worker keeps the cell: another daemon
+// has no sign that it would do better. What is accepted starts once it reaches
+// them again.
+func TestOwnerCutOffFromWorkersGoesOnAfterTheCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 110, 3, 4, halfSecond, nil)
+		defer w.stopAll()
+		first := w.awaitOwner()
+		time.Sleep(2 * time.Second)
+		w.daemons[first].cutFleet.Store(true)
+		id := w.submitToAnother(first)
+		time.Sleep(5 * time.Second)
+		is.Equal(w.fleet.Starts(id+".0.0.0"), 0)
+		w.daemons[first].cutFleet.Store(false)
+		began := time.Now()
+		for w.fleet.Starts(id+".0.0.0") == 0 {
+			is.True(time.Since(began) < contact)
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("the next task was started %s after the cut", time.Since(began))
+		w.awaitState(id, job.Completed, 10*time.Second)
+		w.check()
+	})
+}
+
+func TestWhatIsLearnedOutlivesItsOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 111, 3, 2, halfSecond, nil)
+		defer w.stopAll()
+		first := w.awaitOwner()
+		learned := dispatch.Learned{
+			Services: []dispatch.LearnedService{{Image: "desk", Floor: 0.2, Crest: 0.7}},
+			Pairs:    []dispatch.LearnedPair{{Service: "desk", BestEffort: "scan", Permille: []int{5, 5, 5, 5, 5, 970, 5}}},
+		}
+		cell := w.daemons[first].cell
+		is.NoErr(cell.Loop.Do(context.Background(), func() { is.NoErr(cell.tenure.engine.RestoreLearned(learned)) }))
+		time.Sleep(2 * learnedPause)
+		w.kill(first)
+		next := w.daemons[w.awaitOwner()].cell
+		time.Sleep(time.Second)
+		is.NoErr(next.Loop.Do(context.Background(), func() {
+			is.Equal(next.tenure.engine.Learned(), learned)
+		}))
+	})
+}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -39,9 +39,9 @@
 	name string
 	cell *Cell
 	loop *control.Loop
-	// cutStore and cutAll silence the daemon's calls of the store, and of
-	// everybody.
-	cutStore, cutAll atomic.Bool
+	// cutStore, cutFleet and cutAll silence the daemon's calls of the store, of
+	// the workers, and of everybody.
+	cutStore, cutFleet, cutAll atomic.Bool
 }
 
 func newWorld(t *testing.T, seed uint64, daemons, workers int, work func(task string) time.Duration, fails func(string, int) bool) *world {
@@ -287,7 +287,7 @@
 }
 
 func (c cutWorkers) silent(ctx context.Context, op string) error {
-	if !c.d.cutAll.Load() {
+	if !c.d.cutFleet.Load() && !c.d.cutAll.Load() {
 		return nil
 	}
 	<-ctx.Done()
