--- a/dispatch/learned.go
+++ b/dispatch/learned.go
@@ -74,7 +74,7 @@
 		for k, permille := range p.Permille {
 			b[k] = float64(permille) / 1000
 		}
-		e.interference.pressure[imagePair{p.Service, p.BestEffort}] = b.normalized()
+		e.interference.pressure[imagePair{p.Service, p.BestEffort}] = b.normalised()
 	}
 	return nil
 }
--- a/dispatch/pressure.go
+++ b/dispatch/pressure.go
@@ -40,11 +40,11 @@
 		off := (seen - min(maxLoad, others+p*share)) / loadNoise
 		b[k] *= math.Exp(-off * off / 2)
 	}
-	return b.normalized()
+	return b.normalised()
 }
 
-// normalized returns probabilities that add up to one, none too small.
-func (b belief) normalized() belief {
+// normalised returns probabilities that add up to one, none too small.
+func (b belief) normalised() belief {
 	sum := 0.0
 	for k := range b {
 		b[k] = max(leastProbability, b[k])
