Let late batch work wait, and relieve services of all that is too much

The trace shows jobs that are late already counted as hurried for good, and the limit for hurried tasks (4) lay above the highest tail that is predicted (3.9), so eight tasks of images known as heavy started beside one service. Relief then took 700 ms for each task, because the excess was read off a tail that cannot show more than a full load.

--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -43,8 +43,7 @@
 		}
 	}
 	if best != nil {
-		best.Task.leaving = best.Worker.Entry.ID
-		e.stop(best)
+		e.move(best, StopConsolidate)
 	}
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -62,6 +63,7 @@
 	confirmedAt time.Time
 	notAfterMS  int64
 	stopping    bool
+	stopReason  StopReason
 	stopSent    bool // a stop order is on its way
 	stoppedAt   time.Time
 	missing     int  // listings in a row that lacked the run
@@ -127,7 +129,7 @@
 	// latestStart is when the job's longest chain must start to meet the objective.
 	latestStart time.Time
 	service     bool // a step runs until the job is cancelled
-	late        bool // as of the last plan, too late to be worth anything
+	prospect    prospect
 }
 
 // occurrence is one run of a job's steps.
@@ -325,8 +327,9 @@
 	return t.Job.objective.Sub(now) - t.Job.remaining[t.ID.Step]
 }
 
-// hurried reports whether a task cannot wait for a better place.
-func (t *Task) hurried(now time.Time) bool { return !t.Job.late && t.slack(now) < hurry }
+// hurried reports whether a task cannot wait for a better place if its job is
+// to be in time. A job that is late already loses nothing by waiting.
+func (t *Task) hurried(now time.Time) bool { return t.Job.prospect == inTime && t.slack(now) < hurry }
 
 // Cancel ends a job at its caller's wish: nothing of it starts any more and
 // what runs is stopped. It reports false for a job that is not open.
@@ -354,16 +357,49 @@
 			for _, t := range row {
 				delete(e.tasks, t.name())
 				for _, r := range t.Runs {
-					e.stop(r)
+					e.stop(r, StopEnded)
 				}
 			}
 		}
 	}
 }
 
+// StopReason says why a run is stopped.
+type StopReason string
+
+// Reasons to stop a run.
+const (
+	// StopEnded means that the job is final, or the task is done elsewhere.
+	StopEnded StopReason = "job_ended"
+	// StopDoubtful means that it is not known whether the run exists.
+	StopDoubtful StopReason = "doubtful"
+	// StopGang means that another member of the gang has ended.
+	StopGang StopReason = "gang_broken"
+	// StopDraining means that the worker is about to leave.
+	StopDraining StopReason = "draining"
+	// StopStalled means that the run makes no progress, and StopSlow that its
+	// worker is slow.
+	StopStalled StopReason = "stalled"
+	StopSlow    StopReason = "slow_worker"
+	// StopRelief means that the run disturbs a service.
+	StopRelief StopReason = "disturbs_service"
+	// StopConsolidate means that the service moves to other services.
+	StopConsolidate StopReason = "consolidation"
+)
+
+// move stops a run that should go on on another worker.
+func (e *Engine) move(r *Run, why StopReason) {
+	r.Task.leaving = r.Worker.Entry.ID
+	e.stop(r, why)
+}
+
+// StopReason returns why the run is stopped; empty if it is not.
+func (r *Run) StopReason() StopReason { return r.stopReason }
+
 // stop orders the end of a run. It is repeated until the run has ended.
-func (e *Engine) stop(r *Run) {
+func (e *Engine) stop(r *Run, why StopReason) {
 	r.stopping = true
+	r.stopReason = cmp.Or(r.stopReason, why)
 	if !r.stopSent && r.State != RunOrdered {
 		r.stopSent = true
 		e.out.Stops = append(e.out.Stops, r)
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -27,7 +27,7 @@
 	// floorRate is how fast the estimate of the floor falls to a lower tail, and
 	// floorRise how much it rises with each listing.
 	floorRate = 0.3
-	floorRise = 0.0002
+	floorRise = 0.00002
 	// crestFall lets the highest own load fade with each listing.
 	crestFall = 0.0005
 	// ownRate is how fast the estimate of a service's own load moves. Loads swing
@@ -45,7 +45,7 @@
 	// task is placed beside a service while its job has time, and hurriedTail
 	// when it has not.
 	patientTail = 1.1
-	hurriedTail = 4
+	hurriedTail = 2
 	// hurry is the slack below which a task does not wait for a better place. It
 	// covers a stop and a new start.
 	hurry = time.Second
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -76,7 +76,7 @@
 		r.State, r.confirmedAt = RunActive, now
 		w.mixed(r, now)
 		if r.stopping && !r.stopSent {
-			e.stop(r)
+			e.stop(r, r.stopReason)
 		}
 	}
 	r.missing, r.listed = 0, true
@@ -87,7 +87,7 @@
 		e.changed(r.Task.Job, false)
 	}
 	if r.stopping && !r.stopSent && now.Sub(r.stoppedAt) > stopRepeat {
-		e.stop(r)
+		e.stop(r, r.stopReason)
 	}
 }
 
@@ -221,7 +221,7 @@
 		t.Done = true
 		o.left[t.ID.Step]--
 		for _, r := range t.Runs {
-			e.stop(r)
+			e.stop(r, StopEnded)
 		}
 	}
 	for _, o := range t.Job.occurrences {
@@ -275,7 +275,7 @@
 	for _, member := range t.Job.occurrences[t.ID.Occurrence].tasks[t.ID.Step] {
 		for _, other := range member.Runs {
 			if other.Attempt == r.Attempt {
-				e.stop(other)
+				e.stop(other, StopGang)
 			}
 		}
 	}
@@ -318,7 +318,7 @@
 			w.mixed(r, now)
 		}
 		if r.stopping {
-			e.stop(r)
+			e.stop(r, r.stopReason)
 		}
 		return
 	}
@@ -372,7 +372,7 @@
 	w.refusedUntil = sent.Add(lostPause << min(w.lostStarts, lostDoublings))
 	w.lostStarts++
 	e.Unanswered(r.Worker.Entry.ID, sent)
-	e.stop(r)
+	e.stop(r, StopDoubtful)
 }
 
 // Stopped takes in the response to a stop order: after it, the run ends soon
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -36,13 +36,13 @@
 func (e *Engine) byUrgency(now time.Time) []*Job {
 	jobs := e.sorted[:0]
 	for _, j := range e.jobs {
-		j.late = j.hopeless(now)
+		j.prospect = j.prospectAt(now)
 		jobs = append(jobs, j)
 	}
 	e.sorted = jobs
 	slices.SortFunc(jobs, func(a, b *Job) int {
-		if a.late != b.late {
-			return boolInt(a.late) - boolInt(b.late)
+		if a.prospect != b.prospect {
+			return int(a.prospect) - int(b.prospect)
 		}
 		if a.Queue.Priority != b.Queue.Priority {
 			return a.Queue.Priority - b.Queue.Priority
@@ -81,17 +81,31 @@
 	return 0
 }
 
+// prospect is what a job may still be worth.
+type prospect int
+
+const (
+	// inTime means that the objective is not over. Services and scheduled jobs
+	// always count as being in time.
+	inTime prospect = iota
+	// late means that the job is worth a part.
+	late
+	// hopeless means that the job is worth nothing any more.
+	hopeless
+)
+
 // lateFactor is how many times its objective a job may take and still be worth
 // something; the platform's pages say three.
 const lateFactor = 3
 
-// hopeless reports whether the job is too late to be worth anything. Services
-// and scheduled jobs never are.
-func (j *Job) hopeless(now time.Time) bool {
-	if j.Spec.Schedule.Times > 0 || j.service {
-		return false
+func (j *Job) prospectAt(now time.Time) prospect {
+	switch {
+	case j.Spec.Schedule.Times > 0 || j.service || !now.After(j.objective):
+		return inTime
+	case now.Sub(j.arrived) > lateFactor*j.objective.Sub(j.arrived):
+		return hopeless
 	}
-	return now.Sub(j.arrived) > lateFactor*j.objective.Sub(j.arrived)
+	return late
 }
 
 // planStep starts the tasks of a step that may start.
@@ -258,7 +272,7 @@
 				continue
 			}
 			if leaving || (r.Task.Step.Service && e.mayTakeAway(r.Task)) {
-				e.stop(r)
+				e.stop(r, StopDraining)
 			}
 		}
 	}
--- a/dispatch/sharing.go
+++ b/dispatch/sharing.go
@@ -87,14 +87,14 @@
 		return !r.Task.Step.BestEffort || r.stopping || r.limit == 0 || weight(r) < lightStrain
 	})
 	slices.SortStableFunc(victims, func(a, b *Run) int { return cmp.Compare(weight(b), weight(a)) })
-	excess := e.interference.loadAt(image, worst) - e.interference.loadAt(image, relievedTail)
+	excess := max(e.interference.loadAt(image, worst), e.expectedLoad(w, image)) - e.interference.loadAt(image, relievedTail)
 	for _, r := range victims {
 		if excess <= 0 {
 			return
 		}
 		switch {
 		case r.Task.Step.Checkpoints && e.hasHome(r, now):
-			e.stop(r)
+			e.move(r, StopRelief)
 			excess -= weight(r)
 		case hold:
 			r.limit = 0
@@ -103,6 +103,18 @@
 	}
 }
 
+// expectedLoad returns the load that a service image should have beside the
+// worker's present best-effort tasks. Unlike a load that is read off a tail, it
+// may be above one, and then tells how much is too much.
+func (e *Engine) expectedLoad(w *Worker, image string) float64 {
+	for _, s := range e.mixture(w).services {
+		if s.image == image {
+			return s.own + s.strain
+		}
+	}
+	return 0
+}
+
 // hasHome reports whether a best-effort run could go on where it disturbs nobody.
 func (e *Engine) hasHome(r *Run, now time.Time) bool {
 	o := r.Task.Job.occurrences[r.Task.ID.Occurrence]
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -157,12 +157,55 @@
 	r.interference.pressure[imagePair{"desk", "rush"}] = belief{3: 1} // a pressure of one
 	r.interference.pressure[imagePair{"desk", "scan"}] = belief{0: 1}
 	r.interference.floor["desk"], r.interference.crest["desk"] = 0.2, 0.65
-	rush := job.Step{Tasks: 1, BestEffort: true, Image: "rush", EstimateMS: 4000, Resources: job.Resources{MilliCPU: 4000, MemoryMB: 1000}}
+	rush := job.Step{Tasks: 1, BestEffort: true, Image: "rush", EstimateMS: 4000, Resources: job.Resources{MilliCPU: 3000, MemoryMB: 1000}}
 	r.Add(spec("rush", rush), r.now, 0)
 	is.Equal(len(r.plan(time.Millisecond).Starts), 0) // there is time to wait for a better place
 	is.Equal(len(r.plan(4500*time.Millisecond).Starts), 1)
 }
 
+// A job that is late already does not push in beside services: what it is still
+// worth does not depend on when it runs.
+func TestLateTasksWaitForAGoodPlace(t *testing.T) {
+	is := is.New(t)
+	r, _, _ := crowdBeside(t)
+	r.interference.pressure[imagePair{"desk", "rush"}] = belief{3: 1}
+	r.interference.pressure[imagePair{"desk", "scan"}] = belief{0: 1}
+	r.interference.floor["desk"], r.interference.crest["desk"] = 0.2, 0.65
+	rush := job.Step{Tasks: 1, BestEffort: true, Image: "rush", EstimateMS: 4000, Resources: job.Resources{MilliCPU: 3000, MemoryMB: 1000}}
+	j := r.Add(spec("rush", rush), r.now, 0)
+	for _, run := range r.plan(j.objective.Sub(r.now) + time.Millisecond).Starts {
+		is.True(run.Task.Job != j)
+	}
+}
+
+func TestJobsThatCanBeInTimeGoBeforeLateOnes(t *testing.T) {
+	is := is.New(t)
+	r := newRig(worker("a", 1000, 64000))
+	first := r.Add(spec("first", small(1)), r.now, 0)
+	r.now = first.objective.Add(time.Millisecond)
+	r.Add(spec("second", small(1)), r.now, 0)
+	out := r.plan(0)
+	is.Equal(len(out.Starts), 1)
+	is.Equal(out.Starts[0].Task.ID.Job, "second")
+}
+
+// Many times too much is taken away at once, though the tail only shows that
+// there is too much.
+func TestReliefTakesAllThatIsTooMuch(t *testing.T) {
+	is := is.New(t)
+	r, service, crowd := crowdBeside(t)
+	r.interference.pressure[imagePair{"desk", "scan"}] = belief{6: 1}
+	began := r.now
+	for r.now.Sub(began) <= time.Duration(holdAfter*float64(testOptions.Impact))+settleAfter {
+		r.now = r.now.Add(200 * time.Millisecond)
+		r.figures(service, crowd, 500, 10+int(r.now.Sub(began)/(200*time.Millisecond)))
+		r.confirm(r.Take())
+	}
+	for _, run := range crowd {
+		is.Equal(run.Pace, 0)
+	}
+}
+
 // Services of several images that arrive mixed: each worker gets one image, so
 // that best-effort work which disturbs only one of them finds room.
 func TestServicesOfOneImageShareWorkers(t *testing.T) {
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -92,12 +92,12 @@
 		}
 		if now.Sub(r.progressAt) > stallAfter {
 			w.refusedUntil = now.Add(stallPause)
-			e.stop(r)
+			e.move(r, StopStalled)
 			continue
 		}
 		left := time.Duration(step.EstimateMS*int64(100-r.Progress)/100) * time.Millisecond
 		if slow && step.Checkpoints && left > moveWorth && e.hasOther(r, now) {
-			e.stop(r)
+			e.move(r, StopSlow)
 		}
 	}
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -206,7 +206,7 @@
 		r.notAfterMS = math.MaxInt64
 		r.stopSent, r.stoppedAt = false, time.Time{}
 		if r.confirmedAt.IsZero() {
-			e.stop(r)
+			e.stop(r, StopDoubtful)
 		}
 	}
 }
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -261,7 +261,7 @@
 
 func (t *tenure) stop(r *dispatch.Run, now time.Time) {
 	name, target := r.Task.ID.String(), r.Worker.Target()
-	t.log.WithFields(log.Fields{"event": "task_stop", "task": name, "attempt": r.Attempt, "worker": target.ID}).Info("ordered")
+	t.log.WithFields(log.Fields{"event": "task_stop", "task": name, "attempt": r.Attempt, "worker": target.ID, "reason": string(r.StopReason())}).Info("ordered")
 	do(t, stopTimeout, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, t.c.Workers.Stop(ctx, target, name, r.Attempt, t.epoch)
 	}, func(_ struct{}, err error) {
