Ask the advisor which workers may run a step

Cause: queues with an advisor were refused, so a deployment that has one would have had no service at all on them.

Change: the engine asks about up to thirty workers that have room, best first, two calls at a time; starts carry the ticket of the worker's present life and time; a refused ticket is dropped and asked for again. Only where the settings name no advisor are such queues still refused.

--- /dev/null
+++ b/dispatch/advice_test.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// newAdvisedRig returns a rig whose queue has an advisor.
+func newAdvisedRig(workers ...port.WorkerEntry) *rig {
+	r := newRig(workers...)
+	r.SetQueues([]job.Queue{{
+		Name: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second,
+		Advisor: &job.Advisor{Decide: 5 * time.Millisecond, PerWorker: time.Millisecond, Valid: 3 * time.Second},
+	}})
+	return r
+}
+
+func TestAdvisedTasksStartWithTheirTickets(t *testing.T) {
+	is := is.New(t)
+	r := newAdvisedRig(worker("a", 8000, 8000), worker("b", 8000, 8000))
+	r.Add(spec("j", small(3)), r.now, 0)
+	out := r.plan(0)
+	is.Equal(len(out.Starts), 0)
+	is.Equal(len(out.Questions), 1)
+	is.Equal(out.Questions[0].Step, "j.0.0")
+	is.Equal(out.Questions[0].Workers, []string{"a", "b"})
+	is.Equal(len(r.plan(0).Questions), 0) // one call at a time for a step
+	r.Advised(out.Questions[0], map[string]string{"b": "t-b"}, nil, r.now, r.now)
+	out = r.plan(0)
+	is.Equal(len(out.Starts), 3)
+	for _, run := range out.Starts {
+		is.Equal(run.Worker.Entry.ID, "b")
+		is.Equal(run.Ticket, "t-b")
+	}
+	is.Equal(len(out.Questions), 0)
+}
+
+func TestTicketsEnd(t *testing.T) {
+	events := []struct {
+		name string
+		end  func(r *rig)
+	}{
+		{"by time", func(r *rig) { r.now = r.now.Add(3 * time.Second) }},
+		{"with the worker's life", func(r *rig) { r.listed("a", port.Listing{Boot: 2}) }},
+	}
+	for _, event := range events {
+		t.Run(event.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newAdvisedRig(worker("a", 1000, 8000))
+			r.Add(spec("j", small(2)), r.now, 0)
+			q := r.plan(0).Questions[0]
+			r.Advised(q, map[string]string{"a": "t-a"}, nil, r.now, r.now)
+			out := r.plan(0)
+			is.Equal(len(out.Starts), 1)
+			r.begin(out)
+			r.end(out.Starts[0], 1, port.EndDone)
+			event.end(r)
+			out = r.plan(0)
+			is.Equal(len(out.Starts), 0)
+			is.Equal(len(out.Questions), 1)
+		})
+	}
+}
+
+func TestRefusedTicketIsAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	r := newAdvisedRig(worker("a", 8000, 8000))
+	r.Add(spec("j", small(1)), r.now, 0)
+	r.Advised(r.plan(0).Questions[0], map[string]string{"a": "t-a"}, nil, r.now, r.now)
+	run := r.plan(0).Starts[0]
+	r.Started(run, 0, &port.RefusedError{Op: "start", Reason: port.RefusedTicket}, r.now, r.now)
+	out := r.plan(refusedPause)
+	is.Equal(len(out.Starts), 0)
+	is.Equal(len(out.Questions), 1)
+}
+
+func TestFailedAdviceIsRepeatedAfterAPause(t *testing.T) {
+	is := is.New(t)
+	r := newAdvisedRig(worker("a", 8000, 8000))
+	r.Add(spec("j", small(1)), r.now, 0)
+	r.Advised(r.plan(0).Questions[0], nil, errors.New("silent"), r.now, r.now)
+	is.Equal(len(r.plan(0).Questions), 0)
+	is.Equal(len(r.plan(advicePause).Questions), 1)
+}
+
+func TestQuestionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	r := newAdvisedRig(worker("a", 8000, 8000))
+	for _, id := range []string{"j1", "j2", "j3", "j4"} {
+		r.Add(spec(id, small(1)), r.now, 0)
+	}
+	out := r.plan(0)
+	is.Equal(len(out.Questions), advisorCalls)
+	r.Advised(out.Questions[0], map[string]string{}, nil, r.now, r.now)
+	again := r.plan(0).Questions
+	is.Equal(len(again), 1)
+	is.True(again[0].Job != out.Questions[0].Job) // no worker is left to ask about
+}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -52,6 +52,11 @@
 
 // eligible reports whether a worker may run a task and has room for it.
 func (e *Engine) eligible(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
+	return e.advised(t, w, now) && e.suits(t, w, now, reserved)
+}
+
+// suits is like eligible, whatever an advisor says.
+func (e *Engine) suits(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
 	if !w.Listed || !w.heard || w.Entry.Draining || w.clockAt.IsZero() || w.Entry.Pool != t.Job.Queue.Pool {
 		return false
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -48,6 +48,8 @@
 	Worker  *Worker
 	Attempt int
 	State   RunState
+	// Ticket is the advisor's permission; empty if the queue needs none.
+	Ticket string
 	// First is set for the first run of any task of the job, under this owner.
 	First bool
 	// Pace is the percentage at which the run may work, as last confirmed.
@@ -130,6 +132,8 @@
 	latestStart time.Time
 	service     bool // a step runs until the job is cancelled
 	prospect    prospect
+	// advice is what the queue's advisor has said of steps; nil if nothing.
+	advice map[stepKey]*advice
 }
 
 // occurrence is one run of a job's steps.
@@ -183,6 +187,7 @@
 	// shared is set once best-effort tasks have been started.
 	shared         bool
 	consolidatedAt time.Time
+	openQuestions  int // of the advisor
 	// now is the time of the last plan.
 	now time.Time
 	out Output
@@ -194,6 +199,7 @@
 	Stops     []*Run
 	Strays    []Stray
 	Throttles []Throttle
+	Questions []Question
 	// Changed are jobs whose progress is to be committed. The value is true
 	// when an end is among the changes, false when the commit may wait.
 	Changed map[*Job]bool
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -335,6 +335,9 @@
 	if refused.Reason == port.RefusedBusy {
 		w.refusedUntil = now.Add(busyPause)
 	}
+	if refused.Reason == port.RefusedTicket {
+		r.Task.ticketRefused(w)
+	}
 	if refused.Reason == port.RefusedRoom {
 		w.refusedUntil = now.Add(roomPause)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -124,6 +124,7 @@
 		w := e.choose(t, tasks, now, nil)
 		if w == nil {
 			e.noRoom.add(t, now)
+			e.ask(t, now)
 			return // like tasks do not fit either
 		}
 		e.start(t, w, t.Attempt+1, now)
@@ -166,10 +167,10 @@
 }
 
 // add takes in that no worker can run a task. Tasks with a bound on neighbours
-// of their own step say nothing about others.
+// of their own step, or with an advisor, say nothing about others.
 func (n noRoom) add(t *Task, now time.Time) {
 	k := kindOf(t, now)
-	if t.Step.MaxPerWorker == 0 && len(n[k]) < sizesPerKind {
+	if t.Step.MaxPerWorker == 0 && t.Job.Queue.Advisor == nil && len(n[k]) < sizesPerKind {
 		n[k] = append(n[k], t.Step.Resources)
 	}
 }
@@ -210,6 +211,7 @@
 	for i, t := range tasks {
 		w := e.choose(t, tasks, now, reserved)
 		if w == nil {
+			e.ask(t, now)
 			return
 		}
 		reserved.taken[w] = reserved.taken[w].Add(demand(step))
@@ -239,7 +241,7 @@
 	t.Attempt = attempt
 	r := &Run{
 		Task: t, Worker: w, Attempt: attempt, State: RunOrdered, First: !t.Job.Begun,
-		orderedAt: now, Pace: 100, limit: 100,
+		orderedAt: now, Pace: 100, limit: 100, Ticket: e.ticketFor(t, w, now),
 		notAfterMS: w.ClockMS(now) + e.options.StartWindow.Milliseconds(),
 	}
 	// A start extends the worker's lease like a renewal.
--- /dev/null
+++ b/internal/cell/advice.go
@@ -0,0 +1,35 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooyard/bambooyard/dispatch"
+)
+
+var errNoAdvisor = errors.New("the settings name no advisor")
+
+// ask asks the advisor which workers may run a step.
+func (t *tenure) ask(q dispatch.Question, now time.Time) {
+	timeout := orderTimeout + dispatch.AdviceTime(q.Job.Queue.Advisor)
+	do(t, timeout, func(ctx context.Context) (map[string]string, error) {
+		if t.c.Advisor == nil {
+			return nil, errNoAdvisor
+		}
+		return t.c.Advisor.Advise(ctx, q.Step, q.Workers)
+	}, func(tickets map[string]string, err error) {
+		done := t.c.Now()
+		entry := t.log.WithFields(log.Fields{"event": "advice", "step": q.Step, "asked": len(q.Workers), "eligible": len(tickets),
+			"took_ms": done.Sub(now).Milliseconds()})
+		if err != nil {
+			entry.WithError(err).Warn("asked again")
+		} else {
+			entry.Info("advised")
+		}
+		t.engine.Advised(q, tickets, err, now, done)
+		t.kick()
+	})
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,9 +55,11 @@
 	Directory port.Directory
 	// Machines may be nil; then only leases tell when a silent worker is gone.
 	Machines port.Machines
-	Configs  port.ConfigSource
-	Peers    Peers
-	Log      log.Interface
+	// Advisor may be nil; then queues with an advisor get no worker.
+	Advisor port.Advisor
+	Configs port.ConfigSource
+	Peers   Peers
+	Log     log.Interface
 	// Metrics may be nil.
 	Metrics metrics.Registry
 	// Engine holds the platform's bounds.
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -217,6 +217,9 @@
 	for _, th := range out.Throttles {
 		t.throttle(th)
 	}
+	for _, q := range out.Questions {
+		t.ask(q, now)
+	}
 }
 
 // Time-outs of orders: twice the round trip between regions and a slow
@@ -230,7 +233,7 @@
 	task := r.Task
 	order := port.StartOrder{
 		Task: task.ID.String(), Attempt: r.Attempt, Payload: task.Job.Spec.Payload,
-		Checkpoint: task.Checkpoint, Epoch: t.epoch, NotAfterMS: r.NotAfterMS(),
+		Checkpoint: task.Checkpoint, Ticket: r.Ticket, Epoch: t.epoch, NotAfterMS: r.NotAfterMS(),
 	}
 	target := r.Worker.Target()
 	observe(t.c.gauges.handOver, now.Sub(task.ReadySince(now)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,6 +95,10 @@
 	if s.MachinesAddress != "" {
 		machines = platform.NewMachines(client, s.MachinesAddress)
 	}
+	var advisor port.Advisor
+	if s.AdvisorAddress != "" {
+		advisor = platform.NewAdvisor(client, s.AdvisorAddress)
+	}
 	return cell.New(cell.Options{
 		Partition: partition,
 		Self:      cell.Identity{Name: s.Name, Boot: fmt.Sprintf("%016x", rand.Uint64()), Address: s.PeerAddress},
@@ -103,6 +107,7 @@
 		Workers:   platform.NewWorkers(client),
 		Directory: platform.NewDirectory(store, logger),
 		Machines:  machines,
+		Advisor:   advisor,
 		Configs:   platform.NewConfigSource(store),
 		Peers:     pool,
 		Log:       logger,
@@ -160,7 +165,7 @@
 	go d.loop.Run()
 	d.cell.Start()
 	d.callers = &http.Server{
-		Handler:           &platform.Ingress{Jobs: d.cell, Situation: d.situation, Log: d.log, Wall: time.Now},
+		Handler:           &platform.Ingress{Jobs: d.cell, Situation: d.situation, Log: d.log, Wall: time.Now, Advisor: d.settings.AdvisorAddress != ""},
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	d.ready = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -200,6 +200,14 @@
 	List(ctx context.Context) ([]WorkerEntry, error)
 }
 
+// Advisor says which workers may run a step of a queue with an advisor.
+type Advisor interface {
+	// Advise returns a ticket for each of the workers that may run the step. It
+	// answers after a time for the question and one for each worker, one call
+	// after the other. Errors are *RefusedError or *UnansweredError.
+	Advise(ctx context.Context, step string, workers []string) (map[string]string, error)
+}
+
 // Machines says what the platform knows of the machines that workers run on.
 type Machines interface {
 	// Alive returns the IDs of the workers whose machines are up. A worker that
