--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -63,6 +63,9 @@
 	if !w.unansweredSince.IsZero() || now.Before(w.refusedUntil) {
 		return false
 	}
+	if len(w.strays) > 0 {
+		return false // they occupy nobody knows how much until they have ended
+	}
 	free := w.free()
 	if reserved != nil {
 		free = free.Sub(reserved.taken[w])
--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -342,3 +342,15 @@
 	is.Equal(len(r.plan(0).Stops), 1)
 	is.Equal(len(r.plan(time.Second).Stops), 0) // the first is still away
 }
+
+// A run of an unknown job occupies its worker until it is no longer listed, and
+// not all workers refuse what does not fit.
+func TestNothingStartsBesideARunOfUnknownSize(t *testing.T) {
+	is := is.New(t)
+	r := newRig(worker("a", 2000, 8000))
+	r.listed("a", port.Listing{Running: []port.Running{{Task: "unknown.0.0.0", Attempt: 1}}})
+	r.Add(spec("j", small(1)), r.now, 0)
+	is.Equal(len(r.plan(0).Starts), 0)
+	r.listed("a", port.Listing{})
+	is.Equal(len(r.plan(0).Starts), 1)
+}
