Offer jobs with steps through the product's own interface

The quick start and the drill ran on the old stand-ins only, and the job model with steps could be reached by the platform's requests alone.

New: internal/jobapi (PUT, GET and DELETE of jobs, a count of what waits, with verdicts and Retry-After), job files in YAML, job apply, state, withdraw and pending in the command-line tool, a stand-in site that speaks the platform's published protocol in bambooyard-fakes. make quickstart plays a job with steps and a service over three daemons, make drill kills and freezes the owner of the cell and demands that the site saw no broken promise.

The number of histories and their first seed are flags of the test.

--- a/cmd/bambooyard-fakes/main.go
+++ b/cmd/bambooyard-fakes/main.go
@@ -23,7 +23,11 @@
 
 type options struct {
 	PlatformAddress string `long:"platform-address" default:"127.0.0.1:7300" description:"IP number and port of the stand-in platform"`
-	Document        string `long:"document" required:"true" description:"document whose VMs and targets are stood in for"`
+	Document        string `long:"document" description:"document whose VMs and targets are stood in for"`
+
+	SiteAddress string        `long:"site-address" description:"IP number and port of the store of a stand-in site that speaks the platform's protocol; its workers use the ports after it"`
+	SiteWorkers int           `long:"site-workers" default:"4" description:"number of workers of the stand-in site"`
+	SiteWork    time.Duration `long:"site-work" default:"300ms" description:"how long each task runs on the stand-in site"`
 }
 
 func main() {
@@ -42,6 +46,27 @@
 }
 
 func run(o options) error {
+	if o.Document == "" && o.SiteAddress == "" {
+		return errors.New("give --document, --site-address or both")
+	}
+	if o.Document != "" {
+		if err := serveDocument(o); err != nil {
+			return err
+		}
+	}
+	if o.SiteAddress != "" {
+		if err := (fake.Site{StoreAddress: o.SiteAddress, Workers: o.SiteWorkers, Work: o.SiteWork}).Serve(); err != nil {
+			return err
+		}
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	<-stop
+	return nil
+}
+
+// serveDocument stands in for what the old interface of the platform offers.
+func serveDocument(o options) error {
 	body, err := os.ReadFile(o.Document)
 	if err != nil {
 		return err
@@ -67,9 +92,6 @@
 			}
 		}
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
-	<-stop
 	return nil
 }
 
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -57,15 +57,9 @@
 
 // suits is like eligible, whatever an advisor says.
 func (e *Engine) suits(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
-	if !w.Listed || !w.heard || w.Entry.Draining || w.clockAt.IsZero() || w.Entry.Pool != t.Job.Queue.Pool {
+	if w.Entry.Pool != t.Job.Queue.Pool || !w.takesWork(now) {
 		return false
 	}
-	if !w.unansweredSince.IsZero() || now.Before(w.refusedUntil) {
-		return false
-	}
-	if len(w.strays) > 0 {
-		return false // they occupy nobody knows how much until they have ended
-	}
 	free := w.free()
 	if reserved != nil {
 		free = free.Sub(reserved.taken[w])
@@ -82,6 +76,14 @@
 	return t.Step.MaxPerWorker == 0 || e.countOn(t, w, reserved) < t.Step.MaxPerWorker
 }
 
+// takesWork reports whether a worker is known well enough to be given orders.
+func (w *Worker) takesWork(now time.Time) bool {
+	known := w.Listed && w.heard && !w.Entry.Draining && !w.clockAt.IsZero()
+	answers := w.unansweredSince.IsZero() && !now.Before(w.refusedUntil)
+	// Strays occupy nobody knows how much until they have ended.
+	return known && answers && len(w.strays) == 0
+}
+
 // bearable reports whether a worker's services can do with one more best-effort
 // task.
 func (e *Engine) bearable(t *Task, w *Worker, now time.Time) bool {
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -11,11 +12,16 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
+var (
+	histories    = flag.Int("histories", defaultHistories, "number of histories to play")
+	firstHistory = flag.Uint64("first-history", 0, "seed of the first history")
+)
+
 // TestHistories plays random faults over a cell, alone, together and twice, and
 // checks that no task runs twice, none runs after its end was acknowledged, and
 // every accepted job ends once the faults are over.
 func TestHistories(t *testing.T) {
-	for seed := range uint64(histories) {
+	for seed := *firstHistory; seed < *firstHistory+uint64(*histories); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playHistory(t, seed) })
 		})
--- a/internal/cell/norace_test.go
+++ b/internal/cell/norace_test.go
@@ -2,5 +2,5 @@
 
 package cell
 
-// histories is how many seeded histories a test run plays.
-const histories = 150
+// defaultHistories is how many seeded defaultHistories a test run plays.
+const defaultHistories = 150
--- a/internal/cell/race_test.go
+++ b/internal/cell/race_test.go
@@ -2,5 +2,5 @@
 
 package cell
 
-// histories is fewer under the race detector, which is ten times slower.
-const histories = 15
+// defaultHistories is fewer under the race detector, which is ten times slower.
+const defaultHistories = 15
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,6 +27,7 @@
 type tool struct {
 	Operator  string       `long:"operator" env:"BAMBOOYARD_OPERATOR" default:"127.0.0.1:7101" description:"IP number and port of a daemon's operator address"`
 	Caller    string       `long:"caller" env:"BAMBOOYARD_CALLER" default:"127.0.0.1:7001" description:"IP number and port of a daemon's caller address"`
+	Jobs      string       `long:"jobs" env:"BAMBOOYARD_JOBS" default:"127.0.0.1:7402" description:"IP number and port of a daemon's job interface"`
 	TokenFile string       `long:"operator-token-file" env:"BAMBOOYARD_OPERATOR_TOKEN_FILE" description:"file that holds the operator token; BAMBOOYARD_OPERATOR_TOKEN may hold the token itself"`
 	Version   func() error `long:"version" description:"print the version"`
 
@@ -61,6 +62,7 @@
 	err := errors.Join(
 		settings.CheckAddress("operator", t.Operator),
 		settings.CheckAddress("caller", t.Caller),
+		settings.CheckAddress("jobs", t.Jobs),
 	)
 	if err != nil {
 		return &flags.Error{Type: flags.ErrInvalidChoice, Message: err.Error()}
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -31,6 +31,10 @@
 		{"describe", "Show a job's tasks", &jobDescribeCommand{tool: t}},
 		{"watch", "Show a job's tasks until all have ended", &jobWatchCommand{tool: t}},
 		{"cancel", "Cancel a job", &jobCancelCommand{tool: t}},
+		{"apply", "Submit a job file with steps to a queue", &jobApplyCommand{tool: t}},
+		{"state", "Show the state of a job in a queue", &jobStateCommand{tool: t}},
+		{"withdraw", "Cancel a job in a queue", &jobWithdrawCommand{tool: t}},
+		{"pending", "Count the jobs of a queue that have not begun", &jobPendingCommand{tool: t}},
 	}
 	for _, c := range commands {
 		if _, err := job.AddCommand(c.name, c.short, "", c.command); err != nil {
--- /dev/null
+++ b/internal/cli/job_apply_test.go
@@ -0,0 +1,79 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/cli"
+	"github.com/bambooyard/bambooyard/internal/jobapi"
+	"github.com/bambooyard/bambooyard/job"
+	"github.com/bambooyard/bambooyard/verdict"
+)
+
+// queueJobs are the jobs of one queue, behind the job interface.
+type queueJobs map[string]job.Spec
+
+func (q queueJobs) Submit(_ context.Context, spec job.Spec) error {
+	q[spec.ID] = spec
+	return nil
+}
+
+func (q queueJobs) State(_ context.Context, id string) (job.State, error) {
+	if _, ok := q[id]; !ok {
+		return "", verdict.Refuse(verdict.CodeNotFound, http.StatusGone, 0, "no such job")
+	}
+	return job.Queued, nil
+}
+
+func (q queueJobs) Cancel(_ context.Context, id string) error {
+	delete(q, id)
+	return nil
+}
+
+func (q queueJobs) Pending(string) (int, error) { return len(q), nil }
+
+func TestJobFileSession(t *testing.T) {
+	jobs := queueJobs{}
+	server := httptest.NewServer(jobapi.New(jobapi.Options{
+		Jobs: jobs, Queues: func() ([]string, bool) { return []string{"scans"}, true },
+		Log: &log.Logger{Handler: discard.New()}, Wall: time.Now,
+	}))
+	defer server.Close()
+	steps := []struct {
+		args []string
+		code int
+		out  string
+	}{
+		{[]string{"job", "apply", "--queue", "scans", "--id", "a", "-f", "../../job/testdata/good.steps.yaml"}, cli.ExitOK, "job a accepted in queue scans"},
+		{[]string{"job", "state", "--queue", "scans", "--id", "a"}, cli.ExitOK, "job a is queued"},
+		{[]string{"job", "state", "--queue", "scans", "--id", "a", "--output", "json"}, cli.ExitOK, `"state": "queued"`},
+		{[]string{"job", "pending", "--queue", "scans"}, cli.ExitOK, "1 jobs of queue scans have not begun"},
+		{[]string{"job", "apply", "--queue", "scans", "--id", "b", "-f", "../../job/testdata/bad.no-tasks.yaml"}, cli.ExitFailed, "steps[0].tasks"},
+		{[]string{"job", "apply", "--queue", "other", "--id", "b", "-f", "../../job/testdata/good.steps.yaml"}, cli.ExitRefused, `queue "other" does not exist`},
+		{[]string{"job", "withdraw", "--queue", "scans", "--id", "a"}, cli.ExitOK, "job a is cancelled"},
+		{[]string{"job", "state", "--queue", "scans", "--id", "a"}, cli.ExitRefused, "no such job"},
+		{[]string{"job", "state", "--queue", "scans"}, cli.ExitUsage, "id"},
+	}
+	for _, step := range steps {
+		t.Run(strings.Join(step.args, " "), func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			code := cli.Run(append([]string{"--jobs", server.Listener.Addr().String()}, step.args...), nil, &out, &out)
+			t.Log(out.String())
+			is.Equal(code, step.code)
+			is.True(strings.Contains(out.String(), step.out))
+		})
+	}
+	if len(jobs) != 0 {
+		t.Fatalf("left: %v", jobs)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/cell"
 	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/jobapi"
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/internal/settings"
@@ -147,6 +148,7 @@
 	callers *http.Server
 	ready   *http.Server
 	metrics *http.Server
+	jobs    *http.Server
 	peers   *peer.Server
 }
 
@@ -170,11 +172,16 @@
 	}
 	d.ready = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	d.metrics = &http.Server{Handler: metricsHandler(d.registry), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+	d.jobs = &http.Server{
+		Handler:           jobapi.New(jobapi.Options{Jobs: d.cell, Queues: d.queues, Log: d.log, Wall: time.Now}),
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	}
 	d.reloadOnHangup()
 	return errors.Join(
 		d.serve(d.callers, d.settings.CallerAddress),
 		d.serve(d.ready, d.settings.ReadyAddress),
 		d.serve(d.metrics, d.settings.MetricsAddress),
+		d.serve(d.jobs, d.settings.JobsAddress),
 	)
 }
 
@@ -197,6 +204,18 @@
 	return platform.Situation{Config: v.Config, Fresh: d.fresh(v), Closing: d.closing.Load()}
 }
 
+// queues returns the names of the queues in force.
+func (d *daemon) queues() (names []string, ok bool) {
+	v := d.cell.View()
+	if !d.fresh(v) {
+		return nil, false
+	}
+	for _, r := range v.Config.Routes {
+		names = append(names, r.Queue.Name)
+	}
+	return names, true
+}
+
 // fresh reports whether the configuration may be relied on.
 func (d *daemon) fresh(v *cell.View) bool {
 	return v.Config != nil && time.Since(v.ConfigAt) < d.settings.ConfigWithin-configMargin
@@ -240,7 +259,7 @@
 	case <-time.After(balancerDelay - time.Since(began)):
 	case <-ctx.Done():
 	}
-	err = errors.Join(err, d.callers.Shutdown(ctx), d.ready.Close(), d.metrics.Close(), d.peers.Close())
+	err = errors.Join(err, d.callers.Shutdown(ctx), d.jobs.Shutdown(ctx), d.ready.Close(), d.metrics.Close(), d.peers.Close())
 	d.pool.Close()
 	d.loop.Stop()
 	d.client.Close()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -12,10 +12,12 @@
 	DataCentre string
 	Region     string
 
-	CallerAddress   string
-	ReadyAddress    string
-	PeerAddress     string
-	MetricsAddress  string
+	CallerAddress  string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+	// JobsAddress is where bambooyard's own interface to jobs is served.
+	JobsAddress     string
 	StoreAddress    string
 	MachinesAddress string
 	AdvisorAddress  string
@@ -44,6 +46,7 @@
 		CheckAddress("ready-address", n.ReadyAddress),
 		CheckAddress("peer-address", n.PeerAddress),
 		CheckAddress("metrics-address", n.MetricsAddress),
+		CheckAddress("jobs-address", n.JobsAddress),
 		CheckAddress("store-address", n.StoreAddress),
 		checkPositive("config-within", n.ConfigWithin),
 		checkPositive("stop-within", n.StopWithin),
--- /dev/null
+++ b/job/file.go
@@ -0,0 +1,72 @@
+package job
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+)
+
+// file is a job as operators write it, in YAML.
+type file struct {
+	Payload  string     `yaml:"payload"`
+	Steps    []fileStep `yaml:"steps"`
+	Schedule struct {
+		Times       int   `yaml:"times"`
+		FirstUnixMS int64 `yaml:"first_unix_ms"`
+		IntervalMS  int64 `yaml:"interval_ms"`
+	} `yaml:"schedule"`
+}
+
+type fileStep struct {
+	Tasks           int     `yaml:"tasks"`
+	MilliProcessors int64   `yaml:"milli_processors"`
+	MemoryMB        int64   `yaml:"memory_mb"`
+	Accelerators    int64   `yaml:"accelerators"`
+	RunTimeMS       int64   `yaml:"run_time_ms"`
+	After           []int   `yaml:"after"`
+	Checkpoints     bool    `yaml:"checkpoints"`
+	Gang            bool    `yaml:"gang"`
+	SameRack        bool    `yaml:"same_rack"`
+	Label           string  `yaml:"label"`
+	DataRack        string  `yaml:"data_rack"`
+	MaxPerWorker    int     `yaml:"max_per_worker"`
+	Speculative     bool    `yaml:"speculative"`
+	Service         bool    `yaml:"service"`
+	Image           string  `yaml:"image"`
+	TargetLatencyMS float64 `yaml:"target_latency_ms"`
+	BestEffort      bool    `yaml:"best_effort"`
+	// MaxUnavailable is no bound if it is left out.
+	MaxUnavailable *int `yaml:"max_unavailable"`
+}
+
+// DecodeFile reads a job file. The result has no ID and no queue yet, and is not
+// validated. Fields that are not known are errors.
+func DecodeFile(data []byte) (Spec, error) {
+	var f file
+	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&f); err != nil {
+		return Spec{}, fmt.Errorf("job file is not valid: %w", err)
+	}
+	spec := Spec{Payload: f.Payload, Schedule: Schedule{
+		Times: f.Schedule.Times, FirstUnixMS: f.Schedule.FirstUnixMS, IntervalMS: f.Schedule.IntervalMS,
+	}}
+	for _, s := range f.Steps {
+		spec.Steps = append(spec.Steps, s.step())
+	}
+	return spec, nil
+}
+
+func (s fileStep) step() Step {
+	step := Step{
+		Tasks:      s.Tasks,
+		Resources:  Resources{MilliCPU: s.MilliProcessors, MemoryMB: s.MemoryMB, GPU: s.Accelerators},
+		EstimateMS: s.RunTimeMS, After: s.After, Checkpoints: s.Checkpoints, Gang: s.Gang, SameRack: s.SameRack,
+		Label: s.Label, DataRack: s.DataRack, MaxPerWorker: s.MaxPerWorker, Speculative: s.Speculative,
+		Service: s.Service, Image: s.Image, TargetLatencyMS: s.TargetLatencyMS, BestEffort: s.BestEffort,
+		MaxUnavailable: -1,
+	}
+	if s.MaxUnavailable != nil {
+		step.MaxUnavailable = *s.MaxUnavailable
+	}
+	return step
+}
--- a/scripts/drill.sh
+++ b/scripts/drill.sh
@@ -24,6 +24,37 @@
 bin/bambooyard apply -f examples/association.yaml --author drill --wait
 for n in 1 2 3 4; do until_true "daemon d$n is not ready" curl -sf "http://127.0.0.1:710$n/readyz"; done
 
+echo "== the owner of a cell is killed while tasks of its jobs run"
+start_site 4
+for n in 1 2 3; do start_node "$n"; done
+cell_owner() { grep -l "event=cell_recovered" "$work"/n?.log | sed 's/.*n\([0-9]\).log/\1/' | head -1; }
+until_true "no daemon owns the cell" cell_owner
+owner=$(cell_owner)
+other=$((owner % 3 + 1))
+export BAMBOOYARD_JOBS="127.0.0.1:75${other}2"
+for i in 1 2 3 4 5 6; do bin/bambooyard job apply --queue scans --id "00000000000000b$i" -f examples/job.yaml; done
+kill -KILL "${pids[n$owner]}"
+wait "${pids[n$owner]}" 2>/dev/null || true
+unset "pids[n$owner]"
+completed() { bin/bambooyard job state --queue scans --id "00000000000000b$1" | grep -q "is completed"; }
+for i in 1 2 3 4 5 6; do until_true "job b$i did not complete after the owner's death" completed "$i"; done
+no_breach
+start_node "$owner"
+echo "every job completed, and no task ran twice"
+
+echo "== a daemon of the cell is frozen, and wakes after another has taken over"
+frozen=$(grep -l "event=cell_recovered" "$work"/n?.log | grep -v "n$owner.log" | sed 's/.*n\([0-9]\).log/\1/' | head -1)
+kill -STOP "${pids[n$frozen]}"
+export BAMBOOYARD_JOBS="127.0.0.1:75${owner}2"
+for i in 7 8 9; do bin/bambooyard job apply --queue scans --id "00000000000000b$i" -f examples/job.yaml; done
+for i in 7 8 9; do until_true "job b$i did not complete while the owner was frozen" completed "$i"; done
+kill -CONT "${pids[n$frozen]}"
+until_true "the frozen daemon is not ready again" curl -sf "http://127.0.0.1:741$frozen/"
+no_breach
+for n in 1 2 3; do end "n$n"; done
+end site
+echo "no promise was broken"
+
 echo "== owners are killed while their tasks run"
 for i in 1 2 3 4 5 6; do
   bin/bambooyard job submit --member state-library --key "killed-$i" --tasks 4 --payload run=4s > /dev/null
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -29,6 +29,26 @@
   until_true "daemon d$1 did not start" curl -sf "http://127.0.0.1:710$1/healthz"
 }
 
+start_site() { # workers
+  bin/bambooyard-fakes --site-address 127.0.0.1:7600 --site-workers "$1" 2> "$work/site.log" &
+  pids[site]=$!
+  until_true "the stand-in site did not start" curl -sf http://127.0.0.1:7600/breaches
+}
+
+# start_node starts a daemon on the stand-in site. Its callers' port is 740N,
+# and from port 75N0 on lie the peer, metrics and job interfaces.
+start_node() { # number
+  sed "s/@N/$1/g" examples/node.toml > "$work/n$1.toml"
+  BAMBOOYARD_NODE_FILE="$work/n$1.toml" bin/bambooyardd > "$work/n$1.log" 2>&1 &
+  pids[n$1]=$!
+  until_true "daemon n$1 is not ready" curl -sf "http://127.0.0.1:741$1/"
+}
+
+# no_breach demands that the stand-in workers saw no broken promise.
+no_breach() {
+  [ "$(curl -sf http://127.0.0.1:7600/breaches)" = null ] || fail "the site saw: $(curl -sf http://127.0.0.1:7600/breaches)"
+}
+
 until_true() { # what command...
   local what=$1; shift
   for _ in $(seq 300); do "$@" > /dev/null 2>&1 && return 0; sleep 0.1; done
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -63,6 +63,23 @@
 bin/bambooyard report burn --output html > "$work/burn.html"
 expect "$work/burn.html" "</html>"
 
+echo "== jobs with steps, over the platform's protocol"
+start_site 4
+for n in 1 2 3; do start_node "$n"; done
+export BAMBOOYARD_JOBS=127.0.0.1:7512
+bin/bambooyard job apply --queue scans --id 00000000000000a1 -f examples/job.yaml
+bin/bambooyard job apply --queue scans --id 00000000000000a1 -f examples/job.yaml # changes nothing
+state_is() { bin/bambooyard --jobs "127.0.0.1:75${3}2" job state --queue scans --id "$1" | grep -q "is $2"; }
+until_true "the job with steps did not complete" state_is 00000000000000a1 completed 2
+bin/bambooyard job state --queue scans --id 00000000000000a1
+bin/bambooyard job apply --queue scans --id 00000000000000a2 -f examples/service.yaml
+until_true "the service does not run" state_is 00000000000000a2 running 3
+bin/bambooyard job withdraw --queue scans --id 00000000000000a2
+until_true "the service was not cancelled" state_is 00000000000000a2 cancelled 1
+bin/bambooyard job pending --queue scans
+no_breach
+
 echo "== graceful stop"
+for name in n1 n2 n3 site; do end "$name"; done
 for name in d1 d2 d3 fakes; do end "$name"; done
 echo "== everything was as promised"
