Compare tasks with others of their step, and take no backlog for own load

After a take-over a service's backlog, seen with its neighbours held, became the crest of its own load (0.93 of 1), so nothing was placed beside its image for a minute.

Change: a task's speed is compared with those of its step on other workers; a load that is read off while a backlog drains does not raise the crest.

TestTasksStayWhereAWholeStepIsSlow and TestBacklogIsNoCrest fail without it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -134,6 +134,7 @@
 	prospect    prospect
 	// advice is what the queue's advisor has said of steps; nil if nothing.
 	advice map[stepKey]*advice
+	speeds map[stepKey]stepSpeed
 }
 
 // occurrence is one run of a job's steps.
@@ -179,7 +180,6 @@
 	// tookOver is when the engine was told to expect runs of a former owner.
 	tookOver     time.Time
 	interference interference
-	usualSpeed   float64 // declared run time done in a unit of time, over all workers
 	noRoom       noRoom
 	// strayTasks counts the listed runs of tasks that have no record of them.
 	strayTasks map[string]int
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -28,8 +28,10 @@
 	// floorRise how much it rises with each listing.
 	floorRate = 0.3
 	floorRise = 0.00002
-	// crestFall lets the highest own load fade with each listing.
+	// crestFall lets the highest own load fade with each listing, and crestRise is
+	// how fast it rises to a higher one.
 	crestFall = 0.0005
+	crestRise = 0.2
 	// ownRate is how fast the estimate of a service's own load moves. Loads swing
 	// within some ten seconds, and there are two or three listings a second.
 	ownRate = 0.4
@@ -115,15 +117,15 @@
 func (i *interference) observe(service string, tail float64, was ownLoad, shares map[string]float64) ownLoad {
 	i.observeFloor(service, tail)
 	seen := i.loadAt(service, tail)
+	draining := seen >= drainLoad && !was.known || was.seen >= drainLoad && seen <= was.seen
 	if len(shares) == 0 {
-		i.crest[service] = max(seen, i.crestOf(service)-crestFall)
-		return ownLoad{own: seen, seen: seen, known: true}
+		i.observeCrest(service, seen, draining)
+		return ownLoad{own: min(seen, i.crestOf(service)+overCrest), seen: seen, known: true}
 	}
 	strain := i.strain(service, shares)
-	draining := was.seen >= drainLoad && seen <= was.seen
 	is := ownLoad{own: was.own, seen: seen, known: true}
 	if !was.known {
-		is.own = max(0, seen-strain)
+		is.own = max(0, min(seen, i.crestOf(service))-strain)
 	}
 	if draining {
 		return is
@@ -143,6 +145,19 @@
 	return is
 }
 
+// observeCrest takes in a load of an image's own. A backlog that best-effort
+// tasks have left is none.
+func (i *interference) observeCrest(service string, load float64, draining bool) {
+	crest := i.crestOf(service)
+	switch {
+	case load <= crest:
+		crest = max(load, crest-crestFall)
+	case !draining:
+		crest += crestRise * (load - crest)
+	}
+	i.crest[service] = crest
+}
+
 // observeFloor takes in a tail as a bound of the image's tail without load.
 func (i *interference) observeFloor(service string, tail float64) {
 	floor := i.floorOf(service)
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -239,3 +239,16 @@
 	out := r.plan(serviceGather)
 	is.Equal(out.Starts[0].Worker.Entry.ID, "b")
 }
+
+// What a crowd has left behind when it is gone is not the service's own load.
+func TestBacklogIsNoCrest(t *testing.T) {
+	is := is.New(t)
+	i := newInterference()
+	own := listings(&i, ownLoad{}, nil, tailOf(0), tailOf(0), tailOf(0.4), tailOf(0.5))
+	before := i.crestOf("desk")
+	own = listings(&i, own, map[string]float64{"scan": 1}, 8, 9)
+	listings(&i, own, nil, 9, 7, 5, 3)
+	is.True(i.crestOf("desk") <= before)
+	listings(&i, ownLoad{}, nil, 9) // seen first by a new owner
+	is.True(i.crestOf("desk") <= before)
+}
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -6,7 +6,8 @@
 )
 
 // Comparison of workers by how fast their tasks proceed. Declared run times are
-// often far off, so a worker is judged by several tasks, against all workers.
+// often far off, alike for all tasks of a step, so a task is compared with the
+// others of its step, and a worker is judged by several tasks.
 const (
 	// stallAfter is how long a task may show no progress; a listing comes every
 	// second at the least.
@@ -17,24 +18,45 @@
 	// leastSamples how many it takes to judge it.
 	speedSamples = 8
 	leastSamples = 3
-	// slowShare is the share of the usual speed below which a worker is slow.
-	slowShare = 0.4
+	// slowShare is the share of the speed of others of their steps below which a
+	// worker's tasks count as slow, and comparable the least number of others.
+	slowShare  = 0.4
+	comparable = 2
 	// slowMemory is how long a worker counts as slow without a further sample.
 	slowMemory = 4 * time.Second
 	// moveWorth is the remaining work for which a checkpointed task is moved off
 	// a slow worker; a move costs about half a second.
 	moveWorth = 2 * time.Second
-	// usualRate is how fast the estimate of the usual speed moves.
-	usualRate = 0.02
 )
 
-// speeds are the speeds of a worker's last tasks: declared run time done in a
-// unit of time.
+// speeds are the speeds of a worker's last tasks, relative to others of their
+// steps.
 type speeds struct {
 	last []float64
 	at   time.Time
 }
 
+// stepSpeed is the sum of the speeds of a step's tasks, by worker: declared run
+// time done in a unit of time.
+type stepSpeed map[*Worker]speedSum
+
+type speedSum struct {
+	sum float64
+	n   int
+}
+
+// elsewhere returns the mean speed on other workers; ok is false if there are
+// too few samples.
+func (s stepSpeed) elsewhere(w *Worker) (mean float64, ok bool) {
+	sum, n := 0.0, 0
+	for other, samples := range s {
+		if other != w {
+			sum, n = sum+samples.sum, n+samples.n
+		}
+	}
+	return sum / float64(max(n, 1)), n >= comparable
+}
+
 // progressed takes in a run's listed progress.
 func (e *Engine) progressed(r *Run, percent int, now time.Time) {
 	if r.Task.Step.Service || r.Task.Step.EstimateMS == 0 {
@@ -51,7 +73,7 @@
 	r.Progress = percent
 	if took := now.Sub(r.sampledAt); took >= sampleTime && r.limit == 100 {
 		done := float64(percent-r.progressFrom) / 100 * float64(r.Task.Step.EstimateMS)
-		e.sample(r.Worker, done/float64(took.Milliseconds()), now)
+		e.sample(r, done/float64(took.Milliseconds()), now)
 		r.sampledAt, r.progressFrom = now, percent
 	}
 }
@@ -59,13 +81,26 @@
 // sampleTime is the least time over which a speed is measured.
 const sampleTime = 700 * time.Millisecond
 
-func (e *Engine) sample(w *Worker, speed float64, now time.Time) {
-	if e.usualSpeed == 0 {
-		e.usualSpeed = speed
+// sample takes in the speed of a run.
+func (e *Engine) sample(r *Run, speed float64, now time.Time) {
+	j, w := r.Task.Job, r.Worker
+	key := stepKey{r.Task.ID.Occurrence, r.Task.ID.Step}
+	step := j.speeds[key]
+	if step == nil {
+		step = stepSpeed{}
+		if j.speeds == nil {
+			j.speeds = map[stepKey]stepSpeed{}
+		}
+		j.speeds[key] = step
+	}
+	here := step[w]
+	step[w] = speedSum{here.sum + speed, here.n + 1}
+	mean, ok := step.elsewhere(w)
+	if !ok || mean == 0 {
+		return
 	}
-	e.usualSpeed += usualRate * (speed - e.usualSpeed)
 	s := &w.speeds
-	s.last = append(s.last, speed)
+	s.last = append(s.last, speed/mean)
 	s.at = now
 	if len(s.last) > speedSamples {
 		s.last = s.last[1:]
@@ -79,7 +114,7 @@
 		return false
 	}
 	sorted := slices.Sorted(slices.Values(s.last))
-	return sorted[len(sorted)/2] < slowShare*e.usualSpeed
+	return sorted[len(sorted)/2] < slowShare
 }
 
 // unstick moves tasks that stand still or crawl to other workers.
--- /dev/null
+++ b/dispatch/speed_test.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// crawl starts a step of checkpointed tasks on two workers, one task in turn on
+// each, and lists their progress until a stop is ordered or all have ended.
+// Each second the tasks on a worker do a percentage of their work.
+func crawl(t *testing.T, percentA, percentB int) (stops []*Run) {
+	t.Helper()
+	r := newRig(worker("a", 4000, 8000), worker("b", 4000, 8000), worker("c", 4000, 8000))
+	step := job.Step{Tasks: 8, Checkpoints: true, EstimateMS: 60000, Resources: job.Resources{MilliCPU: 1000, MemoryMB: 100}}
+	r.Add(spec("j", step), r.now, 0)
+	for i, task := range r.Job("j").occurrences[0].tasks[0] {
+		r.start(task, r.Worker([]string{"a", "b"}[i%2]), 1, r.now)
+	}
+	r.begin(r.Take())
+	for second := 1; second < 20; second++ {
+		r.now = r.now.Add(time.Second)
+		for id, percent := range map[string]int{"a": percentA, "b": percentB} {
+			var l port.Listing
+			for _, run := range r.Worker(id).sortedRuns() {
+				l.Running = append(l.Running, port.Running{Task: run.Task.ID.String(), Attempt: 1, Percent: second * percent})
+			}
+			r.listed(id, l)
+		}
+		stops = append(stops, r.Take().Stops...)
+	}
+	return stops
+}
+
+func TestTasksMoveOffAWorkerThatIsSlowerThanOthersOfTheirStep(t *testing.T) {
+	is := is.New(t)
+	stops := crawl(t, 5, 1)
+	is.True(len(stops) > 0)
+	for _, run := range stops {
+		is.Equal(run.Worker.Entry.ID, "b")
+		is.Equal(run.StopReason(), StopSlow)
+	}
+}
+
+// A step whose run time was declared much too short is slow everywhere.
+func TestTasksStayWhereAWholeStepIsSlow(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(crawl(t, 1, 1)), 0)
+}
