Repeat a lost stop order that rules a start out

Change: a listing that lacks a run in doubt repeats the stop until one is answered. A flag prints what the daemons of a history log.

Ruled out: the time limit of the start order. It is written for the clock of the former life, so it cannot end the doubt.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -354,3 +354,26 @@
 	r.listed("a", port.Listing{})
 	is.Equal(len(r.plan(0).Starts), 1)
 }
+
+// A start order was on its way when its worker started again, and the stop order
+// that rules it out is lost: the stop is repeated, or the task would wait for
+// ever.
+func TestStopThatRulesAStartOutIsRepeated(t *testing.T) {
+	is := is.New(t)
+	r := newRig(worker("a", 8000, 8000))
+	r.Add(spec("j", small(1)), r.now, 0)
+	run := r.plan(0).Starts[0]
+	lost := &port.UnansweredError{Op: "call"}
+	r.listed("a", port.Listing{Boot: 2})
+	is.Equal(len(r.Take().Stops), 1)
+	r.Started(run, 0, lost, r.now, r.now)
+	r.now = r.now.Add(time.Second)
+	r.Stopped(run, lost, r.now, r.now)
+	r.now = r.now.Add(time.Second)
+	r.listed("a", port.Listing{Boot: 2})
+	is.Equal(len(r.Take().Stops), 1)
+	r.Stopped(run, nil, r.now, r.now)
+	r.now = r.now.Add(time.Millisecond)
+	r.listed("a", port.Listing{Boot: 2})
+	is.Equal(len(r.plan(5 * time.Second).Starts), 1)
+}
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -139,8 +139,11 @@
 		refusedFromNow := l.ClockMS > r.notAfterMS
 		stopped := !r.stoppedAt.IsZero() && sent.After(r.stoppedAt)
 		elsewhere := !r.confirmedAt.IsZero() && sent.After(r.confirmedAt)
-		if refusedFromNow || stopped || elsewhere {
+		switch {
+		case refusedFromNow || stopped || elsewhere:
 			e.lost(r)
+		case r.stopping && r.stoppedAt.IsZero():
+			e.stop(r, r.stopReason) // again, if the last order got no response
 		}
 	case RunOrdered:
 	}
--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -28,6 +28,19 @@
 	}
 }
 
+// TestHistoriesThatFailed plays the histories again that once found a fault.
+func TestHistoriesThatFailed(t *testing.T) {
+	seeds := []uint64{
+		21, 129, // runs of reborn workers were started twice, acknowledgements repeated
+		14025, 16364, // a lost stop order for a start that had met a reborn worker was not repeated
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playHistory(t, seed) })
+		})
+	}
+}
+
 func playHistory(t *testing.T, seed uint64) {
 	work := func(task string) time.Duration {
 		return time.Duration(100+200*(len(task)+int(task[len(task)-1]))%2900) * time.Millisecond
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +14,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/logfmt"
 
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/control"
@@ -73,7 +76,7 @@
 		Directory: w.fleet, Machines: nil,
 		Configs: staticConfig{},
 		Peers:   peers{w, d},
-		Log:     &log.Logger{Handler: discard.New()},
+		Log:     w.logger(name),
 		Engine:  dispatch.Options{LeaseMax: 6 * time.Second, StartWindow: 1500 * time.Millisecond, Impact: 4 * time.Second},
 		Lease:   4500 * time.Millisecond, Retention: 4 * time.Minute,
 		Now: time.Now, Wall: time.Now,
@@ -87,6 +90,16 @@
 	d.cell.Start()
 }
 
+// traceLogs prints what daemons log, to follow a history that failed.
+var traceLogs = flag.Bool("trace", false, "print what the daemons of a history log")
+
+func (w *world) logger(name string) log.Interface {
+	if !*traceLogs {
+		return &log.Logger{Handler: discard.New()}
+	}
+	return (&log.Logger{Handler: logfmt.New(os.Stderr), Level: log.DebugLevel}).WithField("daemon", name)
+}
+
 // kill ends a daemon without a word.
 func (w *world) kill(name string) {
 	w.mu.Lock()
