Keep large configurations and empty queues off the owner's link

The owner sent the body, some 300 kB, to each of 45 followers, and with each of their four replies a second the depth of each of the 1,806 queues, over a link of 10 to 200 Mbit/s.

Change: a reply names the version only, and followers read the body from the store; one whose call of the store has failed asks for the body. Queues in which nothing waits are left out.

Ruled out: a take-over (there was none), the processor (0.63 cores at most).

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -377,3 +377,44 @@
 	r.listed("a", port.Listing{Boot: 2})
 	is.Equal(len(r.plan(5 * time.Second).Starts), 1)
 }
+
+// A worker's clock may run 2% slow: its tasks are given up only when the lease
+// is over on such a clock.
+func TestLeaseIsOverOnTheSlowestClock(t *testing.T) {
+	is := is.New(t)
+	r := newRig(worker("a", 8000, 8000), worker("b", 8000, 8000))
+	r.listed("a", port.Listing{})
+	r.Add(spec("j", small(1)), r.now, 0)
+	out := r.plan(0)
+	r.begin(out)
+	run := out.Starts[0]
+	w := run.Worker
+	w.Lease(r.now, testOptions.LeaseMax)
+	r.Unanswered(w.Entry.ID, r.now.Add(time.Millisecond))
+	lease := testOptions.LeaseMax
+	is.Equal(len(r.plan(lease).Starts), 0) // over on a clock without fault
+	is.Equal(len(r.plan(lease/49).Starts), 0)
+	is.Equal(len(r.plan(lease/100).Starts), 1)
+}
+
+// Listings that were asked for before a run was confirmed do not count against
+// it.
+func TestListingsOlderThanAStartAreNotBelieved(t *testing.T) {
+	is := is.New(t)
+	r := newRig(worker("a", 8000, 8000))
+	r.Add(spec("j", small(1)), r.now, 0)
+	out := r.plan(0)
+	asked := r.now
+	r.now = r.now.Add(10 * time.Millisecond)
+	r.begin(out)
+	for range 2 * missingListings {
+		r.now = r.now.Add(time.Millisecond)
+		r.Listed("a", port.Listing{ClockMS: r.now.UnixMilli(), Boot: 1}, asked, r.now)
+	}
+	is.Equal(len(r.plan(0).Starts), 0)
+	for range missingListings {
+		r.now = r.now.Add(time.Millisecond)
+		r.listed("a", port.Listing{})
+	}
+	is.Equal(len(r.plan(0).Starts), 1)
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -115,8 +115,10 @@
 	configBusy bool
 
 	storeOK time.Time // last successful call to the store
-	lastRun time.Time
-	lastUp  time.Duration
+	// storeFailing is set while the last call to the store has failed.
+	storeFailing bool
+	lastRun      time.Time
+	lastUp       time.Duration
 
 	view   atomic.Pointer[View]
 	news   newsBook
@@ -213,9 +215,10 @@
 		if now.Sub(c.storeOK) > storeAway && !c.storeOK.IsZero() {
 			c.Log.WithField("event", "store_regained").Info("the store answers")
 		}
-		c.storeOK = now
+		c.storeOK, c.storeFailing = now, false
 		return
 	}
+	c.storeFailing = true
 	c.Log.WithFields(log.Fields{"event": "store_failed", "since_ms": now.Sub(c.storeOK).Milliseconds()}).WithError(err).Debug("store")
 }
 
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -13,9 +13,9 @@
 )
 
 // pollConfig reads the configuration from the store. A follower reads it only
-// when the owner's word on it is old.
+// when the owner's word on it is old, or names a newer version.
 func (c *Cell) pollConfig(now time.Time) {
-	fresh := c.tenure == nil && now.Sub(c.configAt) < 2*configPoll
+	fresh := c.tenure == nil && now.Sub(c.configAt) < 2*configPoll && c.link.ownerVersion <= c.configVersion()
 	if c.configBusy || fresh || now.Sub(c.configRead) < configPoll {
 		return
 	}
@@ -65,13 +65,23 @@
 	return queues
 }
 
-// configState describes the configuration to a daemon that has a version.
-func (c *Cell) configState(known int64) *peerpb.ConfigState {
+// configVersion returns the version in force, zero before there is one.
+func (c *Cell) configVersion() int64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
+// configState describes the configuration to a daemon that has a version. The
+// body goes only to one that does not reach the store: bodies are large, and
+// sent to every daemon at once they fill the sender's link for seconds.
+func (c *Cell) configState(known int64, wanted bool) *peerpb.ConfigState {
 	if c.config == nil {
 		return nil
 	}
 	s := &peerpb.ConfigState{Version: c.config.Version, AgeMs: uint64(max(0, c.Now().Sub(c.configAt).Milliseconds()))}
-	if c.config.Version > known {
+	if wanted && c.config.Version > known {
 		s.Body = c.config.Body
 	}
 	return s
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -56,7 +56,8 @@
 	round, address := l.round, c.owner.Address
 	req := &peerpb.Request{Kind: &peerpb.Request_Follow{Follow: &peerpb.FollowRequest{
 		Epoch: l.epoch, After: l.after, WaitMs: uint32(followWait.Milliseconds()),
-		Config: c.configState(l.ownerVersion),
+		Config:     c.configState(l.ownerVersion, l.ownerTroubled),
+		WantConfig: c.storeFailing,
 	}}}
 	control.Async(c.Loop, func(ctx context.Context) (*peerpb.FollowReply, error) {
 		ctx, cancel := context.WithTimeout(ctx, followTimeout)
@@ -135,7 +136,7 @@
 	first := req.GetEpoch() != epoch
 	changes, _, changed := c.news.since(after, first)
 	behind := req.GetConfig().GetVersion() < known
-	if len(changes) == 0 && !behind && !first {
+	if len(changes) == 0 && !(behind && req.GetWantConfig()) && !first {
 		timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 		defer timer.Stop()
 		select {
@@ -144,11 +145,11 @@
 		case <-ctx.Done():
 		}
 	}
-	return c.followReply(ctx, after, first, epoch, req.GetConfig().GetVersion())
+	return c.followReply(ctx, req, epoch, first)
 }
 
 // followReply describes the owner's state now.
-func (c *Cell) followReply(ctx context.Context, after uint64, first bool, epoch, configVersion int64) *peerpb.Response {
+func (c *Cell) followReply(ctx context.Context, req *peerpb.FollowRequest, epoch int64, first bool) *peerpb.Response {
 	reply := &peerpb.FollowReply{Epoch: epoch}
 	owner := false
 	err := c.Loop.Do(ctx, func() {
@@ -157,12 +158,12 @@
 			return
 		}
 		owner = true
-		reply.Config = c.configState(configVersion)
+		reply.Config = c.configState(req.GetConfig().GetVersion(), req.GetWantConfig())
 		reply.CommitAgeMs = uint64(max(0, c.Now().Sub(t.committedAt).Milliseconds()))
 		for queue, n := range t.depths() {
 			reply.Depths = append(reply.Depths, &peerpb.QueueDepth{Queue: queue, Pending: uint32(n)})
 		}
-		reply.Changes, reply.Sequence, _ = c.news.since(after, first)
+		reply.Changes, reply.Sequence, _ = c.news.since(req.GetAfter(), first)
 	})
 	if err != nil || !owner {
 		return peer.Refuse("not the owner")
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -189,12 +189,10 @@
 	}
 }
 
-// depths returns the number of jobs that have not begun, by queue.
+// depths returns the number of jobs that have not begun, by queue, without
+// queues that have none.
 func (t *tenure) depths() map[string]int {
 	depths := map[string]int{}
-	for _, q := range t.c.queues() {
-		depths[q.Name] = 0
-	}
 	for _, j := range t.engine.Jobs() {
 		if !j.Begun {
 			depths[j.Spec.Queue]++
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -35,6 +36,8 @@
 	daemons map[string]*daemon // by name; only those that run
 	boots   int
 	jobs    int
+	// configChanges is how often operators have changed the configuration.
+	configChanges atomic.Int64
 }
 
 // daemon is one start of a daemon.
@@ -74,7 +77,7 @@
 		Store:     cutStore{w.store, d},
 		Workers:   cutWorkers{fake.FleetWorkers{Fleet: w.fleet}, d},
 		Directory: w.fleet, Machines: nil,
-		Configs: staticConfig{},
+		Configs: worldConfig{w, d},
 		Peers:   peers{w, d},
 		Log:     w.logger(name),
 		Engine:  dispatch.Options{LeaseMax: 6 * time.Second, StartWindow: 1500 * time.Millisecond, Impact: 4 * time.Second},
@@ -221,14 +224,28 @@
 	}
 }
 
-// staticConfig is a configuration that never changes.
-type staticConfig struct{}
+// worldConfig is the configuration as one daemon sees it. Its body is its
+// version.
+type worldConfig struct {
+	w *world
+	d *daemon
+}
 
-func (staticConfig) Read(context.Context) (*port.Config, error) {
-	return &port.Config{Version: 1, Routes: []port.Route{{Queue: job.Queue{Name: "batch", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}}}, nil
+func (c worldConfig) Read(ctx context.Context) (*port.Config, error) {
+	if err := (cutStore{c.w.store, c.d}).silent(ctx, "range"); err != nil {
+		return nil, err
+	}
+	return c.Decode([]byte(strconv.FormatInt(1+c.w.configChanges.Load(), 10)))
 }
 
-func (c staticConfig) Decode([]byte) (*port.Config, error) { return c.Read(context.Background()) }
+func (worldConfig) Decode(body []byte) (*port.Config, error) {
+	version, err := strconv.ParseInt(string(body), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	queue := job.Queue{Name: "batch", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}
+	return &port.Config{Version: version, Body: body, Routes: []port.Route{{Queue: queue}}}, nil
+}
 
 // peers calls other daemons of the world directly.
 type peers struct {
