Ask for large configurations by their changes

Reads of 300 kB by 22 daemons need 0.9 s of the 60 Mbit/s between the regions; they timed out after 1 s and were repeated, and followers whose news came late read the body twice a second.

Change: a large configuration that is known is asked for by its changes; a body that is known to have changed may take 2.5 s; a follower that hears of a newer version makes a small read, which tells sooner whether the store answers.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -375,7 +375,7 @@
 	r.Stopped(run, nil, r.now, r.now)
 	r.now = r.now.Add(time.Millisecond)
 	r.listed("a", port.Listing{Boot: 2})
-	is.Equal(len(r.plan(5 * time.Second).Starts), 1)
+	is.Equal(len(r.plan(5*time.Second).Starts), 1)
 }
 
 // A worker's clock may run 2% slow: its tasks are given up only when the lease
@@ -418,3 +418,34 @@
 	}
 	is.Equal(len(r.plan(0).Starts), 1)
 }
+
+// A worker that has started again knows no epoch and would obey a former owner:
+// nothing starts there before it has been called under ours.
+func TestRebornWorkerIsCalledBeforeItGetsWork(t *testing.T) {
+	is := is.New(t)
+	a := worker("a", 8000, 8000)
+	r := newRig(a)
+	a.Boot = 2
+	r.SetWorkers([]port.WorkerEntry{a}, r.now)
+	is.True(!r.Worker("a").Heard())
+	r.Add(spec("j", small(1)), r.now, 0)
+	is.Equal(len(r.plan(0).Starts), 0)
+	r.listed("a", port.Listing{Boot: 2})
+	is.Equal(len(r.plan(0).Starts), 1)
+}
+
+// A worker that has left the list may still run what it was given, until its
+// lease is over.
+func TestTasksOfAWorkerThatLeftTheListAreWaitedFor(t *testing.T) {
+	is := is.New(t)
+	a, b := worker("a", 1000, 8000), worker("b", 1000, 8000)
+	r := newRig(a)
+	r.Add(spec("j", small(1)), r.now, 0)
+	r.begin(r.plan(0))
+	r.SetWorkers([]port.WorkerEntry{b}, r.now)
+	r.listed("b", port.Listing{})
+	is.Equal(len(r.plan(time.Second).Starts), 0)
+	out := r.plan(testOptions.LeaseMax + leaseSlack)
+	is.Equal(len(out.Starts), 1)
+	is.Equal(out.Starts[0].Worker.Entry.ID, "b")
+}
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -12,6 +12,11 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
+// bodyTimeout is how long a new configuration may take to arrive. When all
+// daemons of a region read one of some hundred kilobytes, it takes a second of
+// the link between regions; giving up earlier would only make them read it again.
+const bodyTimeout = 2500 * time.Millisecond
+
 // pollConfig reads the configuration from the store. A follower reads it only
 // when the owner's word on it is old, or names a newer version.
 func (c *Cell) pollConfig(now time.Time) {
@@ -20,10 +25,14 @@
 		return
 	}
 	c.configBusy, c.configRead = true, now
+	known, timeout := c.config, storeTimeout
+	if c.link.ownerVersion > c.configVersion() {
+		timeout = bodyTimeout // the store answers, and a body may be on its way
+	}
 	control.Async(c.Loop, func(ctx context.Context) (*port.Config, error) {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		return c.Configs.Read(ctx)
+		return c.Configs.Read(ctx, known)
 	}, func(config *port.Config, err error) {
 		c.configBusy = false
 		c.storeAnswered(err, c.Now())
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -89,7 +89,10 @@
 	}
 	l.repliedAt, l.epoch, l.after = now, reply.GetEpoch(), reply.GetSequence()
 	l.ownerTroubled = reply.GetCommitAgeMs() > uint64(troubledAfter.Milliseconds())
-	l.ownerVersion = reply.GetConfig().GetVersion()
+	if l.ownerVersion = reply.GetConfig().GetVersion(); l.ownerVersion > c.configVersion() {
+		// A small read tells sooner than that of a body whether the store answers.
+		c.readTried = time.Time{}
+	}
 	for _, change := range reply.GetChanges() {
 		c.news.set(change.GetId(), job.State(change.GetState()), now)
 	}
@@ -136,7 +139,7 @@
 	first := req.GetEpoch() != epoch
 	changes, _, changed := c.news.since(after, first)
 	behind := req.GetConfig().GetVersion() < known
-	if len(changes) == 0 && !(behind && req.GetWantConfig()) && !first {
+	if len(changes) == 0 && (!behind || !req.GetWantConfig()) && !first {
 		timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 		defer timer.Stop()
 		select {
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -50,7 +50,7 @@
 		return
 	}
 	poll := ownerPoll
-	if c.link.healthy(now) && !c.link.ownerTroubled {
+	if c.link.healthy(now) && !c.link.ownerTroubled && c.link.ownerVersion <= c.configVersion() {
 		poll = calmPoll
 	}
 	if !c.reading && now.Sub(c.readTried) >= poll {
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -114,3 +114,72 @@
 		}))
 	})
 }
+
+// A cancellation that was answered while the cell had no owner holds for the
+// next one.
+func TestCancellationHoldsOverATakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 112, 3, 2, halfSecond, nil)
+		defer w.stopAll()
+		first := w.awaitOwner()
+		time.Sleep(time.Second)
+		w.kill(first)
+		id := w.submitToAnother(first)
+		is.NoErr(w.daemons[w.names()[0]].cell.Cancel(context.Background(), id))
+		w.awaitOwner()
+		time.Sleep(3 * time.Second)
+		is.Equal(w.fleet.Starts(id+".0.0.0"), 0)
+		is.Equal(w.state(id), job.Cancelled)
+	})
+}
+
+// A job that has ended is not begun anew by an owner that finds its row before
+// the row was cleared away.
+func TestNextOwnerDoesNotBeginAnEndedJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 113, 3, 2, halfSecond, nil)
+		defer w.stopAll()
+		first := w.awaitOwner()
+		id := w.submitToAnother(first)
+		for !w.state(id).Final() {
+			time.Sleep(time.Millisecond)
+		}
+		w.kill(first)
+		w.awaitOwner()
+		time.Sleep(3 * time.Second)
+		is.Equal(w.fleet.Starts(id+".0.0.0"), 1)
+		is.Equal(w.state(id), job.Completed)
+		w.check()
+	})
+}
+
+// An owner that reaches neither the store nor a follower may have been replaced
+// without knowing: it gives no orders until a commit succeeds.
+func TestOwnerGivesNoOrdersWhileAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, 114, 2, 2, func(string) time.Duration { return 3 * time.Second }, nil)
+		defer w.stopAll()
+		owner := w.awaitOwner()
+		spec := w.spec(1)
+		second := spec.Steps[0]
+		second.After = []int{0}
+		spec.Steps = []job.Step{spec.Steps[0], second}
+		w.submit(owner, spec)
+		time.Sleep(time.Second)
+		w.daemons[owner].cutStore.Store(true)
+		for _, name := range w.names() {
+			if name != owner {
+				w.kill(name)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(w.fleet.Starts(spec.ID+".0.0.0"), 1)
+		is.Equal(w.fleet.Starts(spec.ID+".0.1.0"), 0) // its turn came two seconds ago
+		w.daemons[owner].cutStore.Store(false)
+		w.awaitState(spec.ID, job.Completed, 10*time.Second)
+		w.check()
+	})
+}
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -231,7 +231,7 @@
 	d *daemon
 }
 
-func (c worldConfig) Read(ctx context.Context) (*port.Config, error) {
+func (c worldConfig) Read(ctx context.Context, _ *port.Config) (*port.Config, error) {
 	if err := (cutStore{c.w.store, c.d}).silent(ctx, "range"); err != nil {
 		return nil, err
 	}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -300,12 +300,16 @@
 	Limits  Limits
 	// Body is the configuration as the operators wrote it.
 	Body []byte
+	// Stored is the version of the store's row that it was read from; zero if it
+	// came from another daemon.
+	Stored int64
 }
 
 // ConfigSource reads the operators' configuration.
 type ConfigSource interface {
-	// Read returns the newest configuration, or nil if there is none yet.
-	Read(ctx context.Context) (*Config, error)
+	// Read returns the newest configuration, or nil if there is none yet. Given
+	// one that is known, it may ask only whether that has changed, and return it.
+	Read(ctx context.Context, known *Config) (*Config, error)
 	// Decode reads a body that another daemon has passed on.
 	Decode(body []byte) (*Config, error)
 }
