--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,79 @@
+package explain
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+)
+
+// The logs are of days on the users' bench.
+func TestStories(t *testing.T) {
+	stories := []struct{ file, id string }{
+		{"failed", "29a42b25b85ed33e"},
+		{"taken-over", "03364cc11cb5fcec"},
+		{"refused", "19ece992f11e619e"},
+	}
+	for _, story := range stories {
+		t.Run(story.file, func(t *testing.T) {
+			is := is.New(t)
+			file, err := os.Open("testdata/" + story.file + ".log")
+			is.NoErr(err)
+			defer func() { is.NoErr(file.Close()) }()
+			events, skipped, err := Read(file)
+			is.NoErr(err)
+			is.Equal(skipped, 0)
+			want, err := os.ReadFile("testdata/" + story.file + ".golden")
+			is.NoErr(err)
+			var got strings.Builder
+			is.NoErr(Tell(events, story.id).Print(&got))
+			if diff := cmp.Diff(string(want), got.String()); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
+
+func TestUnknownJobHasNoStory(t *testing.T) {
+	is := is.New(t)
+	var got strings.Builder
+	is.NoErr(Tell(nil, "0000").Print(&got))
+	is.Equal(got.String(), "the logs say nothing of job 0000\n")
+}
+
+func TestLinesThatAreNoEventsAreSkipped(t *testing.T) {
+	is := is.New(t)
+	log := "panic: something\n" +
+		"timestamp=yesterday event=start\n" +
+		"timestamp=2026-01-02T03:04:05Z level=info\n" +
+		"  12.5 edge-1 timestamp=2026-01-02T03:04:05Z event=job_known job=a daemon=edge-1\n"
+	events, skipped, err := Read(strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(skipped, 3)
+	is.Equal(len(events), 1)
+	is.Equal(events[0].Daemon, "edge-1")
+}
+
+// The workers are suspected when most of what ran there failed, and the task
+// when only it did.
+func TestFailuresAreBlamedOnTheTaskOrItsWorkers(t *testing.T) {
+	line := func(task, reason string) string {
+		return "timestamp=2026-01-02T03:04:05Z event=task_end task=" + task + " worker=w reason=" + reason + "\n"
+	}
+	cases := []struct{ name, others, want string }{
+		{"sound worker", line("b.0.0.0", "done") + line("b.0.0.1", "done") + line("b.0.0.2", "done") + line("b.0.0.3", "failed"), "the task is probably at fault"},
+		{"sick worker", line("b.0.0.0", "failed") + line("b.0.0.1", "failed") + line("b.0.0.2", "done"), "the workers are probably at fault"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			events, _, err := Read(strings.NewReader(line("a.0.0.0", "failed") + c.others))
+			is.NoErr(err)
+			findings := Tell(events, "a").Findings
+			is.Equal(len(findings), 1)
+			is.True(strings.HasSuffix(findings[0], c.want))
+		})
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -92,6 +92,7 @@
 		{"completion", "Print a completion script for bash", "Use it with: source <(bambooyard completion)", &completionCommand{tool: t}},
 		{"diff", "Show what a document would change", "", &diffCommand{tool: t}},
 		{"drain", "Let a VM receive no new work", "Makes a new revision in which the VM drains, or with --undo does not.", &drainCommand{tool: t}},
+		{"explain", "Tell a job's story from the logs", "Reads the logs of all daemons, prints what concerns the job in order, and what is likely to be the cause.", &explainCommand{tool: t}},
 		{"forget", "Declare a lost daemon to be gone", "Ends the lost sessions of a daemon that is known to be stopped, so that no revision waits for it.", &forgetCommand{tool: t}},
 		{"history", "List the accepted revisions", "", &historyCommand{tool: t}},
 		{"rollback", "Put an earlier document in force", "Makes the document of an earlier revision the next revision.", &rollbackCommand{tool: t}},
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,55 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/bambooyard/bambooyard/explain"
+)
+
+type explainCommand struct {
+	tool *tool
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"true" description:"ID of the job"`
+		Files []string `positional-arg-name:"FILE" description:"logs of all daemons; standard input if none is given"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	events, skipped, err := c.read()
+	if err != nil {
+		return err
+	}
+	if err := explain.Tell(events, c.Args.ID).Print(c.tool.out); err != nil {
+		return err
+	}
+	if skipped > 0 {
+		_, err = fmt.Fprintf(c.tool.out, "%d lines are no events and were left out\n", skipped)
+	}
+	return err
+}
+
+func (c *explainCommand) read() (events []explain.Event, skipped int, err error) {
+	if len(c.Args.Files) == 0 {
+		return explain.Read(c.tool.in)
+	}
+	for _, name := range c.Args.Files {
+		more, left, err := readLog(name)
+		if err != nil {
+			return nil, 0, err
+		}
+		events, skipped = append(events, more...), skipped+left
+	}
+	return events, skipped, nil
+}
+
+func readLog(name string) ([]explain.Event, int, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer file.Close() //nolint:errcheck // it is only read
+	return explain.Read(io.Reader(file))
+}
