Do not avoid workers for a fault of the path to them

Change: pauses do not double while a quarter of the workers or more leave orders without a response.

Test: TestWorkersAreNotAvoidedForAFaultOfThePath.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -449,3 +449,33 @@
 	is.Equal(len(out.Starts), 1)
 	is.Equal(out.Starts[0].Worker.Entry.ID, "b")
 }
+
+// pauseAfterLostStarts lets the start orders on some of eight workers go without
+// a response, again and again, and returns the longest pause of one of them.
+func pauseAfterLostStarts(lost int) time.Duration {
+	var entries []port.WorkerEntry
+	for n := range 8 {
+		entries = append(entries, worker(string(rune('a'+n)), 8000, 8000))
+	}
+	r := newRig(entries...)
+	r.Add(spec("j", small(8)), r.now, 0)
+	tasks := r.Job("j").occurrences[0].tasks[0]
+	var longest time.Duration
+	for attempt := 1; attempt <= 6; attempt++ {
+		for n := range lost {
+			w := r.Worker(entries[n].ID)
+			r.start(tasks[n], w, attempt, r.now)
+			run := tasks[n].Runs[len(tasks[n].Runs)-1]
+			r.Started(run, 0, &port.UnansweredError{Op: "start"}, r.now, r.now)
+			longest = max(longest, w.refusedUntil.Sub(r.now))
+		}
+		r.now = r.now.Add(time.Second)
+	}
+	return longest
+}
+
+func TestWorkersAreNotAvoidedForAFaultOfThePath(t *testing.T) {
+	is := is.New(t)
+	is.Equal(pauseAfterLostStarts(1), lostPause<<lostDoublings) // one is sick
+	is.True(pauseAfterLostStarts(8) <= 2*lostPause)             // all are out of reach
+}
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -358,12 +358,26 @@
 )
 
 // A worker that leaves start orders unanswered gets no more for a pause that
-// doubles each time.
+// doubles each time, unless many workers do so at once: then the fault lies with
+// the path to them, and they are all needed when it is over.
 const (
 	lostPause     = 1500 * time.Millisecond
 	lostDoublings = 4
+	manyLost      = 0.25 // share of the workers
 )
 
+// pathLost reports whether so many workers leave orders unanswered that the path
+// to them is at fault.
+func (e *Engine) pathLost() bool {
+	lost := 0
+	for _, w := range e.workers {
+		if w.lostStarts > 0 {
+			lost++
+		}
+	}
+	return float64(lost) >= manyLost*float64(len(e.workers)) && lost > 1
+}
+
 func (e *Engine) startUnanswered(r *Run, err error, sent time.Time) {
 	if unanswered, ok := err.(*port.UnansweredError); ok && unanswered.NotSent {
 		r.Worker.detach(r)
@@ -376,7 +390,9 @@
 	}
 	w := r.Worker
 	w.refusedUntil = sent.Add(lostPause << min(w.lostStarts, lostDoublings))
-	w.lostStarts++
+	if w.lostStarts++; e.pathLost() {
+		w.lostStarts = 1
+	}
 	e.Unanswered(r.Worker.Entry.ID, sent)
 	e.stop(r, StopDoubtful)
 }
