--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,8 +7,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/bambooyard/bambooyard/job"
@@ -79,91 +77,6 @@
 	pacing bool // a throttle order is on its way
 }
 
-// Task is one task of a job.
-type Task struct {
-	ID       job.TaskID
-	Job      *Job
-	Step     *job.Step
-	Done     bool
-	Attempt  int // highest number given so far
-	Failures []int
-	// Checkpoint is the last one known; empty if none.
-	Checkpoint string
-	Runs       []*Run
-	// inherited is set for a task that a former owner may have started.
-	inherited bool
-	// placedOn is the worker that a former owner last recorded for the task.
-	placedOn string
-	// leaving is the worker that the task was last moved away from.
-	leaving   string
-	avoid     map[string]bool // workers that failed the task
-	label     string
-	notBefore time.Time
-	readyAt   time.Time // when its turn was seen to have come; zero if it has not
-}
-
-// ReadySince returns when the turn of a task just started was seen to have come.
-func (t *Task) ReadySince(now time.Time) time.Time {
-	if t.readyAt.IsZero() {
-		return now
-	}
-	return t.readyAt
-}
-
-// Arrived returns when the job became known to this owner.
-func (j *Job) Arrived() time.Time { return j.arrived }
-
-// name returns the task's name as workers know it.
-func (t *Task) name() string { return t.label }
-
-// Job is an open job or one that has just become final.
-type Job struct {
-	Spec  job.Spec
-	Queue job.Queue
-	State job.State
-	// Begun is set once any task has been started.
-	Begun       bool
-	occurrences []*occurrence
-	objective   time.Time
-	arrived     time.Time
-	// remaining is the longest chain of work that begins with each step.
-	remaining []time.Duration
-	// latestStart is when the job's longest chain must start to meet the objective.
-	latestStart time.Time
-	service     bool // a step runs until the job is cancelled
-	prospect    prospect
-	// advice is what the queue's advisor has said of steps; nil if nothing.
-	advice map[stepKey]*advice
-	speeds map[stepKey]stepSpeed
-}
-
-// occurrence is one run of a job's steps.
-type occurrence struct {
-	number int
-	due    time.Time
-	tasks  [][]*Task
-	left   []int // tasks not done, by step
-}
-
-func (o *occurrence) done() bool {
-	for _, n := range o.left {
-		if n > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// ready reports whether all predecessors of a step are done.
-func (o *occurrence) ready(step *job.Step) bool {
-	for _, before := range step.After {
-		if o.left[before] > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Engine is the state of a cell's owner.
 type Engine struct {
 	options Options
@@ -246,9 +159,6 @@
 	return out
 }
 
-// Job returns an open job, or nil.
-func (e *Engine) Job(id string) *Job { return e.jobs[id] }
-
 // Jobs returns all open jobs; the caller must not change them.
 func (e *Engine) Jobs() map[string]*Job { return e.jobs }
 
@@ -314,29 +224,6 @@
 // MarkEnded takes in that a job has ended under a former owner.
 func (e *Engine) MarkEnded(id string, now time.Time) { e.final[id] = now }
 
-// setObjective works out when the job should be done.
-func (j *Job) setObjective() {
-	j.remaining = j.Spec.Remaining()
-	chain := slices.Max(j.remaining)
-	stretch := j.Queue.Stretch
-	if stretch == 0 {
-		stretch = 1
-	}
-	j.objective = j.arrived.Add(time.Duration(stretch*float64(chain)) + j.Queue.Slack)
-	j.latestStart = j.objective.Add(-chain)
-	j.service = slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return s.Service })
-}
-
-// slack returns how long a task may wait for its job to meet the objective; it
-// is negative when the job is late.
-func (t *Task) slack(now time.Time) time.Duration {
-	return t.Job.objective.Sub(now) - t.Job.remaining[t.ID.Step]
-}
-
-// hurried reports whether a task cannot wait for a better place if its job is
-// to be in time. A job that is late already loses nothing by waiting.
-func (t *Task) hurried(now time.Time) bool { return t.Job.prospect == inTime && t.slack(now) < hurry }
-
 // Cancel ends a job at its caller's wish: nothing of it starts any more and
 // what runs is stopped. It reports false for a job that is not open.
 func (e *Engine) Cancel(id string) bool {
@@ -370,48 +257,6 @@
 	}
 }
 
-// StopReason says why a run is stopped.
-type StopReason string
-
-// Reasons to stop a run.
-const (
-	// StopEnded means that the job is final, or the task is done elsewhere.
-	StopEnded StopReason = "job_ended"
-	// StopDoubtful means that it is not known whether the run exists.
-	StopDoubtful StopReason = "doubtful"
-	// StopGang means that another member of the gang has ended.
-	StopGang StopReason = "gang_broken"
-	// StopDraining means that the worker is about to leave.
-	StopDraining StopReason = "draining"
-	// StopStalled means that the run makes no progress, and StopSlow that its
-	// worker is slow.
-	StopStalled StopReason = "stalled"
-	StopSlow    StopReason = "slow_worker"
-	// StopRelief means that the run disturbs a service.
-	StopRelief StopReason = "disturbs_service"
-	// StopConsolidate means that the service moves to other services.
-	StopConsolidate StopReason = "consolidation"
-)
-
-// move stops a run that should go on on another worker.
-func (e *Engine) move(r *Run, why StopReason) {
-	r.Task.leaving = r.Worker.Entry.ID
-	e.stop(r, why)
-}
-
-// StopReason returns why the run is stopped; empty if it is not.
-func (r *Run) StopReason() StopReason { return r.stopReason }
-
-// stop orders the end of a run. It is repeated until the run has ended.
-func (e *Engine) stop(r *Run, why StopReason) {
-	r.stopping = true
-	r.stopReason = cmp.Or(r.stopReason, why)
-	if !r.stopSent && r.State != RunOrdered {
-		r.stopSent = true
-		e.out.Stops = append(e.out.Stops, r)
-	}
-}
-
 // changed marks a job's progress for a commit.
 func (e *Engine) changed(j *Job, ended bool) {
 	if !j.State.Final() {
--- a/internal/cell/tenure.go
+++ b/internal/cell/tenure.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/control"
-	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -201,101 +199,6 @@
 	return depths
 }
 
-// carryOut gives the engine's orders.
-func (t *tenure) carryOut(out dispatch.Output, now time.Time) {
-	for _, r := range out.Starts {
-		t.start(r, now)
-	}
-	for _, r := range out.Stops {
-		t.stop(r, now)
-	}
-	for _, s := range out.Strays {
-		t.stopStray(s)
-	}
-	for _, th := range out.Throttles {
-		t.throttle(th)
-	}
-	for _, q := range out.Questions {
-		t.ask(q, now)
-	}
-}
-
-// Time-outs of orders: twice the round trip between regions and a slow
-// worker's answer.
-const (
-	orderTimeout = 700 * time.Millisecond
-	stopTimeout  = 900 * time.Millisecond
-)
-
-func (t *tenure) start(r *dispatch.Run, now time.Time) {
-	task := r.Task
-	order := port.StartOrder{
-		Task: task.ID.String(), Attempt: r.Attempt, Payload: task.Job.Spec.Payload,
-		Checkpoint: task.Checkpoint, Ticket: r.Ticket, Epoch: t.epoch, NotAfterMS: r.NotAfterMS(),
-	}
-	target := r.Worker.Target()
-	observe(t.c.gauges.handOver, now.Sub(task.ReadySince(now)))
-	if r.First {
-		observe(t.c.gauges.firstStart, now.Sub(task.Job.Arrived()))
-	}
-	t.log.WithFields(log.Fields{"event": "task_start", "task": order.Task, "attempt": order.Attempt, "worker": target.ID,
-		"resumed": order.Checkpoint != "", "waited_ms": now.Sub(task.ReadySince(now)).Milliseconds()}).Info("ordered")
-	do(t, orderTimeout, func(ctx context.Context) (int64, error) {
-		return t.c.Workers.Start(ctx, target, order)
-	}, func(clock int64, err error) {
-		if err != nil {
-			t.log.WithFields(log.Fields{"event": "task_start_failed", "task": order.Task, "attempt": order.Attempt, "worker": target.ID}).WithError(err).Info("start")
-		}
-		t.engine.Started(r, clock, err, now, t.c.Now())
-		t.orderAnswered(err)
-		t.kick()
-	})
-}
-
-// orderAnswered ends the tenure when a worker knows a higher epoch.
-func (t *tenure) orderAnswered(err error) {
-	var refused *port.RefusedError
-	if errors.As(err, &refused) && refused.Reason == port.RefusedEpoch {
-		t.c.lose("a worker knows a higher epoch")
-	}
-}
-
-func (t *tenure) stop(r *dispatch.Run, now time.Time) {
-	name, target := r.Task.ID.String(), r.Worker.Target()
-	t.log.WithFields(log.Fields{"event": "task_stop", "task": name, "attempt": r.Attempt, "worker": target.ID, "reason": string(r.StopReason())}).Info("ordered")
-	do(t, stopTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, t.c.Workers.Stop(ctx, target, name, r.Attempt, t.epoch)
-	}, func(_ struct{}, err error) {
-		t.engine.Stopped(r, err, now, t.c.Now())
-		t.orderAnswered(err)
-		t.kick()
-	})
-}
-
-// stopStray ends a run that no open task has. It is listed again, and stopped
-// again, if this order fails.
-func (t *tenure) stopStray(s dispatch.Stray) {
-	target := s.Worker.Target()
-	t.log.WithFields(log.Fields{"event": "stray_stop", "task": s.Task, "attempt": s.Attempt, "worker": target.ID}).Info("ordered")
-	do(t, stopTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, t.c.Workers.Stop(ctx, target, s.Task, s.Attempt, t.epoch)
-	}, func(_ struct{}, err error) {
-		t.orderAnswered(err)
-	})
-}
-
-func (t *tenure) throttle(th dispatch.Throttle) {
-	r := th.Run
-	name, target := r.Task.ID.String(), r.Worker.Target()
-	t.log.WithFields(log.Fields{"event": "task_throttle", "task": name, "attempt": r.Attempt, "worker": target.ID, "percent": th.Percent}).Info("ordered")
-	do(t, orderTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, t.c.Workers.Throttle(ctx, target, name, r.Attempt, t.epoch, th.Percent)
-	}, func(_ struct{}, err error) {
-		t.engine.Throttled(r, th.Percent, err, t.c.Now())
-		t.orderAnswered(err)
-	})
-}
-
 // accept takes in jobs and cancellations that entries have stored.
 func (t *tenure) accept(specs []job.Spec, cancelled []string) {
 	if !t.loaded {
@@ -344,103 +247,3 @@
 		t.log.WithFields(log.Fields{"event": "job_cancel", "job": id}).Info("cancelled by its caller")
 	}
 }
-
-// pollDirectory reads the list of workers.
-func (t *tenure) pollDirectory(now time.Time) {
-	if t.directoryBusy || now.Sub(t.directoryAt) < directoryPoll {
-		return
-	}
-	t.directoryBusy, t.directoryAt = true, now
-	do(t, storeTimeout, t.c.Directory.List, func(list []port.WorkerEntry, err error) {
-		t.directoryBusy = false
-		t.c.storeAnswered(err, t.c.Now())
-		if err == nil {
-			t.engine.SetWorkers(list, t.c.Now())
-			t.kick()
-		}
-	})
-}
-
-// changeCursor is how far the changes of a table have been read.
-type changeCursor struct {
-	version int64
-	busy    bool
-	at      time.Time
-	rescan  bool
-}
-
-// pollChanges reads what entries have stored and could not tell.
-func (t *tenure) pollChanges(now time.Time) {
-	for table, cursor := range t.changes {
-		if cursor.busy || now.Sub(cursor.at) < changesPoll {
-			continue
-		}
-		cursor.busy, cursor.at = true, now
-		if cursor.rescan {
-			t.rescan(table, cursor)
-			continue
-		}
-		do(t, storeTimeout, func(ctx context.Context) (port.Page, error) {
-			return t.c.Store.Changes(ctx, table, cursor.version, 0)
-		}, func(page port.Page, err error) {
-			cursor.busy = false
-			t.c.storeAnswered(err, t.c.Now())
-			var refused *port.RefusedError
-			if errors.As(err, &refused) && refused.Reason == port.RefusedOld {
-				t.log.WithFields(log.Fields{"event": "history_lost", "table": table, "version": cursor.version}).Warn("the table is read whole")
-				cursor.rescan = true
-				cursor.at = time.Time{}
-			}
-			if err == nil {
-				cursor.version = max(cursor.version, page.Version)
-				t.takeRows(table, page.Rows)
-			}
-		})
-	}
-}
-
-// rescan reads a table whole, because the store no longer knows its changes.
-func (t *tenure) rescan(table string, cursor *changeCursor) {
-	do(t, 2*storeTimeout, func(ctx context.Context) (port.Page, error) {
-		return t.c.scanJobs(ctx, table)
-	}, func(page port.Page, err error) {
-		cursor.busy = false
-		t.c.storeAnswered(err, t.c.Now())
-		if err == nil {
-			cursor.rescan = false
-			cursor.version = max(cursor.version, page.Version)
-			t.takeRows(table, page.Rows)
-		}
-	})
-}
-
-// takeRows takes in rows of jobs or cancellations.
-func (t *tenure) takeRows(table string, rows []port.Row) {
-	now := t.c.Now()
-	for _, row := range rows {
-		if row.Version == 0 || row.Partition != t.c.jobPartition(row.Key) {
-			continue
-		}
-		if table == tableCancels {
-			t.cancel(row.Key)
-			continue
-		}
-		if spec, ok := t.readSpec(row); ok {
-			t.add(spec, now)
-		}
-	}
-	t.kick()
-}
-
-// readSpec reads a job's row. It reports false for one that has ended or cannot
-// be read.
-func (t *tenure) readSpec(row port.Row) (job.Spec, bool) {
-	record, err := decode[jobRecord](row)
-	if err != nil {
-		t.log.WithField("event", "job_row_unreadable").WithError(err).Error("job")
-	}
-	if err != nil || record.Spec == nil || record.Spec.ID != row.Key {
-		return job.Spec{}, false
-	}
-	return *record.Spec, true
-}
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -22,21 +22,14 @@
 	"github.com/apex/log"
 	"github.com/gin-gonic/gin"
 
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
-// Jobs is what is offered. Errors are *verdict.RequestError.
-type Jobs interface {
-	Submit(ctx context.Context, spec job.Spec) error
-	State(ctx context.Context, id string) (job.State, error)
-	Cancel(ctx context.Context, id string) error
-	Pending(queue string) (int, error)
-}
-
 // Options are what a Handler is made of.
 type Options struct {
-	Jobs Jobs
+	Jobs port.Jobs
 	// Queues returns the names of the queues in force; ok is false while they
 	// are not known.
 	Queues func() (names []string, ok bool)
--- a/internal/jobapi/jobapi_test.go
+++ b/internal/jobapi/jobapi_test.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 	"github.com/bambooyard/bambooyard/verdict"
 )
@@ -46,7 +47,7 @@
 
 func (t *table) Pending(string) (int, error) { return len(t.jobs), t.err }
 
-func serve(jobs Jobs, ready bool) http.Handler {
+func serve(jobs port.Jobs, ready bool) http.Handler {
 	return New(Options{
 		Jobs: jobs, Queues: func() ([]string, bool) { return []string{"scans"}, ready },
 		Log: &log.Logger{Handler: discard.New()}, Wall: func() time.Time { return time.UnixMilli(5) },
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -1,6 +1,7 @@
 // Package port defines the interfaces that the platform is behind: its
-// transactional row store, its workers and the list of them. The package
-// platform implements them, and internal/fake for tests.
+// transactional row store, its workers and the list of them, which the package
+// platform implements, and internal/fake for tests; and what a daemon offers to
+// callers, which internal/cell implements.
 package port
 
 import (
