--- a/cmd/bambooyard-fakes/main.go
+++ b/cmd/bambooyard-fakes/main.go
@@ -5,8 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -19,8 +17,6 @@
 	"github.com/bambooyard/bambooyard/internal/platform"
 )
 
-const readHeaderTimeout = 5 * time.Second
-
 type options struct {
 	PlatformAddress string `long:"platform-address" default:"127.0.0.1:7300" description:"IP number and port of the stand-in platform"`
 	Document        string `long:"document" description:"document whose VMs and targets are stood in for"`
@@ -76,31 +72,21 @@
 		return err
 	}
 	p := fake.NewPlatform()
-	if err := serve(o.PlatformAddress, p.Handler()); err != nil {
+	if err := fake.Listen(o.PlatformAddress, p.Handler()); err != nil {
 		return err
 	}
 	for _, vm := range doc.Inventory.VMs {
 		p.SetVM(vm.Name, platform.VMLive)
-		if err := serve(vm.WorkerAddress, fake.NewWorker(vm.Capacity, time.Now).Handler()); err != nil {
+		if err := fake.Listen(vm.WorkerAddress, fake.NewWorker(vm.Capacity, time.Now).Handler()); err != nil {
 			return err
 		}
 	}
 	for _, service := range doc.Inventory.Services {
 		for _, t := range service.Targets {
-			if err := serve(t.Address, fake.NewRunner(t.VM)); err != nil {
+			if err := fake.Listen(t.Address, fake.NewRunner(t.VM)); err != nil {
 				return err
 			}
 		}
 	}
 	return nil
 }
-
-func serve(address string, h http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return nil
-}
--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -25,9 +25,6 @@
 	advicePause = 200 * time.Millisecond
 )
 
-// stepKey names a step of one occurrence of a job's steps.
-type stepKey struct{ occurrence, step int }
-
 // ticket lets tasks of a step start in one life of a worker.
 type ticket struct {
 	text  string
@@ -62,7 +59,7 @@
 
 // ticketFor returns the ticket for a task on a worker, or "".
 func (e *Engine) ticketFor(t *Task, w *Worker, now time.Time) string {
-	a := t.Job.advice[stepKey{t.ID.Occurrence, t.ID.Step}]
+	a := t.Job.advice[t.stepKey()]
 	if a == nil {
 		return ""
 	}
@@ -78,7 +75,7 @@
 	if t.Job.Queue.Advisor == nil || e.openQuestions >= advisorCalls {
 		return
 	}
-	key := stepKey{t.ID.Occurrence, t.ID.Step}
+	key := t.stepKey()
 	a := t.Job.advice[key]
 	if a == nil {
 		a = &advice{tickets: map[string]ticket{}, refused: map[string]int64{}}
@@ -153,7 +150,7 @@
 
 // ticketRefused takes in that a worker did not accept a ticket.
 func (t *Task) ticketRefused(w *Worker) {
-	if a := t.Job.advice[stepKey{t.ID.Occurrence, t.ID.Step}]; a != nil {
+	if a := t.Job.advice[t.stepKey()]; a != nil {
 		delete(a.tickets, w.Entry.ID)
 	}
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -50,6 +50,16 @@
 	return best
 }
 
+// elsewhere returns the worker that a run could go on on, or nil if its own is
+// the best or there is none.
+func (e *Engine) elsewhere(r *Run, now time.Time) *Worker {
+	best := e.choose(r.Task, r.Task.siblings(), now, nil)
+	if best == r.Worker {
+		return nil
+	}
+	return best
+}
+
 // eligible reports whether a worker may run a task and has room for it.
 func (e *Engine) eligible(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
 	return e.advised(t, w, now) && e.suits(t, w, now, reserved)
--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -68,7 +68,7 @@
 // serviceShare returns the share of a worker's processors that its services
 // have asked for.
 func (e *Engine) serviceShare(w *Worker) float64 {
-	return float64(e.mixture(w).serviceCPU) / max(1, float64(w.Entry.Capacity.MilliCPU))
+	return w.shareOf(e.mixture(w).serviceCPU)
 }
 
 // movable reports whether a service task may be moved without leaving its step
@@ -78,12 +78,7 @@
 	if !t.Step.Service || t.Step.Gang || r.State != RunActive || r.stopping || r.Progress < 100 || now.Sub(r.orderedAt) < settledFor {
 		return false
 	}
-	for _, other := range t.Job.occurrences[t.ID.Occurrence].tasks[t.ID.Step] {
-		if other != t && !other.atWork() {
-			return false
-		}
-	}
-	return t.Step.MaxUnavailable != 0
+	return t.Step.MaxUnavailable != 0 && t.siblingsAway() == 0
 }
 
 // moveGain returns what the best move of a run gains. Gains are differences of
@@ -104,11 +99,9 @@
 
 func (e *Engine) gainAt(r *Run, to *Worker) float64 {
 	step := r.Task.Step
-	cpu := float64(step.Resources.MilliCPU)
-	part := func(w *Worker) float64 { return cpu / max(1, float64(w.Entry.Capacity.MilliCPU)) }
 	square := func(x float64) float64 { return x * x }
 	has, had := e.serviceShare(to), e.serviceShare(r.Worker)
-	gain := square(has+part(to)) - square(has) - square(had) + square(had-part(r.Worker))
+	gain := square(has+to.share(step)) - square(has) - square(had) + square(had-r.Worker.share(step))
 	if !e.mixture(to).hasImage(step.Image) {
 		gain -= imageGain
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -245,14 +245,10 @@
 	delete(e.out.Changed, j)
 	delete(e.jobs, j.Spec.ID)
 	e.final[j.Spec.ID] = e.now
-	for _, o := range j.occurrences {
-		for _, row := range o.tasks {
-			for _, t := range row {
-				delete(e.tasks, t.name())
-				for _, r := range t.Runs {
-					e.stop(r, StopEnded)
-				}
-			}
+	for t := range j.allTasks() {
+		delete(e.tasks, t.name())
+		for _, r := range t.Runs {
+			e.stop(r, StopEnded)
 		}
 	}
 }
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -119,7 +119,7 @@
 // gangFailures counts the attempts of a gang of which any member has failed.
 func (e *Engine) gangFailures(t *Task) int {
 	attempts := map[int]bool{}
-	for _, member := range t.Job.occurrences[t.ID.Occurrence].tasks[t.ID.Step] {
+	for _, member := range t.siblings() {
 		for _, a := range member.Failures {
 			attempts[a] = true
 		}
@@ -134,7 +134,7 @@
 	if !t.Step.Gang || t.Done || t.Job.State.Final() {
 		return
 	}
-	for _, member := range t.Job.occurrences[t.ID.Occurrence].tasks[t.ID.Step] {
+	for _, member := range t.siblings() {
 		for _, other := range member.Runs {
 			if other.Attempt == r.Attempt {
 				e.stop(other, StopGang)
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -87,12 +87,17 @@
 	return i.floorOf(image) / (1 - min(maxLoad, load))
 }
 
+// beliefOf returns what is believed of a pair of images.
+func (i *interference) beliefOf(pair imagePair) belief {
+	if b, ok := i.pressure[pair]; ok {
+		return b
+	}
+	return unknown
+}
+
 // pressureOf returns the expected pressure of a best-effort image on a service.
 func (i *interference) pressureOf(service, bestEffort string) float64 {
-	if b, ok := i.pressure[imagePair{service, bestEffort}]; ok {
-		return b.mean()
-	}
-	return unknown.mean()
+	return i.beliefOf(imagePair{service, bestEffort}).mean()
 }
 
 // strain returns the load that best-effort images with the given shares of a
@@ -133,10 +138,7 @@
 	updated := map[imagePair]belief{}
 	for image, share := range shares {
 		pair := imagePair{service, image}
-		believed, ok := i.pressure[pair]
-		if !ok {
-			believed = unknown
-		}
+		believed := i.beliefOf(pair)
 		updated[pair] = believed.update(seen, is.own+strain-believed.mean()*share, share)
 	}
 	maps.Copy(i.pressure, updated)
@@ -214,7 +216,7 @@
 // worker's services are expected to have beside one more best-effort task while
 // it runs.
 func (e *Engine) predictedTail(w *Worker, added *job.Step) float64 {
-	share := float64(added.Resources.MilliCPU) / max(1, float64(w.Entry.Capacity.MilliCPU))
+	share := w.share(added)
 	rise := min(1, float64(added.EstimateMS)/float64(crestWithin.Milliseconds()))
 	worst := 0.0
 	for _, s := range e.mixture(w).services {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -73,6 +74,40 @@
 	left   []int // tasks not done, by step
 }
 
+// allTasks yields every task of the job.
+func (j *Job) allTasks() iter.Seq[*Task] {
+	return func(yield func(*Task) bool) {
+		for _, o := range j.occurrences {
+			for _, row := range o.tasks {
+				for _, t := range row {
+					if !yield(t) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// stepKey names a step of one occurrence of a job's steps.
+type stepKey struct{ occurrence, step int }
+
+func (t *Task) stepKey() stepKey { return stepKey{t.ID.Occurrence, t.ID.Step} }
+
+// siblings returns the tasks of the task's step, itself among them.
+func (t *Task) siblings() []*Task { return t.Job.occurrences[t.ID.Occurrence].tasks[t.ID.Step] }
+
+// siblingsAway counts the other tasks of a service step that do not serve.
+func (t *Task) siblingsAway() int {
+	away := 0
+	for _, other := range t.siblings() {
+		if other != t && !other.atWork() {
+			away++
+		}
+	}
+	return away
+}
+
 func (o *occurrence) done() bool {
 	for _, n := range o.left {
 		if n > 0 {
--- a/dispatch/mixture.go
+++ b/dispatch/mixture.go
@@ -101,10 +101,9 @@
 // image asks for, without those that stand still.
 func (w *Worker) shares() map[string]float64 {
 	shares := map[string]float64{}
-	capacity := max(1, float64(w.Entry.Capacity.MilliCPU))
 	for _, r := range w.runs {
 		if r.Task.Step.BestEffort && r.limit > 0 && !r.stopping {
-			shares[r.Task.Step.Image] += float64(r.Task.Step.Resources.MilliCPU) / capacity
+			shares[r.Task.Step.Image] += w.share(r.Task.Step)
 		}
 	}
 	return shares
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -286,13 +286,7 @@
 	if limit < 0 {
 		return true
 	}
-	away := 0
-	for _, other := range t.Job.occurrences[t.ID.Occurrence].tasks[t.ID.Step] {
-		if other != t && !other.atWork() {
-			away++
-		}
-	}
-	return away < max(limit, 1)
+	return t.siblingsAway() < max(limit, 1)
 }
 
 // atWork reports whether a service task serves.
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -29,25 +29,21 @@
 // Progress returns what is to be recorded of the job.
 func (j *Job) Progress() Progress {
 	var p Progress
-	for _, o := range j.occurrences {
-		for _, row := range o.tasks {
-			for _, t := range row {
-				if t.Attempt == 0 && !t.Done {
-					continue
-				}
-				tp := TaskProgress{
-					Occurrence: t.ID.Occurrence, Step: t.ID.Step, Index: t.ID.Index,
-					Done: t.Done, Attempt: t.Attempt, Failures: t.Failures,
-				}
-				if !t.Done {
-					tp.Checkpoint = t.Checkpoint
-					if len(t.Runs) > 0 {
-						tp.Worker = t.Runs[0].Worker.Entry.ID
-					}
-				}
-				p.Tasks = append(p.Tasks, tp)
+	for t := range j.allTasks() {
+		if t.Attempt == 0 && !t.Done {
+			continue
+		}
+		tp := TaskProgress{
+			Occurrence: t.ID.Occurrence, Step: t.ID.Step, Index: t.ID.Index,
+			Done: t.Done, Attempt: t.Attempt, Failures: t.Failures,
+		}
+		if !t.Done {
+			tp.Checkpoint = t.Checkpoint
+			if len(t.Runs) > 0 {
+				tp.Worker = t.Runs[0].Worker.Entry.ID
 			}
 		}
+		p.Tasks = append(p.Tasks, tp)
 	}
 	return p
 }
@@ -59,12 +55,8 @@
 // Restore takes in what a former owner recorded of a job just added. Every task
 // of the job may still run somewhere, recorded or not.
 func (e *Engine) Restore(j *Job, p Progress) error {
-	for _, o := range j.occurrences {
-		for _, row := range o.tasks {
-			for _, t := range row {
-				t.inherited = true
-			}
-		}
+	for t := range j.allTasks() {
+		t.inherited = true
 	}
 	for _, tp := range p.Tasks {
 		id := job.TaskID{Job: j.Spec.ID, Occurrence: tp.Occurrence, Step: tp.Step, Index: tp.Index}
@@ -85,12 +77,8 @@
 	if len(p.Tasks) > 0 {
 		j.Begun, j.State = true, job.Running
 	}
-	for _, o := range j.occurrences {
-		for _, row := range o.tasks {
-			for _, t := range row {
-				t.Attempt += attemptGap
-			}
-		}
+	for t := range j.allTasks() {
+		t.Attempt += attemptGap
 	}
 	return nil
 }
@@ -106,13 +94,9 @@
 		}
 	}
 	for _, j := range e.jobs {
-		for _, o := range j.occurrences {
-			for _, row := range o.tasks {
-				for _, t := range row {
-					if t.placedOn != "" && (e.workers[t.placedOn] == nil || !e.workers[t.placedOn].heard) {
-						e.silent[t.placedOn] = until
-					}
-				}
+		for t := range j.allTasks() {
+			if t.placedOn != "" && (e.workers[t.placedOn] == nil || !e.workers[t.placedOn].heard) {
+				e.silent[t.placedOn] = until
 			}
 		}
 	}
--- a/dispatch/sharing.go
+++ b/dispatch/sharing.go
@@ -78,10 +78,9 @@
 // relieve moves away the tasks that by what has been learned weigh most on a
 // service, or holds them where that is asked for.
 func (e *Engine) relieve(w *Worker, image string, worst float64, hold bool, now time.Time) {
-	capacity := max(1, float64(w.Entry.Capacity.MilliCPU))
 	weight := func(r *Run) float64 {
 		step := r.Task.Step
-		return e.interference.pressureOf(image, step.Image) * float64(step.Resources.MilliCPU) / capacity
+		return e.interference.pressureOf(image, step.Image) * w.share(step)
 	}
 	victims := slices.DeleteFunc(w.sortedRuns(), func(r *Run) bool {
 		return !r.Task.Step.BestEffort || r.stopping || r.limit == 0 || weight(r) < lightStrain
@@ -117,9 +116,8 @@
 
 // hasHome reports whether a best-effort run could go on where it disturbs nobody.
 func (e *Engine) hasHome(r *Run, now time.Time) bool {
-	o := r.Task.Job.occurrences[r.Task.ID.Occurrence]
-	other := e.choose(r.Task, o.tasks[r.Task.ID.Step], now, nil)
-	return other != nil && other != r.Worker && e.predictedTail(other, r.Task.Step) < safeTail
+	other := e.elsewhere(r, now)
+	return other != nil && e.predictedTail(other, r.Task.Step) < safeTail
 }
 
 // holdAll makes every best-effort run stand still, or work again.
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -84,7 +84,7 @@
 // sample takes in the speed of a run.
 func (e *Engine) sample(r *Run, speed float64, now time.Time) {
 	j, w := r.Task.Job, r.Worker
-	key := stepKey{r.Task.ID.Occurrence, r.Task.ID.Step}
+	key := r.Task.stepKey()
 	step := j.speeds[key]
 	if step == nil {
 		step = stepSpeed{}
@@ -139,7 +139,6 @@
 
 // hasOther reports whether a run could go on on another worker that is not slow.
 func (e *Engine) hasOther(r *Run, now time.Time) bool {
-	o := r.Task.Job.occurrences[r.Task.ID.Occurrence]
-	other := e.choose(r.Task, o.tasks[r.Task.ID.Step], now, nil)
-	return other != nil && other != r.Worker && !e.slow(other, now)
+	other := e.elsewhere(r, now)
+	return other != nil && !e.slow(other, now)
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -117,6 +117,15 @@
 	return until
 }
 
+// shareOf returns the share of the worker's processors that an amount is.
+func (w *Worker) shareOf(milliCPU int64) float64 {
+	return float64(milliCPU) / max(1, float64(w.Entry.Capacity.MilliCPU))
+}
+
+// share returns the share of the worker's processors that a task of a step asks
+// for.
+func (w *Worker) share(s *job.Step) float64 { return w.shareOf(s.Resources.MilliCPU) }
+
 // free returns what no run occupies.
 func (w *Worker) free() job.Resources { return w.Entry.Capacity.Sub(w.used) }
 
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -129,9 +129,7 @@
 		if c.tenure != nil {
 			epoch = c.tenure.record.Epoch
 		}
-		if c.config != nil {
-			known = c.config.Version
-		}
+		known = c.configVersion()
 	})
 	if err != nil || epoch == 0 {
 		return peer.Refuse("not the owner")
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -62,9 +62,18 @@
 	reads := []func() error{
 		func() (err error) { in.jobs, err = t.c.scanJobs(ctx, tableJobs); return err },
 		func() (err error) { in.cancels, err = t.c.scanJobs(ctx, tableCancels); return err },
-		func() (err error) { in.progress, err = scan(ctx, t.c.Store, tableProgress, t.c.Partition); return err },
-		func() (err error) { in.outcomes, err = scan(ctx, t.c.Store, tableOutcomes, t.c.Partition); return err },
-		func() (err error) { in.learned, err = scan(ctx, t.c.Store, tableLearned, t.c.Partition); return err },
+		func() (err error) {
+			in.progress, err = port.ScanAll(ctx, t.c.Store, tableProgress, t.c.Partition)
+			return err
+		},
+		func() (err error) {
+			in.outcomes, err = port.ScanAll(ctx, t.c.Store, tableOutcomes, t.c.Partition)
+			return err
+		},
+		func() (err error) {
+			in.learned, err = port.ScanAll(ctx, t.c.Store, tableLearned, t.c.Partition)
+			return err
+		},
 		func() (err error) { in.workers, err = t.c.Directory.List(ctx); return err },
 	}
 	errs := make([]error, len(reads))
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -87,29 +87,8 @@
 	return record, nil
 }
 
-// scan reads a table's partition. The version is that of its first page:
-// changes after it may be missing from the rows and come with the changes.
-func scan(ctx context.Context, store port.Store, table, partition string) (port.Page, error) {
-	whole := port.Page{}
-	from := ""
-	for {
-		page, err := store.Range(ctx, table, partition, from, "", 0)
-		if err != nil {
-			return whole, err
-		}
-		if whole.Version == 0 {
-			whole.Version = page.Version
-		}
-		whole.Rows = append(whole.Rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			return whole, nil
-		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
-	}
-}
-
 // scanJobs reads a table of all job partitions, at the same time. The version
-// is the lowest of theirs.
+// is the lowest of theirs; changes after it come with the changes.
 func (c *Cell) scanJobs(ctx context.Context, table string) (port.Page, error) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
@@ -117,7 +96,7 @@
 	whole := port.Page{}
 	for n := range jobPartitions {
 		wg.Go(func() {
-			page, err := scan(ctx, c.Store, table, c.partitionNumber(n))
+			page, err := port.ScanAll(ctx, c.Store, table, c.partitionNumber(n))
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -33,7 +33,6 @@
 	for n, way := range ways {
 		t.Run(way.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
 				w := newWorld(t, uint64(100+n), 3, 4, halfSecond, nil)
 				defer w.stopAll()
 				first := w.awaitOwner()
@@ -41,11 +40,7 @@
 				way.strike(w, first)
 				began := time.Now()
 				id := w.submitToAnother(first)
-				for w.fleet.Starts(id+".0.0.0") == 0 {
-					is.True(time.Since(began) < contact)
-					time.Sleep(10 * time.Millisecond)
-				}
-				t.Logf("the next task was started after %s", time.Since(began))
+				t.Logf("the next task was started after %s", w.awaitStart(id, began))
 				w.awaitState(id, job.Completed, 10*time.Second)
 				w.check()
 			})
@@ -53,6 +48,19 @@
 	}
 }
 
+// awaitStart waits for the first task of a job to start and returns how long
+// that took from a time. It fails when that is not within the time of contact.
+func (w *world) awaitStart(id string, from time.Time) time.Duration {
+	w.t.Helper()
+	for w.fleet.Starts(id+".0.0.0") == 0 {
+		if time.Since(from) >= contact {
+			w.t.Fatalf("no task of job %s has started after %s", id, time.Since(from))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(from)
+}
+
 // submitToAnother submits a job of one task to a daemon other than the given
 // one, again and again until it is accepted.
 func (w *world) submitToAnother(than string) string {
@@ -82,12 +90,7 @@
 		time.Sleep(5 * time.Second)
 		is.Equal(w.fleet.Starts(id+".0.0.0"), 0)
 		w.daemons[first].cutFleet.Store(false)
-		began := time.Now()
-		for w.fleet.Starts(id+".0.0.0") == 0 {
-			is.True(time.Since(began) < contact)
-			time.Sleep(10 * time.Millisecond)
-		}
-		t.Logf("the next task was started %s after the cut", time.Since(began))
+		t.Logf("the next task was started %s after the cut", w.awaitStart(id, time.Now()))
 		w.awaitState(id, job.Completed, 10*time.Second)
 		w.check()
 	})
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 
 	"github.com/bambooyard/bambooyard/explain"
@@ -51,5 +50,5 @@
 		return nil, 0, err
 	}
 	defer file.Close() //nolint:errcheck // it is only read
-	return explain.Read(io.Reader(file))
+	return explain.Read(file)
 }
--- a/internal/cli/job_apply_test.go
+++ b/internal/cli/job_apply_test.go
@@ -44,7 +44,7 @@
 func TestJobFileSession(t *testing.T) {
 	jobs := queueJobs{}
 	server := httptest.NewServer(jobapi.New(jobapi.Options{
-		Jobs: jobs, Queues: func() ([]string, bool) { return []string{"scans"}, true },
+		Jobs: jobs, HasQueue: func(name string) (bool, bool) { return name == "scans", true },
 		Log: &log.Logger{Handler: discard.New()}, Wall: time.Now,
 	}))
 	defer server.Close()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,15 +97,12 @@
 
 // refuse writes the error body of err with its headers.
 func (s *Server) refuse(c *gin.Context, q call, err error) {
-	var e *verdict.RequestError
-	if !errors.As(err, &e) {
-		e = &verdict.RequestError{Code: verdict.CodeInternal, Message: "internal error", Status: http.StatusInternalServerError, Err: err}
-	}
+	e := verdict.Request(err, http.StatusInternalServerError)
 	header := c.Writer.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(verdict.Header, e.Verdict.String())
 	if e.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds(e.RetryAfter)))
+		header.Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds()))
 	}
 	c.Writer.WriteHeader(e.Status)
 	_ = json.NewEncoder(c.Writer).Encode(ErrorBody{
@@ -116,8 +113,3 @@
 		"code": string(e.Code), "verdict": e.Verdict.String(), "status": e.Status,
 	}).Info(e.Error())
 }
-
-// retryAfterSeconds rounds up, since the header has whole seconds.
-func retryAfterSeconds(d time.Duration) int {
-	return int((d + time.Second - 1) / time.Second)
-}
--- a/internal/fake/site.go
+++ b/internal/fake/site.go
@@ -49,7 +49,7 @@
 	for n := range s.Workers {
 		address := fmt.Sprintf("%s:%d", host, port+1+n)
 		fleet.Add(address, sitePool, siteCapacity)
-		if err := listen(address, FleetWorkers{fleet}.Handler(address)); err != nil {
+		if err := Listen(address, FleetWorkers{fleet}.Handler(address)); err != nil {
 			return err
 		}
 		rows.Put("servers", "", address, encodeWire(map[string]any{
@@ -61,7 +61,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", rows.Handler())
 	mux.HandleFunc("GET /breaches", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, fleet.Breaches()) })
-	return listen(s.StoreAddress, mux)
+	return Listen(s.StoreAddress, mux)
 }
 
 func splitAddress(address string) (host string, port int, err error) {
@@ -80,14 +80,15 @@
 	return encoded
 }
 
-const siteHeaderTimeout = 5 * time.Second
+const readHeaderTimeout = 5 * time.Second
 
-func listen(address string, h http.Handler) error {
+// Listen serves a stand-in at an address for as long as the process runs.
+func Listen(address string, h http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: siteHeaderTimeout}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = server.Serve(listener) }() // ends with the process
 	return nil
 }
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -12,9 +12,7 @@
 
 import (
 	"context"
-	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,10 +28,10 @@
 // Options are what a Handler is made of.
 type Options struct {
 	Jobs port.Jobs
-	// Queues returns the names of the queues in force; ok is false while they
-	// are not known.
-	Queues func() (names []string, ok bool)
-	Log    log.Interface
+	// HasQueue reports whether a queue is in force; ready is false while that is
+	// not known.
+	HasQueue func(name string) (exists, ready bool)
+	Log      log.Interface
 	// Wall is the time of day.
 	Wall func() time.Time
 }
@@ -72,7 +70,7 @@
 	h := &handler{o}
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
-	queue := engine.Group("/v1/queues/:queue", h.checkQueue)
+	queue := engine.Group("/v1/queues/:queue", bound, h.checkQueue)
 	queue.GET("", h.pending)
 	queue.PUT("/jobs/:id", h.submit)
 	queue.GET("/jobs/:id", h.state)
@@ -80,19 +78,23 @@
 	return engine
 }
 
+// bound limits the time of a request.
+func bound(c *gin.Context) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
+	defer cancel()
+	c.Request = c.Request.WithContext(ctx)
+	c.Next()
+}
+
 // checkQueue refuses requests for queues that are not in force.
 func (h *handler) checkQueue(c *gin.Context) {
-	names, ok := h.Queues()
-	if !ok {
+	exists, ready := h.HasQueue(c.Param("queue"))
+	switch {
+	case !ready:
 		h.fail(c, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, unreadyRetry, "the configuration is not known yet"))
-		return
-	}
-	for _, name := range names {
-		if name == c.Param("queue") {
-			return
-		}
+	case !exists:
+		h.fail(c, verdict.Refuse(verdict.CodeNotFound, http.StatusNotFound, 0, "queue %q does not exist", c.Param("queue")))
 	}
-	h.fail(c, verdict.Refuse(verdict.CodeNotFound, http.StatusNotFound, 0, "queue %q does not exist", c.Param("queue")))
 }
 
 func (h *handler) submit(c *gin.Context) {
@@ -110,54 +112,39 @@
 		h.fail(c, verdict.Refuse(verdict.CodeBadRequest, http.StatusBadRequest, 0, "%v", err))
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
-	defer cancel()
-	if err := h.Jobs.Submit(ctx, spec); err != nil {
-		h.fail(c, err)
-		return
-	}
-	c.JSON(http.StatusOK, StateReply{job.Queued})
+	h.answer(c, h.Jobs.Submit(c.Request.Context(), spec), StateReply{job.Queued})
 }
 
 func (h *handler) state(c *gin.Context) {
-	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
-	defer cancel()
-	state, err := h.Jobs.State(ctx, c.Param("id"))
-	if err != nil {
-		h.fail(c, err)
-		return
-	}
-	c.JSON(http.StatusOK, StateReply{state})
+	state, err := h.Jobs.State(c.Request.Context(), c.Param("id"))
+	h.answer(c, err, StateReply{state})
 }
 
 func (h *handler) cancel(c *gin.Context) {
-	ctx, cancel := context.WithTimeout(c.Request.Context(), requestTimeout)
-	defer cancel()
-	if err := h.Jobs.Cancel(ctx, c.Param("id")); err != nil {
-		h.fail(c, err)
-		return
-	}
-	c.JSON(http.StatusOK, StateReply{job.Cancelled})
+	err := h.Jobs.Cancel(c.Request.Context(), c.Param("id"))
+	h.answer(c, err, StateReply{job.Cancelled})
 }
 
 func (h *handler) pending(c *gin.Context) {
 	n, err := h.Jobs.Pending(c.Param("queue"))
+	h.answer(c, err, PendingReply{n})
+}
+
+// answer writes the outcome of an operation.
+func (h *handler) answer(c *gin.Context, err error, body any) {
 	if err != nil {
 		h.fail(c, err)
 		return
 	}
-	c.JSON(http.StatusOK, PendingReply{n})
+	c.JSON(http.StatusOK, body)
 }
 
 // fail writes an error and ends the request.
 func (h *handler) fail(c *gin.Context, err error) {
-	var e *verdict.RequestError
-	if !errors.As(err, &e) {
-		e = &verdict.RequestError{Code: verdict.CodeInternal, Message: "internal error", Status: http.StatusInternalServerError, Err: err}
-	}
+	e := verdict.Request(err, http.StatusInternalServerError)
 	h.Log.WithFields(log.Fields{"event": "request_refused", "code": e.Code, "status": e.Status, "path": c.FullPath()}).WithError(e).Info("job interface")
 	if e.RetryAfter > 0 {
-		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+		c.Header("Retry-After", strconv.Itoa(e.RetryAfterSeconds()))
 	}
 	c.Header(verdict.Header, e.Verdict.String())
 	c.AbortWithStatusJSON(e.Status, ErrorReply{e.Code, e.Message, e.Verdict.String()})
--- a/internal/jobapi/jobapi_test.go
+++ b/internal/jobapi/jobapi_test.go
@@ -49,7 +49,7 @@
 
 func serve(jobs port.Jobs, ready bool) http.Handler {
 	return New(Options{
-		Jobs: jobs, Queues: func() ([]string, bool) { return []string{"scans"}, ready },
+		Jobs: jobs, HasQueue: func(name string) (bool, bool) { return name == "scans", ready },
 		Log: &log.Logger{Handler: discard.New()}, Wall: func() time.Time { return time.UnixMilli(5) },
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -166,16 +167,11 @@
 	go d.peers.Serve()
 	go d.loop.Run()
 	d.cell.Start()
-	d.callers = &http.Server{
-		Handler:           &platform.Ingress{Jobs: d.cell, Situation: d.situation, Log: d.log, Wall: time.Now, Advisor: d.settings.AdvisorAddress != ""},
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-	d.ready = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
-	d.metrics = &http.Server{Handler: metricsHandler(d.registry), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
-	d.jobs = &http.Server{
-		Handler:           jobapi.New(jobapi.Options{Jobs: d.cell, Queues: d.queues, Log: d.log, Wall: time.Now}),
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
-	}
+	d.callers = newServer(&platform.Ingress{Jobs: d.cell, Situation: d.situation, Log: d.log, Wall: time.Now, Advisor: d.settings.AdvisorAddress != ""})
+	d.callers.MaxHeaderBytes = maxHeaderBytes
+	d.ready = newServer(http.HandlerFunc(d.serveReady))
+	d.metrics = newServer(metricsHandler(d.registry))
+	d.jobs = newServer(jobapi.New(jobapi.Options{Jobs: d.cell, HasQueue: d.hasQueue, Log: d.log, Wall: time.Now}))
 	d.reloadOnHangup()
 	return errors.Join(
 		d.serve(d.callers, d.settings.CallerAddress),
@@ -185,6 +181,10 @@
 	)
 }
 
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+}
+
 func (d *daemon) serve(server *http.Server, address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -204,16 +204,13 @@
 	return platform.Situation{Config: v.Config, Fresh: d.fresh(v), Closing: d.closing.Load()}
 }
 
-// queues returns the names of the queues in force.
-func (d *daemon) queues() (names []string, ok bool) {
+// hasQueue reports whether a queue is in force, if that is known.
+func (d *daemon) hasQueue(name string) (exists, ready bool) {
 	v := d.cell.View()
 	if !d.fresh(v) {
-		return nil, false
-	}
-	for _, r := range v.Config.Routes {
-		names = append(names, r.Queue.Name)
+		return false, false
 	}
-	return names, true
+	return slices.ContainsFunc(v.Config.Routes, func(r port.Route) bool { return r.Queue.Name == name }), true
 }
 
 // fresh reports whether the configuration may be relied on.
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -73,18 +73,22 @@
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
 }
 
-// ScanAll returns all rows of a table's partition, page by page.
-func ScanAll(ctx context.Context, store Store, table, partition string) ([]Row, error) {
-	var rows []Row
+// ScanAll reads a table's partition, page by page. The version is that of its
+// first page: changes after it may be missing from the rows.
+func ScanAll(ctx context.Context, store Store, table, partition string) (Page, error) {
+	whole := Page{}
 	from := ""
 	for {
 		page, err := store.Range(ctx, table, partition, from, "", 0)
 		if err != nil {
-			return nil, err
+			return whole, err
 		}
-		rows = append(rows, page.Rows...)
+		if whole.Version == 0 {
+			whole.Version = page.Version
+		}
+		whole.Rows = append(whole.Rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
-			return rows, nil
+			return whole, nil
 		}
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -59,6 +59,12 @@
 	return fmt.Sprintf("%s: %s (%s): %v", e.Code, e.Message, e.Verdict, e.Err)
 }
 
+// RetryAfterSeconds returns RetryAfter in the whole seconds of the HTTP header,
+// rounded up.
+func (e *RequestError) RetryAfterSeconds() int {
+	return int((e.RetryAfter + time.Second - 1) / time.Second)
+}
+
 // Unwrap returns the cause.
 func (e *RequestError) Unwrap() error { return e.Err }
 
@@ -73,6 +79,16 @@
 	}
 }
 
+// Request returns the RequestError that err carries, or else one for a fault of
+// ours with an HTTP status, whose cause callers are not told.
+func Request(err error, status int) *RequestError {
+	var e *RequestError
+	if errors.As(err, &e) {
+		return e
+	}
+	return &RequestError{Code: CodeInternal, Message: "internal error", Status: status, Err: err}
+}
+
 // Of returns the verdict carried by err, or MayHaveRun if err carries none.
 func Of(err error) Verdict {
 	var e *RequestError
