--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -48,6 +49,12 @@
 	// storeUnreachable and workersUnreachable make the daemon's calls to the store or
 	// to the workers time out; isolated does so for these and all calls between daemons.
 	storeUnreachable, workersUnreachable, isolated atomic.Bool
+	// scanDelay is the duration of each read of a table other than the owner's row, in
+	// nanoseconds.
+	scanDelay atomic.Int64
+	// acquireBusy is how long the control loop is busy after each acquisition of the
+	// cell, in nanoseconds, and acquired the epoch of the last acquisition.
+	acquireBusy, acquired atomic.Int64
 }
 
 func newCluster(t *testing.T, seed uint64, daemons, workers int, work func(task string) time.Duration, fails func(string, int) bool) *cluster {
@@ -293,14 +300,39 @@
 		return 0, err
 	}
 	time.Sleep(4 * time.Millisecond)
-	return s.Store.Commit(ctx, txn)
+	version, err := s.Store.Commit(ctx, txn)
+	if err == nil {
+		s.d.simulateRestore(txn)
+	}
+	return version, err
+}
+
+// simulateRestore keeps the control loop busy if the transaction has acquired the
+// cell, as the processing of the recovery data does on a small VM.
+func (d *daemon) simulateRestore(txn port.Txn) {
+	busy := time.Duration(d.acquireBusy.Load())
+	for _, put := range txn.Puts {
+		var record ownerRecord
+		if busy == 0 || put.Table != tableOwners || json.Unmarshal(put.Value, &record) != nil {
+			continue
+		}
+		if d.acquired.Swap(record.Epoch) != record.Epoch {
+			time.AfterFunc(time.Millisecond, func() { d.loop.Post(func() { time.Sleep(busy) }) })
+		}
+	}
 }
 
 func (s daemonStore) Range(ctx context.Context, table, partition, from, to string, limit int) (port.Page, error) {
 	if err := s.blockIfUnreachable(ctx, "range"); err != nil {
 		return port.Page{}, err
 	}
-	time.Sleep(4 * time.Millisecond)
+	delay := 4 * time.Millisecond
+	if table != tableOwners {
+		delay += time.Duration(s.d.scanDelay.Load())
+	}
+	if err := sleep(ctx, delay); err != nil {
+		return port.Page{}, &port.UnansweredError{Op: "range", Err: err}
+	}
 	return s.Store.Range(ctx, table, partition, from, to, limit)
 }
 
--- /dev/null
+++ b/internal/cell/recovery_test.go
@@ -0,0 +1,111 @@
+package cell
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// oversized returns a job of one task that fits on no worker and so keeps waiting.
+func (cl *cluster) oversized() job.Spec {
+	spec := cl.spec(1)
+	spec.Steps = spec.Steps[:1]
+	spec.Steps[0].Resources.MilliCPU = 1_000_000
+	return spec
+}
+
+// setScanDelay sets the duration of each daemon's reads of the recovery data.
+func (cl *cluster) setScanDelay(d time.Duration) {
+	for _, name := range cl.names() {
+		cl.daemons[name].scanDelay.Store(int64(d))
+	}
+}
+
+// Guards against MIXED: a new owner that had not read the jobs yet reported that none
+// was waiting.
+func TestNewOwnerReportsNoDepthsBeforeItHasReadTheJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 120, 3, 2, halfSecond, nil)
+		defer cl.stopAll()
+		first := cl.awaitOwner()
+		const waiting = 4
+		for range waiting {
+			cl.submit(first, cl.oversized())
+		}
+		time.Sleep(time.Second)
+		cl.setScanDelay(800 * time.Millisecond)
+		cl.kill(first)
+		confirmed := false
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, name := range cl.names() {
+				n, err := cl.daemons[name].cell.Pending("batch")
+				confirmed = err == nil
+				is.True(err != nil || n == waiting) // no depth, or the right one
+			}
+		}
+		is.True(confirmed)
+	})
+}
+
+// Guards against SHORT: an owner whose recovery took longer than its followers wait
+// for a commit was replaced before it had recovered, and so was each of its successors.
+func TestSlowRecoveryIsNotInterrupted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 121, 3, 2, halfSecond, nil)
+		defer cl.stopAll()
+		first := cl.awaitOwner()
+		cl.setScanDelay(4500 * time.Millisecond)
+		cl.kill(first)
+		id := cl.submitElsewhere(first)
+		cl.awaitState(id, job.Completed, 15*time.Second)
+		cl.check()
+	})
+}
+
+// Guards against SHORT: owners that restore the recovery data for longer than the
+// takeover timeout replace each other without end.
+func TestTakeoversEndThoughNoDaemonRecoversInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 122, 4, 2, halfSecond, nil)
+		defer cl.stopAll()
+		first := cl.awaitOwner()
+		for _, name := range cl.names() {
+			cl.daemons[name].acquireBusy.Store(int64(4 * time.Second))
+		}
+		cl.kill(first)
+		id := cl.submitElsewhere(first)
+		cl.awaitState(id, job.Completed, 40*time.Second)
+		cl.check()
+	})
+}
+
+// Guards against SHORT: the cell was acquired by a daemon that is too small to own it
+// while larger ones were available.
+func TestLargestAvailableDaemonOwnsTheCell(t *testing.T) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			cl := newCluster(t, 123+seed, 6, 2, halfSecond, nil)
+			defer cl.stopAll()
+			large := []string{"d0", "d1"}
+			time.Sleep(10 * time.Second)
+			first := cl.awaitOwner()
+			is.True(slices.Contains(large, first)) // also after a start at which a small daemon was first
+			cl.kill(first)
+			time.Sleep(6 * time.Second)
+			is.True(slices.Contains(large, cl.awaitOwner()))
+			for _, name := range large {
+				cl.kill(name)
+			}
+			time.Sleep(6 * time.Second)
+			is.True(cl.owner() != "") // a small daemon owns it if there is no other
+		})
+	}
+}
