Report queue depths only after the stored jobs have been read

Cause: an owner published the depths of its engine, and confirmed them as of now, from the moment of its acquisition. The engine is empty until the recovery data has been read, which took 0.8 to 1.9 s on small daemons; followers repeated the zeros for another second. A loaded owner that could no longer read the store confirmed its depths as of now, too, although it missed the jobs that others had stored meanwhile. Change: an owner confirms states and depths only when it is loaded, and dates the depths by its last complete read of the stored jobs. Its replies carry that age and say whether it is still loading. A depth older than 2 s is refused, as before its first confirmation.

--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -43,7 +43,7 @@
 		}
 		cursor.inFlight, cursor.polledAt = true, now
 		if cursor.rescan {
-			t.rescan(table, cursor)
+			t.rescan(table, cursor, now)
 			continue
 		}
 		runAsync(t, storeTimeout, func(ctx context.Context) (port.Page, error) {
@@ -58,15 +58,14 @@
 				cursor.polledAt = time.Time{}
 			}
 			if err == nil {
-				cursor.version = max(cursor.version, page.Version)
-				t.applyRows(table, page.Rows)
+				t.applyChanges(table, cursor, page, now)
 			}
 		})
 	}
 }
 
 // rescan reads a whole table after the store has compacted its changes.
-func (t *term) rescan(table string, cursor *changeCursor) {
+func (t *term) rescan(table string, cursor *changeCursor, began time.Time) {
 	runAsync(t, 2*storeTimeout, func(ctx context.Context) (port.Page, error) {
 		return t.c.scanJobs(ctx, table)
 	}, func(page port.Page, err error) {
@@ -74,12 +73,20 @@
 		t.c.recordStoreResult(err, t.c.Now())
 		if err == nil {
 			cursor.rescan = false
-			cursor.version = max(cursor.version, page.Version)
-			t.applyRows(table, page.Rows)
+			t.applyChanges(table, cursor, page, began)
 		}
 	})
 }
 
+// applyChanges applies the rows of a read that began at a time.
+func (t *term) applyChanges(table string, cursor *changeCursor, page port.Page, began time.Time) {
+	cursor.version = max(cursor.version, page.Version)
+	t.applyRows(table, page.Rows)
+	if table == tableJobs {
+		t.jobsReadAt = began
+	}
+}
+
 // applyRows adds the jobs or cancellations of rows.
 func (t *term) applyRows(table string, rows []port.Row) {
 	now := t.c.Now()
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -102,18 +102,25 @@
 	for _, change := range reply.GetChanges() {
 		c.jobStates.set(change.GetId(), job.State(change.GetState()), now)
 	}
+	// The owner computed the ages after the request was sent. Subtracting them from
+	// the time of sending makes the configuration and the depths look older than
+	// they are, but never newer.
+	if !reply.GetLoading() {
+		c.jobStates.confirm(now, depthsByQueue(reply), l.sentAt.Add(-milliseconds(reply.GetDepthsAgeMs())))
+	}
+	c.receiveConfig(reply.GetConfig(), l.sentAt.Add(-milliseconds(reply.GetConfig().GetAgeMs())))
+	c.publish()
+	c.follow(now)
+}
+
+func milliseconds(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func depthsByQueue(reply *peerpb.FollowReply) map[string]int {
 	depths := map[string]int{}
 	for _, d := range reply.GetDepths() {
 		depths[d.GetQueue()] = int(d.GetPending())
 	}
-	c.jobStates.refresh(depths, now)
-	// The owner computed the age after the request was sent. Subtracting it from
-	// the time of sending makes the configuration look older than it is, but never
-	// newer.
-	age := time.Duration(reply.GetConfig().GetAgeMs()) * time.Millisecond
-	c.receiveConfig(reply.GetConfig(), l.sentAt.Add(-age))
-	c.publish()
-	c.follow(now)
+	return depths
 }
 
 // Handle handles a request of another daemon. It is safe for concurrent use.
@@ -170,9 +177,14 @@
 		}
 		owner = true
 		reply.Config = c.configState(req.GetConfig().GetVersion(), req.GetWantConfig())
-		reply.CommitAgeMs = uint64(max(0, c.Now().Sub(t.committedAt).Milliseconds()))
-		for queue, n := range t.depths() {
-			reply.Depths = append(reply.Depths, &peerpb.QueueDepth{Queue: queue, Pending: uint32(n)})
+		now := c.Now()
+		reply.CommitAgeMs = uint64(max(0, now.Sub(t.committedAt).Milliseconds()))
+		reply.Loading = !t.loaded
+		if t.loaded {
+			reply.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
+			for queue, n := range t.depths() {
+				reply.Depths = append(reply.Depths, &peerpb.QueueDepth{Queue: queue, Pending: uint32(n)})
+			}
 		}
 		reply.Changes, reply.Sequence, _ = c.jobStates.changesAfter(req.GetAfter(), first)
 	})
--- a/internal/cell/jobstates.go
+++ b/internal/cell/jobstates.go
@@ -27,8 +27,9 @@
 	mu     sync.Mutex
 	states map[string]cachedState
 	depths map[string]int
-	// confirmedAt is when the owner last confirmed the depths and the states that
-	// are not final.
+	// depthsAt is the time as of which the depths count every stored job.
+	depthsAt time.Time
+	// confirmedAt is when the owner last confirmed the states that are not final.
 	confirmedAt time.Time
 
 	// The changes in order, for followers; used on the owner only.
@@ -53,7 +54,7 @@
 			delete(cache.states, id)
 		}
 	}
-	cache.confirmedAt = time.Time{}
+	cache.confirmedAt, cache.depthsAt = time.Time{}, time.Time{}
 	cache.changes = nil
 	close(cache.changed)
 	cache.changed = make(chan struct{})
@@ -119,12 +120,12 @@
 	return all, cache.sequence, cache.changed
 }
 
-// refresh records the depths of the owner's queues and the time at which the owner
-// confirmed the states that are not final.
-func (cache *jobStateCache) refresh(depths map[string]int, now time.Time) {
+// confirm records that the owner confirmed the states that are not final now, and
+// the depths of its queues. The depths count every job that was stored at depthsAt.
+func (cache *jobStateCache) confirm(now time.Time, depths map[string]int, depthsAt time.Time) {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
-	cache.depths, cache.confirmedAt = depths, now
+	cache.confirmedAt, cache.depths, cache.depthsAt = now, depths, depthsAt
 }
 
 // state returns a job's last known state and whether it is valid. Final states are
@@ -141,12 +142,15 @@
 func (cache *jobStateCache) depth(queue string, now time.Time) (int, bool) {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
-	return cache.depths[queue], now.Sub(cache.confirmedAt) < confirmationTTL
+	return cache.depths[queue], now.Sub(cache.depthsAt) < depthTTL
 }
 
-// confirmationTTL is the maximum age of the owner's confirmation. A reported queue
-// depth may be 2 s old, half of which is left for transmission.
-const confirmationTTL = time.Second
+const (
+	// confirmationTTL is the maximum age of the owner's confirmation of a state.
+	confirmationTTL = time.Second
+	// depthTTL is the maximum age of a queue's depth, set by the platform.
+	depthTTL = 2 * time.Second
+)
 
 // prune drops states that were recorded more than stateRetention ago.
 func (cache *jobStateCache) prune(now time.Time) {
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -38,6 +38,7 @@
 			}, func(struct{}, error) { t.recover() })
 			return
 		}
+		t.jobsReadAt = began
 		t.restore(data, now)
 		t.log.WithFields(log.Fields{"event": "recovery_read", "jobs": len(t.engine.Jobs()), "workers": len(data.workers),
 			"took_ms": now.Sub(began).Milliseconds()}).Info("state of former owners restored")
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -53,7 +53,9 @@
 	directoryPolledAt     time.Time
 	directoryReadInFlight bool
 	changes               map[string]*changeCursor
-	prunedAt              time.Time
+	// jobsReadAt is the start of the last successful read of the stored jobs.
+	jobsReadAt time.Time
+	prunedAt   time.Time
 }
 
 func newTerm(c *Cell, record ownerRecord, version int64, now time.Time) *term {
@@ -125,7 +127,9 @@
 		t.prunedAt = now
 		t.c.jobStates.prune(now)
 	}
-	t.c.jobStates.refresh(t.depths(), now)
+	if t.loaded {
+		t.c.jobStates.confirm(now, t.depths(), t.jobsReadAt)
+	}
 	t.plan()
 }
 
