Renew the ownership while the recovery data is read

What callers saw: too little was served (SHORT) after a takeover by a small daemon. Cause: a new owner committed nothing until it had read the state of former owners, so followers replaced it 2.5 s after its acquisition, however far it was. The read as a whole had a timeout of 4 s and started anew when it expired, so that a daemon that needs longer never finished. Change: an owner renews its row from the start. Each table is read and retried on its own, with a timeout that doubles when an attempt times out. An owner that has not read everything after 12 s releases the cell and leaves it to other daemons for 5 s. A cell may now be released during its recovery, also by a daemon that shuts down.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -105,6 +105,7 @@
 	ownerReadAt        time.Time // start of the last successful read
 	acquiring          bool
 	acquireAt          time.Time // when to acquire the cell; zero if no acquisition is scheduled
+	acquireNotBefore   time.Time // until then, the cell is left to other daemons
 	storeRoundTrip     time.Duration
 
 	term *term // nil unless this daemon is the owner
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -78,7 +78,8 @@
 	t.urgent = true
 }
 
-// commitIfDue commits the changes, or renews the ownership, if that is due.
+// commitIfDue commits the changes, or renews the ownership, if that is due. Before
+// the term is loaded there are no changes.
 func (t *term) commitIfDue(now time.Time) {
 	since := now.Sub(t.triedAt)
 	interval := renewInterval
@@ -90,7 +91,7 @@
 	case len(t.dirty) > 0:
 		interval = batchCommitDelay
 	}
-	if t.committing || !t.loaded || since < interval || t.releasing {
+	if t.committing || since < interval || t.releasing {
 		return
 	}
 	t.commit(now, false)
@@ -183,7 +184,7 @@
 
 // putLearned adds the learned data of images to a batch, if that is due.
 func (t *term) putLearned(b *batch, now time.Time) {
-	if now.Sub(t.learnedAt) < learnedInterval {
+	if !t.loaded || now.Sub(t.learnedAt) < learnedInterval {
 		return
 	}
 	t.learnedAt = now
@@ -289,9 +290,9 @@
 	t.triedAt = time.Time{}
 }
 
-// release sends a last commit that releases the cell, for a graceful shutdown.
+// release sends a last commit that releases the cell to another daemon.
 func (t *term) release(now time.Time) {
-	if t.committing || !t.loaded {
+	if t.committing {
 		return
 	}
 	t.releasing = true
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -20,22 +20,33 @@
 	workers                                    []port.WorkerEntry
 }
 
-// recoverRetryDelay is the delay before a failed read of the recovery data is
-// retried.
-const recoverRetryDelay = 100 * time.Millisecond
+// Timeouts and delays of the recovery.
+const (
+	// recoveryReadTimeout is the timeout of the first attempt to read a table. Each
+	// attempt that times out doubles it, because the table may be large and the link
+	// to the store slow.
+	recoveryReadTimeout = 3 * time.Second
+	// recoveryTimeout is how long an owner may take to read the recovery data before
+	// it releases the cell, so that another daemon can try.
+	recoveryTimeout = 12 * time.Second
+	// recoverRetryDelay is the delay before a failed read is retried.
+	recoverRetryDelay = 100 * time.Millisecond
+	// abandonBackoff is how long a daemon that could not read the recovery data
+	// leaves the cell to other daemons.
+	abandonBackoff = 5 * time.Second
+)
 
 // recover reads the state of former owners, and then requests a listing from
 // every worker with the new epoch, which fences the former owner.
 func (t *term) recover() {
 	began := t.c.Now()
-	runAsync(t, 4*storeTimeout, t.readRecoveryData, func(data recoveryData, err error) {
+	runAsync(t, recoveryTimeout, t.readRecoveryData, func(data recoveryData, err error) {
 		now := t.c.Now()
 		t.c.recordStoreResult(err, now)
 		if err != nil {
-			t.log.WithField("event", "recovery_read_failed").WithError(err).Warn("cannot read the state of former owners; retrying")
-			runAsync(t, storeTimeout, func(ctx context.Context) (struct{}, error) {
-				return struct{}{}, sleep(ctx, recoverRetryDelay)
-			}, func(struct{}, error) { t.recover() })
+			t.log.WithField("event", "recovery_abandoned").WithError(err).Warn("cannot read the state of former owners; releasing the cell")
+			t.abandoned = true
+			t.c.acquireNotBefore = now.Add(abandonBackoff)
 			return
 		}
 		t.jobsReadAt = began
@@ -61,22 +72,21 @@
 // job's end, because the owner's row has changed.
 func (t *term) readRecoveryData(ctx context.Context) (recoveryData, error) {
 	var data recoveryData
+	scan := func(table string) func(context.Context) (port.Page, error) {
+		return func(ctx context.Context) (port.Page, error) {
+			return port.ScanAll(ctx, t.c.Store, table, t.c.Partition)
+		}
+	}
+	scanJobs := func(table string) func(context.Context) (port.Page, error) {
+		return func(ctx context.Context) (port.Page, error) { return t.c.scanJobs(ctx, table) }
+	}
 	reads := []func() error{
-		func() (err error) { data.jobs, err = t.c.scanJobs(ctx, tableJobs); return err },
-		func() (err error) { data.cancels, err = t.c.scanJobs(ctx, tableCancels); return err },
-		func() (err error) {
-			data.progress, err = port.ScanAll(ctx, t.c.Store, tableProgress, t.c.Partition)
-			return err
-		},
-		func() (err error) {
-			data.outcomes, err = port.ScanAll(ctx, t.c.Store, tableOutcomes, t.c.Partition)
-			return err
-		},
-		func() (err error) {
-			data.learned, err = port.ScanAll(ctx, t.c.Store, tableLearned, t.c.Partition)
-			return err
-		},
-		func() (err error) { data.workers, err = t.c.Directory.List(ctx); return err },
+		readInto(ctx, t, tableJobs, &data.jobs, scanJobs(tableJobs)),
+		readInto(ctx, t, tableCancels, &data.cancels, scanJobs(tableCancels)),
+		readInto(ctx, t, tableProgress, &data.progress, scan(tableProgress)),
+		readInto(ctx, t, tableOutcomes, &data.outcomes, scan(tableOutcomes)),
+		readInto(ctx, t, tableLearned, &data.learned, scan(tableLearned)),
+		readInto(ctx, t, "workers", &data.workers, t.c.Directory.List),
 	}
 	errs := make([]error, len(reads))
 	var wg sync.WaitGroup
@@ -87,6 +97,31 @@
 	return data, errors.Join(errs...)
 }
 
+// readInto returns a function that reads a table into dst and retries the read until
+// ctx ends.
+func readInto[T any](ctx context.Context, t *term, table string, dst *T, read func(context.Context) (T, error)) func() error {
+	return func() error {
+		timeout := recoveryReadTimeout
+		for {
+			attempt, cancel := context.WithTimeout(ctx, timeout)
+			result, err := read(attempt)
+			timedOut := attempt.Err() != nil
+			cancel()
+			if err == nil {
+				*dst = result
+				return nil
+			}
+			t.log.WithFields(log.Fields{"event": "recovery_read_failed", "table": table}).WithError(err).Warn("cannot read the state of former owners; retrying")
+			if timedOut {
+				timeout *= 2
+			}
+			if sleep(ctx, recoverRetryDelay) != nil {
+				return err
+			}
+		}
+	}
+}
+
 // restore initialises the engine from the state of former owners.
 func (t *term) restore(data recoveryData, now time.Time) {
 	t.engine.SetWorkers(data.workers, now)
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -61,7 +61,7 @@
 	if !c.ownerReadInFlight && now.Sub(c.ownerReadTriedAt) >= poll {
 		c.readOwner(now)
 	}
-	if c.stopping || !c.needsOwner(now) {
+	if c.stopping || now.Before(c.acquireNotBefore) || !c.needsOwner(now) {
 		c.acquireAt = time.Time{}
 		return
 	}
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -28,6 +28,7 @@
 	recovered bool // every worker has answered in this epoch, or can no longer run tasks
 	ended     bool
 	releasing bool
+	abandoned bool // the state of former owners cannot be read; the cell is to be released
 	// unconfirmed is set after a stall or a loss of contact, until a commit
 	// confirms that this daemon still owns the cell. While it is set, no tasks are
 	// planned and no listings are requested.
@@ -116,6 +117,9 @@
 // tick runs the owner's periodic work.
 func (t *term) tick(now time.Time) {
 	t.checkOwnershipConfirmed(now)
+	if t.abandoned && now.Sub(t.triedAt) >= commitRetryDelay {
+		t.release(now)
+	}
 	if t.loaded && !t.releasing {
 		t.pollDirectory(now)
 		t.pollChanges(now)
