Double the takeover timeout after a term that did not become stable

What callers saw: too little was served (SHORT): 27 owners followed each other in one minute, and none completed its recovery. Cause: an owner that does not answer is replaced 1.5 s after its last commit. A small daemon is busy with the recovery data and with the first conversation with all workers for longer than that, so it was replaced, and its successor met the same timeout. The timeout of the failure detector was shorter than the recovery that it interrupted. Change: the owner's row counts the terms that ended early, and each doubles the timeout for an unresponsive owner, up to 6 s. A term that lasts 10 s after its recovery resets the count. An owner that refuses a poll, or at whose address no daemon listens, is still replaced after 1.5 s. Evidence: TestTakeoversEndThoughNoDaemonRecoversInTime, with owners that are busy for 4 s, failed after 40 s and passes. Its harness now times out a call whose response arrives late, as a connection does; the test fails without the change with that, too.

--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -275,6 +275,9 @@
 		return nil, ctx.Err()
 	}
 	resp := to.cell.Handle(ctx, req)
+	if ctx.Err() != nil {
+		return nil, ctx.Err() // the response arrives too late
+	}
 	if resp.GetRefusal() != nil {
 		return nil, errors.New(resp.GetRefusal().GetReason())
 	}
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -153,6 +153,9 @@
 	b.record = t.record
 	b.record.Sequence++
 	b.record.Released = release && b.complete
+	if t.stable(t.c.Now()) {
+		b.record.Backoff = 0
+	}
 	owner := ownerTxn(t.c.Partition, t.version, b.record)
 	b.txn.Partition, b.txn.Checks = owner.Partition, owner.Checks
 	b.txn.Puts = append(b.txn.Puts, owner.Puts...)
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -40,6 +41,9 @@
 	// ownerConfigVersion is the version of the owner's configuration at its last
 	// reply.
 	ownerConfigVersion int64
+	// refused is set if the last poll was refused: the daemon at the owner's address
+	// does not own the cell, or no daemon listens there.
+	refused bool
 	// ownerCommitStale is set while the owner's last commit is older than
 	// staleCommitAfter.
 	ownerCommitStale bool
@@ -85,14 +89,14 @@
 		if l.healthy(now) {
 			c.Log.WithFields(log.Fields{"event": "owner_silent", "owner": c.owner.Name, "epoch": c.owner.Epoch}).WithError(err).Warn("no reply from the owner")
 		}
-		l.lastReply = time.Time{}
+		l.lastReply, l.refused = time.Time{}, err != nil && !isTimeout(err)
 		c.ownerReadTriedAt = time.Time{} // read the row at once: there may be a new owner
 		return
 	}
 	if reply.GetEpoch() != l.epoch {
 		c.jobStates.reset()
 	}
-	l.lastReply, l.epoch, l.sequence = now, reply.GetEpoch(), reply.GetSequence()
+	l.lastReply, l.epoch, l.sequence, l.refused = now, reply.GetEpoch(), reply.GetSequence(), false
 	l.ownerCommitStale = reply.GetCommitAgeMs() > uint64(staleCommitAfter.Milliseconds())
 	if l.ownerConfigVersion = reply.GetConfig().GetVersion(); l.ownerConfigVersion > c.configVersion() {
 		// Reading the small row shows sooner than reading a configuration whether
@@ -113,6 +117,12 @@
 	c.follow(now)
 }
 
+// isTimeout reports whether a call has failed because no response arrived in time.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func milliseconds(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 func depthsByQueue(reply *peerpb.FollowReply) map[string]int {
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -24,6 +24,9 @@
 	Sequence int64 `json:"beat"`
 	// Released is set when the owner has released the cell.
 	Released bool `json:"released,omitempty"`
+	// Backoff is the number of times that the takeover timeouts are doubled, because
+	// owners were replaced before their terms were stable.
+	Backoff int `json:"backoff,omitempty"`
 }
 
 // Intervals and timeouts of a takeover. The owner renews its row every
@@ -36,7 +39,12 @@
 	// reachableStaleAfter replaces staleAfter while the owner is reachable but
 	// cannot commit.
 	reachableStaleAfter = 2500 * time.Millisecond
-	ownerPoll           = 200 * time.Millisecond
+	// maxTakeoverBackoff limits the doublings of staleAfter to 6 s, about half of the
+	// time within which an installation must recover.
+	maxTakeoverBackoff = 2
+	// stableTermAfter is the age from which a recovered owner's term is stable.
+	stableTermAfter = 10 * time.Second
+	ownerPoll       = 200 * time.Millisecond
 	// healthyOwnerPoll replaces ownerPoll while the owner replies to polls.
 	healthyOwnerPoll = 3 * time.Second
 	// acquireJitter bounds the random delay that keeps daemons from acquiring the
@@ -90,7 +98,20 @@
 	if c.link.healthy(now) {
 		return c.link.ownerCommitStale && unchanged >= reachableStaleAfter
 	}
-	return unchanged >= staleAfter
+	if c.link.refused {
+		return unchanged >= staleAfter
+	}
+	return unchanged >= staleAfter<<c.owner.Backoff
+}
+
+// nextBackoff returns the backoff of the takeover timeouts after a takeover from an
+// owner. Owners that are replaced one after the other are probably too slow for the
+// timeouts, so that their successors need more time.
+func nextBackoff(previous ownerRecord) int {
+	if previous.Epoch == 0 || previous.Released {
+		return previous.Backoff
+	}
+	return min(previous.Backoff+1, maxTakeoverBackoff)
 }
 
 func (c *Cell) readOwner(now time.Time) {
@@ -146,7 +167,7 @@
 func (c *Cell) acquire() {
 	c.acquiring = true
 	previous := c.owner
-	record := ownerRecord{Epoch: previous.Epoch + 1, Name: c.Self.Name, Boot: c.Self.Boot, Address: c.Self.Address, Sequence: previous.Sequence + 1}
+	record := ownerRecord{Epoch: previous.Epoch + 1, Name: c.Self.Name, Boot: c.Self.Boot, Address: c.Self.Address, Sequence: previous.Sequence + 1, Backoff: nextBackoff(previous)}
 	version := c.ownerVersion
 	control.Async(c.Loop, func(ctx context.Context) (int64, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -93,6 +93,12 @@
 	})
 }
 
+// stable reports whether the term has lasted long enough after its recovery to show
+// that this daemon can keep the cell.
+func (t *term) stable(now time.Time) bool {
+	return t.recovered && now.Sub(t.startedAt) > stableTermAfter
+}
+
 func (t *term) setQueues() {
 	t.engine.SetQueues(t.c.queues())
 	t.schedulePlan()
