Prefer large daemons as owners of the cell

What callers saw: too little was served (SHORT) after a takeover. Cause: the choice of an owner considered only the distance to the store. Change: followers report their processor capacity with each poll, and the owner replies with the largest. A daemon leaves a cell without an owner to larger candidates for 0.7 s. An owner releases the cell when a candidate has 1.5 times its capacity: 1 s after its acquisition, or 10 s if the previous owner released the cell, too. A follower that shuts down or cannot reach the store is no candidate.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -63,6 +63,9 @@
 	Log     log.Interface
 	// Metrics may be nil.
 	Metrics metrics.Registry
+	// MilliCPU is the processor capacity of this daemon in thousandths of a core. Zero
+	// means that it is not known; then capacities are not compared.
+	MilliCPU int64
 	// Engine holds the time bounds of the platform.
 	Engine dispatch.Options
 	// Lease is how long a worker may run tasks without a renewal by the owner.
@@ -107,6 +110,9 @@
 	acquireAt          time.Time // when to acquire the cell; zero if no acquisition is scheduled
 	acquireNotBefore   time.Time // until then, the cell is left to other daemons
 	storeRoundTrip     time.Duration
+	// largestCandidate is the capacity of the largest follower that could acquire the
+	// cell, in thousandths of a core, as the owner reported it last.
+	largestCandidate int64
 
 	term *term // nil unless this daemon is the owner
 	link link  // to the owner
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -39,6 +39,8 @@
 	jobs    int
 	// configChanges is the number of changes of the configuration.
 	configChanges atomic.Int64
+	// milliCPU is the capacity of each daemon; nil if capacities are not known.
+	milliCPU func(name string) int64
 }
 
 // daemon is one boot of a daemon.
@@ -59,7 +61,13 @@
 
 func newCluster(t *testing.T, seed uint64, daemons, workers int, work func(task string) time.Duration, fails func(string, int) bool) *cluster {
 	t.Helper()
-	cl := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{}}
+	return newSizedCluster(t, seed, daemons, workers, work, fails, nil)
+}
+
+// newSizedCluster returns a cluster whose daemons have the given capacities.
+func newSizedCluster(t *testing.T, seed uint64, daemons, workers int, work func(task string) time.Duration, fails func(string, int) bool, milliCPU func(name string) int64) *cluster {
+	t.Helper()
+	cl := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{}, milliCPU: milliCPU}
 	cl.fleet = fake.NewFleet(fake.FleetOptions{Now: time.Now, TaskDuration: work, Fails: fails})
 	for i := range workers {
 		cl.fleet.Add(fmt.Sprintf("w%d", i), "pool", job.Resources{MilliCPU: 8000, MemoryMB: 64000})
@@ -77,7 +85,12 @@
 	began := time.Now()
 	seed := cl.rng.Uint64()
 	rng := rand.New(rand.NewPCG(seed, 2))
+	var milliCPU int64
+	if cl.milliCPU != nil {
+		milliCPU = cl.milliCPU(name)
+	}
 	d.cell = New(Options{
+		MilliCPU:  milliCPU,
 		Partition: "c0",
 		Self:      Identity{Name: name, Boot: fmt.Sprintf("%s-%d", name, cl.boots), Address: name},
 		Loop:      d.loop,
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -67,6 +67,7 @@
 		Epoch: l.epoch, After: l.sequence, WaitMs: uint32(followWait.Milliseconds()),
 		Config:     c.configState(l.ownerConfigVersion, l.ownerCommitStale),
 		WantConfig: c.storeFailing,
+		Sender:     c.Self.Name, CandidateMilliCpu: uint64(c.candidateCapacity(now)),
 	}}}
 	control.Async(c.Loop, func(ctx context.Context) (*peerpb.FollowReply, error) {
 		ctx, cancel := context.WithTimeout(ctx, followTimeout)
@@ -97,6 +98,7 @@
 		c.jobStates.reset()
 	}
 	l.lastReply, l.epoch, l.sequence, l.refused = now, reply.GetEpoch(), reply.GetSequence(), false
+	c.largestCandidate = int64(reply.GetLargestCandidateMilliCpu())
 	l.ownerCommitStale = reply.GetCommitAgeMs() > uint64(staleCommitAfter.Milliseconds())
 	if l.ownerConfigVersion = reply.GetConfig().GetVersion(); l.ownerConfigVersion > c.configVersion() {
 		// Reading the small row shows sooner than reading a configuration whether
@@ -155,6 +157,7 @@
 		c.receiveConfig(req.GetConfig(), c.configConfirmedAt)
 		if c.term != nil {
 			epoch = c.term.record.Epoch
+			c.term.candidates.observe(req.GetSender(), int64(req.GetCandidateMilliCpu()), c.Now())
 		}
 		known = c.configVersion()
 	})
@@ -189,6 +192,7 @@
 		reply.Config = c.configState(req.GetConfig().GetVersion(), req.GetWantConfig())
 		now := c.Now()
 		reply.CommitAgeMs = uint64(max(0, now.Sub(t.committedAt).Milliseconds()))
+		reply.LargestCandidateMilliCpu = uint64(t.candidates.largest(now))
 		reply.Loading = !t.loaded
 		if t.loaded {
 			reply.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -92,9 +92,14 @@
 	for seed := range uint64(8) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			cl := newCluster(t, 123+seed, 6, 2, halfSecond, nil)
-			defer cl.stopAll()
 			large := []string{"d0", "d1"}
+			cl := newSizedCluster(t, 123+seed, 6, 2, halfSecond, nil, func(name string) int64 {
+				if slices.Contains(large, name) {
+					return 800
+				}
+				return 200
+			})
+			defer cl.stopAll()
 			time.Sleep(10 * time.Second)
 			first := cl.awaitOwner()
 			is.True(slices.Contains(large, first)) // also after a start at which a small daemon was first
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -75,6 +75,9 @@
 	}
 	if c.acquireAt.IsZero() {
 		delay := time.Duration(c.Random()*float64(acquireJitter)) + acquireDelayPerRoundTrip*c.storeRoundTrip
+		if c.MilliCPU < c.largestCandidate {
+			delay += smallerCandidateDelay
+		}
 		c.acquireAt = now.Add(delay)
 	}
 	if !c.acquiring && !now.Before(c.acquireAt) {
@@ -228,6 +231,7 @@
 	if c.owner.Address != "" && c.owner.Address != c.Self.Address {
 		c.notifyFormerOwner(c.owner.Address, record.Epoch)
 	}
+	afterRelease := c.owner.Released
 	c.owner, c.ownerVersion, c.ownerVersionSeenAt = record, version, now
 	if c.stopping {
 		return
@@ -236,6 +240,7 @@
 	c.instruments.takeovers.Inc(1)
 	c.link.reset()
 	c.term = newTerm(c, record, version, now)
+	c.term.afterRelease = afterRelease
 	c.term.recover()
 	c.publish()
 }
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -38,6 +38,10 @@
 	// set at the start of the term: polls do not update it.
 	followerSeenAt time.Time
 
+	// afterRelease is set if the previous owner released the cell.
+	afterRelease bool
+	candidates   candidates
+
 	planScheduled bool // a call of plan is posted or delayed
 	// planNotBefore is the earliest time of the next plan between ticks.
 	planNotBefore time.Time
@@ -65,6 +69,7 @@
 		engine:    dispatch.NewEngine(c.Engine),
 		log:       c.Log.WithField("epoch", record.Epoch),
 		startedAt: now, followerSeenAt: now,
+		candidates: candidates{},
 		heartbeats: map[string]*workerHeartbeat{},
 
 		cancelled: map[string]bool{},
@@ -126,6 +131,7 @@
 	if t.abandoned && now.Sub(t.triedAt) >= commitRetryDelay {
 		t.release(now)
 	}
+	t.handOverIfSmall(now)
 	if t.loaded && !t.releasing {
 		t.pollDirectory(now)
 		t.pollChanges(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,7 @@
 		Peers:     pool,
 		Log:       logger,
 		Metrics:   registry,
+		MilliCPU:  s.MilliCPU,
 		Engine:    dispatch.Options{MaxLease: s.MaxLease, StartWindow: startWindow, MaxViolation: s.MaxViolation},
 		Lease:     min(defaultLease, s.MaxLease),
 		Retention: retentionFactor * s.StatusRetention,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -24,6 +24,9 @@
 
 	// MemoryBytes is the memory bound of the process; zero means none.
 	MemoryBytes int64
+	// MilliCPU is the processor capacity in thousandths of a core; zero means that it
+	// is not known.
+	MilliCPU int64
 	// ConfigTimeout is the time within which an accepted configuration must be in
 	// force.
 	ConfigTimeout time.Duration
