Add a failing test for leases that lapse in a store outage

Found while looking for other causes of work that is lost around a takeover: an owner that cannot commit for 1.5 s requests no listings, which renew the leases, although no other daemon may start their tasks before the longest lease has expired.

--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bambooyard/bambooyard/dispatch"
+	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -158,6 +159,27 @@
 	})
 }
 
+// Guards against lost work: an owner stopped renewing leases 1.5 s after its last commit,
+// so that runs ended in store outages that their longest leases would have survived.
+func TestRunsSurviveStoreOutageForTheLongestLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 115, 3, 4, func(string) time.Duration { return 12 * time.Second }, nil)
+		defer cl.stopAll()
+		owner := cl.awaitOwner()
+		spec := cl.spec(4)
+		cl.submit(owner, spec)
+		time.Sleep(time.Second)
+		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultRefused })
+		time.Sleep(6500 * time.Millisecond) // the longest lease is 6 s
+		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultNone })
+		cl.awaitState(spec.ID, job.Completed, 30*time.Second)
+		is.Equal(cl.fleet.Starts(spec.ID+".0.0.0"), 1)
+		is.Equal(cl.fleet.Starts(spec.ID+".0.1.0"), 1)
+		cl.check()
+	})
+}
+
 // An owner that reaches neither the store nor a follower may have been replaced
 // without its knowledge: it starts no tasks until a commit succeeds.
 func TestOwnerStartsNothingWhileUnconfirmed(t *testing.T) {
