Renew leases without a commit for as long as a successor waits

What callers saw: none yet; found while looking for other causes of lost work around a takeover. An owner that could not commit for 1.5 s requested no listings, so that the leases of all workers lapsed in a store outage, and all running work was lost. Cause: the owner's right to renew leases ended with its right to start tasks. But a successor starts the tasks of a worker that it cannot reach only when the longest lease has expired. Change: an owner goes on to request listings without a commit, and bounds each lease so that it ends at the latest staleAfter and the longest lease after the last commit was sent. A stall of the control loop, during which the clock may have stopped, still ends all renewals until a commit. The time since which a follower knows a row's version now counts from the end of the read that returned it, not from its start, so that no takeover comes earlier than staleAfter after the commit. The field followerSeenAt, which no poll ever updated, is gone. TestFormerOwnersLeasesEndBeforeTasksStartElsewhere passes, and fails with runs on two workers if the bound is left out.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -102,7 +102,7 @@
 	// owner is the owner record as last read from the store.
 	owner              ownerRecord
 	ownerVersion       int64     // version of the owner's row; zero if there is none
-	ownerVersionSeenAt time.Time // start of the read that first returned ownerVersion; zero before the first read
+	ownerVersionSeenAt time.Time // end of the read that first returned ownerVersion; zero before the first read
 	ownerReadInFlight  bool
 	ownerReadTriedAt   time.Time // start of the last read
 	ownerReadAt        time.Time // start of the last successful read
@@ -212,7 +212,7 @@
 	}
 	c.Log.WithFields(log.Fields{"event": "woke_up", "gap_ms": gap.Milliseconds()}).Warn("the control loop was stalled")
 	if c.term != nil {
-		c.term.unconfirmed = true
+		c.term.unconfirmed, c.term.stalled = true, true
 	}
 }
 
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -51,6 +51,9 @@
 	// storeUnreachable and workersUnreachable make the daemon's calls to the store or
 	// to the workers time out; isolated does so for these and all calls between daemons.
 	storeUnreachable, workersUnreachable, isolated atomic.Bool
+	// unreachableWorkers holds the IDs of workers, and unreachablePeers the names of
+	// daemons, to which calls time out.
+	unreachableWorkers, unreachablePeers sync.Map
 	// scanDelay is the duration of each read of a table other than the owner's row, in
 	// nanoseconds.
 	scanDelay atomic.Int64
@@ -283,7 +286,8 @@
 	if to == nil {
 		return nil, errUnreachable
 	}
-	if p.from.isolated.Load() || to.isolated.Load() {
+	_, cut := p.from.unreachablePeers.Load(address)
+	if cut || p.from.isolated.Load() || to.isolated.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -366,8 +370,9 @@
 	d *daemon
 }
 
-func (c daemonWorkers) blockIfUnreachable(ctx context.Context, op string) error {
-	if !c.d.workersUnreachable.Load() && !c.d.isolated.Load() {
+func (c daemonWorkers) blockIfUnreachable(ctx context.Context, op, worker string) error {
+	_, cut := c.d.unreachableWorkers.Load(worker)
+	if !cut && !c.d.workersUnreachable.Load() && !c.d.isolated.Load() {
 		return nil
 	}
 	<-ctx.Done()
@@ -375,7 +380,7 @@
 }
 
 func (c daemonWorkers) Start(ctx context.Context, to port.Target, req port.StartRequest) (int64, error) {
-	if err := c.blockIfUnreachable(ctx, "start"); err != nil {
+	if err := c.blockIfUnreachable(ctx, "start", to.ID); err != nil {
 		return 0, err
 	}
 	time.Sleep(time.Millisecond)
@@ -383,7 +388,7 @@
 }
 
 func (c daemonWorkers) Stop(ctx context.Context, to port.Target, task string, attempt int, epoch int64) error {
-	if err := c.blockIfUnreachable(ctx, "stop"); err != nil {
+	if err := c.blockIfUnreachable(ctx, "stop", to.ID); err != nil {
 		return err
 	}
 	time.Sleep(time.Millisecond)
@@ -391,7 +396,7 @@
 }
 
 func (c daemonWorkers) List(ctx context.Context, to port.Target, req port.ListRequest) (port.Listing, error) {
-	if err := c.blockIfUnreachable(ctx, "list"); err != nil {
+	if err := c.blockIfUnreachable(ctx, "list", to.ID); err != nil {
 		return port.Listing{}, err
 	}
 	time.Sleep(time.Millisecond)
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -43,10 +43,9 @@
 	dirty            map[string]*dispatch.Job
 	uncommittedFinal map[string]*dispatch.Job // final jobs whose outcome is not committed
 	urgent           bool
-	// committedAt is when the last commit succeeded, and triedAt when the last
-	// commit was sent.
-	committedAt time.Time
-	triedAt     time.Time
+	// committedAt is when the last commit succeeded, and commitSentAt when it was
+	// sent. triedAt is when the last commit was sent, successful or not.
+	committedAt, commitSentAt, triedAt time.Time
 	// learnedAt is when the learned data was last added to a commit, and learned
 	// its encoding at that time.
 	learnedAt  time.Time
@@ -246,8 +245,8 @@
 	if t.failing {
 		t.log.WithFields(log.Fields{"event": "commit_regained", "away_ms": now.Sub(t.committedAt).Milliseconds()}).Info("commits succeed again")
 	}
-	t.failing, t.unconfirmed = false, false
-	t.version, t.record, t.committedAt = version, b.record, now
+	t.failing, t.unconfirmed, t.stalled = false, false, false
+	t.version, t.record, t.committedAt, t.commitSentAt = version, b.record, now, t.triedAt
 	for _, j := range b.jobs {
 		t.progressRows[j.Spec.ID] = true
 	}
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -53,7 +53,7 @@
 
 // heartbeatAll requests listings from the workers for which one is due.
 func (t *term) heartbeatAll(now time.Time) {
-	if !t.loaded || t.unconfirmed || t.releasing {
+	if !t.loaded || t.releasing || t.leaseAt(now) <= 0 {
 		return
 	}
 	workers := t.engine.Workers()
@@ -129,7 +129,7 @@
 		// The lease of an unresponsive worker is not renewed: each request may have
 		// reached it, and its tasks are restarted elsewhere only after the last lease
 		// has expired.
-		req.LeaseUntilMS = w.ExtendLease(now, t.c.Lease)
+		req.LeaseUntilMS = w.ExtendLease(now, t.leaseAt(now))
 	}
 	boot := hb.boot
 	hb.inFlight, hb.sentAt = true, now
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -138,7 +138,7 @@
 		if len(page.Rows) > 0 {
 			row = page.Rows[0]
 		}
-		c.observeOwner(row, now)
+		c.observeOwner(row, done)
 	})
 }
 
@@ -171,7 +171,7 @@
 	c.acquiring = true
 	previous := c.owner
 	record := ownerRecord{Epoch: previous.Epoch + 1, Name: c.Self.Name, Boot: c.Self.Boot, Address: c.Self.Address, Sequence: previous.Sequence + 1, Backoff: nextBackoff(previous)}
-	version := c.ownerVersion
+	version, sent := c.ownerVersion, c.Now()
 	control.Async(c.Loop, func(ctx context.Context) (int64, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
@@ -185,7 +185,7 @@
 			return
 		}
 		c.recordStoreResult(nil, now)
-		c.becomeOwner(record, committed, now)
+		c.becomeOwner(record, committed, sent)
 	})
 }
 
@@ -201,7 +201,7 @@
 	row := findRow(conflict.Rows, tableOwners, ownerKey)
 	c.observeOwner(row, now)
 	if c.owner.Boot == c.Self.Boot && c.owner.Epoch == record.Epoch {
-		c.becomeOwner(c.owner, row.Version, now)
+		c.becomeOwner(c.owner, row.Version, time.Time{})
 	}
 }
 
@@ -226,8 +226,10 @@
 	}
 }
 
-// becomeOwner starts a term of this daemon.
-func (c *Cell) becomeOwner(record ownerRecord, version int64, now time.Time) {
+// becomeOwner starts a term of this daemon. The row that makes it the owner was sent at
+// a time, which is zero if that is not known.
+func (c *Cell) becomeOwner(record ownerRecord, version int64, sent time.Time) {
+	now := c.Now()
 	if c.owner.Address != "" && c.owner.Address != c.Self.Address {
 		c.notifyFormerOwner(c.owner.Address, record.Epoch)
 	}
@@ -240,6 +242,7 @@
 	c.instruments.takeovers.Inc(1)
 	c.link.reset()
 	c.term = newTerm(c, record, version, now)
+	c.term.commitSentAt, c.term.unconfirmed = sent, sent.IsZero()
 	c.term.afterRelease = afterRelease
 	c.term.recover()
 	c.publish()
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,6 +181,37 @@
 	})
 }
 
+// Guards against TWICE: a former owner that is cut off from the store and from the other
+// daemons must not renew leases on a worker for longer than its successor, which does not
+// reach that worker, waits before it starts the tasks elsewhere.
+func TestFormerOwnersLeasesEndBeforeTasksStartElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 116, 3, 2, func(string) time.Duration { return time.Minute }, nil)
+		defer cl.stopAll()
+		owner := cl.awaitOwner()
+		spec := cl.spec(8)
+		spec.Steps = spec.Steps[:1]
+		cl.submit(owner, spec)
+		time.Sleep(time.Second)
+		for _, name := range cl.names() {
+			if d := cl.daemons[name]; name == owner {
+				d.storeUnreachable.Store(true)
+			} else {
+				d.unreachableWorkers.Store("w0", true)
+				d.unreachablePeers.Store(owner, true)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		restarted := 0
+		for n := range 8 {
+			restarted += cl.fleet.Starts(fmt.Sprintf("%s.0.0.%d", spec.ID, n)) - 1
+		}
+		is.True(restarted > 0) // the tasks of w0
+		cl.check()
+	})
+}
+
 // An owner that reaches neither the store nor a follower may have been replaced
 // without its knowledge: it starts no tasks until a commit succeeds.
 func TestOwnerStartsNothingWhileUnconfirmed(t *testing.T) {
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -29,14 +29,13 @@
 	ended     bool
 	releasing bool
 	abandoned bool // the state of former owners cannot be read; the cell is to be released
-	// unconfirmed is set after a stall or a loss of contact, until a commit
-	// confirms that this daemon still owns the cell. While it is set, no tasks are
-	// planned and no listings are requested.
+	// unconfirmed is set after a stall or a loss of contact with the store, until a
+	// commit confirms that this daemon still owns the cell. While it is set, no tasks
+	// are planned.
 	unconfirmed bool
-
-	// followerSeenAt is meant to be when a follower last polled this owner. It is only
-	// set at the start of the term: polls do not update it.
-	followerSeenAt time.Time
+	// stalled is set after a stall, until a commit. The monotonic clock may have
+	// stopped meanwhile, so that no lease may be renewed.
+	stalled bool
 
 	// afterRelease is set if the previous owner released the cell.
 	afterRelease bool
@@ -66,9 +65,9 @@
 func newTerm(c *Cell, record ownerRecord, version int64, now time.Time) *term {
 	t := &term{
 		c: c, epoch: record.Epoch, record: record, version: version,
-		engine:    dispatch.NewEngine(c.Engine),
-		log:       c.Log.WithField("epoch", record.Epoch),
-		startedAt: now, followerSeenAt: now,
+		engine:     dispatch.NewEngine(c.Engine),
+		log:        c.Log.WithField("epoch", record.Epoch),
+		startedAt:  now,
 		candidates: candidates{},
 		heartbeats: map[string]*workerHeartbeat{},
 
@@ -109,20 +108,29 @@
 	t.schedulePlan()
 }
 
-// unconfirmedAfter is how long an owner continues without a commit and without a
-// poll by a follower. Followers poll four times a second, and replace an owner
-// that they cannot reach after staleAfter.
+// unconfirmedAfter is how long an owner starts tasks without a commit: no daemon
+// replaces it before staleAfter.
 const unconfirmedAfter = staleAfter
 
 // checkOwnershipConfirmed stops planning while another daemon may have taken over
 // without this daemon's knowledge.
 func (t *term) checkOwnershipConfirmed(now time.Time) {
-	outOfContact := now.Sub(t.followerSeenAt) > unconfirmedAfter && now.Sub(t.committedAt) > unconfirmedAfter
-	if outOfContact && !t.unconfirmed {
+	if now.Sub(t.committedAt) > unconfirmedAfter && !t.unconfirmed {
 		t.unconfirmed = true
-		t.log.WithFields(log.Fields{"event": "owner_alone", "committed_ms": now.Sub(t.committedAt).Milliseconds(),
-			"followed_ms": now.Sub(t.followerSeenAt).Milliseconds()}).Warn("the ownership is unconfirmed; starting no tasks until a commit succeeds")
+		t.log.WithFields(log.Fields{"event": "owner_alone", "committed_ms": now.Sub(t.committedAt).Milliseconds()}).
+			Warn("the ownership is unconfirmed; starting no tasks until a commit succeeds")
+	}
+}
+
+// leaseAt returns the duration of a lease that is granted now; it is not positive if
+// none may be granted. A successor acquires the cell no earlier than staleAfter after
+// the last commit was sent, and waits for the longest lease before it starts tasks that
+// may run on a worker that it cannot reach. No lease may last longer than that.
+func (t *term) leaseAt(now time.Time) time.Duration {
+	if t.stalled {
+		return 0
 	}
+	return min(t.c.Lease, t.commitSentAt.Add(staleAfter+t.c.Engine.MaxLease).Sub(now))
 }
 
 // tick runs the owner's periodic work.
