Serve gauges, and the state of the process and its control loop

The text handler left every gauge out without a word, so a daemon could not report a state, only counts and latencies. It now prints integer and floating-point gauges.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -24,7 +24,7 @@
 	})
 }
 
-// metricLines returns the sorted lines of the counters and histograms in r.
+// metricLines returns the sorted lines of the counters, gauges and histograms in r.
 func metricLines(r metrics.Registry) []string {
 	var lines []string
 	r.Each(func(name string, value any) {
@@ -32,6 +32,10 @@
 		switch m := value.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Value()))
+		case metrics.GaugeFloat64:
+			lines = append(lines, fmt.Sprintf("%s %g", name, m.Value()))
 		case metrics.Histogram:
 			s := m.Snapshot()
 			for i, v := range s.Percentiles(quantiles) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,9 @@
 
 func (d *daemon) start(context.Context) error {
 	d.log.WithFields(log.Fields{"event": "start", "region": d.settings.Region, "data_centre": d.settings.DataCentre}).Info("starting")
+	if err := registerProcessMetrics(d.registry, d.loop); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", d.settings.PeerAddress)
 	if err != nil {
 		return err
