Log the loss of the store once, and its return only after a loss

A follower of a healthy owner calls the store every 3 s, and logged store_regained at each call, since the last successful one was more than 1.5 s ago. A real loss was logged at debug level only, which daemons do not print. store_lost is now logged at the first failed call and store_regained at the first successful call after it, both with the time since the last success.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -212,16 +211,12 @@
 // recordStoreResult records whether the store has answered a call. A refusal with
 // RefusedStale is an answer; other refusals count as failures.
 func (c *Cell) recordStoreResult(err error, now time.Time) {
-	var refused *port.RefusedError
-	if err == nil || errors.As(err, &refused) && refused.Reason == port.RefusedStale {
-		if now.Sub(c.storeLastContact) > storeUnavailableAfter && !c.storeLastContact.IsZero() {
-			c.Log.WithField("event", "store_regained").Info("the store is available again")
-		}
+	c.logStoreResult(err, now)
+	if storeAnswered(err) {
 		c.storeLastContact, c.storeFailing = now, false
 		return
 	}
 	c.storeFailing = true
-	c.Log.WithFields(log.Fields{"event": "store_failed", "since_ms": now.Sub(c.storeLastContact).Milliseconds()}).WithError(err).Debug("call to the store failed")
 }
 
 // storeUnavailableAfter is the time without a successful call, while calls are
