Measure ownership, recovery, listings and queue depths in each daemon

Added are the ownership with its epoch and whether the owner has loaded and recovered, the time of recovery reads and recoveries, the terms that ended before, the lag of the control loop's ticks, listings with their failures and latency, the age of the owner's confirmation, and depths given and refused. A listing costs one counter and one histogram update.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -145,6 +145,7 @@
 func New(o Options) *Cell {
 	c := &Cell{Options: o, state: charts.Shard.Initial(), instruments: newInstruments(o.Metrics)}
 	c.jobStates.init()
+	c.registerConfirmationAge()
 	c.view.Store(&View{})
 	return c
 }
@@ -159,6 +160,7 @@
 func (c *Cell) View() *View { return c.view.Load() }
 
 func (c *Cell) publish() {
+	c.observeOwnership()
 	c.view.Store(&View{
 		Config: c.config, ConfigConfirmedAt: c.configConfirmedAt, Owner: c.owner.Address,
 		IsOwner: c.term != nil, Stopping: c.stopping, StoreLastContact: c.storeLastContact,
@@ -178,6 +180,7 @@
 // tick runs the periodic work. It runs on the control loop.
 func (c *Cell) tick(time.Time) {
 	now := c.Now()
+	c.observeTick(now)
 	c.checkStall(now)
 	c.pollConfig(now)
 	c.watchOwner(now)
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -302,6 +302,7 @@
 func (t *term) finishRelease() {
 	t.log.WithField("event", "ownership_released").Info("released the ownership of the cell")
 	t.ended = true
+	t.observeEnd()
 	t.c.term = nil
 	t.c.transition(charts.ShardRelease)
 	t.c.ownerVersionSeenAt = time.Time{}
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -133,11 +133,13 @@
 	}
 	boot := hb.boot
 	hb.inFlight, hb.sentAt = true, now
+	t.c.instruments.listingsSent.Inc(1)
 	runAsync(t, wait+listTimeoutMargin, func(ctx context.Context) (port.Listing, error) {
 		return t.c.Workers.List(ctx, target, req)
 	}, func(l port.Listing, err error) {
 		hb.inFlight = false
 		done := t.c.Now()
+		t.c.instruments.observeListing(done.Sub(now), err)
 		if err != nil {
 			t.listFailed(hb, w, err, now)
 			t.schedulePlan()
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -265,6 +265,7 @@
 // a *verdict.RequestError if the owner has not confirmed the number recently.
 func (c *Cell) Pending(queue string) (int, error) {
 	n, ok := c.jobStates.depth(queue, c.Now())
+	c.observeDepth(ok)
 	if !ok {
 		return 0, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfter, "the queue's depth is not known")
 	}
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -26,6 +26,19 @@
 	commitLatency                   metrics.Histogram
 	takeovers, ownershipsLost       metrics.Counter
 	jobsStored, jobsNotStored       metrics.Counter
+
+	// owner, loaded and recovered are 1 or 0, and epoch is the owner's as far as
+	// this daemon knows.
+	owner, loaded, recovered, epoch metrics.Gauge
+	// tickLag is how late a tick of the control loop is.
+	tickLag                              metrics.Histogram
+	recoveryReadLatency, recoveryLatency metrics.Histogram
+	// termsUnrecovered counts the terms that ended before they had recovered.
+	termsUnrecovered metrics.Counter
+	// listingLatency includes the time for which the worker held the listing.
+	listingLatency                metrics.Histogram
+	listingsSent, listingsFailed  metrics.Counter
+	depthsAnswered, depthsRefused metrics.Counter
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -35,15 +48,33 @@
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleDecay))
 	}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
+	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge(name, r) }
 	m := &instruments{
 		registry:          r,
 		firstStartLatency: histogram("cell.first_start_ms"),
 		startLatency:      histogram("cell.hand_over_ms"),
 		commitLatency:     histogram("cell.commit_ms"),
-		takeovers:         metrics.GetOrRegisterCounter("cell.takeovers", r),
-		ownershipsLost:    metrics.GetOrRegisterCounter("cell.ownerships_lost", r),
-		jobsStored:        metrics.GetOrRegisterCounter("cell.jobs_stored", r),
-		jobsNotStored:     metrics.GetOrRegisterCounter("cell.jobs_not_stored", r),
+		takeovers:         counter("cell.takeovers"),
+		ownershipsLost:    counter("cell.ownerships_lost"),
+		jobsStored:        counter("cell.jobs_stored"),
+		jobsNotStored:     counter("cell.jobs_not_stored"),
+
+		owner:     gauge("cell.owner"),
+		loaded:    gauge("cell.loaded"),
+		recovered: gauge("cell.recovered"),
+		epoch:     gauge("cell.epoch"),
+
+		tickLag:             histogram("cell.tick_lag_ms"),
+		recoveryReadLatency: histogram("cell.recovery_read_ms"),
+		recoveryLatency:     histogram("cell.recovery_ms"),
+		termsUnrecovered:    counter("cell.terms_unrecovered"),
+
+		listingsSent:   counter("cell.listings_sent"),
+		listingsFailed: counter("cell.listings_failed"),
+		listingLatency: histogram("cell.listing_ms"),
+		depthsAnswered: counter("cell.depths_answered"),
+		depthsRefused:  counter("cell.depths_refused"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/internal/port"
 )
@@ -37,3 +38,74 @@
 	fields["event"] = "store_lost"
 	c.Log.WithFields(fields).WithError(err).Warn("call to the store failed; the store counts as lost until a call succeeds")
 }
+
+// observeOwnership updates the gauges of the ownership.
+func (c *Cell) observeOwnership() {
+	m, t := c.instruments, c.term
+	m.epoch.Update(c.owner.Epoch)
+	m.owner.Update(gaugeValue(t != nil))
+	m.loaded.Update(gaugeValue(t != nil && t.loaded))
+	m.recovered.Update(gaugeValue(t != nil && t.recovered))
+}
+
+func gaugeValue(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+// observeTick records how late a tick of the control loop is.
+func (c *Cell) observeTick(now time.Time) {
+	if !c.lastTick.IsZero() {
+		observe(c.instruments.tickLag, max(0, now.Sub(c.lastTick)-tickInterval))
+	}
+}
+
+// observeEnd counts the term if it has ended before it has recovered.
+func (t *term) observeEnd() {
+	if !t.recovered {
+		t.c.instruments.termsUnrecovered.Inc(1)
+	}
+}
+
+// observeListing records the result of a listing.
+func (m *instruments) observeListing(latency time.Duration, err error) {
+	if err != nil {
+		m.listingsFailed.Inc(1)
+		return
+	}
+	observe(m.listingLatency, latency)
+}
+
+// unconfirmedAge is the gauge of the confirmation's age while there is none.
+const unconfirmedAge = -1
+
+// registerConfirmationAge registers the age of the owner's confirmation of queue
+// depths, which is computed when it is read.
+func (c *Cell) registerConfirmationAge() {
+	c.instruments.registry.GetOrRegister("cell.confirmation_age_ms", metrics.NewFunctionalGauge(func() int64 {
+		age, ok := c.jobStates.confirmationAge(c.Now())
+		if !ok {
+			return unconfirmedAge
+		}
+		return age.Milliseconds()
+	}))
+}
+
+// confirmationAge returns the age of the owner's last confirmation, and whether
+// there is one.
+func (cache *jobStateCache) confirmationAge(now time.Time) (time.Duration, bool) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	return now.Sub(cache.confirmedAt), !cache.confirmedAt.IsZero()
+}
+
+// observeDepth counts the answers to requests for a queue's depth.
+func (c *Cell) observeDepth(confirmed bool) {
+	if confirmed {
+		c.instruments.depthsAnswered.Inc(1)
+	} else {
+		c.instruments.depthsRefused.Inc(1)
+	}
+}
--- a/internal/cell/observe_test.go
+++ b/internal/cell/observe_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/internal/port"
 )
@@ -54,3 +56,75 @@
 	is.Equal(eventNames(h), []string{"store_lost", "store_regained"})
 	is.Equal(h.Entries[1].Fields.Get("since_ms"), int64(6000))
 }
+
+func TestOwnershipGauges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 130, 2, 2, halfSecond, nil)
+		defer cl.stopAll()
+		first := cl.awaitOwner()
+		cl.submit(first, cl.spec(2))
+		time.Sleep(3 * time.Second)
+		m := cl.daemons[first].cell.instruments
+		is.Equal([]int64{m.owner.Value(), m.loaded.Value(), m.recovered.Value(), m.epoch.Value()}, []int64{1, 1, 1, 1})
+		is.Equal([]int64{m.recoveryReadLatency.Count(), m.recoveryLatency.Count(), m.termsUnrecovered.Count()}, []int64{1, 1, 0})
+		is.True(m.listingLatency.Count() > 0)
+		is.True(m.listingsSent.Count() >= m.listingLatency.Count())
+		is.Equal(m.listingsFailed.Count(), int64(0))
+		for _, name := range cl.names() {
+			if name != first {
+				follower := cl.daemons[name].cell.instruments
+				is.Equal([]int64{follower.owner.Value(), follower.loaded.Value(), follower.recovered.Value(), follower.epoch.Value()}, []int64{0, 0, 0, 1})
+			}
+		}
+	})
+}
+
+func TestTermThatEndsBeforeItHasRecoveredIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 131, 1, 2, halfSecond, nil)
+		defer cl.stopAll()
+		d := cl.daemons["d0"]
+		d.workersUnreachable.Store(true)
+		cl.awaitOwner()
+		time.Sleep(2 * time.Second)
+		is.NoErr(d.loop.Do(t.Context(), func() { d.cell.loseOwnership("test") }))
+		m := d.cell.instruments
+		is.Equal([]int64{m.owner.Value(), m.recovered.Value(), m.recoveryLatency.Count(), m.termsUnrecovered.Count()}, []int64{0, 0, 0, 1})
+		is.True(m.listingsFailed.Count() > 0)
+	})
+}
+
+func TestTickLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 132, 1, 1, halfSecond, nil)
+		defer cl.stopAll()
+		d := cl.daemons["d0"]
+		time.Sleep(time.Second)
+		is.Equal(d.cell.instruments.tickLag.Max(), int64(0))
+		busy := 400 * time.Millisecond
+		d.loop.Post(func() { time.Sleep(busy) })
+		time.Sleep(time.Second)
+		is.True(d.cell.instruments.tickLag.Max() >= (busy - 2*tickInterval).Milliseconds())
+	})
+}
+
+func TestDepthAnswersAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, _ := newLoggedCell()
+		age := c.instruments.registry.Get("cell.confirmation_age_ms").(metrics.Gauge)
+		_, err := c.Pending("batch")
+		is.True(err != nil)
+		is.Equal(age.Value(), int64(unconfirmedAge))
+		c.jobStates.refresh(map[string]int{"batch": 3}, time.Now())
+		time.Sleep(200 * time.Millisecond)
+		n, err := c.Pending("batch")
+		is.NoErr(err)
+		is.Equal(n, 3)
+		is.Equal(age.Value(), int64(200))
+		is.Equal([]int64{c.instruments.depthsAnswered.Count(), c.instruments.depthsRefused.Count()}, []int64{1, 1})
+	})
+}
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -39,6 +39,7 @@
 			return
 		}
 		t.restore(data, now)
+		observe(t.c.instruments.recoveryReadLatency, now.Sub(began))
 		t.log.WithFields(log.Fields{"event": "recovery_read", "jobs": len(t.engine.Jobs()), "workers": len(data.workers),
 			"took_ms": now.Sub(began).Milliseconds()}).Info("state of former owners restored")
 		t.schedulePlan()
@@ -164,6 +165,7 @@
 		return
 	}
 	t.recovered = true
+	observe(t.c.instruments.recoveryLatency, now.Sub(t.startedAt))
 	t.c.transition(charts.ShardRecovered)
 	t.log.WithFields(log.Fields{"event": "recovered", "took_ms": now.Sub(t.startedAt).Milliseconds(), "jobs": len(t.engine.Jobs())}).Info("recovery of the cell is complete")
 }
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -240,6 +240,7 @@
 	}
 	c.Log.WithFields(log.Fields{"event": "ownership_lost", "epoch": c.term.record.Epoch, "reason": reason}).Warn("lost ownership of the cell")
 	c.instruments.ownershipsLost.Inc(1)
+	c.term.observeEnd()
 	c.term.ended = true
 	c.term = nil
 	c.transition(charts.ShardLose)
