Log why the cell is acquired and how old a queue's depth is

A takeover logged its epoch, but not what the new owner held against the former one; and nothing showed on which confirmation an answer of a queue's depth was based. Each attempt to acquire the cell now logs acquire_begin with its reason, the previous owner and epoch, how long the owner's row was unchanged and the age of the last reply. A depth is logged with the owner's epoch and the age of the confirmation: at debug level if it is given, since callers ask often, and at info level if it is refused.

The tests of the reasons inject a release, a kill and a loss of the store; they pass, with the race detector as well.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -132,9 +132,10 @@
 	Config *port.Config
 	// ConfigConfirmedAt is when the configuration was last known to be the newest.
 	ConfigConfirmedAt time.Time
-	// Owner is the owner's address, empty if it is not known. IsOwner is set if
-	// this daemon is the owner.
+	// Owner is the owner's address, empty if it is not known, and Epoch its epoch.
+	// IsOwner is set if this daemon is the owner.
 	Owner    string
+	Epoch    int64
 	IsOwner  bool
 	Stopping bool
 	// StoreLastContact is when the store last answered a call of the control loop.
@@ -162,7 +163,7 @@
 func (c *Cell) publish() {
 	c.observeOwnership()
 	c.view.Store(&View{
-		Config: c.config, ConfigConfirmedAt: c.configConfirmedAt, Owner: c.owner.Address,
+		Config: c.config, ConfigConfirmedAt: c.configConfirmedAt, Owner: c.owner.Address, Epoch: c.owner.Epoch,
 		IsOwner: c.term != nil, Stopping: c.stopping, StoreLastContact: c.storeLastContact,
 	})
 }
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -39,6 +39,9 @@
 	jobs    int
 	// configChanges is the number of changes of the configuration.
 	configChanges atomic.Int64
+	// logTo receives the events of daemons that are started after it is set; it may
+	// be nil.
+	logTo log.Handler
 }
 
 // daemon is one boot of a daemon.
@@ -104,6 +107,9 @@
 var traceLogs = flag.Bool("trace", false, "print what the daemons of a history log")
 
 func (cl *cluster) logger(name string) log.Interface {
+	if cl.logTo != nil {
+		return &log.Logger{Handler: cl.logTo, Level: log.InfoLevel}
+	}
 	if !*traceLogs {
 		return &log.Logger{Handler: discard.New()}
 	}
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -34,6 +34,7 @@
 	inFlight   bool
 	generation int // replies to calls of earlier generations are ignored
 	lastReply  time.Time
+	repliedAt  time.Time // as lastReply, but kept when a poll fails
 	sentAt     time.Time
 	epoch      int64
 	sequence   uint64
@@ -92,6 +93,7 @@
 	if reply.GetEpoch() != l.epoch {
 		c.jobStates.reset()
 	}
+	l.repliedAt = now
 	l.lastReply, l.epoch, l.sequence = now, reply.GetEpoch(), reply.GetSequence()
 	l.ownerCommitStale = reply.GetCommitAgeMs() > uint64(staleCommitAfter.Milliseconds())
 	if l.ownerConfigVersion = reply.GetConfig().GetVersion(); l.ownerConfigVersion > c.configVersion() {
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -264,8 +264,9 @@
 // Pending returns the number of jobs of a queue that have not started. It returns
 // a *verdict.RequestError if the owner has not confirmed the number recently.
 func (c *Cell) Pending(queue string) (int, error) {
-	n, ok := c.jobStates.depth(queue, c.Now())
-	c.observeDepth(ok)
+	now := c.Now()
+	n, ok := c.jobStates.depth(queue, now)
+	c.observeDepth(queue, n, ok, now)
 	if !ok {
 		return 0, verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfter, "the queue's depth is not known")
 	}
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -101,11 +101,56 @@
 	return now.Sub(cache.confirmedAt), !cache.confirmedAt.IsZero()
 }
 
-// observeDepth counts the answers to requests for a queue's depth.
-func (c *Cell) observeDepth(confirmed bool) {
+// observeDepth counts and logs the answer to a request for a queue's depth.
+func (c *Cell) observeDepth(queue string, pending int, confirmed bool, now time.Time) {
+	view := c.View()
+	fields := log.Fields{"event": "depth_answered", "queue": queue, "pending": pending, "epoch": view.Epoch, "owner": view.Owner}
+	if age, ok := c.jobStates.confirmationAge(now); ok {
+		fields["confirmed_ms"] = age.Milliseconds()
+	}
 	if confirmed {
 		c.instruments.depthsAnswered.Inc(1)
-	} else {
-		c.instruments.depthsRefused.Inc(1)
+		c.Log.WithFields(fields).Debug("queue depth given")
+		return
+	}
+	c.instruments.depthsRefused.Inc(1)
+	fields["event"] = "depth_refused"
+	c.Log.WithFields(fields).Info("queue depth refused: the owner has not confirmed it recently")
+}
+
+// Reasons of an acquisition of the cell.
+const (
+	reasonNoOwner           = "no_owner"
+	reasonReleased          = "released"
+	reasonOwnEarlierBoot    = "own_earlier_boot"
+	reasonOwnerUnreachable  = "owner_unreachable"
+	reasonOwnerCannotCommit = "owner_cannot_commit"
+)
+
+// acquisitionReason returns why the cell needs a new owner, given that it does.
+func (c *Cell) acquisitionReason(now time.Time) string {
+	switch {
+	case c.ownerVersion == 0:
+		return reasonNoOwner
+	case c.owner.Released:
+		return reasonReleased
+	case c.owner.Name == c.Self.Name:
+		return reasonOwnEarlierBoot
+	case c.link.healthy(now):
+		return reasonOwnerCannotCommit
+	}
+	return reasonOwnerUnreachable
+}
+
+// logAcquisition logs why this daemon tries to acquire the cell.
+func (c *Cell) logAcquisition(now time.Time) {
+	fields := log.Fields{
+		"event": "acquire_begin", "reason": c.acquisitionReason(now),
+		"previous": c.owner.Name, "previous_epoch": c.owner.Epoch,
+		"unchanged_ms": c.ownerReadAt.Sub(c.ownerVersionSeenAt).Milliseconds(),
+	}
+	if !c.link.repliedAt.IsZero() {
+		fields["replied_ms"] = now.Sub(c.link.repliedAt).Milliseconds()
 	}
+	c.Log.WithFields(fields).Info("acquiring the cell")
 }
--- a/internal/cell/observe_test.go
+++ b/internal/cell/observe_test.go
@@ -128,3 +128,89 @@
 		is.Equal([]int64{c.instruments.depthsAnswered.Count(), c.instruments.depthsRefused.Count()}, []int64{1, 1})
 	})
 }
+
+func TestDepthAnswersAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := memory.New()
+		c := New(Options{Log: &log.Logger{Handler: h, Level: log.DebugLevel}, Now: time.Now})
+		c.owner.Epoch = 7
+		c.publish()
+		c.jobStates.refresh(map[string]int{"batch": 3}, time.Now())
+		time.Sleep(200 * time.Millisecond)
+		_, err := c.Pending("batch")
+		is.NoErr(err)
+		time.Sleep(confirmationTTL)
+		_, err = c.Pending("batch")
+		is.True(err != nil)
+		is.Equal(eventNames(h), []string{"depth_answered", "depth_refused"})
+		answered, refused := h.Entries[0], h.Entries[1]
+		is.Equal([]log.Level{answered.Level, refused.Level}, []log.Level{log.DebugLevel, log.InfoLevel})
+		is.Equal(answered.Fields.Get("pending"), 3)
+		is.Equal(answered.Fields.Get("epoch"), int64(7))
+		is.Equal(answered.Fields.Get("confirmed_ms"), int64(200))
+		is.Equal(refused.Fields.Get("confirmed_ms"), (confirmationTTL + 200*time.Millisecond).Milliseconds())
+	})
+}
+
+// TestAcquisitionLogsItsReason checks what a daemon logs when it replaces an owner,
+// by the fault of that owner.
+func TestAcquisitionLogsItsReason(t *testing.T) {
+	faults := []struct {
+		reason string
+		inject func(cl *cluster, owner string)
+	}{
+		{reasonReleased, func(cl *cluster, owner string) { _ = cl.daemons[owner].cell.Release(cl.t.Context()) }},
+		{reasonOwnerUnreachable, func(cl *cluster, owner string) { cl.kill(owner) }},
+		{reasonOwnerCannotCommit, func(cl *cluster, owner string) { cl.daemons[owner].storeUnreachable.Store(true) }},
+	}
+	for _, fault := range faults {
+		t.Run(fault.reason, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cl := newCluster(t, 133, 1, 1, halfSecond, nil)
+				defer cl.stopAll()
+				h := memory.New()
+				cl.logTo = h
+				cl.awaitOwner()
+				cl.start("d1")
+				time.Sleep(2 * time.Second)
+				fault.inject(cl, "d0")
+				time.Sleep(8 * time.Second)
+				is.Equal(cl.owner(), "d1")
+				cl.stopAll() // the handler may be read once no daemon logs
+				begin := findEvent(h, "acquire_begin")
+				is.True(begin != nil)
+				is.Equal(begin.Fields.Get("reason"), fault.reason)
+				is.Equal(begin.Fields.Get("previous"), "d0")
+				is.Equal(begin.Fields.Get("previous_epoch"), int64(1))
+				is.True(begin.Fields.Get("replied_ms").(int64) < (8 * time.Second).Milliseconds())
+				if fault.reason != reasonReleased {
+					is.True(begin.Fields.Get("unchanged_ms").(int64) >= staleAfter.Milliseconds())
+				}
+			})
+		})
+	}
+}
+
+func TestAcquisitionOfAnUnownedCellLogsItsReason(t *testing.T) {
+	is := is.New(t)
+	c, h := newLoggedCell()
+	c.logAcquisition(time.Now())
+	c.ownerVersion, c.owner.Name, c.Self.Name = 1, "d0", "d0"
+	c.logAcquisition(time.Now())
+	is.Equal(h.Entries[0].Fields.Get("reason"), reasonNoOwner)
+	is.Equal(h.Entries[1].Fields.Get("reason"), reasonOwnEarlierBoot)
+	is.Equal(h.Entries[1].Fields.Get("replied_ms"), nil)
+}
+
+// findEvent returns the first event with a name that a handler has received, or
+// nil.
+func findEvent(h *memory.Handler, name string) *log.Entry {
+	for _, e := range h.Entries {
+		if e.Fields.Get("event") == name {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -145,6 +145,7 @@
 // unchanged.
 func (c *Cell) acquire() {
 	c.acquiring = true
+	c.logAcquisition(c.Now())
 	previous := c.owner
 	record := ownerRecord{Epoch: previous.Epoch + 1, Name: c.Self.Name, Boot: c.Self.Boot, Address: c.Self.Address, Sequence: previous.Sequence + 1}
 	version := c.ownerVersion
