--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"runtime"
@@ -8,11 +11,14 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/internal/cell"
 	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/settings"
 )
 
 func TestMetricsAsText(t *testing.T) {
@@ -59,6 +65,33 @@
 	is.True(ratio > 0 && ratio < 1)
 }
 
+func TestMetricsAtAFixedAddress(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := taken.Addr().String()
+	h := memory.New()
+	r := metrics.NewRegistry()
+	metrics.GetOrRegisterGauge("cell.epoch", r).Update(12)
+	d := &daemon{
+		settings: settings.Node{FixedMetricsAddress: address},
+		log:      &log.Logger{Handler: h, Level: log.InfoLevel}, metrics: newServer(metricsHandler(r)),
+	}
+	d.serveFixedMetrics()
+	is.Equal(len(h.Entries), 1)
+	is.Equal(h.Entries[0].Fields.Get("event"), "metrics_not_served")
+	is.NoErr(taken.Close())
+	d.serveFixedMetrics()
+	defer d.metrics.Close()
+	is.Equal(len(h.Entries), 1)
+	resp, err := http.Get("http://" + address + "/metrics")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "bambooyard_cell_epoch 12\n")
+}
+
 // TestMetricsAreDocumented checks that docs/METRICS.md names every metric of a
 // daemon.
 func TestMetricsAreDocumented(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,6 +179,7 @@
 	d.metrics = newServer(metricsHandler(d.registry))
 	d.jobs = newServer(jobapi.New(jobapi.Options{Jobs: d.cell, HasQueue: d.hasQueue, Log: d.log, Wall: time.Now}))
 	d.reloadOnSIGHUP()
+	d.serveFixedMetrics()
 	return errors.Join(
 		d.serve(d.callers, d.settings.CallerAddress),
 		d.serve(d.ready, d.settings.ReadyAddress),
@@ -205,6 +206,18 @@
 	return nil
 }
 
+// serveFixedMetrics serves the metrics at the fixed address as well, if there is
+// one. The daemon runs without it if another process uses the port.
+func (d *daemon) serveFixedMetrics() {
+	address := d.settings.FixedMetricsAddress
+	if address == "" {
+		return
+	}
+	if err := d.serve(d.metrics, address); err != nil {
+		d.log.WithFields(log.Fields{"event": "metrics_not_served", "address": address}).WithError(err).Warn("cannot serve the metrics at the fixed port")
+	}
+}
+
 func (d *daemon) ingressState() platform.IngressState {
 	v := d.cell.View()
 	return platform.IngressState{Config: v.Config, Fresh: d.configFresh(v), Closing: d.closing.Load()}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -16,6 +16,8 @@
 	ReadyAddress   string
 	PeerAddress    string
 	MetricsAddress string
+	// FixedMetricsAddress is where the metrics are served as well, or empty.
+	FixedMetricsAddress string
 	// JobsAddress is where bambooyard's own job API is served.
 	JobsAddress     string
 	StoreAddress    string
@@ -51,6 +53,7 @@
 		CheckAddress("peer-address", n.PeerAddress),
 		CheckAddress("metrics-address", n.MetricsAddress),
 		CheckAddress("jobs-address", n.JobsAddress),
+		checkOptionalAddress("fixed-metrics-address", n.FixedMetricsAddress),
 		CheckAddress("store-address", n.StoreAddress),
 		checkPositive("config-within", n.ConfigTimeout),
 		checkPositive("stop-within", n.StopTimeout),
@@ -60,6 +63,13 @@
 	)
 }
 
+func checkOptionalAddress(name, address string) error {
+	if address == "" {
+		return nil
+	}
+	return CheckAddress(name, address)
+}
+
 func checkPositive(name string, d time.Duration) error {
 	if d <= 0 {
 		return &Error{name, d.String(), "must be more than zero"}
