--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -140,9 +139,10 @@
 	Config *port.Config
 	// ConfigConfirmedAt is when the configuration was last known to be the newest.
 	ConfigConfirmedAt time.Time
-	// Owner is the owner's address, empty if it is not known. IsOwner is set if
-	// this daemon is the owner.
+	// Owner is the owner's address, empty if it is not known, and Epoch its epoch.
+	// IsOwner is set if this daemon is the owner.
 	Owner    string
+	Epoch    int64
 	IsOwner  bool
 	Stopping bool
 	// StoreLastContact is when the store last answered a call of the control loop.
@@ -153,6 +153,7 @@
 func New(o Options) *Cell {
 	c := &Cell{Options: o, state: charts.Shard.Initial(), instruments: newInstruments(o.Metrics)}
 	c.jobStates.init()
+	c.registerDepthAge()
 	c.view.Store(&View{})
 	return c
 }
@@ -167,8 +168,9 @@
 func (c *Cell) View() *View { return c.view.Load() }
 
 func (c *Cell) publish() {
+	c.observeOwnership()
 	c.view.Store(&View{
-		Config: c.config, ConfigConfirmedAt: c.configConfirmedAt, Owner: c.owner.Address,
+		Config: c.config, ConfigConfirmedAt: c.configConfirmedAt, Owner: c.owner.Address, Epoch: c.owner.Epoch,
 		IsOwner: c.term != nil, Stopping: c.stopping, StoreLastContact: c.storeLastContact,
 	})
 }
@@ -186,6 +188,7 @@
 // tick runs the periodic work. It runs on the control loop.
 func (c *Cell) tick(time.Time) {
 	now := c.Now()
+	c.observeTick(now)
 	c.checkStall(now)
 	c.pollConfig(now)
 	c.watchOwner(now)
@@ -219,16 +222,12 @@
 // recordStoreResult records whether the store has answered a call. A refusal with
 // RefusedStale is an answer; other refusals count as failures.
 func (c *Cell) recordStoreResult(err error, now time.Time) {
-	var refused *port.RefusedError
-	if err == nil || errors.As(err, &refused) && refused.Reason == port.RefusedStale {
-		if now.Sub(c.storeLastContact) > storeUnavailableAfter && !c.storeLastContact.IsZero() {
-			c.Log.WithField("event", "store_regained").Info("the store is available again")
-		}
+	c.logStoreResult(err, now)
+	if storeAnswered(err) {
 		c.storeLastContact, c.storeFailing = now, false
 		return
 	}
 	c.storeFailing = true
-	c.Log.WithFields(log.Fields{"event": "store_failed", "since_ms": now.Sub(c.storeLastContact).Milliseconds()}).WithError(err).Debug("call to the store failed")
 }
 
 // storeUnavailableAfter is the time without a successful call, while calls are
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -41,6 +41,9 @@
 	configChanges atomic.Int64
 	// milliCPU is the capacity of each daemon; nil if capacities are not known.
 	milliCPU func(name string) int64
+	// logTo receives the events of daemons that are started after it is set; it may
+	// be nil.
+	logTo log.Handler
 }
 
 // daemon is one boot of a daemon.
@@ -120,6 +123,9 @@
 var traceLogs = flag.Bool("trace", false, "print what the daemons of a history log")
 
 func (cl *cluster) logger(name string) log.Interface {
+	if cl.logTo != nil {
+		return &log.Logger{Handler: cl.logTo, Level: log.InfoLevel}
+	}
 	if !*traceLogs {
 		return &log.Logger{Handler: discard.New()}
 	}
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -35,6 +35,7 @@
 	inFlight   bool
 	generation int // replies to calls of earlier generations are ignored
 	lastReply  time.Time
+	repliedAt  time.Time // as lastReply, but kept when a poll fails
 	sentAt     time.Time
 	epoch      int64
 	sequence   uint64
@@ -97,6 +98,7 @@
 	if reply.GetEpoch() != l.epoch {
 		c.jobStates.reset()
 	}
+	l.repliedAt = now
 	l.lastReply, l.epoch, l.sequence, l.refused = now, reply.GetEpoch(), reply.GetSequence(), false
 	c.largestCandidate = int64(reply.GetLargestCandidateMilliCpu())
 	l.ownerCommitStale = reply.GetCommitAgeMs() > uint64(staleCommitAfter.Milliseconds())
--- /dev/null
+++ b/internal/cell/observe.go
@@ -0,0 +1,155 @@
+package cell
+
+import (
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+)
+
+// storeAnswered reports whether the result of a call shows that the store is
+// available.
+func storeAnswered(err error) bool {
+	var refused *port.RefusedError
+	return err == nil || errors.As(err, &refused) && refused.Reason == port.RefusedStale
+}
+
+// logStoreResult logs the first failed call to the store after a successful one,
+// and the first successful call after a failed one.
+func (c *Cell) logStoreResult(err error, now time.Time) {
+	fields := log.Fields{"event": "store_regained"}
+	if !c.storeLastContact.IsZero() {
+		fields["since_ms"] = now.Sub(c.storeLastContact).Milliseconds()
+	}
+	if storeAnswered(err) {
+		if c.storeFailing {
+			c.Log.WithFields(fields).Info("the store is available again")
+		}
+		return
+	}
+	if c.storeFailing {
+		fields["event"] = "store_failed"
+		c.Log.WithFields(fields).WithError(err).Debug("call to the store failed")
+		return
+	}
+	fields["event"] = "store_lost"
+	c.Log.WithFields(fields).WithError(err).Warn("call to the store failed; the store counts as lost until a call succeeds")
+}
+
+// observeOwnership updates the gauges of the ownership.
+func (c *Cell) observeOwnership() {
+	m, t := c.instruments, c.term
+	m.epoch.Update(c.owner.Epoch)
+	m.owner.Update(gaugeValue(t != nil))
+	m.loaded.Update(gaugeValue(t != nil && t.loaded))
+	m.recovered.Update(gaugeValue(t != nil && t.recovered))
+}
+
+func gaugeValue(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+// observeTick records how late a tick of the control loop is.
+func (c *Cell) observeTick(now time.Time) {
+	if !c.lastTick.IsZero() {
+		observe(c.instruments.tickLag, max(0, now.Sub(c.lastTick)-tickInterval))
+	}
+}
+
+// observeEnd counts the term if it has ended before it has recovered.
+func (t *term) observeEnd() {
+	if !t.recovered {
+		t.c.instruments.termsUnrecovered.Inc(1)
+	}
+}
+
+// observeListing records the result of a listing.
+func (m *instruments) observeListing(latency time.Duration, err error) {
+	if err != nil {
+		m.listingsFailed.Inc(1)
+		return
+	}
+	observe(m.listingLatency, latency)
+}
+
+// unknownAge is the gauge of the depths' age while there are none.
+const unknownAge = -1
+
+// registerDepthAge registers the age of the queue depths, which is computed when it is
+// read.
+func (c *Cell) registerDepthAge() {
+	c.instruments.registry.GetOrRegister("cell.depth_age_ms", metrics.NewFunctionalGauge(func() int64 {
+		age, ok := c.jobStates.depthAge(c.Now())
+		if !ok {
+			return unknownAge
+		}
+		return age.Milliseconds()
+	}))
+}
+
+// depthAge returns the age of the queue depths, and whether there are any.
+func (cache *jobStateCache) depthAge(now time.Time) (time.Duration, bool) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	return now.Sub(cache.depthsAt), !cache.depthsAt.IsZero()
+}
+
+// observeDepth counts and logs the answer to a request for a queue's depth.
+func (c *Cell) observeDepth(queue string, pending int, valid bool, now time.Time) {
+	view := c.View()
+	fields := log.Fields{"event": "depth_answered", "queue": queue, "pending": pending, "epoch": view.Epoch, "owner": view.Owner}
+	if age, ok := c.jobStates.depthAge(now); ok {
+		fields["age_ms"] = age.Milliseconds()
+	}
+	if valid {
+		c.instruments.depthsAnswered.Inc(1)
+		c.Log.WithFields(fields).Debug("queue depth given")
+		return
+	}
+	c.instruments.depthsRefused.Inc(1)
+	fields["event"] = "depth_refused"
+	c.Log.WithFields(fields).Info("queue depth refused: the last one is too old")
+}
+
+// Reasons of an acquisition of the cell.
+const (
+	reasonNoOwner           = "no_owner"
+	reasonReleased          = "released"
+	reasonOwnEarlierBoot    = "own_earlier_boot"
+	reasonOwnerUnreachable  = "owner_unreachable"
+	reasonOwnerCannotCommit = "owner_cannot_commit"
+)
+
+// acquisitionReason returns why the cell needs a new owner, given that it does.
+func (c *Cell) acquisitionReason(now time.Time) string {
+	switch {
+	case c.ownerVersion == 0:
+		return reasonNoOwner
+	case c.owner.Released:
+		return reasonReleased
+	case c.owner.Name == c.Self.Name:
+		return reasonOwnEarlierBoot
+	case c.link.healthy(now):
+		return reasonOwnerCannotCommit
+	}
+	return reasonOwnerUnreachable
+}
+
+// logAcquisition logs why this daemon tries to acquire the cell.
+func (c *Cell) logAcquisition(now time.Time) {
+	fields := log.Fields{
+		"event": "acquire_begin", "reason": c.acquisitionReason(now),
+		"previous": c.owner.Name, "previous_epoch": c.owner.Epoch,
+		"unchanged_ms": c.ownerReadAt.Sub(c.ownerVersionSeenAt).Milliseconds(),
+	}
+	if !c.link.repliedAt.IsZero() {
+		fields["replied_ms"] = now.Sub(c.link.repliedAt).Milliseconds()
+	}
+	c.Log.WithFields(fields).Info("acquiring the cell")
+}
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -169,6 +169,7 @@
 // unchanged.
 func (c *Cell) acquire() {
 	c.acquiring = true
+	c.logAcquisition(c.Now())
 	previous := c.owner
 	record := ownerRecord{Epoch: previous.Epoch + 1, Name: c.Self.Name, Boot: c.Self.Boot, Address: c.Self.Address, Sequence: previous.Sequence + 1, Backoff: nextBackoff(previous)}
 	version, sent := c.ownerVersion, c.Now()
@@ -269,6 +270,7 @@
 	}
 	c.Log.WithFields(log.Fields{"event": "ownership_lost", "epoch": c.term.record.Epoch, "reason": reason}).Warn("lost ownership of the cell")
 	c.instruments.ownershipsLost.Inc(1)
+	c.term.observeEnd()
 	c.term.ended = true
 	c.term = nil
 	c.transition(charts.ShardLose)
