Take only refusals for a sign that the owner is gone

Cause: every failed poll that was not a timeout counted as a refusal. A call without a response closes the session to the peer, and other calls on it fail with an end of file. Change: only a refusal by the daemon and a refused connection count.

--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
@@ -283,14 +285,14 @@
 	from *daemon
 }
 
-var errUnreachable = errors.New("unreachable")
+var errNotRunning = fmt.Errorf("the daemon is not running: %w", syscall.ECONNREFUSED)
 
 func (p clusterPeers) Call(ctx context.Context, address string, req *peerpb.Request) (*peerpb.Response, error) {
 	p.cl.mu.Lock()
 	to := p.cl.daemons[address]
 	p.cl.mu.Unlock()
 	if to == nil {
-		return nil, errUnreachable
+		return nil, errNotRunning
 	}
 	_, cut := p.from.unreachablePeers.Load(address)
 	if cut || p.from.isolated.Load() || to.isolated.Load() {
@@ -302,7 +304,7 @@
 		return nil, ctx.Err() // the response arrives too late
 	}
 	if resp.GetRefusal() != nil {
-		return nil, errors.New(resp.GetRefusal().GetReason())
+		return nil, &peer.RefusedError{Reason: resp.GetRefusal().GetReason()}
 	}
 	return resp, nil
 }
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -91,7 +92,7 @@
 		if l.healthy(now) {
 			c.Log.WithFields(log.Fields{"event": "owner_silent", "owner": c.owner.Name, "epoch": c.owner.Epoch}).WithError(err).Warn("no reply from the owner")
 		}
-		l.lastReply, l.refused = time.Time{}, err != nil && !isTimeout(err)
+		l.lastReply, l.refused = time.Time{}, isRefusal(err)
 		c.ownerReadTriedAt = time.Time{} // read the row at once: there may be a new owner
 		return
 	}
@@ -121,10 +122,11 @@
 	c.follow(now)
 }
 
-// isTimeout reports whether a call has failed because no response arrived in time.
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
+// isRefusal reports whether a call has failed because the daemon refused it, or because
+// no daemon listens at the address. Other failures may be those of a slow daemon.
+func isRefusal(err error) bool {
+	var refused *peer.RefusedError
+	return errors.As(err, &refused) || errors.Is(err, syscall.ECONNREFUSED)
 }
 
 func milliseconds(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -134,10 +134,11 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
-// refusedError reports that the peer refused the request.
-type refusedError struct{ reason string }
+// RefusedError reports that the peer refused the request.
+type RefusedError struct{ Reason string }
 
-func (e refusedError) Error() string { return "peer refused: " + e.reason }
+// Error implements error.
+func (e *RefusedError) Error() string { return "peer refused: " + e.Reason }
 
 // Call sends a request to the peer at address (IP and port) and waits for the
 // response until ctx ends, at most callTimeout once a session is open. The error
@@ -154,7 +155,7 @@
 		return nil, &CallError{address, err}
 	}
 	if refusal := resp.GetRefusal(); refusal != nil {
-		return nil, &CallError{address, refusedError{refusal.GetReason()}}
+		return nil, &CallError{address, &RefusedError{refusal.GetReason()}}
 	}
 	return resp, nil
 }
