Move the process gauges to a package that the documentation check registers

The check in internal/daemon that docs/METRICS.md names exactly the registered metrics failed, because the page named gauges of internal/node. They are in internal/process now, which the check registers, too. It still demands an exact match.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,17 +1,30 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sort"
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/process"
 )
 
 // quantiles are the quantiles reported for each histogram.
 var quantiles = []float64{0.5, 0.95, 0.99}
 
+// registerProcessMetrics registers the gauges of the process and of its control
+// loop, which are computed when they are read.
+func registerProcessMetrics(r metrics.Registry, loop *control.Loop) error {
+	return errors.Join(
+		process.Register(r),
+		r.Register("control.queue_length", metrics.NewFunctionalGauge(func() int64 { return loop.Stats().Queued })),
+	)
+}
+
 // metricsHandler serves a registry in the Prometheus text format: one line per
 // value, with underscores in place of dots and hyphens in the names.
 func metricsHandler(r metrics.Registry) http.Handler {
--- a/internal/node/process.go
+++ b/internal/process/process.go
@@ -1,12 +1,12 @@
-package node
+// Package process reports the memory and the garbage collection of the running
+// process as metrics.
+package process
 
 import (
 	"errors"
 	runtimemetrics "runtime/metrics"
 
 	"github.com/rcrowley/go-metrics"
-
-	"github.com/bambooyard/bambooyard/internal/control"
 )
 
 // Samples of the Go runtime. Reading them does not stop the program.
@@ -17,14 +17,13 @@
 	sampleTotalTime   = "/cpu/classes/total:cpu-seconds"
 )
 
-// registerProcessMetrics registers the gauges of the process and of its control
-// loop, which are computed when they are read.
-func registerProcessMetrics(r metrics.Registry, loop *control.Loop) error {
+// Register registers the gauges of the process, which are computed when they are
+// read.
+func Register(r metrics.Registry) error {
 	return errors.Join(
 		r.Register("process.heap_live_bytes", metrics.NewFunctionalGauge(func() int64 { return readBytes(sampleHeapLive) })),
 		r.Register("process.memory_limit_bytes", metrics.NewFunctionalGauge(func() int64 { return readBytes(sampleMemoryLimit) })),
 		r.Register("process.gc_cpu_ratio", metrics.NewFunctionalGaugeFloat64(readGCRatio)),
-		r.Register("control.queue_length", metrics.NewFunctionalGauge(func() int64 { return loop.Stats().Queued })),
 	)
 }
 
