Add benchmarks of an owner's processor time

Cause: on sites with hundreds of workers the owner uses all the processor time it has, and nothing showed where it goes.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -48,3 +50,80 @@
 		})
 	}
 }
+
+// newRunningEngine returns an engine whose workers all run a service and best-effort
+// tasks, and nothing waits; and a listing for each worker.
+func newRunningEngine(b *testing.B, workers, bestEffort int) (*Engine, map[string]port.Listing, time.Time) {
+	b.Helper()
+	e, now := newFullEngine(workers, workers*2, workers*bestEffort)
+	for range 20 {
+		now = now.Add(200 * time.Millisecond)
+		e.Plan(now)
+		for _, r := range e.TakeOutput().Starts {
+			e.HandleStartResponse(r, 1000+now.UnixMilli()-1000*1000, nil, now, now)
+		}
+	}
+	listings := map[string]port.Listing{}
+	runs := 0
+	for id, w := range e.workers {
+		l := port.Listing{ClockMS: 1000 + now.UnixMilli() - 1000*1000, Boot: 1}
+		for _, r := range w.sortedRuns() {
+			entry := port.RunningTask{Task: r.Task.name(), Attempt: r.Attempt, Percent: 50, Measurement: 900}
+			if r.Task.Step.Service {
+				entry.Percent, entry.Measurement = 100, 20
+			}
+			l.Running = append(l.Running, entry)
+		}
+		runs += len(l.Running)
+		listings[id] = l
+	}
+	b.ReportMetric(float64(runs), "runs")
+	return e, listings, now
+}
+
+// BenchmarkHandleListing measures the handling of a listing in which nothing has
+// changed.
+func BenchmarkHandleListing(b *testing.B) {
+	e, listings, now := newRunningEngine(b, 490, 4)
+	ids := slices.Sorted(maps.Keys(listings))
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		// The time stands still, so that no run stalls.
+		if id := ids[i%len(ids)]; !e.HandleListing(id, listings[id], now, now) {
+			b.Fatal("listing not accepted")
+		}
+	}
+}
+
+// BenchmarkPlanWhileRunning measures a plan in which no task waits.
+func BenchmarkPlanWhileRunning(b *testing.B) {
+	e, _, now := newRunningEngine(b, 490, 4)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		e.Plan(now)
+	}
+	b.ReportMetric(float64(len(e.Jobs())), "jobs")
+}
+
+// BenchmarkPlanStarts measures plans that start one task each.
+func BenchmarkPlanStarts(b *testing.B) {
+	e, _, now := newRunningEngine(b, 490, 4)
+	e.TakeOutput()
+	step := job.Step{Tasks: 1, EstimateMS: 1000, Resources: job.Resources{MilliCPU: 100, MemoryMB: 100}}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		id := fmt.Sprintf("single%d", i)
+		e.Add(job.Spec{ID: id, Queue: "batch", Steps: []job.Step{step}}, now, 0)
+		e.Plan(now)
+		out := e.TakeOutput()
+		if len(out.Starts) != 1 {
+			b.Fatalf("%d starts", len(out.Starts))
+		}
+		e.Cancel(id)
+		r := out.Starts[0]
+		r.Worker.detach(r)
+	}
+}
