Plan only jobs with waiting tasks, from the last order

Cause: each plan sorted all open jobs from the random order of a map, running services among them, whose comparison is the most expensive.

Change: each job counts its tasks that are neither done nor have a run; jobs without such a task are left out. The order is kept from plan to plan, so that the sort finds it nearly sorted. A randomised test checks the counts after every event.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,7 +98,8 @@
 	unplaceable  unplaceable
 	// unknownRunCounts is the number of unknown runs by task name.
 	unknownRunCounts map[string]int
-	planOrder        []*Job // open jobs in the order of the last plan; the slice is reused
+	// planOrder are the jobs with waiting tasks in the order of the last plan.
+	planOrder []*Job
 	// bestEffortStarted is set once a best-effort task has been started.
 	bestEffortStarted bool
 	consolidatedAt    time.Time
@@ -210,6 +211,7 @@
 			}
 			o.tasks = append(o.tasks, row)
 			o.pending = append(o.pending, step.Tasks)
+			j.waiting += step.Tasks
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -76,11 +76,11 @@
 	if t.Step.Gang {
 		// The completion of one member completes the whole gang.
 		for _, member := range o.tasks[t.ID.Step] {
-			member.Done = true
+			member.setDone()
 		}
 		o.pending[t.ID.Step] = 0
 	} else {
-		t.Done = true
+		t.setDone()
 		o.pending[t.ID.Step]--
 		for _, r := range t.Runs {
 			e.stop(r, StopEnded)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -42,6 +42,34 @@
 // Arrived returns when this owner received the job.
 func (j *Job) Arrived() time.Time { return j.arrived }
 
+// waiting reports whether the task is neither done nor has a run. After a change,
+// the job's count must be updated.
+func (t *Task) waiting() bool { return !t.Done && len(t.Runs) == 0 }
+
+// setDone marks the task as done.
+func (t *Task) setDone() {
+	if t.waiting() {
+		t.Job.waiting--
+	}
+	t.Done = true
+}
+
+// addRun adds a run to the task.
+func (t *Task) addRun(r *Run) {
+	if t.waiting() {
+		t.Job.waiting--
+	}
+	t.Runs = append(t.Runs, r)
+}
+
+// removeRun removes one of the task's runs.
+func (t *Task) removeRun(r *Run) {
+	t.Runs = slices.DeleteFunc(t.Runs, func(o *Run) bool { return o == r })
+	if t.waiting() {
+		t.Job.waiting++
+	}
+}
+
 // name returns the task's name on workers.
 func (t *Task) name() string { return t.fullName }
 
@@ -61,6 +89,10 @@
 	latestStart time.Time
 	service     bool // a step is a service, which runs until the job is cancelled
 	timeliness  timeliness
+	// waiting is the number of tasks that are neither done nor have a run.
+	waiting int
+	// inPlanOrder is set while the job is in the engine's planOrder.
+	inPlanOrder bool
 	// stepAdvice is the advisor's responses by step; nil if there are none.
 	stepAdvice map[stepKey]*advice
 	speeds     map[stepKey]stepSpeeds
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -31,33 +31,41 @@
 	}
 }
 
-// byUrgency returns the open jobs in the order in which they are planned: those that
-// lose most by waiting come first. The slice is valid until the next call.
+// byUrgency returns the open jobs with waiting tasks in the order in which they are
+// planned: those that lose most by waiting come first. The slice is valid until the
+// next call. It starts from the last order, which is nearly sorted.
 func (e *Engine) byUrgency(now time.Time) []*Job {
-	jobs := e.planOrder[:0]
+	e.planOrder = slices.DeleteFunc(e.planOrder, func(j *Job) bool {
+		j.inPlanOrder = j.waiting > 0 && !j.State.Final()
+		return !j.inPlanOrder
+	})
 	for _, j := range e.jobs {
 		j.timeliness = j.timelinessAt(now)
-		jobs = append(jobs, j)
-	}
-	e.planOrder = jobs
-	slices.SortFunc(jobs, func(a, b *Job) int {
-		if a.timeliness != b.timeliness {
-			return int(a.timeliness) - int(b.timeliness)
+		if j.waiting > 0 && !j.inPlanOrder {
+			j.inPlanOrder = true
+			e.planOrder = append(e.planOrder, j)
 		}
-		if a.Queue.Priority != b.Queue.Priority {
-			return a.Queue.Priority - b.Queue.Priority
-		}
-		if a.service || b.service {
-			if c := compareServices(a, b); c != 0 {
-				return c
-			}
-		}
-		if c := a.latestStart.Compare(b.latestStart); c != 0 {
+	}
+	slices.SortFunc(e.planOrder, compareUrgency)
+	return e.planOrder
+}
+
+func compareUrgency(a, b *Job) int {
+	if a.timeliness != b.timeliness {
+		return int(a.timeliness) - int(b.timeliness)
+	}
+	if a.Queue.Priority != b.Queue.Priority {
+		return a.Queue.Priority - b.Queue.Priority
+	}
+	if a.service || b.service {
+		if c := compareServices(a, b); c != 0 {
 			return c
 		}
-		return strings.Compare(a.Spec.ID, b.Spec.ID)
-	})
-	return jobs
+	}
+	if c := a.latestStart.Compare(b.latestStart); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Spec.ID, b.Spec.ID)
 }
 
 // compareServices orders services after other jobs, which end sooner, and groups
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -69,7 +69,7 @@
 		t.Checkpoint = tp.Checkpoint
 		t.placedOn = tp.Worker
 		if tp.Done && !t.Done {
-			t.Done = true
+			t.setDone()
 			o := j.occurrences[tp.Occurrence]
 			o.pending[tp.Step]--
 		}
--- /dev/null
+++ b/dispatch/waiting_test.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// TestWaitingCountsTasksWithoutRuns checks the counts by job against the tasks after
+// random events.
+func TestWaitingCountsTasksWithoutRuns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture(worker("w0", 4000, 64000), worker("w1", 4000, 64000))
+		var runs []*Run
+		sequence := map[string]int64{}
+		for n := range rapid.IntRange(1, 60).Draw(t, "events") {
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				step := small(rapid.IntRange(1, 4).Draw(t, "tasks"))
+				step.Gang = rapid.Bool().Draw(t, "gang")
+				f.Add(job.Spec{ID: fmt.Sprintf("j%d", n), Queue: "q", Steps: []job.Step{step}}, f.now, 0)
+			case 1:
+				out := f.plan(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				runs = append(runs, out.Starts...)
+				f.confirmStarts(out)
+			case 2:
+				if len(runs) > 0 {
+					r := runs[rapid.IntRange(0, len(runs)-1).Draw(t, "run")]
+					reason := rapid.SampledFrom([]port.EndReason{port.EndDone, port.EndFailed, port.EndStopped}).Draw(t, "reason")
+					sequence[r.Worker.Entry.ID]++
+					f.listEnd(r, sequence[r.Worker.Entry.ID], reason)
+				}
+			case 3:
+				f.HandleReplacement(rapid.SampledFrom([]string{"w0", "w1"}).Draw(t, "worker"), f.now)
+			case 4:
+				f.Cancel(fmt.Sprintf("j%d", rapid.IntRange(0, n).Draw(t, "job")))
+			}
+			checkWaiting(t, f.Engine)
+		}
+	})
+}
+
+func checkWaiting(t *rapid.T, e *Engine) {
+	is := is.New(t)
+	for _, j := range e.Jobs() {
+		waiting := 0
+		for task := range j.allTasks() {
+			if !task.Done && len(task.Runs) == 0 {
+				waiting++
+			}
+		}
+		is.Equal(j.waiting, waiting) // job's count of waiting tasks
+	}
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -142,7 +142,7 @@
 	w.runs[runKey{r.Task.name(), r.Attempt}] = r
 	w.used = w.used.Add(demand(r.Task.Step))
 	w.colocation.valid = false
-	r.Task.Runs = append(r.Task.Runs, r)
+	r.Task.addRun(r)
 }
 
 func (w *Worker) detach(r *Run) {
@@ -153,7 +153,7 @@
 	delete(w.runs, key)
 	w.used = w.used.Sub(demand(r.Task.Step))
 	w.colocation.valid = false
-	r.Task.Runs = slices.DeleteFunc(r.Task.Runs, func(o *Run) bool { return o == r })
+	r.Task.removeRun(r)
 }
 
 // Workers returns all workers; the caller must not change them.
