Count the jobs that have not started by queue

Cause: the owner walked all open jobs for the queues' depths at every tick, 20 times a second, and for every reply to a follower, four times a second for each.

Change: the engine keeps the counts. The randomised test of the counts of tasks covers them, too, and restored jobs.

--- a/dispatch/waiting_test.go
+++ b/dispatch/counts_test.go
@@ -12,9 +12,9 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
-// TestWaitingCountsTasksWithoutRuns checks the counts by job against the tasks after
-// random events.
-func TestWaitingCountsTasksWithoutRuns(t *testing.T) {
+// TestCountsAgreeWithTasksAndJobs checks the counts of waiting tasks by job, and of
+// jobs that have not started by queue, after random events.
+func TestCountsAgreeWithTasksAndJobs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFixture(worker("w0", 4000, 64000), worker("w1", 4000, 64000))
 		var runs []*Run
@@ -24,7 +24,11 @@
 			case 0:
 				step := small(rapid.IntRange(1, 4).Draw(t, "tasks"))
 				step.Gang = rapid.Bool().Draw(t, "gang")
-				f.Add(job.Spec{ID: fmt.Sprintf("j%d", n), Queue: "q", Steps: []job.Step{step}}, f.now, 0)
+				queue := rapid.SampledFrom([]string{"q", "other"}).Draw(t, "queue")
+				j := f.Add(job.Spec{ID: fmt.Sprintf("j%d", n), Queue: queue, Steps: []job.Step{step}}, f.now, 0)
+				if rapid.Bool().Draw(t, "restored") {
+					is.New(t).NoErr(f.Restore(j, Progress{Tasks: []TaskProgress{{Done: rapid.Bool().Draw(t, "done")}}}))
+				}
 			case 1:
 				out := f.plan(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 				runs = append(runs, out.Starts...)
@@ -41,14 +45,18 @@
 			case 4:
 				f.Cancel(fmt.Sprintf("j%d", rapid.IntRange(0, n).Draw(t, "job")))
 			}
-			checkWaiting(t, f.Engine)
+			checkCounts(t, f.Engine)
 		}
 	})
 }
 
-func checkWaiting(t *rapid.T, e *Engine) {
+func checkCounts(t *rapid.T, e *Engine) {
 	is := is.New(t)
+	unstarted := map[string]int{}
 	for _, j := range e.Jobs() {
+		if !j.Started {
+			unstarted[j.Spec.Queue]++
+		}
 		waiting := 0
 		for task := range j.allTasks() {
 			if !task.Done && len(task.Runs) == 0 {
@@ -57,4 +65,5 @@
 		}
 		is.Equal(j.waiting, waiting) // job's count of waiting tasks
 	}
+	is.Equal(e.Unstarted(), unstarted) // jobs that have not started, by queue
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -88,6 +88,9 @@
 	// finalJobs are jobs that have ended, with the time: a late message about one
 	// must not start it again.
 	finalJobs map[string]time.Time
+	// unstarted is the number of open jobs that have not started, by queue; queues
+	// without such jobs are left out.
+	unstarted map[string]int
 	queues    map[string]job.Queue
 	// uncontacted are workers that may run tasks of a former owner and have not
 	// answered this one, with the time by which those tasks have ended.
@@ -145,6 +148,7 @@
 		tasks:       map[string]*Task{},
 		workers:     map[string]*Worker{},
 		finalJobs:   map[string]time.Time{},
+		unstarted:   map[string]int{},
 		queues:      map[string]job.Queue{},
 		uncontacted: map[string]time.Time{},
 
@@ -166,6 +170,18 @@
 // Jobs returns all open jobs; the caller must not change them.
 func (e *Engine) Jobs() map[string]*Job { return e.jobs }
 
+// Unstarted returns the number of open jobs that have not started, by queue. Queues
+// without such jobs are left out. The caller must not change the map, which the engine
+// updates.
+func (e *Engine) Unstarted() map[string]int { return e.unstarted }
+
+// countStarted removes a job from the jobs that have not started.
+func (e *Engine) countStarted(j *Job) {
+	if e.unstarted[j.Spec.Queue]--; e.unstarted[j.Spec.Queue] == 0 {
+		delete(e.unstarted, j.Spec.Queue)
+	}
+}
+
 // SetQueues applies the operators' queue settings. A queue that has been removed
 // keeps its last settings for the jobs that remain in it.
 func (e *Engine) SetQueues(queues []job.Queue) {
@@ -217,6 +233,7 @@
 	}
 	j.setObjective()
 	e.jobs[spec.ID] = j
+	e.unstarted[spec.Queue]++
 	e.claimRunsAndEnds(j, now)
 	return j
 }
@@ -245,6 +262,9 @@
 	if j.State.Final() {
 		return
 	}
+	if !j.Started {
+		e.countStarted(j)
+	}
 	j.State = state
 	e.out.Finished = append(e.out.Finished, j)
 	delete(e.out.Changed, j)
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -120,6 +120,7 @@
 // markStarted records that a task of a job has been started.
 func (e *Engine) markStarted(j *Job) {
 	if !j.Started {
+		e.countStarted(j)
 		j.Started = true
 		j.State = job.Running
 		e.markChanged(j, false)
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -75,6 +75,9 @@
 		}
 	}
 	if len(p.Tasks) > 0 {
+		if !j.Started {
+			e.countStarted(j)
+		}
 		j.Started, j.State = true, job.Running
 	}
 	for t := range j.allTasks() {
--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -242,3 +242,16 @@
 	cancel()
 	wg.Wait()
 }
+
+// BenchmarkDepths measures the depths of the queues, which the owner sends with each
+// reply to a follower, while 1,500 jobs are open.
+func BenchmarkDepths(b *testing.B) {
+	t := &term{engine: dispatch.NewEngine(dispatch.Options{})}
+	for i := range 1500 {
+		t.engine.Add(benchJob(i, i%2 == 0), time.Now(), 0)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		t.depths()
+	}
+}
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -193,15 +194,7 @@
 
 // depths returns the number of jobs that have not started, by queue. Empty queues
 // are left out.
-func (t *term) depths() map[string]int {
-	depths := map[string]int{}
-	for _, j := range t.engine.Jobs() {
-		if !j.Started {
-			depths[j.Spec.Queue]++
-		}
-	}
-	return depths
-}
+func (t *term) depths() map[string]int { return maps.Clone(t.engine.Unstarted()) }
 
 // acceptStored adds jobs and cancellations that a daemon has stored.
 func (t *term) acceptStored(specs []job.Spec, cancelled []string) {
