Check the retention of ended jobs once a second

Cause: every plan walked all jobs that ended in the last five minutes, thousands in a busy cell, although nothing depends on the moment at which they are forgotten.

Change: the check runs once a second.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -127,3 +127,17 @@
 		r.Worker.detach(r)
 	}
 }
+
+// BenchmarkPlanAfterManyJobs measures a plan of an engine that remembers the jobs of
+// the last minutes.
+func BenchmarkPlanAfterManyJobs(b *testing.B) {
+	e, _, now := newRunningEngine(b, 490, 4)
+	for i := range 9000 {
+		e.MarkEnded(fmt.Sprintf("ended%d", i), now)
+	}
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(10 * time.Microsecond)
+		e.Plan(now)
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -87,7 +87,8 @@
 	workers map[string]*Worker
 	// finalJobs are jobs that have ended, with the time: a late message about one
 	// must not start it again.
-	finalJobs map[string]time.Time
+	finalJobs          map[string]time.Time
+	finalJobsCheckedAt time.Time
 	// unstarted is the number of open jobs that have not started, by queue; queues
 	// without such jobs are left out.
 	unstarted map[string]int
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -254,14 +254,7 @@
 // uncontacted workers, and forgets ended jobs and unmatched ends, after their time
 // limits.
 func (e *Engine) Expire(now time.Time) {
-	for id, at := range e.finalJobs {
-		switch {
-		case at.IsZero():
-			e.finalJobs[id] = now // ended before the first call of Plan
-		case now.Sub(at) > endedRetention:
-			delete(e.finalJobs, id)
-		}
-	}
+	e.forgetFinalJobs(now)
 	for id, until := range e.uncontacted {
 		if now.After(until) {
 			delete(e.uncontacted, id)
@@ -284,6 +277,26 @@
 	}
 }
 
+// forgetFinalInterval is the interval at which ended jobs are checked for their
+// retention. There are many, and the retention is minutes.
+const forgetFinalInterval = time.Second
+
+// forgetFinalJobs forgets the jobs that ended more than endedRetention ago.
+func (e *Engine) forgetFinalJobs(now time.Time) {
+	if now.Sub(e.finalJobsCheckedAt) < forgetFinalInterval {
+		return
+	}
+	e.finalJobsCheckedAt = now
+	for id, at := range e.finalJobs {
+		switch {
+		case at.IsZero():
+			e.finalJobs[id] = now // ended before the first call of Plan
+		case now.Sub(at) > endedRetention:
+			delete(e.finalJobs, id)
+		}
+	}
+}
+
 // markLost gives up a run whose end has not been listed.
 func (e *Engine) markLost(r *Run) {
 	r.Worker.detach(r)
