Keep the order of a worker's runs between listings

Cause: each listing sorted the worker's runs three times.

Change: the order is kept until a run is attached or detached.

--- a/dispatch/protection.go
+++ b/dispatch/protection.go
@@ -84,7 +84,7 @@
 		step := r.Task.Step
 		return e.interference.coefficientOf(image, step.Image) * w.cpuShare(step)
 	}
-	victims := slices.DeleteFunc(w.sortedRuns(), func(r *Run) bool {
+	victims := slices.DeleteFunc(slices.Clone(w.sortedRuns()), func(r *Run) bool {
 		return !r.Task.Step.BestEffort || r.stopping || r.desiredLimit == 0 || addedLoad(r) < minAddedLoad
 	})
 	slices.SortStableFunc(victims, func(a, b *Run) int { return cmp.Compare(addedLoad(b), addedLoad(a)) })
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -21,9 +21,11 @@
 	clockAt   time.Time // zero if its clock is not known
 	// leaseUntilMS is the latest time on the worker's clock until which a run may
 	// continue.
-	leaseUntilMS  int64
-	lastEnd       int64 // highest sequence number of a handled end
-	runs          map[runKey]*Run
+	leaseUntilMS int64
+	lastEnd      int64 // highest sequence number of a handled end
+	runs         map[runKey]*Run
+	// runOrder are the runs in a fixed order; nil after a change of runs.
+	runOrder      []*Run
 	unknownRuns   map[runKey]trackedUnknownRun
 	unmatchedEnds []unmatchedEnd
 	used          job.Resources
@@ -140,6 +142,7 @@
 
 func (w *Worker) attach(r *Run) {
 	w.runs[runKey{r.Task.name(), r.Attempt}] = r
+	w.runOrder = nil
 	w.used = w.used.Add(demand(r.Task.Step))
 	w.colocation.valid = false
 	r.Task.addRun(r)
@@ -151,6 +154,7 @@
 		return
 	}
 	delete(w.runs, key)
+	w.runOrder = nil
 	w.used = w.used.Sub(demand(r.Task.Step))
 	w.colocation.valid = false
 	r.Task.removeRun(r)
@@ -235,8 +239,12 @@
 	return ids
 }
 
-// sortedRuns returns the runs in a fixed order.
+// sortedRuns returns the runs in a fixed order. The caller must not change the slice,
+// which stays as it is when runs are attached or detached.
 func (w *Worker) sortedRuns() []*Run {
+	if w.runOrder != nil {
+		return w.runOrder
+	}
 	runs := make([]*Run, 0, len(w.runs))
 	for _, r := range w.runs {
 		runs = append(runs, r)
@@ -247,6 +255,7 @@
 		}
 		return compareRunNames(a, b)
 	})
+	w.runOrder = runs
 	return runs
 }
 
