--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -87,7 +87,11 @@
 	workers map[string]*Worker
 	// finalJobs are jobs that have ended, with the time: a late message about one
 	// must not start it again.
-	finalJobs map[string]time.Time
+	finalJobs          map[string]time.Time
+	finalJobsCheckedAt time.Time
+	// unstarted is the number of open jobs that have not started, by queue; queues
+	// without such jobs are left out.
+	unstarted map[string]int
 	queues    map[string]job.Queue
 	// uncontacted are workers that may run tasks of a former owner and have not
 	// answered this one, with the time by which those tasks have ended.
@@ -98,7 +102,8 @@
 	unplaceable  unplaceable
 	// unknownRunCounts is the number of unknown runs by task name.
 	unknownRunCounts map[string]int
-	planOrder        []*Job // open jobs in the order of the last plan; the slice is reused
+	// planOrder are the jobs with waiting tasks in the order of the last plan.
+	planOrder []*Job
 	// bestEffortStarted is set once a best-effort task has been started.
 	bestEffortStarted bool
 	consolidatedAt    time.Time
@@ -144,6 +149,7 @@
 		tasks:       map[string]*Task{},
 		workers:     map[string]*Worker{},
 		finalJobs:   map[string]time.Time{},
+		unstarted:   map[string]int{},
 		queues:      map[string]job.Queue{},
 		uncontacted: map[string]time.Time{},
 
@@ -165,6 +171,18 @@
 // Jobs returns all open jobs; the caller must not change them.
 func (e *Engine) Jobs() map[string]*Job { return e.jobs }
 
+// Unstarted returns the number of open jobs that have not started, by queue. Queues
+// without such jobs are left out. The caller must not change the map, which the engine
+// updates.
+func (e *Engine) Unstarted() map[string]int { return e.unstarted }
+
+// countStarted removes a job from the jobs that have not started.
+func (e *Engine) countStarted(j *Job) {
+	if e.unstarted[j.Spec.Queue]--; e.unstarted[j.Spec.Queue] == 0 {
+		delete(e.unstarted, j.Spec.Queue)
+	}
+}
+
 // SetQueues applies the operators' queue settings. A queue that has been removed
 // keeps its last settings for the jobs that remain in it.
 func (e *Engine) SetQueues(queues []job.Queue) {
@@ -210,11 +228,13 @@
 			}
 			o.tasks = append(o.tasks, row)
 			o.pending = append(o.pending, step.Tasks)
+			j.waiting += step.Tasks
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
 	j.setObjective()
 	e.jobs[spec.ID] = j
+	e.unstarted[spec.Queue]++
 	e.claimRunsAndEnds(j, now)
 	return j
 }
@@ -243,6 +263,9 @@
 	if j.State.Final() {
 		return
 	}
+	if !j.Started {
+		e.countStarted(j)
+	}
 	j.State = state
 	e.out.Finished = append(e.out.Finished, j)
 	delete(e.out.Changed, j)
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -69,12 +69,15 @@
 		t.Checkpoint = tp.Checkpoint
 		t.placedOn = tp.Worker
 		if tp.Done && !t.Done {
-			t.Done = true
+			t.setDone()
 			o := j.occurrences[tp.Occurrence]
 			o.pending[tp.Step]--
 		}
 	}
 	if len(p.Tasks) > 0 {
+		if !j.Started {
+			e.countStarted(j)
+		}
 		j.Started, j.State = true, job.Running
 	}
 	for t := range j.allTasks() {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -21,9 +21,11 @@
 	clockAt   time.Time // zero if its clock is not known
 	// leaseUntilMS is the latest time on the worker's clock until which a run may
 	// continue.
-	leaseUntilMS  int64
-	lastEnd       int64 // highest sequence number of a handled end
-	runs          map[runKey]*Run
+	leaseUntilMS int64
+	lastEnd      int64 // highest sequence number of a handled end
+	runs         map[runKey]*Run
+	// runOrder are the runs in a fixed order; nil after a change of runs.
+	runOrder      []*Run
 	unknownRuns   map[runKey]trackedUnknownRun
 	unmatchedEnds []unmatchedEnd
 	used          job.Resources
@@ -140,9 +142,10 @@
 
 func (w *Worker) attach(r *Run) {
 	w.runs[runKey{r.Task.name(), r.Attempt}] = r
+	w.runOrder = nil
 	w.used = w.used.Add(demand(r.Task.Step))
 	w.colocation.valid = false
-	r.Task.Runs = append(r.Task.Runs, r)
+	r.Task.addRun(r)
 }
 
 func (w *Worker) detach(r *Run) {
@@ -151,9 +154,10 @@
 		return
 	}
 	delete(w.runs, key)
+	w.runOrder = nil
 	w.used = w.used.Sub(demand(r.Task.Step))
 	w.colocation.valid = false
-	r.Task.Runs = slices.DeleteFunc(r.Task.Runs, func(o *Run) bool { return o == r })
+	r.Task.removeRun(r)
 }
 
 // Workers returns all workers; the caller must not change them.
@@ -235,8 +239,12 @@
 	return ids
 }
 
-// sortedRuns returns the runs in a fixed order.
+// sortedRuns returns the runs in a fixed order. The caller must not change the slice,
+// which stays as it is when runs are attached or detached.
 func (w *Worker) sortedRuns() []*Run {
+	if w.runOrder != nil {
+		return w.runOrder
+	}
 	runs := make([]*Run, 0, len(w.runs))
 	for _, r := range w.runs {
 		runs = append(runs, r)
@@ -247,6 +255,7 @@
 		}
 		return compareRunNames(a, b)
 	})
+	w.runOrder = runs
 	return runs
 }
 
@@ -254,14 +263,7 @@
 // uncontacted workers, and forgets ended jobs and unmatched ends, after their time
 // limits.
 func (e *Engine) Expire(now time.Time) {
-	for id, at := range e.finalJobs {
-		switch {
-		case at.IsZero():
-			e.finalJobs[id] = now // ended before the first call of Plan
-		case now.Sub(at) > endedRetention:
-			delete(e.finalJobs, id)
-		}
-	}
+	e.forgetFinalJobs(now)
 	for id, until := range e.uncontacted {
 		if now.After(until) {
 			delete(e.uncontacted, id)
@@ -284,6 +286,26 @@
 	}
 }
 
+// forgetFinalInterval is the interval at which ended jobs are checked for their
+// retention. There are many, and the retention is minutes.
+const forgetFinalInterval = time.Second
+
+// forgetFinalJobs forgets the jobs that ended more than endedRetention ago.
+func (e *Engine) forgetFinalJobs(now time.Time) {
+	if now.Sub(e.finalJobsCheckedAt) < forgetFinalInterval {
+		return
+	}
+	e.finalJobsCheckedAt = now
+	for id, at := range e.finalJobs {
+		switch {
+		case at.IsZero():
+			e.finalJobs[id] = now // ended before the first call of Plan
+		case now.Sub(at) > endedRetention:
+			delete(e.finalJobs, id)
+		}
+	}
+}
+
 // markLost gives up a run whose end has not been listed.
 func (e *Engine) markLost(r *Run) {
 	r.Worker.detach(r)
