--- a/dispatch/protection_test.go
+++ b/dispatch/protection_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,14 +35,25 @@
 	return f, service, bestEffort
 }
 
-// listTail lists the service with a tail latency in milliseconds, and the
-// best-effort runs with a progress in percent.
-func (f *fixture) listTail(service *Run, bestEffort []*Run, tailMS float64, percent int) {
-	l := port.Listing{Running: []port.RunningTask{{Task: service.Task.ID.String(), Attempt: 1, Percent: 100, Measurement: tailMS}}}
+// tailListing returns a listing of the service with a tail latency in milliseconds,
+// and of the best-effort runs with a progress in percent.
+func (f *fixture) tailListing(service *Run, bestEffort []*Run, tailMS float64, percent int) port.Listing {
+	l := port.Listing{ClockMS: f.now.UnixMilli(), Boot: 1}
+	l.Running = []port.RunningTask{{Task: service.Task.ID.String(), Attempt: 1, Percent: 100, Measurement: tailMS}}
 	for _, run := range bestEffort {
 		l.Running = append(l.Running, port.RunningTask{Task: run.Task.ID.String(), Attempt: 1, Percent: percent, Measurement: 3000})
 	}
-	f.reportListing("a", l)
+	return l
+}
+
+// listTail passes the engine a tailListing that was requested and received now.
+func (f *fixture) listTail(service *Run, bestEffort []*Run, tailMS float64, percent int) {
+	f.reportListing("a", f.tailListing(service, bestEffort, tailMS, percent))
+}
+
+// allSuspended reports whether the suspension of all runs has been confirmed.
+func allSuspended(bestEffort []*Run) bool {
+	return !slices.ContainsFunc(bestEffort, func(r *Run) bool { return r.ConfirmedLimit > 0 })
 }
 
 // confirmThrottles answers throttle requests without an error.
@@ -79,6 +91,48 @@
 	}
 }
 
+// A violation was counted from the reception of the first listing that showed it. That
+// listing was up to a second late, because measurements lag and workers hold listings,
+// and best-effort tasks beside the service worked on until after MaxViolation.
+func TestBestEffortTasksAreSuspendedInTimeThoughMeasurementsAreLate(t *testing.T) {
+	const (
+		roundTrip = 65 * time.Millisecond
+		// throttleDelay is how long the worker takes to apply a confirmed limit.
+		throttleDelay = 100 * time.Millisecond
+	)
+	for name, c := range map[string]struct {
+		// received is when the first listing is received after the violation began.
+		received time.Duration
+		wait     time.Duration // how long the worker holds the listings before the first above the target
+		tailsMS  []float64     // the last is repeated
+	}{
+		"lagging measurement": {156 * time.Millisecond, 340 * time.Millisecond, []float64{46, 49, 58}},
+		"held listing":        {1065 * time.Millisecond, time.Second, []float64{461, 517, 511}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, service, bestEffort := newColocatedFixture(t)
+			began, sent := f.now, f.now.Add(c.received-c.wait-roundTrip)
+			f.now = began.Add(c.received)
+			for i := 0; ; i++ {
+				tail := c.tailsMS[min(i, len(c.tailsMS)-1)]
+				f.HandleListing("a", f.tailListing(service, bestEffort, tail, i), sent, f.now)
+				f.confirmThrottles(f.TakeOutput())
+				if allSuspended(bestEffort) {
+					break
+				}
+				sent = f.now
+				wait := c.wait
+				if tail >= service.Task.Step.TargetLatencyMS {
+					wait = 200 * time.Millisecond
+				}
+				f.now = sent.Add(wait + roundTrip)
+			}
+			is.True(f.now.Add(roundTrip+throttleDelay).Sub(began) < testOptions.MaxViolation)
+		})
+	}
+}
+
 func TestHarmlessBestEffortTasksAreNotThrottled(t *testing.T) {
 	is := is.New(t)
 	f, service, bestEffort := newColocatedFixture(t)
