Suspend best-effort tasks before a service has been over its target too long

The engine counted that time from the reception of the first listing that showed the violation.

The count for that last step now begins when the listing was requested: the listing before it had just been received and showed no violation. The earlier steps, which move and suspend single tasks, count as before.

--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -55,7 +55,7 @@
 	}
 	w.colocation.valid = false
 	e.updateInterference(w, now)
-	e.protectServices(w, now)
+	e.protectServices(w, sent, now)
 	e.moveStalledAndSlow(w, now)
 	w.colocation.valid = false
 	delete(e.uncontacted, id)
--- a/dispatch/protection.go
+++ b/dispatch/protection.go
@@ -28,36 +28,41 @@
 type latencyState struct {
 	// adjustedAt is when the protection last moved or suspended tasks.
 	adjustedAt time.Time
-	// overSince is when a service began to exceed its target; zero if none does.
+	// overSince is when a listing first showed that a service exceeds its target; zero
+	// if none does.
 	overSince time.Time
+	// violationStart is when that listing was requested. The violation may have begun
+	// then, because the worker may have held the listing and measurements lag.
+	violationStart time.Time
 }
 
 // protectServices moves or throttles best-effort tasks beside services that exceed
-// their targets, and lifts throttles when none does.
-func (e *Engine) protectServices(w *Worker, now time.Time) {
+// their targets, and lifts throttles when none does. It is called for each listing,
+// which was requested at sent.
+func (e *Engine) protectServices(w *Worker, sent, now time.Time) {
 	worst, image := w.worstTail()
 	s := &w.latency
 	switch {
 	case worst < 1:
 		s.overSince = time.Time{}
 	case s.overSince.IsZero():
-		s.overSince = now
+		s.overSince, s.violationStart = now, sent
 	}
 	if e.colocationOf(w).bestEffort == 0 {
 		return
 	}
-	overFor := func(share float64) bool {
-		return now.Sub(s.overSince) >= time.Duration(share*float64(e.options.MaxViolation))
+	passed := func(share float64, since time.Time) bool {
+		return now.Sub(since) >= time.Duration(share*float64(e.options.MaxViolation))
 	}
 	settled := now.Sub(s.adjustedAt) >= settleTime
 	switch {
 	case worst < 1:
 		w.setBestEffortSuspended(false)
-	case overFor(suspendAllAfter):
+	case passed(suspendAllAfter, s.violationStart):
 		w.setBestEffortSuspended(true)
-	case overFor(moveAfter) && settled:
+	case passed(moveAfter, s.overSince) && settled:
 		s.adjustedAt = now
-		e.reduceInterference(w, image, worst, overFor(suspendAfter), now)
+		e.reduceInterference(w, image, worst, passed(suspendAfter, s.overSince), now)
 	}
 	e.requestThrottles(w)
 }
