Allocate the tasks of a step together

Cause: a new owner allocates tens of thousands of tasks at once on its control loop, each on its own.

Change: the tasks of a step of one occurrence are one allocation.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -220,9 +220,11 @@
 		for s := range spec.Steps {
 			step := &j.Spec.Steps[s]
 			row := make([]*Task, step.Tasks)
+			tasks := make([]Task, step.Tasks)
 			for i := range row {
 				id := job.TaskID{Job: spec.ID, Occurrence: k, Step: s, Index: i}
-				t := &Task{ID: id, Job: j, Step: step, fullName: id.String(), inherited: mayHaveStarted}
+				t := &tasks[i]
+				*t = Task{ID: id, Job: j, Step: step, fullName: id.String(), inherited: mayHaveStarted}
 				row[i] = t
 				e.tasks[t.name()] = t
 			}
