Walk the workers of a plan in a slice

Cause: each placement and each plan walked all workers through a map, which costs more than the checks of most workers.

Change: the engine keeps the workers in a slice as well, for placement, consolidation, evacuation and the expiry of leases.

Measured, one processor, 490 workers, least of eight runs beside other load: a plan that starts a task 70 to 55 us, one in which no task waits 32 to 23 us; one in which 2,450 jobs wait in vain 619 and 565 us, which is within the noise.

--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -51,7 +51,7 @@
 // leastServiceShare returns the workers with the lowest service shares above zero.
 func (e *Engine) leastServiceShare() []*Worker {
 	var sources []*Worker
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		if w.Listed && !w.Entry.Draining && len(e.colocationOf(w).services) > 0 {
 			sources = append(sources, w)
 		}
@@ -88,7 +88,7 @@
 	t, from := r.Task, r.Worker
 	share := e.serviceShare(from)
 	best := 0.0
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		if w == from || e.serviceShare(w) <= share || !e.eligible(t, w, now, nil) {
 			continue
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -85,6 +85,8 @@
 	jobs    map[string]*Job
 	tasks   map[string]*Task // tasks of open jobs, by name
 	workers map[string]*Worker
+	// workerList are the workers in no particular order, for loops that run often.
+	workerList []*Worker
 	// finalJobs are jobs that have ended, with the time: a late message about one
 	// must not start it again.
 	finalJobs          map[string]time.Time
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -35,7 +35,7 @@
 	if t.Step.SameRack {
 		rack = e.commonRack(siblings)
 	}
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		if !e.eligible(t, w, now, reserved) {
 			continue
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -273,7 +273,7 @@
 // evacuate moves services off draining workers, and stops all other runs there
 // shortly before the workers leave.
 func (e *Engine) evacuate() {
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		if !w.Entry.Draining || len(w.runs) == 0 {
 			continue
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -193,6 +194,7 @@
 			}
 		}
 	}
+	e.workerList = slices.Collect(maps.Values(e.workers))
 }
 
 // handleNewBoot records that a worker has restarted: the runs that the former boot
@@ -269,7 +271,7 @@
 			delete(e.uncontacted, id)
 		}
 	}
-	for _, w := range e.workers {
+	for _, w := range e.workerList {
 		w.expireUnmatchedEnds(now)
 		if len(w.runs)+len(w.unknownRuns) == 0 || w.clockAt.IsZero() {
 			continue
