Renew leases first while the control loop is overloaded

Cause: an owner that is short of processor time keeps requesting listings every 200 and 400 ms beside services, plans for up to a third of its time, and takes responses that wait in its own process for silence of the worker. Such a worker's lease is not renewed any more, and its tasks may lapse.

Change: the control loop measures how late its ticks are. While the mean over half a second is above 40 ms, and until it is below 15 ms, listings wait one second on every worker, plans are at least 20 ms apart, and listings and starts have one second more to be answered.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -120,6 +120,7 @@
 	storeFailing bool
 	lastTick     time.Time
 	lastUptime   time.Duration
+	loopDelay    loopDelay
 
 	view        atomic.Pointer[View]
 	jobStates   jobStateCache
@@ -180,6 +181,9 @@
 func (c *Cell) tick(time.Time) {
 	now := c.Now()
 	c.checkStall(now)
+	if c.loopDelay.tick(now) {
+		c.Log.WithFields(log.Fields{"event": "loop_load", "overloaded": c.loopDelay.overloaded, "delay_ms": c.loopDelay.mean.Milliseconds()}).Info("the load of the control loop has changed")
+	}
 	c.pollConfig(now)
 	c.watchOwner(now)
 	c.follow(now)
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -82,7 +82,7 @@
 	}
 	uncommitted := seen > hb.committedEnd
 	if hb.due(w, uncommitted, now) {
-		t.list(hb, w, hb.wait(w, uncommitted), now)
+		t.list(hb, w, hb.wait(w, uncommitted, t.c.loopDelay.overloaded), now)
 	}
 }
 
@@ -103,11 +103,15 @@
 	return busy || hb.committedEnd > hb.acknowledgedEnd || !w.Contacted()
 }
 
-// wait returns how long the worker may hold the listing until an attempt ends.
-func (hb *workerHeartbeat) wait(w *dispatch.Worker, uncommitted bool) time.Duration {
+// wait returns how long the worker may hold the listing until an attempt ends. While
+// the control loop is overloaded, services are measured less often, so that it can
+// renew the leases of all workers.
+func (hb *workerHeartbeat) wait(w *dispatch.Worker, uncommitted, overloaded bool) time.Duration {
 	switch {
 	case w.RunCount() == 0 || uncommitted || hb.failed || !w.Contacted() || w.HasUnacknowledgedRuns():
 		return 0
+	case overloaded:
+		return listWait
 	case w.Colocated() && w.OverLatencyTarget():
 		return overTargetWait
 	case w.Colocated():
@@ -133,7 +137,7 @@
 	}
 	boot := hb.boot
 	hb.inFlight, hb.sentAt = true, now
-	runAsync(t, wait+listTimeoutMargin, func(ctx context.Context) (port.Listing, error) {
+	runAsync(t, t.c.loopDelay.timeout(wait+listTimeoutMargin), func(ctx context.Context) (port.Listing, error) {
 		return t.c.Workers.List(ctx, target, req)
 	}, func(l port.Listing, err error) {
 		hb.inFlight = false
--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -51,7 +51,7 @@
 	}
 	t.log.WithFields(log.Fields{"event": "task_start", "task": req.Task, "attempt": req.Attempt, "worker": target.ID,
 		"resumed": req.Checkpoint != "", "waited_ms": now.Sub(task.ReadySince(now)).Milliseconds()}).Info("start requested")
-	runAsync(t, requestTimeout, func(ctx context.Context) (int64, error) {
+	runAsync(t, t.c.loopDelay.timeout(requestTimeout), func(ctx context.Context) (int64, error) {
 		return t.c.Workers.Start(ctx, target, req)
 	}, func(clock int64, err error) {
 		if err != nil {
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -131,12 +131,24 @@
 }
 
 // Pause after a plan, as a multiple of the plan's duration up to a maximum, so
-// that requests and their responses get most of the processor time.
+// that requests and their responses get most of the processor time. While the control
+// loop is overloaded, the pause is at least overloadedPlanPause, so that one plan
+// handles several events.
 const (
-	planPauseFactor = 2
-	maxPlanPause    = 40 * time.Millisecond
+	planPauseFactor     = 2
+	maxPlanPause        = 40 * time.Millisecond
+	overloadedPlanPause = 20 * time.Millisecond
 )
 
+// planPause returns the pause after a plan that took a time.
+func planPause(took time.Duration, overloaded bool) time.Duration {
+	pause := planPauseFactor * took
+	if overloaded {
+		pause = max(pause, overloadedPlanPause)
+	}
+	return min(maxPlanPause, pause)
+}
+
 // schedulePlan schedules a plan after the functions in the control loop's queue,
 // and not before planNotBefore.
 func (t *term) schedulePlan() {
@@ -168,7 +180,7 @@
 	now := t.c.Now()
 	defer func() {
 		done := t.c.Now()
-		t.planNotBefore = done.Add(min(maxPlanPause, planPauseFactor*done.Sub(now)))
+		t.planNotBefore = done.Add(planPause(done.Sub(now), t.c.loopDelay.overloaded))
 	}()
 	if t.loaded && !t.releasing && !t.unconfirmed {
 		t.engine.Plan(now)
