--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -85,6 +85,8 @@
 	jobs    map[string]*Job
 	tasks   map[string]*Task // tasks of open jobs, by name
 	workers map[string]*Worker
+	// workerList are the workers in no particular order, for loops that run often.
+	workerList []*Worker
 	// finalJobs are jobs that have ended, with the time: a late message about one
 	// must not start it again.
 	finalJobs          map[string]time.Time
@@ -220,9 +222,11 @@
 		for s := range spec.Steps {
 			step := &j.Spec.Steps[s]
 			row := make([]*Task, step.Tasks)
+			tasks := make([]Task, step.Tasks)
 			for i := range row {
 				id := job.TaskID{Job: spec.ID, Occurrence: k, Step: s, Index: i}
-				t := &Task{ID: id, Job: j, Step: step, fullName: id.String(), inherited: mayHaveStarted}
+				t := &tasks[i]
+				*t = Task{ID: id, Job: j, Step: step, fullName: id.String(), inherited: mayHaveStarted}
 				row[i] = t
 				e.tasks[t.name()] = t
 			}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -126,6 +126,7 @@
 	storeFailing bool
 	lastTick     time.Time
 	lastUptime   time.Duration
+	loopDelay    loopDelay
 
 	view        atomic.Pointer[View]
 	jobStates   jobStateCache
@@ -190,6 +191,9 @@
 	now := c.Now()
 	c.observeTick(now)
 	c.checkStall(now)
+	if c.loopDelay.tick(now) {
+		c.Log.WithFields(log.Fields{"event": "loop_load", "overloaded": c.loopDelay.overloaded, "delay_ms": c.loopDelay.mean.Milliseconds()}).Info("the load of the control loop has changed")
+	}
 	c.pollConfig(now)
 	c.watchOwner(now)
 	c.follow(now)
