Keep short listings for services over their target under overload

An overloaded owner waited one second for every listing, so that a service over its target was measured too rarely for the suspension of the tasks beside it to come within the platform's bound of 4 s. Its wait is 400 ms now. Stops, throttles and commits get the longer timeout of an overloaded owner, too, and unresponsive workers are called once a second in place of seven times. The tests of the waits and of the retries fail without the change.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -118,7 +118,7 @@
 	t.putLearned(&b, now)
 	t.committing, t.triedAt = true, now
 	t.urgent = false
-	runAsync(t, commitTimeout, func(ctx context.Context) (int64, error) {
+	runAsync(t, t.c.loopDelay.timeout(commitTimeout), func(ctx context.Context) (int64, error) {
 		return t.c.Store.Commit(ctx, b.txn)
 	}, func(version int64, err error) {
 		t.committing = false
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -80,19 +80,19 @@
 	if boot != hb.boot {
 		hb.boot, hb.committedEnd, hb.acknowledgedEnd = boot, 0, 0
 	}
-	uncommitted := seen > hb.committedEnd
-	if hb.due(w, uncommitted, now) {
-		t.list(hb, w, hb.wait(w, uncommitted, t.c.loopDelay.overloaded), now)
+	uncommitted, overloaded := seen > hb.committedEnd, t.c.loopDelay.overloaded
+	if hb.due(w, uncommitted, overloaded, now) {
+		t.list(hb, w, hb.wait(w, uncommitted, overloaded), now)
 	}
 }
 
 // due reports whether a listing is due. While ends are uncommitted, the next
 // listing is delayed by commitWait.
-func (hb *workerHeartbeat) due(w *dispatch.Worker, uncommitted bool, now time.Time) bool {
+func (hb *workerHeartbeat) due(w *dispatch.Worker, uncommitted, overloaded bool, now time.Time) bool {
 	busy := w.RunCount() > 0
 	if hb.failed {
 		interval := idleRetryInterval
-		if busy || !w.Contacted() {
+		if !overloaded && (busy || !w.Contacted()) {
 			interval = retryInterval
 		}
 		return now.Sub(hb.sentAt) >= interval && (w.Listed || busy)
@@ -110,6 +110,8 @@
 	switch {
 	case w.RunCount() == 0 || uncommitted || hb.failed || !w.Contacted() || w.HasUnacknowledgedRuns():
 		return 0
+	case overloaded && w.Colocated() && w.OverLatencyTarget():
+		return colocatedWait
 	case overloaded:
 		return listWait
 	case w.Colocated() && w.OverLatencyTarget():
--- a/internal/cell/loopdelay_test.go
+++ b/internal/cell/loopdelay_test.go
@@ -76,9 +76,19 @@
 	is.True(w.Colocated())
 	is.Equal(hb.wait(w, false, false), colocatedWait)
 	is.Equal(hb.wait(w, false, true), listWait)
+	e.HandleListing("w", port.Listing{ClockMS: 2100, Boot: 1, Running: []port.RunningTask{
+		{Task: benchJob(0, true).ID + ".0.0.0", Attempt: 1, Percent: 100, Measurement: 500},
+	}}, now, now)
+	is.True(w.OverLatencyTarget())
+	is.Equal(hb.wait(w, false, false), overTargetWait)
+	is.Equal(hb.wait(w, false, true), colocatedWait)
 	is.Equal(hb.wait(w, true, true), time.Duration(0)) // uncommitted ends
 	hb.failed = true
 	is.Equal(hb.wait(w, false, true), time.Duration(0)) // unresponsive worker
+	hb.sentAt = now
+	is.True(hb.due(w, false, false, now.Add(retryInterval)))
+	is.True(!hb.due(w, false, true, now.Add(retryInterval)))
+	is.True(hb.due(w, false, true, now.Add(idleRetryInterval)))
 }
 
 func TestOverloadLengthensShortPausesBetweenPlans(t *testing.T) {
--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -75,7 +75,7 @@
 func (t *term) stop(r *dispatch.Run, now time.Time) {
 	name, target := r.Task.ID.String(), r.Worker.Target()
 	t.log.WithFields(log.Fields{"event": "task_stop", "task": name, "attempt": r.Attempt, "worker": target.ID, "reason": string(r.StopReason())}).Info("stop requested")
-	runAsync(t, stopTimeout, func(ctx context.Context) (struct{}, error) {
+	runAsync(t, t.c.loopDelay.timeout(stopTimeout), func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, t.c.Workers.Stop(ctx, target, name, r.Attempt, t.epoch)
 	}, func(_ struct{}, err error) {
 		t.engine.HandleStopResponse(r, err, now, t.c.Now())
@@ -89,7 +89,7 @@
 func (t *term) stopUnknownRun(run dispatch.UnknownRun) {
 	target := run.Worker.Target()
 	t.log.WithFields(log.Fields{"event": "stray_stop", "task": run.Task, "attempt": run.Attempt, "worker": target.ID}).Info("stopping an unknown run")
-	runAsync(t, stopTimeout, func(ctx context.Context) (struct{}, error) {
+	runAsync(t, t.c.loopDelay.timeout(stopTimeout), func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, t.c.Workers.Stop(ctx, target, run.Task, run.Attempt, t.epoch)
 	}, func(_ struct{}, err error) {
 		t.checkEpoch(err)
@@ -100,7 +100,7 @@
 	r := th.Run
 	name, target := r.Task.ID.String(), r.Worker.Target()
 	t.log.WithFields(log.Fields{"event": "task_throttle", "task": name, "attempt": r.Attempt, "worker": target.ID, "percent": th.Percent}).Info("throttle requested")
-	runAsync(t, requestTimeout, func(ctx context.Context) (struct{}, error) {
+	runAsync(t, t.c.loopDelay.timeout(requestTimeout), func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, t.c.Workers.Throttle(ctx, target, name, r.Attempt, t.epoch, th.Percent)
 	}, func(_ struct{}, err error) {
 		t.engine.HandleThrottleResponse(r, th.Percent, err, t.c.Now())
