Add a failing test for speculative tasks at a takeover

A new owner starts a speculative task without waiting for the workers that may have run it, so it does not know the ends that a former owner was told of and had not committed.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -246,6 +246,25 @@
 	is.True(out.Starts[0].Attempt > 2) // above the attempts that a former owner may have used
 }
 
+// Guards against TWICE: a former owner was replaced after a worker had listed the end of
+// a speculative task to it and before it had committed the end. The next owner started
+// the task again before that worker had listed the end to it.
+func TestNextOwnerWaitsForUncontactedWorkersOfSpeculativeTasks(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 8000))
+	f.SetWorkers([]port.WorkerEntry{worker("a", 8000, 8000), worker("b", 8000, 8000)}, f.now)
+	step := small(1)
+	step.Speculative = true
+	j := f.Add(spec("j", step), f.now, 0)
+	is.NoErr(f.Restore(j, Progress{Tasks: []TaskProgress{{Attempt: 1, Worker: "b"}}}))
+	f.ExpectInheritedRuns([]string{"a", "b"}, f.now)
+	is.Equal(len(f.plan(time.Second).Starts), 0)
+	f.reportListing("b", port.Listing{Ended: []port.EndedTask{{Sequence: 1, Task: "j.0.0.0", Attempt: 1, Reason: port.EndDone}}})
+	out := f.plan(0)
+	is.Equal(len(out.Starts), 0)
+	is.Equal(out.Finished, []*Job{j})
+}
+
 func TestRunOfUnknownJobIsAdopted(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 8000), worker("b", 8000, 8000))
