Add a failing test for ends that are not committed under load

While more than 50 jobs change during each commit, no end is acknowledged, and jobs with high IDs are never committed: a takeover loses their ends and starts.

--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,8 @@
 	// scanDelay is the duration of each read of a table other than the owner's row, in
 	// nanoseconds.
 	scanDelay atomic.Int64
+	// commitDelay is the duration of each commit of the owner, in nanoseconds.
+	commitDelay atomic.Int64
 	// acquireBusy is how long the control loop is busy after each acquisition of the
 	// cell, in nanoseconds, and acquired the epoch of the last acquisition.
 	acquireBusy, acquired atomic.Int64
@@ -299,7 +302,11 @@
 	if err := s.blockIfUnreachable(ctx, "commit"); err != nil {
 		return 0, err
 	}
-	time.Sleep(4 * time.Millisecond)
+	delay := 4 * time.Millisecond
+	if slices.ContainsFunc(txn.Puts, func(p port.Put) bool { return p.Table == tableOwners }) {
+		delay += time.Duration(s.d.commitDelay.Load())
+	}
+	time.Sleep(delay)
 	version, err := s.Store.Commit(ctx, txn)
 	if err == nil {
 		s.d.simulateRestore(txn)
--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -109,3 +109,33 @@
 		})
 	}
 }
+
+// Guards against TWICE and lost work: while more jobs changed than fit into a commit, jobs
+// with low IDs were committed again and again, those with high IDs never, and no end was
+// acknowledged. A takeover lost these ends.
+func TestEndsAreCommittedWhileMoreJobsChangeThanFitIntoACommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const jobs, workers, steps = 3 * maxCommitEntries, 20, 80
+		cl := newCluster(t, 124, 2, workers, func(string) time.Duration { return 100 * time.Millisecond }, nil)
+		defer cl.stopAll()
+		owner := cl.awaitOwner()
+		cl.daemons[owner].commitDelay.Store(int64(300 * time.Millisecond))
+		var ids []string
+		for range jobs {
+			spec := cl.spec(1)
+			spec.Steps = slices.Repeat(spec.Steps[:1], steps)
+			for n := 1; n < steps; n++ {
+				spec.Steps[n].After = []int{n - 1}
+			}
+			cl.submit(owner, spec)
+			ids = append(ids, spec.ID)
+		}
+		time.Sleep(4 * time.Second)
+		for _, id := range ids {
+			is.True(!cl.state(id).Final())                // its state still changes
+			is.True(cl.fleet.Acknowledged(id + ".0.0.0")) // ended over 3 s ago
+		}
+		cl.check()
+	})
+}
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -138,6 +138,13 @@
 	return f.starts[task]
 }
 
+// Acknowledged reports whether the completion of a task was acknowledged.
+func (f *Fleet) Acknowledged(task string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[task]
+}
+
 // Running returns the number of running tasks.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
