Commit the oldest changes first and acknowledge ends up to them

Callers saw ends that were not acknowledged for long in calm, and work done again after each takeover. While more jobs change during a commit than fit into one, low IDs are committed again and again, high IDs never, and no end of any worker is acknowledged; the workers list all of them again each time.

Now a batch takes the changes in the order of their oldest change, and the ends that were listed when a batch was built are acknowledged as soon as every change up to that batch is committed. What an incomplete batch leaves is urgent if the batch was.

Why it works: a change is behind a finite number of older ones only, and a job keeps its place when a commit fails. An end marks its job as changed before the next batch is built, so a batch's ends are covered once no change is left that was made for it or before it.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -42,7 +43,14 @@
 type committer struct {
 	dirty            map[string]*dispatch.Job
 	uncommittedFinal map[string]*dispatch.Job // final jobs whose outcome is not committed
-	urgent           bool
+	// changedSince holds, by job ID, the number of the batch that the oldest change that
+	// is in no batch was made for.
+	changedSince map[string]int64
+	batches      int64 // number of batches built
+	// unacknowledged are the committed batches, oldest first, whose ends may not be
+	// acknowledged yet, because earlier changes are not committed.
+	unacknowledged []committedEnds
+	urgent         bool
 	// committedAt is when the last commit succeeded, and triedAt when the last
 	// commit was sent.
 	committedAt time.Time
@@ -60,6 +68,7 @@
 func newCommitter(now time.Time) committer {
 	return committer{
 		dirty: map[string]*dispatch.Job{}, uncommittedFinal: map[string]*dispatch.Job{},
+		changedSince: map[string]int64{},
 		progressRows: map[string]bool{},
 		committedAt:  now,
 	}
@@ -67,14 +76,23 @@
 
 func (t *term) markDirty(j *dispatch.Job, ended bool) {
 	t.dirty[j.Spec.ID] = j
+	t.noteChange(j.Spec.ID, t.batches+1)
 	t.urgent = t.urgent || ended
 }
 
+// noteChange records that a job has a change that was made for a batch.
+func (t *term) noteChange(id string, number int64) {
+	if since, changed := t.changedSince[id]; !changed || number < since {
+		t.changedSince[id] = number
+	}
+}
+
 // addFinal adds a job that has become final to the next commit. Its state is
 // published after the commit.
 func (t *term) addFinal(j *dispatch.Job) {
 	delete(t.dirty, j.Spec.ID)
 	t.uncommittedFinal[j.Spec.ID] = j
+	t.noteChange(j.Spec.ID, t.batches+1)
 	t.urgent = true
 }
 
@@ -102,14 +120,25 @@
 	record   ownerRecord
 	jobs     []*dispatch.Job
 	outcomes []*dispatch.Job
-	// complete is set if no change is left for the next commit; only then may the
-	// ends that were listed so far be acknowledged.
+	// changedSince is the committer's changedSince of the jobs in the batch.
+	changedSince map[string]int64
+	// complete is set if no change is left for the next commit.
 	complete bool
-	ends     map[string]endPosition
+	// committed is the number of the last batch whose changes, and those of all earlier
+	// ones, are committed with this batch.
+	committed int64
+	ends      committedEnds
 	// outcomesDeleted is the number of outcomes that the commit deletes.
 	outcomesDeleted int
 }
 
+// committedEnds are the last ends that had been listed, by worker ID, when a batch was
+// built.
+type committedEnds struct {
+	number int64 // of the batch
+	ends   map[string]endPosition
+}
+
 type endPosition struct{ sequence, boot int64 }
 
 // commit commits the changes, on condition that the owner's row is unchanged.
@@ -117,7 +146,7 @@
 	b := t.buildBatch(release)
 	t.putLearned(&b, now)
 	t.committing, t.triedAt = true, now
-	t.urgent = false
+	t.urgent = t.urgent && !b.complete
 	runAsync(t, commitTimeout, func(ctx context.Context) (int64, error) {
 		return t.c.Store.Commit(ctx, b.txn)
 	}, func(version int64, err error) {
@@ -127,23 +156,29 @@
 	})
 }
 
+// buildBatch builds a batch of the changes, the oldest first, so that none waits forever
+// while others keep arriving.
 func (t *term) buildBatch(release bool) batch {
-	b := batch{complete: true, ends: map[string]endPosition{}}
+	t.batches++
+	b := batch{complete: true, changedSince: map[string]int64{}, ends: committedEnds{t.batches, map[string]endPosition{}}}
 	bytes := 0
-	for _, j := range sortedJobs(t.uncommittedFinal) {
-		if len(b.txn.Puts)+len(b.txn.Deletes) >= maxCommitEntries {
-			b.complete = false
-			break
-		}
-		t.putOutcome(&b, j)
-	}
-	for _, j := range sortedJobs(t.dirty) {
+	for _, id := range t.changedJobs() {
 		if len(b.txn.Puts)+len(b.txn.Deletes) >= maxCommitEntries || bytes > maxCommitBytes {
 			b.complete = false
 			break
 		}
-		bytes += t.putProgress(&b, j)
-		delete(t.dirty, j.Spec.ID)
+		if j := t.uncommittedFinal[id]; j != nil {
+			t.putOutcome(&b, j)
+		} else {
+			bytes += t.putProgress(&b, t.dirty[id])
+			delete(t.dirty, id)
+		}
+		b.changedSince[id] = t.changedSince[id]
+		delete(t.changedSince, id)
+	}
+	b.committed = t.batches
+	for _, since := range t.changedSince {
+		b.committed = min(b.committed, since-1)
 	}
 	for _, id := range t.compactor.expiredOutcomes {
 		b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableOutcomes, Key: id})
@@ -157,18 +192,33 @@
 	b.txn.Puts = append(b.txn.Puts, owner.Puts...)
 	for id, w := range t.engine.Workers() {
 		sequence, boot := w.LastEnd()
-		b.ends[id] = endPosition{sequence, boot}
+		b.ends.ends[id] = endPosition{sequence, boot}
 	}
 	return b
 }
 
-func sortedJobs(jobs map[string]*dispatch.Job) []*dispatch.Job {
-	list := make([]*dispatch.Job, 0, len(jobs))
-	for _, j := range jobs {
-		list = append(list, j)
+// changedJobs returns the IDs of the jobs with changes that are in no batch, in the order
+// of their oldest change. Final jobs come first among those of the same batch.
+func (t *term) changedJobs() []string {
+	ids := make([]string, 0, len(t.changedSince))
+	for id := range t.changedSince {
+		if t.uncommittedFinal[id] != nil || t.dirty[id] != nil {
+			ids = append(ids, id)
+		}
 	}
-	slices.SortFunc(list, func(a, b *dispatch.Job) int { return strings.Compare(a.Spec.ID, b.Spec.ID) })
-	return list
+	slices.SortFunc(ids, func(a, b string) int {
+		if c := cmp.Compare(t.changedSince[a], t.changedSince[b]); c != 0 {
+			return c
+		}
+		if aFinal, bFinal := t.uncommittedFinal[a] != nil, t.uncommittedFinal[b] != nil; aFinal != bFinal {
+			if aFinal {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return ids
 }
 
 func (t *term) putOutcome(b *batch, j *dispatch.Job) {
@@ -228,6 +278,9 @@
 // requeueBatch marks the changes of an unconfirmed commit as dirty again.
 // Progress rows that the commit may have written are deleted with their jobs.
 func (t *term) requeueBatch(b batch) {
+	for id, since := range b.changedSince {
+		t.noteChange(id, since)
+	}
 	for _, j := range b.jobs {
 		t.progressRows[j.Spec.ID] = true
 		if !j.State.Final() {
@@ -257,18 +310,25 @@
 		t.c.jobStates.publish(j.Spec.ID, j.State, now)
 	}
 	t.compactor.expiredOutcomes = t.compactor.expiredOutcomes[b.outcomesDeleted:]
-	if b.complete {
-		for id, end := range b.ends {
-			if hb := t.heartbeats[id]; hb != nil && hb.boot == end.boot {
-				hb.committedEnd = max(hb.committedEnd, end.sequence)
-			}
-		}
+	t.unacknowledged = append(t.unacknowledged, b.ends)
+	for len(t.unacknowledged) > 0 && t.unacknowledged[0].number <= b.committed {
+		t.recordCommittedEnds(t.unacknowledged[0])
+		t.unacknowledged = t.unacknowledged[1:]
 	}
 	if b.record.Released {
 		t.finishRelease()
 	}
 }
 
+// recordCommittedEnds allows the ends of a batch to be acknowledged.
+func (t *term) recordCommittedEnds(committed committedEnds) {
+	for id, end := range committed.ends {
+		if hb := t.heartbeats[id]; hb != nil && hb.boot == end.boot {
+			hb.committedEnd = max(hb.committedEnd, end.sequence)
+		}
+	}
+}
+
 // resolveConflict determines whether an earlier commit without a response was
 // applied, or whether another daemon owns the cell.
 func (t *term) resolveConflict(conflict *port.ConflictError) {
