Add a failing test for the end of a run whose job is not known

An owner gives up the end of a run whose job it has not learned of within 2.5 s, and then acknowledges it. If the store refuses its reads of new jobs for longer, it starts the task again when it learns of the job (TWICE). Found by reading the code; no play has shown it.

--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -139,3 +142,48 @@
 		cl.check()
 	})
 }
+
+// Guards against TWICE: an owner that could not read new jobs gave up the end of a run
+// whose job it did not know, acknowledged it, and started the task again when it learned
+// of the job.
+func TestEndOfUnknownJobIsNotAcknowledgedBeforeTheJobsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 125, 2, 2, halfSecond, nil)
+		defer cl.stopAll()
+		first := cl.awaitOwner()
+		time.Sleep(time.Second)
+		for _, name := range cl.names() {
+			cl.daemons[name].workersUnreachable.Store(name != first)
+		}
+		cl.kill(first)
+		next := cl.awaitOwner()
+		time.Sleep(time.Second)
+		// The former owner, which has not noticed the takeover, still starts a new task.
+		cl.store.SetFault(func(op string) fake.StoreFault {
+			if op == "changes" {
+				return fake.FaultRefused
+			}
+			return fake.FaultNone
+		})
+		spec := cl.spec(1)
+		spec.Steps = spec.Steps[:1]
+		cl.store.Put(tableJobs, cl.daemons[next].cell.jobPartition(spec.ID), spec.ID, encode(jobRecord{Spec: &spec}))
+		task := spec.ID + ".0.0.0"
+		clock, err := cl.fleet.Start(context.Background(), port.Target{ID: "w0", Address: "w0"},
+			port.StartRequest{Task: task, Attempt: 1, Epoch: 1, NotAfterMS: time.Hour.Milliseconds()})
+		is.NoErr(err)
+		is.True(clock > 0)
+		time.Sleep(time.Second)
+		cl.daemons[next].workersUnreachable.Store(false)
+		time.Sleep(2 * unknownJobWait)
+		is.True(!cl.fleet.Acknowledged(task))
+		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultNone })
+		cl.awaitState(spec.ID, job.Completed, 5*time.Second)
+		is.Equal(cl.fleet.Starts(task), 1)
+		cl.check()
+	})
+}
+
+// unknownJobWait is longer than an owner keeps the end of a run whose job is unknown.
+const unknownJobWait = 3 * time.Second
