Keep ends of unknown jobs until the jobs are read

An owner gave up the end of a run whose job it had not learned of within 2.5 s, and acknowledged it with the next commit. Its commits may succeed while its reads of new jobs are refused or late, or its control loop may be stalled for that time; it then started the task again when it learned of the job (TWICE).

Now the end is given up only if the job is still missing after a read of the changes, or of the whole table, that began after the end was listed. Why it works: a job is stored before any owner can start it, and the store's responses are linearizable. A page counts only if it reaches beyond its last row, in case a page should ever be partial.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,6 +92,8 @@
 	// uncontacted are workers that may run tasks of a former owner and have not
 	// answered this one, with the time by which those tasks have ended.
 	uncontacted map[string]time.Time
+	// jobsKnownAt is the time before which all accepted jobs are known.
+	jobsKnownAt time.Time
 	// takeoverAt is when ExpectInheritedRuns was called.
 	takeoverAt   time.Time
 	interference interference
--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -300,6 +300,20 @@
 	is.Equal(out.Finished[0].State, job.Completed)
 }
 
+func TestEndOfUnknownJobIsGivenUpAfterTheJobsAreRead(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 8000))
+	f.HandleJobsRead(f.now)
+	f.reportListing("a", port.Listing{Ended: []port.EndedTask{{Sequence: 1, Task: "j.0.0.0", Attempt: 1, Reason: port.EndDone}}})
+	f.plan(10 * unknownJobGracePeriod)
+	number, _ := f.Worker("a").LastEnd()
+	is.Equal(number, int64(0)) // the job may be missing only because it was not read
+	f.HandleJobsRead(f.now)
+	f.plan(0)
+	number, _ = f.Worker("a").LastEnd()
+	is.Equal(number, int64(1))
+}
+
 func TestEndedJobIsNotStartedAgain(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 8000))
--- a/dispatch/unknown_runs.go
+++ b/dispatch/unknown_runs.go
@@ -8,7 +8,7 @@
 	"github.com/bambooyard/bambooyard/internal/port"
 )
 
-// unknownJobGracePeriod is how long an unknown run or unmatched end is kept until the
+// unknownJobGracePeriod is how long at least an unknown run or unmatched end is kept until the
 // job's row is found: a new owner may learn of a former owner's run before it learns
 // of the job. The owner reads changes twice a second.
 const unknownJobGracePeriod = 2500 * time.Millisecond
@@ -85,7 +85,17 @@
 // worker lists them again at once until they are acknowledged.
 func (w *Worker) HasUnmatchedEnds() bool { return len(w.unmatchedEnds) > 0 }
 
-// expireUnmatchedEnds gives up ends whose jobs have not been found in time.
-func (w *Worker) expireUnmatchedEnds(now time.Time) {
-	w.unmatchedEnds = slices.DeleteFunc(w.unmatchedEnds, func(u unmatchedEnd) bool { return now.Sub(u.since) > unknownJobGracePeriod })
+// HandleJobsRead records that all jobs that were accepted before a time have been added.
+func (e *Engine) HandleJobsRead(acceptedBefore time.Time) {
+	if acceptedBefore.After(e.jobsKnownAt) {
+		e.jobsKnownAt = acceptedBefore
+	}
+}
+
+// expireUnmatchedEnds gives up ends whose jobs have not been found in time, and were
+// still missing when the jobs were read after the end was listed.
+func (w *Worker) expireUnmatchedEnds(now, jobsKnownAt time.Time) {
+	w.unmatchedEnds = slices.DeleteFunc(w.unmatchedEnds, func(u unmatchedEnd) bool {
+		return now.Sub(u.since) > unknownJobGracePeriod && jobsKnownAt.After(u.since)
+	})
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -268,7 +268,7 @@
 		}
 	}
 	for _, w := range e.workers {
-		w.expireUnmatchedEnds(now)
+		w.expireUnmatchedEnds(now, e.jobsKnownAt)
 		if len(w.runs)+len(w.unknownRuns) == 0 || w.clockAt.IsZero() {
 			continue
 		}
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -60,13 +61,23 @@
 			if err == nil {
 				cursor.version = max(cursor.version, page.Version)
 				t.applyRows(table, page.Rows)
+				if table == tableJobs && isNewest(page) {
+					t.engine.HandleJobsRead(now)
+				}
 			}
 		})
 	}
 }
 
+// isNewest reports whether a page of changes reaches the store's newest version. It
+// may report false for a page that does.
+func isNewest(page port.Page) bool {
+	return !slices.ContainsFunc(page.Rows, func(row port.Row) bool { return row.Version >= page.Version })
+}
+
 // rescan reads a whole table after the store has compacted its changes.
 func (t *term) rescan(table string, cursor *changeCursor) {
+	began := t.c.Now()
 	runAsync(t, 2*storeTimeout, func(ctx context.Context) (port.Page, error) {
 		return t.c.scanJobs(ctx, table)
 	}, func(page port.Page, err error) {
@@ -76,6 +87,9 @@
 			cursor.rescan = false
 			cursor.version = max(cursor.version, page.Version)
 			t.applyRows(table, page.Rows)
+			if table == tableJobs {
+				t.engine.HandleJobsRead(began)
+			}
 		}
 	})
 }
