Add a failing test for workers whose entries have expired at a takeover

Entries of the directory may expire during an outage of the store, and are back up to two seconds after it. A new owner expects the runs of a former owner on the workers that it reads from the directory and on those of recorded placements. A run that was started just before the former owner failed is neither, so its task is started a second time (TWICE).

--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -187,3 +187,37 @@
 
 // unknownJobWait is longer than an owner keeps the end of a run whose job is unknown.
 const unknownJobWait = 3 * time.Second
+
+// Guards against TWICE: the directory's entry of a worker had expired during an outage of
+// the store in which the owner failed. The next owner did not know that the worker ran a
+// task, and started the task elsewhere.
+func TestNextOwnerExpectsWorkersWhoseEntriesHaveExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 126, 2, 2, func(string) time.Duration { return 2 * time.Second }, nil)
+		defer cl.stopAll()
+		cl.fleet.SetUnlisted("w1", true)
+		first := cl.awaitOwner()
+		time.Sleep(2 * time.Second)
+		spec := cl.spec(1)
+		spec.Steps = spec.Steps[:1]
+		cl.submit(first, spec)
+		cl.awaitStart(spec.ID, time.Now()) // on w0; the commit of the start is not due yet
+		cl.kill(first)
+		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultRefused })
+		time.Sleep(time.Second)
+		cl.fleet.SetUnlisted("w0", true)
+		cl.fleet.SetUnlisted("w1", false)
+		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultNone })
+		cl.awaitOwner()
+		time.Sleep(expiredEntriesReturn)
+		cl.fleet.SetUnlisted("w0", false)
+		cl.awaitState(spec.ID, job.Completed, 10*time.Second)
+		is.Equal(cl.fleet.Starts(spec.ID+".0.0.0"), 1)
+		cl.check()
+	})
+}
+
+// expiredEntriesReturn is less than the 2 s within which the platform lists a worker again
+// whose entry has expired during an outage of the store.
+const expiredEntriesReturn = 500 * time.Millisecond
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -51,6 +51,7 @@
 	highestAttempt map[string]int   // highest attempt that ended or was stopped, by task
 	dead           bool
 	unreachable    bool
+	unlisted       bool
 	// startDelay, if not zero, delays start requests and leaves them unanswered.
 	startDelay time.Duration
 }
@@ -109,6 +110,13 @@
 	f.workers[id].unreachable = unreachable
 }
 
+// SetUnlisted removes a worker from the directory or adds it again. Its tasks continue.
+func (f *Fleet) SetUnlisted(id string, unlisted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].unlisted = unlisted
+}
+
 // DelayStarts makes a worker execute start requests d after they arrive, without
 // a response. Zero restores normal operation.
 func (f *Fleet) DelayStarts(id string, d time.Duration) {
@@ -167,7 +175,7 @@
 	defer f.mu.Unlock()
 	var entries []port.WorkerEntry
 	for _, w := range f.workers {
-		if !w.dead {
+		if !w.dead && !w.unlisted {
 			entries = append(entries, w.entry)
 		}
 	}
