--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -178,6 +178,9 @@
 		if w == nil {
 			w = &Worker{runs: map[runKey]*Run{}, unknownRuns: map[runKey]trackedUnknownRun{}, serviceLoads: map[string]serviceLoad{}, boot: entry.Boot}
 			e.workers[entry.ID] = w
+			if now.Before(e.directoryCompleteAt) {
+				e.uncontacted[entry.ID] = e.inheritedRunsDeadline()
+			}
 		}
 		if entry.Boot > w.boot {
 			e.handleNewBoot(w, entry.Boot)
@@ -272,7 +275,7 @@
 		}
 	}
 	for _, w := range e.workerList {
-		w.expireUnmatchedEnds(now)
+		w.expireUnmatchedEnds(now, e.jobsKnownAt)
 		if len(w.runs)+len(w.unknownRuns) == 0 || w.clockAt.IsZero() {
 			continue
 		}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -122,11 +122,13 @@
 	configReadInFlight bool
 
 	storeLastContact time.Time // time of the last successful call to the store
-	// storeFailing is set if the last call to the store failed.
-	storeFailing bool
-	lastTick     time.Time
-	lastUptime   time.Duration
-	loopDelay    loopDelay
+	// storeFailing is set if the last call to the store failed, and storeFailedAt is when a
+	// call last failed.
+	storeFailing  bool
+	storeFailedAt time.Time
+	lastTick      time.Time
+	lastUptime    time.Duration
+	loopDelay     loopDelay
 
 	view        atomic.Pointer[View]
 	jobStates   jobStateCache
@@ -231,7 +233,7 @@
 		c.storeLastContact, c.storeFailing = now, false
 		return
 	}
-	c.storeFailing = true
+	c.storeFailing, c.storeFailedAt = true, now
 }
 
 // storeUnavailableAfter is the time without a successful call, while calls are
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -58,12 +59,18 @@
 				cursor.polledAt = time.Time{}
 			}
 			if err == nil {
-				t.applyChanges(table, cursor, page, now)
+				t.applyChanges(table, cursor, page, now, isNewest(page))
 			}
 		})
 	}
 }
 
+// isNewest reports whether a page of changes reaches the store's newest version. It
+// may report false for a page that does.
+func isNewest(page port.Page) bool {
+	return !slices.ContainsFunc(page.Rows, func(row port.Row) bool { return row.Version >= page.Version })
+}
+
 // rescan reads a whole table after the store has compacted its changes.
 func (t *term) rescan(table string, cursor *changeCursor, began time.Time) {
 	runAsync(t, 2*storeTimeout, func(ctx context.Context) (port.Page, error) {
@@ -73,17 +80,19 @@
 		t.c.recordStoreResult(err, t.c.Now())
 		if err == nil {
 			cursor.rescan = false
-			t.applyChanges(table, cursor, page, began)
+			t.applyChanges(table, cursor, page, began, true)
 		}
 	})
 }
 
-// applyChanges applies the rows of a read that began at a time.
-func (t *term) applyChanges(table string, cursor *changeCursor, page port.Page, began time.Time) {
+// applyChanges applies the rows of a read that began at a time. complete is set if the
+// read includes every row that was stored before.
+func (t *term) applyChanges(table string, cursor *changeCursor, page port.Page, began time.Time, complete bool) {
 	cursor.version = max(cursor.version, page.Version)
 	t.applyRows(table, page.Rows)
-	if table == tableJobs {
+	if table == tableJobs && complete {
 		t.jobsReadAt = began
+		t.engine.HandleJobsRead(began)
 	}
 }
 
--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -114,3 +117,112 @@
 		})
 	}
 }
+
+// Guards against TWICE and lost work: while more jobs changed than fit into a commit, jobs
+// with low IDs were committed again and again, those with high IDs never, and no end was
+// acknowledged. A takeover lost these ends.
+func TestEndsAreCommittedWhileMoreJobsChangeThanFitIntoACommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const jobs, workers, steps = 3 * maxCommitEntries, 20, 80
+		cl := newCluster(t, 124, 2, workers, func(string) time.Duration { return 100 * time.Millisecond }, nil)
+		defer cl.stopAll()
+		owner := cl.awaitOwner()
+		cl.daemons[owner].commitDelay.Store(int64(300 * time.Millisecond))
+		var ids []string
+		for range jobs {
+			spec := cl.spec(1)
+			spec.Steps = slices.Repeat(spec.Steps[:1], steps)
+			for n := 1; n < steps; n++ {
+				spec.Steps[n].After = []int{n - 1}
+			}
+			cl.submit(owner, spec)
+			ids = append(ids, spec.ID)
+		}
+		time.Sleep(4 * time.Second)
+		for _, id := range ids {
+			is.True(!cl.state(id).Final())                // its state still changes
+			is.True(cl.fleet.Acknowledged(id + ".0.0.0")) // ended over 3 s ago
+		}
+		cl.check()
+	})
+}
+
+// Guards against TWICE: an owner that could not read new jobs gave up the end of a run
+// whose job it did not know, acknowledged it, and started the task again when it learned
+// of the job.
+func TestEndOfUnknownJobIsNotAcknowledgedBeforeTheJobsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 125, 2, 2, halfSecond, nil)
+		defer cl.stopAll()
+		first := cl.awaitOwner()
+		time.Sleep(time.Second)
+		for _, name := range cl.names() {
+			cl.daemons[name].workersUnreachable.Store(name != first)
+		}
+		cl.kill(first)
+		next := cl.awaitOwner()
+		time.Sleep(time.Second)
+		// The former owner, which has not noticed the takeover, still starts a new task.
+		cl.store.SetFault(func(op string) fake.StoreFault {
+			if op == "changes" {
+				return fake.FaultRefused
+			}
+			return fake.FaultNone
+		})
+		spec := cl.spec(1)
+		spec.Steps = spec.Steps[:1]
+		cl.store.Put(tableJobs, cl.daemons[next].cell.jobPartition(spec.ID), spec.ID, encode(jobRecord{Spec: &spec}))
+		task := spec.ID + ".0.0.0"
+		clock, err := cl.fleet.Start(context.Background(), port.Target{ID: "w0", Address: "w0"},
+			port.StartRequest{Task: task, Attempt: 1, Epoch: 1, NotAfterMS: time.Hour.Milliseconds()})
+		is.NoErr(err)
+		is.True(clock > 0)
+		time.Sleep(time.Second)
+		cl.daemons[next].workersUnreachable.Store(false)
+		time.Sleep(2 * unknownJobWait)
+		is.True(!cl.fleet.Acknowledged(task))
+		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultNone })
+		cl.awaitState(spec.ID, job.Completed, 5*time.Second)
+		is.Equal(cl.fleet.Starts(task), 1)
+		cl.check()
+	})
+}
+
+// unknownJobWait is longer than an owner keeps the end of a run whose job is unknown.
+const unknownJobWait = 3 * time.Second
+
+// Guards against TWICE: the directory's entry of a worker had expired during an outage of
+// the store in which the owner failed. The next owner did not know that the worker ran a
+// task, and started the task elsewhere.
+func TestNextOwnerExpectsWorkersWhoseEntriesHaveExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 126, 2, 2, func(string) time.Duration { return 2 * time.Second }, nil)
+		defer cl.stopAll()
+		cl.fleet.SetUnlisted("w1", true)
+		first := cl.awaitOwner()
+		time.Sleep(2 * time.Second)
+		spec := cl.spec(1)
+		spec.Steps = spec.Steps[:1]
+		cl.submit(first, spec)
+		cl.awaitStart(spec.ID, time.Now()) // on w0; the commit of the start is not due yet
+		cl.kill(first)
+		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultRefused })
+		time.Sleep(time.Second)
+		cl.fleet.SetUnlisted("w0", true)
+		cl.fleet.SetUnlisted("w1", false)
+		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultNone })
+		cl.awaitOwner()
+		time.Sleep(expiredEntriesReturn)
+		cl.fleet.SetUnlisted("w0", false)
+		cl.awaitState(spec.ID, job.Completed, 10*time.Second)
+		is.Equal(cl.fleet.Starts(spec.ID+".0.0.0"), 1)
+		cl.check()
+	})
+}
+
+// expiredEntriesReturn is less than the 2 s within which the platform lists a worker again
+// whose entry has expired during an outage of the store.
+const expiredEntriesReturn = 500 * time.Millisecond
