Send followers the final states that requests learn

A daemon reported a job as running for good after it had completed, and another daemon a cancelled one. Cause: a request on the owner's daemon that read a job's outcome, or cancelled the job, recorded the final state in the owner's cache without a change for followers; the publication after the commit then found the state unchanged and sent nothing. Followers went on to confirm the job's former state. Change: the cache records every new state as a change.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -234,3 +234,25 @@
 		cl.check()
 	})
 }
+
+// Guards against stale states: a final state that the owner's daemon learned while it
+// handled a request was not sent to the other daemons, which reported the job as running
+// from then on.
+func TestFinalStateLearnedByARequestReachesFollowers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 13, 3, 4, func(string) time.Duration { return time.Hour }, nil)
+		defer cl.stopAll()
+		owner := cl.awaitOwner()
+		spec := cl.spec(4)
+		cl.submit(owner, spec)
+		time.Sleep(time.Second)
+		is.NoErr(cl.daemons[owner].cell.Cancel(context.Background(), spec.ID))
+		time.Sleep(2 * time.Second)
+		for _, name := range cl.names() {
+			state, err := cl.daemons[name].cell.State(context.Background(), spec.ID)
+			is.NoErr(err)
+			is.Equal(state, job.Cancelled)
+		}
+	})
+}
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -310,7 +310,7 @@
 		t.c.instruments.countFinal(j.State)
 		t.log.WithFields(log.Fields{"event": "job_final", "job": j.Spec.ID, "state": j.State, "queue": j.Spec.Queue,
 			"known_ms": now.Sub(j.Arrived()).Milliseconds()}).Info("committed")
-		t.c.jobStates.publish(j.Spec.ID, j.State, now)
+		t.c.jobStates.set(j.Spec.ID, j.State, now)
 	}
 	t.compactor.expiredOutcomes = t.compactor.expiredOutcomes[b.outcomesDeleted:]
 	t.unacknowledged = append(t.unacknowledged, b.ends)
--- a/internal/cell/jobstates.go
+++ b/internal/cell/jobstates.go
@@ -21,8 +21,8 @@
 	at    time.Time
 }
 
-// jobStateCache holds the last known states of jobs. On the owner it also holds
-// the recent changes for followers. It is safe for concurrent use.
+// jobStateCache holds the last known states of jobs. It also holds
+// the recent changes for followers of an owner. It is safe for concurrent use.
 type jobStateCache struct {
 	mu     sync.Mutex
 	states map[string]cachedState
@@ -32,7 +32,7 @@
 	// confirmedAt is when the owner last confirmed the states that are not final.
 	confirmedAt time.Time
 
-	// The changes in order, for followers; used on the owner only.
+	// The changes in order, for followers; read on the owner only.
 	sequence uint64
 	changes  []*peerpb.JobChange // the last change has the number sequence
 	changed  chan struct{}       // closed at the next change
@@ -60,32 +60,16 @@
 	cache.changed = make(chan struct{})
 }
 
-// set records a job's state. A final state is never overwritten.
+// set records a job's state, whoever learned it, as a change for followers. A final
+// state is never overwritten.
 func (cache *jobStateCache) set(id string, state job.State, now time.Time) {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
-	cache.setLocked(id, state, now)
-}
-
-// setLocked is set for callers that hold the lock. It reports whether the state
-// has changed.
-func (cache *jobStateCache) setLocked(id string, state job.State, now time.Time) bool {
 	old, known := cache.states[id]
 	if known && (old.state == state || old.state.Final()) {
-		return false
-	}
-	cache.states[id] = cachedState{state, now}
-	return true
-}
-
-// publish records a job's state and notifies followers. It is used on the owner
-// only.
-func (cache *jobStateCache) publish(id string, state job.State, now time.Time) {
-	cache.mu.Lock()
-	defer cache.mu.Unlock()
-	if !cache.setLocked(id, state, now) {
 		return
 	}
+	cache.states[id] = cachedState{state, now}
 	cache.sequence++
 	cache.changes = append(cache.changes, &peerpb.JobChange{Id: id, State: string(state)})
 	if len(cache.changes) > 2*maxChanges {
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		t.engine.MarkEnded(row.Key, now)
-		t.c.jobStates.publish(row.Key, outcome.State, now)
+		t.c.jobStates.set(row.Key, outcome.State, now)
 		t.compactor.add(endedJob{row.Key, outcome.State, now})
 	}
 }
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -228,7 +228,7 @@
 
 func (t *term) publishStates(out dispatch.Output) {
 	for j := range out.Changed {
-		t.c.jobStates.publish(j.Spec.ID, j.State, t.c.Now())
+		t.c.jobStates.set(j.Spec.ID, j.State, t.c.Now())
 	}
 }
 
@@ -266,7 +266,7 @@
 	}
 	t.log.WithFields(log.Fields{"event": "job_known", "job": spec.ID, "queue": spec.Queue, "steps": len(spec.Steps),
 		"age_ms": t.c.Wall().UnixMilli() - spec.AcceptedUnixMS}).Info("accepted")
-	t.c.jobStates.publish(spec.ID, j.State, now)
+	t.c.jobStates.set(spec.ID, j.State, now)
 	if t.cancelled[spec.ID] {
 		delete(t.cancelled, spec.ID)
 		t.cancel(spec.ID)
