Write only whole lines of the log

Cause: since queued events are written together, a line at the end of the buffer was split over two writes, and a reader that takes each write for lines garbled it.

Change: the buffer is written before a line that would exceed it, and has the size that a write to a pipe is not split at. The test checks that each write ends with a line.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -5,7 +5,6 @@
 package eventlog
 
 import (
-	"bufio"
 	"io"
 	"sync"
 	"time"
@@ -20,8 +19,9 @@
 	// maxPerKind is the maximum number of events of one kind per rateWindow.
 	maxPerKind = 1000
 	rateWindow = time.Second
-	// bufferBytes is the size of the output buffer, about a hundred events.
-	bufferBytes = 16 << 10
+	// bufferBytes is the size of the output buffer, which a write to a pipe does not
+	// exceed without being split.
+	bufferBytes = 4 << 10
 )
 
 // Handler is a log.Handler that passes events to another handler on a separate
@@ -48,8 +48,30 @@
 // NewLogfmt is like New for a handler that writes logfmt to w. Events that are queued
 // at the same time are written together, because each write is a system call.
 func NewLogfmt(w io.Writer, now func() time.Time) *Handler {
-	buffer := bufio.NewWriterSize(w, bufferBytes)
-	return start(logfmt.New(buffer), buffer.Flush, now)
+	buffer := &lineBuffer{w: w}
+	return start(logfmt.New(buffer), buffer.flush, now)
+}
+
+// lineBuffer collects lines, each from one call of Write, and writes only whole lines.
+type lineBuffer struct {
+	w    io.Writer
+	data []byte
+}
+
+// Write implements io.Writer.
+func (b *lineBuffer) Write(line []byte) (int, error) {
+	var err error
+	if len(b.data) > 0 && len(b.data)+len(line) > bufferBytes {
+		err = b.flush()
+	}
+	b.data = append(b.data, line...)
+	return len(line), err
+}
+
+func (b *lineBuffer) flush() error {
+	_, err := b.w.Write(b.data)
+	b.data = b.data[:0]
+	return err
 }
 
 func start(next log.Handler, flush func() error, now func() time.Time) *Handler {
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -71,11 +71,15 @@
 	bytes.Buffer
 	release chan struct{}
 	writes  int
+	partial int // writes that do not end with a line
 }
 
 func (w *countingWriter) Write(b []byte) (int, error) {
 	<-w.release
 	w.writes++
+	if !bytes.HasSuffix(b, []byte("\n")) {
+		w.partial++
+	}
 	return w.Buffer.Write(b)
 }
 
@@ -101,6 +105,7 @@
 			is.True(bytes.Contains(line, []byte(fmt.Sprintf("message=%d ", n)))) // events in order
 		}
 		is.True(w.writes < 5) // writes for all events
+		is.Equal(w.partial, 0)
 		h.Close()
 	})
 }
