Measure services over their targets as often under overload

In the second run the loop counted as overloaded for 0.6 s just before the service exceeded its target, and the tasks beside it were suspended too late.

Change: overload stretches the wait only where no service is known to exceed its target. The delay of ticks is averaged over a second instead of half, with limits of 50 and 20 ms, so that a short burst is no overload.

--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -104,17 +104,15 @@
 }
 
 // wait returns how long the worker may hold the listing until an attempt ends. While
-// the control loop is overloaded, services are measured less often, so that it can
-// renew the leases of all workers.
+// the control loop is overloaded, services below their targets are measured less
+// often, so that it can renew the leases of all workers.
 func (hb *workerHeartbeat) wait(w *dispatch.Worker, uncommitted, overloaded bool) time.Duration {
 	switch {
 	case w.RunCount() == 0 || uncommitted || hb.failed || !w.Contacted() || w.HasUnacknowledgedRuns():
 		return 0
-	case overloaded:
-		return listWait
 	case w.Colocated() && w.OverLatencyTarget():
 		return overTargetWait
-	case w.Colocated():
+	case w.Colocated() && !overloaded:
 		return colocatedWait
 	}
 	return listWait
--- a/internal/cell/loopdelay.go
+++ b/internal/cell/loopdelay.go
@@ -10,13 +10,13 @@
 const (
 	// delayAveragingTime is the time over which delays of ticks are averaged, so that
 	// one late tick does not count as overload.
-	delayAveragingTime = 500 * time.Millisecond
+	delayAveragingTime = time.Second
 	// maxDelaySample bounds the delay of one tick, which includes a suspension.
 	maxDelaySample = 250 * time.Millisecond
 	// overloadedAbove and normalBelow are the mean delays at which the loop begins and
 	// ceases to be overloaded.
-	overloadedAbove = 40 * time.Millisecond
-	normalBelow     = 15 * time.Millisecond
+	overloadedAbove = 50 * time.Millisecond
+	normalBelow     = 20 * time.Millisecond
 	// overloadedTimeout is added to timeouts of requests to workers while the loop is
 	// overloaded, because their responses then wait in this process. A listing's
 	// timeout stays well below the lease.
--- a/internal/cell/loopdelay_test.go
+++ b/internal/cell/loopdelay_test.go
@@ -56,7 +56,7 @@
 }
 
 // TestOverloadStretchesShortWaits checks that an overloaded owner renews leases at the
-// same interval as without services, and no later.
+// same interval as without services, unless a service exceeds its target.
 func TestOverloadStretchesShortWaits(t *testing.T) {
 	is := is.New(t)
 	e := dispatch.NewEngine(dispatch.Options{MaxLease: 6 * time.Second, StartWindow: 1500 * time.Millisecond, MaxViolation: 4 * time.Second})
@@ -76,11 +76,26 @@
 	is.True(w.Colocated())
 	is.Equal(hb.wait(w, false, false), colocatedWait)
 	is.Equal(hb.wait(w, false, true), listWait)
+	listOverTarget(e, w, now)
+	is.True(w.OverLatencyTarget())
+	is.Equal(hb.wait(w, false, true), overTargetWait)  // measured as often as ever
 	is.Equal(hb.wait(w, true, true), time.Duration(0)) // uncommitted ends
 	hb.failed = true
 	is.Equal(hb.wait(w, false, true), time.Duration(0)) // unresponsive worker
 }
 
+// listOverTarget passes the engine a listing in which all services exceed their targets.
+func listOverTarget(e *dispatch.Engine, w *dispatch.Worker, now time.Time) {
+	l := port.Listing{ClockMS: 3000, Boot: 1}
+	for _, j := range e.Jobs() {
+		for i := range j.Spec.Steps[0].Tasks {
+			id := job.TaskID{Job: j.Spec.ID, Index: i}
+			l.Running = append(l.Running, port.RunningTask{Task: id.String(), Attempt: 1, Percent: 100, Measurement: 2 * j.Spec.Steps[0].TargetLatencyMS})
+		}
+	}
+	e.HandleListing(w.Entry.ID, l, now, now)
+}
+
 func TestOverloadLengthensShortPausesBetweenPlans(t *testing.T) {
 	is := is.New(t)
 	is.Equal(planPause(time.Millisecond, false), planPauseFactor*time.Millisecond)
