--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -104,17 +104,13 @@
 }
 
 // wait returns how long the worker may hold the listing until an attempt ends. While
-// the control loop is overloaded, services are measured less often, so that it can
-// renew the leases of all workers.
+// the control loop is overloaded, services over their target are listed less often, but
+// often enough to suspend the tasks beside them in time.
 func (hb *workerHeartbeat) wait(w *dispatch.Worker, uncommitted, overloaded bool) time.Duration {
 	switch {
 	case w.RunCount() == 0 || uncommitted || hb.failed || !w.Contacted() || w.HasUnacknowledgedRuns():
 		return 0
-	case overloaded && w.Colocated() && w.OverLatencyTarget():
-		return colocatedWait
-	case overloaded:
-		return listWait
-	case w.Colocated() && w.OverLatencyTarget():
+	case w.Colocated() && w.OverLatencyTarget() && !overloaded:
 		return overTargetWait
 	case w.Colocated():
 		return colocatedWait
