Hold inherited tasks while the directory may lack workers

The directory lists a worker whose entry has expired during an outage of the store again within two seconds of the outage. A new owner that read the directory in that time did not expect the runs of a former owner on such a worker and started their tasks a second time (TWICE), unless their placements had been recorded.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -94,6 +94,9 @@
 	uncontacted map[string]time.Time
 	// jobsKnownAt is the time before which all accepted jobs are known.
 	jobsKnownAt time.Time
+	// directoryCompleteAt is the time until which the list of workers may lack workers
+	// that run tasks of a former owner.
+	directoryCompleteAt time.Time
 	// takeoverAt is when ExpectInheritedRuns was called.
 	takeoverAt   time.Time
 	interference interference
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -186,7 +186,7 @@
 	if t.Done || len(t.Runs) > 0 || now.Before(t.notBefore) || e.unknownRunCounts[t.name()] > 0 {
 		return false
 	}
-	if t.inherited && len(e.uncontacted) > 0 {
+	if t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt)) {
 		// Also if the step allows copies: an uncontacted worker may list the end of a
 		// run that a former owner was told of and did not commit.
 		return false
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -87,7 +87,7 @@
 // they are contacted, or until the longest lease has expired on the slowest clock.
 func (e *Engine) ExpectInheritedRuns(ids []string, now time.Time) {
 	e.takeoverAt = now
-	deadline := now.Add(time.Duration(float64(e.options.MaxLease)/clockRate) + leaseSlack)
+	deadline := e.inheritedRunsDeadline()
 	for _, id := range ids {
 		if w := e.workers[id]; w == nil || !w.contacted {
 			e.uncontacted[id] = deadline
@@ -102,6 +102,16 @@
 	}
 }
 
+// inheritedRunsDeadline is when the longest lease that a former owner granted has expired
+// on the slowest clock.
+func (e *Engine) inheritedRunsDeadline() time.Time {
+	return e.takeoverAt.Add(time.Duration(float64(e.options.MaxLease)/clockRate) + leaseSlack)
+}
+
+// ExpectUnlistedWorkers records that the list of workers may be incomplete until a time.
+// Workers that are added to it until then may run tasks of a former owner.
+func (e *Engine) ExpectUnlistedWorkers(until time.Time) { e.directoryCompleteAt = until }
+
 // leaseSlack is added to the longest lease for a call of a former owner that was
 // in flight when the ownership changed.
 const leaseSlack = time.Second
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -173,6 +173,9 @@
 		if w == nil {
 			w = &Worker{runs: map[runKey]*Run{}, unknownRuns: map[runKey]trackedUnknownRun{}, serviceLoads: map[string]serviceLoad{}, boot: entry.Boot}
 			e.workers[entry.ID] = w
+			if now.Before(e.directoryCompleteAt) {
+				e.uncontacted[entry.ID] = e.inheritedRunsDeadline()
+			}
 		}
 		if entry.Boot > w.boot {
 			e.handleNewBoot(w, entry.Boot)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -116,10 +116,12 @@
 	configReadInFlight bool
 
 	storeLastContact time.Time // time of the last successful call to the store
-	// storeFailing is set if the last call to the store failed.
-	storeFailing bool
-	lastTick     time.Time
-	lastUptime   time.Duration
+	// storeFailing is set if the last call to the store failed, and storeFailedAt is when a
+	// call last failed.
+	storeFailing  bool
+	storeFailedAt time.Time
+	lastTick      time.Time
+	lastUptime    time.Duration
 
 	view        atomic.Pointer[View]
 	jobStates   jobStateCache
@@ -220,7 +222,7 @@
 		c.storeLastContact, c.storeFailing = now, false
 		return
 	}
-	c.storeFailing = true
+	c.storeFailing, c.storeFailedAt = true, now
 	c.Log.WithFields(log.Fields{"event": "store_failed", "since_ms": now.Sub(c.storeLastContact).Milliseconds()}).WithError(err).Debug("call to the store failed")
 }
 
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -110,11 +110,19 @@
 		ids = append(ids, w.ID)
 	}
 	t.engine.ExpectInheritedRuns(ids, now)
+	if failedAt := t.c.storeFailedAt; !failedAt.IsZero() {
+		t.engine.ExpectUnlistedWorkers(failedAt.Add(directorySettleTime))
+	}
 	t.changes[tableJobs].version = data.jobs.Version
 	t.changes[tableCancels].version = data.cancels.Version
 	t.loaded = true
 }
 
+// directorySettleTime is how long after an outage of the store the directory may lack
+// workers: the platform lists them again within about 2 s. It includes an interval of
+// the reads that show the end of the outage, and one of the directory.
+const directorySettleTime = 2*time.Second + ownerPoll + directoryPoll
+
 // restoreOutcomes marks jobs as ended, so that a late notification does not start
 // them again.
 func (t *term) restoreOutcomes(outcomes port.Page, now time.Time) {
