Add a failing test for acknowledgements that reach the next boot of a worker

A worker that restarts under its ID numbers its ends from the start. An owner whose control loop was busy, or that had no answer from the worker for a while, acknowledges the ends of the former boot to it; it discards ends of its own with these numbers, and their tasks are started again or wait forever.

--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -221,3 +221,31 @@
 // expiredEntriesReturn is less than the 2 s within which the platform lists a worker again
 // whose entry has expired during an outage of the store.
 const expiredEntriesReturn = 500 * time.Millisecond
+
+// Guards against TWICE: a worker had restarted under its ID, which starts its sequence
+// numbers anew, before the ends of its former boot were acknowledged to it. It discarded
+// ends that no owner had been told of.
+func TestEndsOfFormerBootAreNotAcknowledgedToTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 127, 1, 1, halfSecond, nil)
+		defer cl.stopAll()
+		owner := cl.daemons[cl.awaitOwner()]
+		delayed := cl.oversized() // fits on no worker, so the owner does not start it by itself
+		cl.submit(owner.name, delayed)
+		first := cl.spec(1)
+		first.Steps = first.Steps[:1]
+		cl.submit(owner.name, first)
+		time.Sleep(400 * time.Millisecond)
+		owner.commitDelay.Store(int64(600 * time.Millisecond))
+		time.Sleep(200 * time.Millisecond) // the end has been listed, and its commit is in flight
+		owner.loop.Post(func() { time.Sleep(2 * time.Second) })
+		cl.fleet.Restart("w0")
+		// A start order that was delayed reaches the new boot.
+		_, err := cl.fleet.Start(context.Background(), port.Target{ID: "w0", Address: "w0"},
+			port.StartRequest{Task: delayed.ID + ".0.0.0", Attempt: 1, Epoch: 1, NotAfterMS: time.Hour.Milliseconds()})
+		is.NoErr(err)
+		cl.awaitState(delayed.ID, job.Completed, 10*time.Second)
+		cl.check()
+	})
+}
