Acknowledge ends only shortly after an answer of the same boot

An owner acknowledged the ends of a boot of a worker whenever their commit was confirmed, however long before the boot had answered. A worker that had restarted under its ID in between discarded ends of its own with these numbers: their tasks were started again (TWICE), or waited forever.

Now ends are acknowledged within 300 ms of the arrival of an answer of the same boot; if there is none, a listing without a wait is requested first. Why it works: a restart and the end of a new run in so short a time are not to be expected, and a restart before is seen in the answer. The platform does not let an acknowledgement name a boot, so a request that is delayed on its way remains a risk.

--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -32,6 +32,10 @@
 	// commitWait is how long the next listing is delayed for the commit of ends,
 	// which the worker would list again otherwise.
 	commitWait = 150 * time.Millisecond
+	// acknowledgeWithin is how long after an answer of a boot its ends are acknowledged
+	// without another listing. A worker that has restarted numbers its ends from the start,
+	// and would discard them by the old number.
+	acknowledgeWithin = 300 * time.Millisecond
 )
 
 // workerHeartbeat is the state of the listings of one worker. It belongs to the
@@ -46,6 +50,8 @@
 	// acknowledgedEnd is the sequence number up to which ends are acknowledged to
 	// the worker.
 	acknowledgedEnd int64
+	// answeredAt is when the last listing of boot arrived.
+	answeredAt time.Time
 	// uncommittedSince is when the last listing that showed uncommitted ends was
 	// received.
 	uncommittedSince time.Time
@@ -79,6 +85,7 @@
 	seen, boot := w.LastEnd()
 	if boot != hb.boot {
 		hb.boot, hb.committedEnd, hb.acknowledgedEnd = boot, 0, 0
+		hb.answeredAt = time.Time{}
 	}
 	uncommitted := seen > hb.committedEnd
 	if hb.due(w, uncommitted, now) {
@@ -121,9 +128,11 @@
 	id, target := w.Entry.ID, w.Target()
 	req := port.ListRequest{Epoch: t.epoch, Wait: wait}
 	if hb.committedEnd > hb.acknowledgedEnd {
-		// Sent once only: a worker that has restarted under its ID numbers its ends
-		// from the start, and would discard them by the old number.
-		req.Acknowledge = hb.committedEnd
+		if now.Sub(hb.answeredAt) <= acknowledgeWithin {
+			req.Acknowledge = hb.committedEnd
+		} else {
+			req.Wait, wait = 0, 0 // the answer shows whether the worker has restarted
+		}
 	}
 	if !hb.failed {
 		// The lease of an unresponsive worker is not renewed: each request may have
@@ -133,8 +142,11 @@
 	}
 	boot := hb.boot
 	hb.inFlight, hb.sentAt = true, now
+	var received time.Time // before the control loop processes it, which may be much later
 	runAsync(t, wait+listTimeoutMargin, func(ctx context.Context) (port.Listing, error) {
-		return t.c.Workers.List(ctx, target, req)
+		l, err := t.c.Workers.List(ctx, target, req)
+		received = t.c.Now()
+		return l, err
 	}, func(l port.Listing, err error) {
 		hb.inFlight = false
 		done := t.c.Now()
@@ -146,6 +158,7 @@
 		hb.failed = false
 		if l.Boot == boot {
 			hb.acknowledgedEnd = max(hb.acknowledgedEnd, req.Acknowledge)
+			hb.answeredAt = received
 		}
 		t.logEnds(w, l)
 		t.engine.HandleListing(id, l, now, done)
