--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -146,7 +146,7 @@
 	b := t.buildBatch(release)
 	t.putLearned(&b, now)
 	t.committing, t.triedAt = true, now
-	t.urgent = t.urgent && !b.complete
+	t.urgent = false
 	runAsync(t, commitTimeout, func(ctx context.Context) (int64, error) {
 		return t.c.Store.Commit(ctx, b.txn)
 	}, func(version int64, err error) {
