--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -155,3 +155,73 @@
 	}
 	cl.t.Fatalf("job %s is %q after %s", id, state, within)
 }
+
+// TestTakeoverHistories runs histories of repeated takeovers: in addition to the faults of
+// TestHistories, daemons read and commit slowly, and their control loops are busy.
+func TestTakeoverHistories(t *testing.T) {
+	for seed := *firstHistory; seed < *firstHistory+uint64(*histories); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runTakeoverHistory(t, seed) })
+		})
+	}
+}
+
+func runTakeoverHistory(t *testing.T, seed uint64) {
+	work := func(task string) time.Duration {
+		return time.Duration(100+200*(len(task)+int(task[len(task)-1]))%2900) * time.Millisecond
+	}
+	cl := newCluster(t, seed, 3, 5, work, func(task string, attempt int) bool { return attempt%7 == 3 })
+	defer cl.stopAll()
+	cl.awaitOwner()
+	rng := rand.New(rand.NewPCG(seed, 5))
+	var accepted []string
+	for range 14 {
+		for range 1 + rng.IntN(3) {
+			spec := cl.spec(1 + rng.IntN(5))
+			if cl.trySubmit(fmt.Sprintf("d%d", rng.IntN(3)), spec) == nil {
+				accepted = append(accepted, spec.ID)
+			}
+		}
+		cl.slowDaemons(rng)
+		cl.injectFault(rng)
+		time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
+	}
+	cl.clearFaults()
+	for _, name := range cl.names() {
+		cl.daemons[name].clearDelays()
+		cl.daemons[name].workersUnreachable.Store(false)
+	}
+	for _, id := range accepted {
+		cl.awaitFinal(id, 90*time.Second)
+	}
+	cl.check()
+}
+
+// slowDaemons makes some daemons slow, or undoes it.
+func (cl *cluster) slowDaemons(rng *rand.Rand) {
+	upTo := func(ms int) time.Duration { return time.Duration(rng.IntN(ms)) * time.Millisecond }
+	for _, name := range cl.names() {
+		d := cl.daemons[name]
+		switch rng.IntN(8) {
+		case 0:
+			d.scanDelay.Store(int64(upTo(1800)))
+		case 1:
+			d.acquireBusy.Store(int64(upTo(3500)))
+		case 2:
+			d.commitDelay.Store(int64(upTo(1300)))
+		case 3:
+			busy := upTo(4000)
+			d.loop.Post(func() { time.Sleep(busy) })
+		case 4:
+			d.workersUnreachable.Store(rng.IntN(2) == 0)
+		case 5:
+			d.clearDelays()
+		}
+	}
+}
+
+func (d *daemon) clearDelays() {
+	d.scanDelay.Store(0)
+	d.acquireBusy.Store(0)
+	d.commitDelay.Store(0)
+}
