Retry a failed release of the cell until it succeeds

A daemon reported a completed job as running 90 s later. Cause: a handover whose commit failed left the term releasing. It sent no more commits, and so never noticed that another daemon had acquired the cell; its followers had left it, so that it saw no larger candidate and did not repeat the handover. It went on to confirm the states of its jobs to its own callers. Change: a release that was begun, for any reason, is repeated on every tick until it succeeds or conflicts. Evidence: TestFailedReleaseIsRetried failed and passes; it cuts the new owner's way to the former one, so that only the commit can tell.

--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -72,16 +72,14 @@
 	if t.afterRelease {
 		delay = repeatedHandoverDelay
 	}
-	if t.c.MilliCPU <= 0 || now.Sub(t.startedAt) < delay || now.Sub(t.triedAt) < commitRetryDelay {
+	if t.c.MilliCPU <= 0 || now.Sub(t.startedAt) < delay {
 		return
 	}
 	largest := t.candidates.largest(now)
 	if float64(largest) < handoverRatio*float64(t.c.MilliCPU) {
 		return
 	}
-	if !t.releasing {
-		t.log.WithFields(log.Fields{"event": "ownership_handover", "milli_cpu": t.c.MilliCPU, "largest_milli_cpu": largest}).Info("releasing the cell to a larger daemon")
-	}
+	t.log.WithFields(log.Fields{"event": "ownership_handover", "milli_cpu": t.c.MilliCPU, "largest_milli_cpu": largest}).Info("releasing the cell to a larger daemon")
 	t.c.largestCandidate = largest
 	t.release(now)
 }
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -361,6 +361,14 @@
 	t.commit(now, true)
 }
 
+// retryRelease releases the cell unless a commit was sent only just before. A release
+// that was begun goes on until it succeeds or another daemon has acquired the cell.
+func (t *term) retryRelease(now time.Time) {
+	if now.Sub(t.triedAt) >= commitRetryDelay {
+		t.release(now)
+	}
+}
+
 // finishRelease ends the term. Followers read the released row and take over.
 func (t *term) finishRelease() {
 	t.log.WithField("event", "ownership_released").Info("released the ownership of the cell")
--- a/internal/cell/recovery_test.go
+++ b/internal/cell/recovery_test.go
@@ -254,3 +254,23 @@
 		cl.check()
 	})
 }
+
+// Guards against stale states: an owner whose release failed kept the cell, without
+// commits, after another daemon had acquired it.
+func TestFailedReleaseIsRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 140, 1, 2, halfSecond, nil)
+		defer cl.stopAll()
+		first := cl.daemons[cl.awaitOwner()]
+		cl.start("d1")
+		cl.daemons["d1"].unreachablePeers.Store(first.name, true) // it cannot tell the former owner
+		first.storeUnreachable.Store(true)
+		is.NoErr(first.loop.Do(t.Context(), func() { first.cell.term.release(time.Now()) }))
+		time.Sleep(5 * time.Second)
+		first.storeUnreachable.Store(false)
+		time.Sleep(2 * time.Second)
+		is.True(!first.cell.View().IsOwner)
+		is.True(cl.daemons["d1"].cell.View().IsOwner)
+	})
+}
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -137,10 +137,11 @@
 // tick runs the owner's periodic work.
 func (t *term) tick(now time.Time) {
 	t.checkOwnershipConfirmed(now)
-	if t.abandoned && now.Sub(t.triedAt) >= commitRetryDelay {
-		t.release(now)
+	if t.releasing || t.abandoned {
+		t.retryRelease(now)
+	} else {
+		t.handOverIfSmall(now)
 	}
-	t.handOverIfSmall(now)
 	if t.loaded && !t.releasing {
 		t.pollDirectory(now)
 		t.pollChanges(now)
