Count a job as waiting until a worker has confirmed a run of it

Cause: a job left the count when its first start was requested. An owner that cannot reach the workers, or whose requests time out, so reports waiting jobs as begun, and so did the next owner, because a recorded request counted as a start. Change: a job counts as begun when a worker has confirmed a run: by its answer, a listing or an end. The stored progress of a job says so, too. Evidence: TestJobWaitsUntilAStartIsConfirmed failed with an empty count and passes.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -65,6 +65,29 @@
 	return job.Step{Tasks: tasks, EstimateMS: 500, Resources: job.Resources{MilliCPU: 1000, MemoryMB: 100}}
 }
 
+// Guards against MIXED: a job whose start requests got no response was not counted as
+// waiting, although no worker had started it.
+func TestJobWaitsUntilAStartIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("v", 8000, 8000), worker("w", 8000, 8000))
+	j := f.Add(spec("j", small(1)), f.now, 0)
+	out := f.plan(0)
+	is.Equal(len(out.Starts), 1)
+	is.Equal(f.Unstarted(), map[string]int{"q": 1})
+	f.HandleStartResponse(out.Starts[0], 0, &port.UnansweredError{Op: "start", NotSent: true}, f.now, f.now)
+	is.Equal(f.Unstarted(), map[string]int{"q": 1})
+
+	next := newFixture(worker("v", 8000, 8000)) // the next owner knows no more
+	is.NoErr(next.Restore(next.Add(j.Spec, next.now, 0), j.Progress()))
+	is.Equal(next.Unstarted(), map[string]int{"q": 1})
+
+	f.confirmStarts(f.plan(time.Second))
+	is.Equal(f.Unstarted(), map[string]int{})
+	next = newFixture(worker("v", 8000, 8000))
+	is.NoErr(next.Restore(next.Add(j.Spec, next.now, 0), j.Progress()))
+	is.Equal(next.Unstarted(), map[string]int{})
+}
+
 func TestStepsRunInOrder(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(worker("w", 8000, 8000))
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -78,8 +78,10 @@
 	Spec  job.Spec
 	Queue job.Queue
 	State job.State
-	// Started is set once any task has been started.
+	// Started is set once a worker has confirmed a run of any task, and requested once
+	// a start of any task has been requested.
 	Started     bool
+	requested   bool
 	occurrences []*occurrence
 	objective   time.Time
 	arrived     time.Time
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -73,6 +73,7 @@
 	}
 	if r.State != RunActive {
 		r.State, r.confirmedAt = RunActive, now
+		e.markStarted(r.Task.Job)
 		w.updateShares(r, now)
 		if r.stopping && !r.stopInFlight {
 			e.stop(r, r.stopReason)
@@ -117,12 +118,21 @@
 	return r
 }
 
-// markStarted records that a task of a job has been started.
+// markRequested records that a start of a task of a job has been requested.
+func (e *Engine) markRequested(j *Job) {
+	if !j.requested {
+		j.requested = true
+		j.State = job.Running
+		e.markChanged(j, false)
+	}
+}
+
+// markStarted records that a worker has confirmed a run of a task of a job.
 func (e *Engine) markStarted(j *Job) {
+	e.markRequested(j)
 	if !j.Started {
 		e.countStarted(j)
 		j.Started = true
-		j.State = job.Running
 		e.markChanged(j, false)
 	}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -251,14 +251,14 @@
 func (e *Engine) start(t *Task, w *Worker, attempt int, now time.Time) {
 	t.Attempt = attempt
 	r := &Run{
-		Task: t, Worker: w, Attempt: attempt, State: RunStarting, FirstOfJob: !t.Job.Started,
+		Task: t, Worker: w, Attempt: attempt, State: RunStarting, FirstOfJob: !t.Job.requested,
 		requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Ticket: e.ticketFor(t, w, now),
 		notAfterMS: w.ClockMS(now) + e.options.StartWindow.Milliseconds(),
 	}
 	// A start extends the worker's lease as a renewal does.
 	w.leaseUntilMS = max(w.leaseUntilMS, r.notAfterMS)
 	w.attach(r)
-	e.markStarted(t.Job)
+	e.markRequested(t.Job)
 	e.markChanged(t.Job, false)
 	e.bestEffortStarted = e.bestEffortStarted || t.Step.BestEffort
 	e.out.Starts = append(e.out.Starts, r)
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -24,11 +24,18 @@
 // Progress is the stored state of an open job, for the next owner.
 type Progress struct {
 	Tasks []TaskProgress `json:"tasks"`
+	// Started is set if a worker has confirmed a run of any task.
+	Started bool `json:"started,omitempty"`
+}
+
+// started reports whether a worker has confirmed a run of any task.
+func (p Progress) started() bool {
+	return p.Started || slices.ContainsFunc(p.Tasks, func(tp TaskProgress) bool { return tp.Done || len(tp.Failures) > 0 })
 }
 
 // Progress returns the state to store for the job.
 func (j *Job) Progress() Progress {
-	var p Progress
+	p := Progress{Started: j.Started}
 	for t := range j.allTasks() {
 		if t.Attempt == 0 && !t.Done {
 			continue
@@ -75,10 +82,11 @@
 		}
 	}
 	if len(p.Tasks) > 0 {
-		if !j.Started {
-			e.countStarted(j)
-		}
-		j.Started, j.State = true, job.Running
+		j.requested, j.State = true, job.Running
+	}
+	if !j.Started && p.started() {
+		e.countStarted(j)
+		j.Started = true
 	}
 	for t := range j.allTasks() {
 		t.Attempt += attemptGap
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -40,6 +40,7 @@
 		}
 		if r.State != RunActive {
 			r.State, r.confirmedAt = RunActive, now
+			e.markStarted(r.Task.Job)
 			w.updateShares(r, now)
 		}
 		if r.stopping {
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -146,6 +146,19 @@
 	return f.starts[task]
 }
 
+// StartsOfJob returns how often tasks of a job have been started.
+func (f *Fleet) StartsOfJob(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := 0
+	for task, n := range f.starts {
+		if jobID, _, _ := strings.Cut(task, "."); jobID == id {
+			sum += n
+		}
+	}
+	return sum
+}
+
 // Acknowledged reports whether the completion of a task was acknowledged.
 func (f *Fleet) Acknowledged(task string) bool {
 	f.mu.Lock()
