Confirm the ownership only by commits sent after a suspension

Cause: a commit that was sent before the VM was suspended, and answered afterwards, confirmed the ownership, although the monotonic clock had stood still and another daemon may have taken over. Events that had waited during the suspension were planned before the tick that checks for it. A mere pause of the control loop, on the other hand, which an overloaded owner has often, stopped its work until the next commit, although the clock tells how old the last one is. A handover was also begun while commits failed, and stopped the owner's work without a successor. A negative backoff in the owner's row would have ended the process. Change: the check for stalls compares the uptime with the monotonic clock, and runs before each plan. Only a suspension needs a new commit. A handover needs commits that succeed, and the backoff is bounded when it is read. Evidence: TestCommitFromBeforeASuspensionConfirmsNothing.

--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -72,8 +72,8 @@
 	if t.afterRelease {
 		delay = repeatedHandoverDelay
 	}
-	if t.c.MilliCPU <= 0 || now.Sub(t.startedAt) < delay {
-		return
+	if t.c.MilliCPU <= 0 || now.Sub(t.startedAt) < delay || t.failing || t.unconfirmed {
+		return // a release that cannot be committed would only stop the owner's work
 	}
 	largest := t.candidates.largest(now)
 	if float64(largest) < handoverRatio*float64(t.c.MilliCPU) {
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -127,8 +127,10 @@
 	storeFailing  bool
 	storeFailedAt time.Time
 	lastTick      time.Time
-	lastUptime    time.Duration
-	loopDelay     loopDelay
+	// stallCheckedAt and lastUptime are the clocks at the last check for a stall.
+	stallCheckedAt time.Time
+	lastUptime     time.Duration
+	loopDelay      loopDelay
 
 	view        atomic.Pointer[View]
 	jobStates   jobStateCache
@@ -192,6 +194,7 @@
 func (c *Cell) tick(time.Time) {
 	now := c.Now()
 	c.observeTick(now)
+	c.lastTick = now
 	c.checkStall(now)
 	if c.loopDelay.tick(now) {
 		c.Log.WithFields(log.Fields{"event": "loop_load", "overloaded": c.loopDelay.overloaded, "delay_ms": c.loopDelay.mean.Milliseconds()}).Info("the load of the control loop has changed")
@@ -205,23 +208,30 @@
 	c.publish()
 }
 
-// stallLimit is the longest pause of the control loop after which an owner may
-// send requests without confirming its ownership first.
-const stallLimit = 700 * time.Millisecond
+const (
+	// stallLimit is the longest pause of the control loop that is not logged.
+	stallLimit = 700 * time.Millisecond
+	// suspensionLimit is the longest time by which the monotonic clock may lag behind
+	// the uptime between two checks.
+	suspensionLimit = 100 * time.Millisecond
+)
 
-// checkStall detects that the process or the VM was suspended: another daemon may
-// have taken over in the meantime.
+// checkStall detects that the process was paused or the VM was suspended. After a
+// suspension, during which the monotonic clock stands still, an owner must confirm its
+// ownership; after a pause, the clock tells whether it must. It is called on each tick,
+// and before requests are planned, because events that waited come before the next tick.
 func (c *Cell) checkStall(now time.Time) {
 	uptime := c.Uptime()
-	stalled := !c.lastTick.IsZero() && (now.Sub(c.lastTick) > stallLimit || uptime-c.lastUptime > stallLimit)
-	gap := max(now.Sub(c.lastTick), uptime-c.lastUptime)
-	c.lastTick, c.lastUptime = now, uptime
-	if !stalled {
+	paused, passed := now.Sub(c.stallCheckedAt), uptime-c.lastUptime
+	first := c.stallCheckedAt.IsZero()
+	c.stallCheckedAt, c.lastUptime = now, uptime
+	if first || max(paused, passed) <= stallLimit && passed-paused <= suspensionLimit {
 		return
 	}
-	c.Log.WithFields(log.Fields{"event": "woke_up", "gap_ms": gap.Milliseconds()}).Warn("the control loop was stalled")
-	if c.term != nil {
-		c.term.unconfirmed, c.term.stalled = true, true
+	c.Log.WithFields(log.Fields{"event": "woke_up", "gap_ms": max(paused, passed).Milliseconds(), "suspended_ms": max(0, passed-paused).Milliseconds()}).Warn("the control loop was stalled")
+	if c.term != nil && passed-paused > suspensionLimit {
+		c.term.unconfirmed, c.term.suspended = true, true
+		c.term.suspensions++
 	}
 }
 
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -65,6 +65,9 @@
 	scanDelay atomic.Int64
 	// commitDelay is the duration of each commit of the owner, in nanoseconds.
 	commitDelay atomic.Int64
+	// suspended is the time for which the VM was suspended, in nanoseconds: it counts as
+	// uptime, but the monotonic clock stood still.
+	suspended atomic.Int64
 	// acquireBusy is how long the control loop is busy after each acquisition of the
 	// cell, in nanoseconds, and acquired the epoch of the last acquisition.
 	acquireBusy, acquired atomic.Int64
@@ -114,7 +117,7 @@
 		Engine:  dispatch.Options{MaxLease: 6 * time.Second, StartWindow: 1500 * time.Millisecond, MaxViolation: 4 * time.Second},
 		Lease:   4500 * time.Millisecond, Retention: 4 * time.Minute,
 		Now: time.Now, Wall: time.Now,
-		Uptime: func() time.Duration { return time.Since(began) },
+		Uptime: func() time.Duration { return time.Since(began) + time.Duration(d.suspended.Load()) },
 		Random: rng.Float64,
 	})
 	cl.mu.Lock()
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -130,6 +130,9 @@
 	ends      committedEnds
 	// outcomesDeleted is the number of outcomes that the commit deletes.
 	outcomesDeleted int
+	// suspensions is the number of suspensions of the term before the commit was sent. A
+	// response that arrives after a later one does not confirm the ownership.
+	suspensions int
 }
 
 // committedEnds are the last ends that had been listed, by worker ID, when a batch was
@@ -184,6 +187,7 @@
 		b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableOutcomes, Key: id})
 	}
 	b.outcomesDeleted = len(t.compactor.expiredOutcomes)
+	b.suspensions = t.suspensions
 	b.record = t.record
 	b.record.Sequence++
 	b.record.Released = release && b.complete
@@ -298,8 +302,12 @@
 	if t.failing {
 		t.log.WithFields(log.Fields{"event": "commit_regained", "away_ms": now.Sub(t.committedAt).Milliseconds()}).Info("commits succeed again")
 	}
-	t.failing, t.unconfirmed, t.stalled = false, false, false
-	t.version, t.record, t.committedAt, t.commitSentAt = version, b.record, now, t.triedAt
+	t.failing = false
+	t.version, t.record = version, b.record
+	if b.suspensions == t.suspensions {
+		t.unconfirmed, t.suspended = false, false
+		t.committedAt, t.commitSentAt = now, t.triedAt
+	}
 	for _, j := range b.jobs {
 		t.progressRows[j.Spec.ID] = true
 	}
@@ -354,11 +362,10 @@
 
 // release sends a last commit that releases the cell to another daemon.
 func (t *term) release(now time.Time) {
-	if t.committing {
-		return
-	}
 	t.releasing = true
-	t.commit(now, true)
+	if !t.committing {
+		t.commit(now, true)
+	}
 }
 
 // retryRelease releases the cell unless a commit was sent only just before. A release
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -104,7 +104,7 @@
 	if c.link.refused {
 		return unchanged >= staleAfter
 	}
-	return unchanged >= staleAfter<<c.owner.Backoff
+	return unchanged >= staleAfter<<min(max(0, c.owner.Backoff), maxTakeoverBackoff)
 }
 
 // nextBackoff returns the backoff of the takeover timeouts after a takeover from an
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -240,3 +240,35 @@
 		cl.check()
 	})
 }
+
+// Guards against TWICE: a commit that was sent before the VM was suspended, and answered
+// afterwards, confirmed an ownership that another daemon may have taken meanwhile.
+func TestCommitFromBeforeASuspensionConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 117, 1, 2, halfSecond, nil)
+		defer cl.stopAll()
+		owner := cl.daemons[cl.awaitOwner()]
+		time.Sleep(time.Second)
+		owner.commitDelay.Store(int64(800 * time.Millisecond))
+		stalled := func() (stalled, committing bool) {
+			is.NoErr(owner.loop.Do(t.Context(), func() {
+				stalled, committing = owner.cell.term.suspended, owner.cell.term.committing
+			}))
+			return stalled, committing
+		}
+		for _, committing := stalled(); !committing; _, committing = stalled() {
+			time.Sleep(time.Millisecond)
+		}
+		owner.suspended.Store(int64(time.Minute))
+		time.Sleep(100 * time.Millisecond)
+		before, _ := stalled()
+		is.True(before)
+		time.Sleep(800 * time.Millisecond) // the commit has been answered, the next one has not
+		after, _ := stalled()
+		is.True(after)
+		time.Sleep(time.Second)
+		later, _ := stalled()
+		is.True(!later)
+	})
+}
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -30,13 +30,14 @@
 	ended     bool
 	releasing bool
 	abandoned bool // the state of former owners cannot be read; the cell is to be released
-	// unconfirmed is set after a stall or a loss of contact with the store, until a
+	// unconfirmed is set after a suspension or a loss of contact with the store, until a
 	// commit confirms that this daemon still owns the cell. While it is set, no tasks
 	// are planned.
 	unconfirmed bool
-	// stalled is set after a stall, until a commit. The monotonic clock may have
-	// stopped meanwhile, so that no lease may be renewed.
-	stalled bool
+	// suspended is set after a suspension of the VM, until a commit that was sent after
+	// it. The monotonic clock stood still, so that no lease may be renewed.
+	suspended   bool
+	suspensions int // number of suspensions in the term
 
 	// afterRelease is set if the previous owner released the cell.
 	afterRelease bool
@@ -128,7 +129,7 @@
 // the last commit was sent, and waits for the longest lease before it starts tasks that
 // may run on a worker that it cannot reach. No lease may last longer than that.
 func (t *term) leaseAt(now time.Time) time.Duration {
-	if t.stalled {
+	if t.suspended {
 		return 0
 	}
 	return min(t.c.Lease, t.commitSentAt.Add(staleAfter+t.c.Engine.MaxLease).Sub(now))
@@ -136,7 +137,6 @@
 
 // tick runs the owner's periodic work.
 func (t *term) tick(now time.Time) {
-	t.checkOwnershipConfirmed(now)
 	if t.releasing || t.abandoned {
 		t.retryRelease(now)
 	} else {
@@ -207,6 +207,8 @@
 // plan runs the engine and sends the requests that it outputs.
 func (t *term) plan() {
 	now := t.c.Now()
+	t.c.checkStall(now)
+	t.checkOwnershipConfirmed(now)
 	defer func() {
 		done := t.c.Now()
 		t.planNotBefore = done.Add(planPause(done.Sub(now), t.c.loopDelay.overloaded))
