Stop the runs of jobs that the new owner has cancelled itself

What callers saw: none yet; found in a review of the takeover. The runs of a cancelled job went on after a takeover (UNASKED). Cause: a daemon that stores a cancellation records the state in its cache. When it then acquired the cell, it took the job for one whose end had been committed and did not add it, so that its runs were stopped only as unknown ones after 2.5 s, and no outcome was ever committed. Change: only completed and failed jobs of the cache count as ended; a cancelled one is added and cancelled. Evidence: TestOwnerStopsJobThatItCancelledAsAFollower failed with 4 runs after a second and passes.

--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -139,6 +139,28 @@
 	})
 }
 
+// Guards against UNASKED: a daemon that had stored a cancellation itself, and then acquired
+// the cell, did not stop the job's runs at once, and recorded no outcome.
+func TestOwnerStopsJobThatItCancelledAsAFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 118, 2, 2, func(string) time.Duration { return time.Minute }, nil)
+		defer cl.stopAll()
+		first := cl.awaitOwner()
+		spec := cl.spec(4)
+		cl.submit(first, spec)
+		time.Sleep(time.Second)
+		is.Equal(cl.fleet.Running(), 4)
+		cl.kill(first)
+		next := cl.daemons[cl.names()[0]]
+		is.NoErr(next.cell.Cancel(context.Background(), spec.ID))
+		is.Equal(cl.awaitOwner(), next.name)
+		time.Sleep(time.Second)
+		is.Equal(cl.fleet.Running(), 0)
+		is.Equal(len(cl.store.Rows(tableOutcomes, "c0")), 1)
+	})
+}
+
 // An owner does not restart an ended job whose row was not compacted before the
 // takeover.
 func TestNextOwnerDoesNotRestartEndedJob(t *testing.T) {
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -260,8 +260,8 @@
 	if j := t.engine.Job(spec.ID); j != nil {
 		return j
 	}
-	if state, ok := t.c.jobStates.state(spec.ID, now); t.uncommittedFinal[spec.ID] != nil || ok && state.Final() {
-		return nil // ended; the next commit deletes its progress row
+	if t.uncommittedFinal[spec.ID] != nil || t.knownToHaveEnded(spec.ID, now) {
+		return nil // the next commit deletes its progress row
 	}
 	j := t.engine.Add(spec, now, t.c.Wall().UnixMilli())
 	if j == nil {
@@ -278,6 +278,13 @@
 	return j
 }
 
+// knownToHaveEnded reports whether an owner has committed the job's end. A cancellation
+// may only be stored: its job is added, to stop its runs and to commit the outcome.
+func (t *term) knownToHaveEnded(id string, now time.Time) bool {
+	state, ok := t.c.jobStates.state(id, now)
+	return ok && state.Final() && state != job.Cancelled
+}
+
 // cancel applies a stored cancellation.
 func (t *term) cancel(id string) {
 	if t.engine.Job(id) == nil {
