Date queue depths also while jobs arrive steadily

What callers saw: none yet; found in a review. Depths of queues were refused under a steady stream of submissions. Cause: a page of changes whose last row is the newest of the store may be cut off, so it did not date the depths. With some hundred submissions a second that was every page. Change: a page that reaches the version of the owner's last commit includes all that was stored before that commit was sent, and dates the depths by it.

--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -43,6 +43,7 @@
 			continue
 		}
 		cursor.inFlight, cursor.polledAt = true, now
+		version, committedAt := t.version, t.commitSentAt
 		if cursor.rescan {
 			t.rescan(table, cursor, now)
 			continue
@@ -59,7 +60,11 @@
 				cursor.polledAt = time.Time{}
 			}
 			if err == nil {
-				t.applyChanges(table, cursor, page, now, isNewest(page))
+				began := now
+				if !isNewest(page) && page.Version >= version {
+					began = committedAt // the page includes what was stored before that commit
+				}
+				t.applyChanges(table, cursor, page, began, isNewest(page) || page.Version >= version)
 			}
 		})
 	}
@@ -90,7 +95,7 @@
 func (t *term) applyChanges(table string, cursor *changeCursor, page port.Page, began time.Time, complete bool) {
 	cursor.version = max(cursor.version, page.Version)
 	t.applyRows(table, page.Rows)
-	if table == tableJobs && complete {
+	if table == tableJobs && complete && began.After(t.jobsReadAt) {
 		t.jobsReadAt = began
 		t.engine.HandleJobsRead(began)
 	}
