Hand the cell over only to daemons that reach the store for some time

Cause: a large daemon was a candidate again after one successful call. Change: a daemon is no candidate for 5 s after a failed call.

--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -12,6 +12,9 @@
 	// candidateTTL is how long a follower counts as a candidate after its last poll;
 	// followers poll four times a second.
 	candidateTTL = 2 * time.Second
+	// candidateSettleTime is how long after a failed call to the store a daemon is no
+	// candidate, so that the cell does not follow a store that returns only briefly.
+	candidateSettleTime = 5 * time.Second
 	// smallerCandidateDelay is how long a daemon leaves a cell without an owner to
 	// larger candidates: the time in which they acquire it, and until the daemon reads
 	// that they have.
@@ -60,7 +63,8 @@
 // candidateCapacity returns this daemon's capacity as a candidate, or zero if it
 // cannot acquire the cell.
 func (c *Cell) candidateCapacity(now time.Time) int64 {
-	if c.stopping || c.storeFailing || now.Before(c.acquireNotBefore) {
+	storeFailed := !c.storeFailedAt.IsZero() && now.Sub(c.storeFailedAt) < candidateSettleTime
+	if c.stopping || storeFailed || now.Before(c.acquireNotBefore) {
 		return 0
 	}
 	return c.MilliCPU
