Date the confirmation of the ownership by when a commit was sent

What callers saw: none yet; found in a review, whose tests start a task on two workers (TWICE). Cause: a commit that was sent before the process was frozen, and answered after, confirmed the ownership as of its answer. An acquisition that was sent before a suspension of the VM did so, too. A suspension while an acquisition is in flight leaves the new owner unconfirmed. Evidence: TestCommitSentBeforeAFreezeStartsNothing and TestAcquisitionSentBeforeASuspensionIsUnconfirmed failed in the review's copy and pass; TestPlanBeforeTheTickThatDetectsAFreezeStartsNothing guards the check before each plan.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -130,6 +130,7 @@
 	// stallCheckedAt and lastUptime are the clocks at the last check for a stall.
 	stallCheckedAt time.Time
 	lastUptime     time.Duration
+	suspensions    int // number of suspensions of the VM
 	loopDelay      loopDelay
 
 	view        atomic.Pointer[View]
@@ -229,9 +230,12 @@
 		return
 	}
 	c.Log.WithFields(log.Fields{"event": "woke_up", "gap_ms": max(paused, passed).Milliseconds(), "suspended_ms": max(0, passed-paused).Milliseconds()}).Warn("the control loop was stalled")
-	if c.term != nil && passed-paused > suspensionLimit {
+	if passed-paused <= suspensionLimit {
+		return
+	}
+	c.suspensions++
+	if c.term != nil {
 		c.term.unconfirmed, c.term.suspended = true, true
-		c.term.suspensions++
 	}
 }
 
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -130,7 +130,7 @@
 	ends      committedEnds
 	// outcomesDeleted is the number of outcomes that the commit deletes.
 	outcomesDeleted int
-	// suspensions is the number of suspensions of the term before the commit was sent. A
+	// suspensions is the number of suspensions of the VM before the commit was sent. A
 	// response that arrives after a later one does not confirm the ownership.
 	suspensions int
 }
@@ -187,7 +187,7 @@
 		b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableOutcomes, Key: id})
 	}
 	b.outcomesDeleted = len(t.compactor.expiredOutcomes)
-	b.suspensions = t.suspensions
+	b.suspensions = t.c.suspensions
 	b.record = t.record
 	b.record.Sequence++
 	b.record.Released = release && b.complete
@@ -304,9 +304,11 @@
 	}
 	t.failing = false
 	t.version, t.record = version, b.record
-	if b.suspensions == t.suspensions {
-		t.unconfirmed, t.suspended = false, false
+	t.c.checkStall(now)
+	if b.suspensions == t.c.suspensions {
 		t.committedAt, t.commitSentAt = now, t.triedAt
+		t.unconfirmed, t.suspended = false, false
+		t.checkOwnershipConfirmed(now)
 	}
 	for _, j := range b.jobs {
 		t.progressRows[j.Spec.ID] = true
@@ -368,7 +370,7 @@
 	}
 }
 
-// retryRelease releases the cell unless a commit was sent only just before. A release
+// retryRelease releases the cell unless an attempt was sent only just before. A release
 // that was begun goes on until it succeeds or another daemon has acquired the cell.
 func (t *term) retryRelease(now time.Time) {
 	if now.Sub(t.triedAt) >= commitRetryDelay {
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -172,7 +172,7 @@
 	c.logAcquisition(c.Now())
 	previous := c.owner
 	record := ownerRecord{Epoch: previous.Epoch + 1, Name: c.Self.Name, Boot: c.Self.Boot, Address: c.Self.Address, Sequence: previous.Sequence + 1, Backoff: nextBackoff(previous)}
-	version, sent := c.ownerVersion, c.Now()
+	version, sent, suspensions := c.ownerVersion, c.Now(), c.suspensions
 	control.Async(c.Loop, func(ctx context.Context) (int64, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
@@ -186,6 +186,9 @@
 			return
 		}
 		c.recordStoreResult(nil, now)
+		if c.checkStall(now); c.suspensions != suspensions {
+			sent = time.Time{}
+		}
 		c.becomeOwner(record, committed, sent)
 	})
 }
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -36,8 +36,7 @@
 	unconfirmed bool
 	// suspended is set after a suspension of the VM, until a commit that was sent after
 	// it. The monotonic clock stood still, so that no lease may be renewed.
-	suspended   bool
-	suspensions int // number of suspensions in the term
+	suspended bool
 
 	// afterRelease is set if the previous owner released the cell.
 	afterRelease bool
@@ -110,14 +109,14 @@
 	t.schedulePlan()
 }
 
-// unconfirmedAfter is how long an owner starts tasks without a commit: no daemon
-// replaces it before staleAfter.
+// unconfirmedAfter is how long an owner starts tasks after it has sent its last
+// successful commit: no daemon replaces it before staleAfter.
 const unconfirmedAfter = staleAfter
 
 // checkOwnershipConfirmed stops planning while another daemon may have taken over
 // without this daemon's knowledge.
 func (t *term) checkOwnershipConfirmed(now time.Time) {
-	if now.Sub(t.committedAt) > unconfirmedAfter && !t.unconfirmed {
+	if now.Sub(t.commitSentAt) > unconfirmedAfter && !t.unconfirmed {
 		t.unconfirmed = true
 		t.log.WithFields(log.Fields{"event": "owner_alone", "committed_ms": now.Sub(t.committedAt).Milliseconds()}).
 			Warn("the ownership is unconfirmed; starting no tasks until a commit succeeds")
