Keep the commit timeout of an overloaded owner below the takeover timeout

Cause: the timeout of commits was lengthened to 2 s with those of the requests to workers, while followers replace an owner that does not answer 1.5 s after its last commit. Change: it stays at 1 s.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -155,7 +155,7 @@
 		t.releaseSentAt = now
 	}
 	t.urgent = false
-	runAsync(t, t.c.loopDelay.timeout(commitTimeout), func(ctx context.Context) (int64, error) {
+	runAsync(t, commitTimeout, func(ctx context.Context) (int64, error) {
 		return t.c.Store.Commit(ctx, b.txn)
 	}, func(version int64, err error) {
 		t.committing = false
