--- a/internal/cell/ownership_test.go
+++ b/internal/cell/ownership_test.go
@@ -36,10 +36,10 @@
 // freezeWithWork freezes the loop of the owner, just after it has learned of a job of one
 // long task, for a time in which another daemon, which reaches only w1, takes over and
 // starts the task.
-func freezeWithWork(t *testing.T, cl *cluster, before func(first *daemon)) (task string, first *daemon) {
+func freezeWithWork(t *testing.T, cl *cluster, before func(first *daemon)) (task string) {
 	t.Helper()
 	is := is.New(t)
-	first = cl.daemons[cl.awaitOwner()]
+	first := cl.daemons[cl.awaitOwner()]
 	time.Sleep(2 * time.Second)
 	var other string
 	for _, name := range cl.names() {
@@ -61,7 +61,7 @@
 	time.Sleep(freezeTime - 100*time.Millisecond)
 	task = spec.ID + ".0.0.0"
 	is.Equal(cl.fleet.Starts(task), 1) // by the successor
-	return task, first
+	return task
 }
 
 const freezeTime = 14 * time.Second
@@ -75,7 +75,7 @@
 		is := is.New(t)
 		cl := newCluster(t, 151, 2, 2, longTask, nil)
 		defer cl.stopAll()
-		task, _ := freezeWithWork(t, cl, func(*daemon) {})
+		task := freezeWithWork(t, cl, func(*daemon) {})
 		time.Sleep(time.Second)
 		cl.check()
 		is.Equal(cl.fleet.Starts(task), 1)
@@ -90,7 +90,7 @@
 		cl := newCluster(t, 153, 2, 2, longTask, nil)
 		defer cl.stopAll()
 		store := &heldStore{release: make(chan struct{})}
-		task, _ := freezeWithWork(t, cl, func(first *daemon) {
+		task := freezeWithWork(t, cl, func(first *daemon) {
 			is.NoErr(first.loop.Do(t.Context(), func() {
 				store.Store, first.cell.Store = first.cell.Store, store
 				first.cell.term.planScheduled = true // no plan is queued before the tick
