--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -124,8 +124,6 @@
 	outcomes []*dispatch.Job
 	// changedSince is the committer's changedSince of the jobs in the batch.
 	changedSince map[string]int64
-	// complete is set if no change is left for the next commit.
-	complete bool
 	// committed is the number of the last batch whose changes, and those of all earlier
 	// ones, are committed with this batch.
 	committed int64
@@ -168,11 +166,10 @@
 // while others keep arriving.
 func (t *term) buildBatch(release bool) batch {
 	t.batches++
-	b := batch{complete: true, changedSince: map[string]int64{}, ends: committedEnds{t.batches, map[string]endPosition{}}}
+	b := batch{changedSince: map[string]int64{}, ends: committedEnds{t.batches, map[string]endPosition{}}}
 	bytes := 0
 	for _, id := range t.changedJobs() {
 		if len(b.txn.Puts)+len(b.txn.Deletes) >= maxCommitEntries || bytes > maxCommitBytes {
-			b.complete = false
 			break
 		}
 		if j := t.uncommittedFinal[id]; j != nil {
