Hold and lose commits in tests without replacing the store

The harness has a hook for the owner's commits now. The tests check as much as before: each fails when its fault is put back (longer commit timeout, confirmation as of the answer, no check for suspensions at an acquisition).

--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -65,6 +65,8 @@
 	scanDelay atomic.Int64
 	// commitDelay is the duration of each commit of the owner, in nanoseconds.
 	commitDelay atomic.Int64
+	// commitHook, if set, is called in place of each commit of the owner.
+	commitHook atomic.Pointer[commitHook]
 	// suspended is the time for which the VM was suspended, in nanoseconds: it counts as
 	// uptime, but the monotonic clock stood still.
 	suspended atomic.Int64
@@ -73,6 +75,9 @@
 	acquireBusy, acquired atomic.Int64
 }
 
+// commitHook handles a commit, which it may pass on to commit.
+type commitHook func(ctx context.Context, commit func() (int64, error)) (int64, error)
+
 func newCluster(t *testing.T, seed uint64, daemons, workers int, work func(task string) time.Duration, fails func(string, int) bool) *cluster {
 	t.Helper()
 	return newSizedCluster(t, seed, daemons, workers, work, fails, nil)
@@ -338,11 +343,17 @@
 		delay += time.Duration(s.d.commitDelay.Load())
 	}
 	time.Sleep(delay)
-	version, err := s.Store.Commit(ctx, txn)
-	if err == nil {
-		s.d.simulateRestore(txn)
+	commit := func() (int64, error) {
+		version, err := s.Store.Commit(ctx, txn)
+		if err == nil {
+			s.d.simulateRestore(txn)
+		}
+		return version, err
+	}
+	if hook := s.d.commitHook.Load(); hook != nil && slices.ContainsFunc(txn.Puts, func(p port.Put) bool { return p.Table == tableOwners }) {
+		return (*hook)(ctx, commit)
 	}
-	return version, err
+	return commit()
 }
 
 // simulateRestore keeps the control loop busy if the transaction has acquired the
--- a/internal/cell/ownership_test.go
+++ b/internal/cell/ownership_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -15,22 +14,24 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
-// heldStore applies the owner's commits at once and holds their responses while hold is
-// set.
-type heldStore struct {
-	port.Store
-	hold    atomic.Bool
-	release chan struct{}
-	held    atomic.Int64
-}
-
-func (s *heldStore) Commit(ctx context.Context, txn port.Txn) (int64, error) {
-	version, err := s.Store.Commit(ctx, txn)
-	if s.hold.Load() && slices.ContainsFunc(txn.Puts, func(p port.Put) bool { return p.Table == tableOwners }) {
-		s.held.Add(1)
-		<-s.release
+// holdCommits applies the commits of a daemon at once and holds their responses. The
+// returned functions wait until a response is held, and let all pass.
+func (d *daemon) holdCommits() (awaitHeld, pass func()) {
+	held, passed := make(chan struct{}, 1), make(chan struct{})
+	hook := commitHook(func(_ context.Context, commit func() (int64, error)) (int64, error) {
+		version, err := commit()
+		select {
+		case held <- struct{}{}:
+		default:
+		}
+		<-passed
+		return version, err
+	})
+	d.commitHook.Store(&hook)
+	return func() { <-held }, func() {
+		d.commitHook.Store(nil)
+		close(passed)
 	}
-	return version, err
 }
 
 // freezeWithWork freezes the loop of the owner, just after it has learned of a job of one
@@ -89,21 +90,18 @@
 		is := is.New(t)
 		cl := newCluster(t, 153, 2, 2, longTask, nil)
 		defer cl.stopAll()
-		store := &heldStore{release: make(chan struct{})}
+		var pass func()
 		task := freezeWithWork(t, cl, func(first *daemon) {
 			is.NoErr(first.loop.Do(t.Context(), func() {
-				store.Store, first.cell.Store = first.cell.Store, store
 				first.cell.term.planScheduled = true // no plan is queued before the tick
 			}))
-			store.hold.Store(true)
-			for store.held.Load() == 0 {
-				time.Sleep(5 * time.Millisecond)
-			}
+			var awaitHeld func()
+			awaitHeld, pass = first.holdCommits()
+			awaitHeld()
 		})
-		store.hold.Store(false)
 		time.Sleep(110 * time.Millisecond) // the first ticks after the freeze
 		is.Equal(cl.fleet.Starts(task), 1)
-		close(store.release)
+		pass()
 		time.Sleep(time.Second)
 		cl.check()
 		is.Equal(cl.fleet.Starts(task), 1)
@@ -156,9 +154,15 @@
 					first.cell.loopDelay.mean = time.Hour
 				}
 			}))
-			store := &losingStore{Store: first.cell.Store}
-			is.NoErr(first.loop.Do(t.Context(), func() { first.cell.Store = store }))
-			store.lose.Store(true)
+			var lost atomic.Bool
+			loseOne := commitHook(func(ctx context.Context, commit func() (int64, error)) (int64, error) {
+				if lost.Swap(true) {
+					return commit()
+				}
+				<-ctx.Done()
+				return 0, &port.UnansweredError{Op: "commit", Err: ctx.Err()}
+			})
+			first.commitHook.Store(&loseOne)
 			time.Sleep(5 * time.Second)
 			t.Logf("overloaded %v: owner %s, former %s", overloaded, cl.owner(), first.name)
 			is.Equal(cl.owner(), first.name)
@@ -166,20 +170,6 @@
 	}
 }
 
-// losingStore loses the next commit of the owner.
-type losingStore struct {
-	port.Store
-	lose atomic.Bool
-}
-
-func (s *losingStore) Commit(ctx context.Context, txn port.Txn) (int64, error) {
-	if slices.ContainsFunc(txn.Puts, func(p port.Put) bool { return p.Table == tableOwners }) && s.lose.CompareAndSwap(true, false) {
-		<-ctx.Done()
-		return 0, &port.UnansweredError{Op: "commit", Err: ctx.Err()}
-	}
-	return s.Store.Commit(ctx, txn)
-}
-
 // Guards against lost work: an owner that began to release the cell when the store failed
 // renewed no leases, though no other daemon could acquire the cell.
 func TestLeasesAreRenewedWhileAReleaseFails(t *testing.T) {
@@ -238,21 +228,11 @@
 		defer cl.stopAll()
 		d := cl.daemons["d0"]
 		c := d.cell
-		store := &heldStore{release: make(chan struct{})}
-		store.hold.Store(true)
-		var suspended time.Duration
-		is.NoErr(d.loop.Do(t.Context(), func() {
-			uptime := c.Uptime
-			store.Store = c.Store
-			c.Store, c.Uptime = store, func() time.Duration { return uptime() + suspended }
-		}))
-		for store.held.Load() == 0 {
-			time.Sleep(5 * time.Millisecond)
-		}
-		is.NoErr(d.loop.Do(t.Context(), func() { suspended = 8 * time.Second }))
+		awaitHeld, pass := d.holdCommits()
+		awaitHeld()
+		d.suspended.Store(int64(8 * time.Second))
 		time.Sleep(120 * time.Millisecond)
-		store.hold.Store(false)
-		close(store.release)
+		pass()
 		time.Sleep(time.Millisecond)
 		is.NoErr(d.loop.Do(t.Context(), func() {
 			is.True(c.term != nil)
