--- a/internal/cell/partition_test.go
+++ b/internal/cell/partition_test.go
@@ -86,8 +86,9 @@
 			other.unreachablePeers.Store(owner.name, true)
 		}
 	case 6:
+		busy := time.Duration(rng.IntN(3000)) * time.Millisecond
 		if owner != nil {
-			owner.loop.Post(func() { time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond) })
+			owner.loop.Post(func() { time.Sleep(busy) })
 		}
 	case 7:
 		cl.fleet.Restart(worker)
