Restart interrupted services before all other work

Cause: a service task that failed, lost its worker or was moved was planned after every other job that was on time, so that under a backlog it waited until the backlog was gone; and a move by consolidation gave up a place without holding the next one.

Change: jobs with an interrupted service task come first in a plan. If no worker has capacity, it is reserved on the worker where that costs the least work, and tasks there are stopped after 1.2 s, those with checkpoints first. Consolidation reserves the target of a move. A task that no worker could run is reported in the log.

--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -32,18 +32,21 @@
 	}
 	e.consolidatedAt = now
 	var best *Run
+	var target *Worker
 	bestGain := minMoveGain
 	for _, w := range e.leastServiceShare() {
 		for _, r := range w.sortedRuns() {
 			if !e.movable(r, now) {
 				continue
 			}
-			if gain := e.moveGain(r, now); gain > bestGain {
-				best, bestGain = r, gain
+			if to, gain := e.bestMove(r, now); gain > bestGain {
+				best, target, bestGain = r, to, gain
 			}
 		}
 	}
 	if best != nil {
+		// Another task must not take the capacity before this one has stopped.
+		e.reserve(best.Task, target, now)
 		e.move(best, StopConsolidate)
 	}
 }
@@ -81,20 +84,23 @@
 	return t.Step.MaxUnavailable != 0 && t.unavailableSiblings() == 0
 }
 
-// moveGain returns the gain of a run's best move. Gains are differences of the sum
-// over all workers of the squared service shares, so that a sequence of moves
+// bestMove returns the worker of a run's best move, and the gain. Gains are differences
+// of the sum over all workers of the squared service shares, so that a sequence of moves
 // terminates.
-func (e *Engine) moveGain(r *Run, now time.Time) float64 {
+func (e *Engine) bestMove(r *Run, now time.Time) (*Worker, float64) {
 	t, from := r.Task, r.Worker
 	share := e.serviceShare(from)
+	var target *Worker
 	best := 0.0
 	for _, w := range e.workerList {
 		if w == from || e.serviceShare(w) <= share || !e.eligible(t, w, now, nil) {
 			continue
 		}
-		best = max(best, e.gainAt(r, w))
+		if gain := e.gainAt(r, w); gain > best {
+			target, best = w, gain
+		}
 	}
-	return best
+	return target, best
 }
 
 func (e *Engine) gainAt(r *Run, to *Worker) float64 {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -107,6 +107,8 @@
 	takeoverAt   time.Time
 	interference interference
 	unplaceable  unplaceable
+	// reservations are the tasks that capacity is reserved for.
+	reservations map[*Task]bool
 	// unknownRunCounts is the number of unknown runs by task name.
 	unknownRunCounts map[string]int
 	// planOrder are the jobs with waiting tasks in the order of the last plan.
@@ -132,6 +134,9 @@
 	Changed map[*Job]bool
 	// Finished are the jobs that have become final.
 	Finished []*Job
+	// Starved are interrupted service tasks that no worker can run, even without its
+	// other tasks. Each is reported again after a while.
+	Starved []*Task
 }
 
 // UnknownRun is a run to stop that a worker lists, but that is not recorded with any
@@ -162,6 +167,7 @@
 
 		interference:     newInterference(),
 		unplaceable:      unplaceable{},
+		reservations:     map[*Task]bool{},
 		unknownRunCounts: map[string]int{},
 
 		out: Output{Changed: map[*Job]bool{}},
@@ -281,6 +287,7 @@
 	delete(e.jobs, j.Spec.ID)
 	e.finalJobs[j.Spec.ID] = e.now
 	for t := range j.allTasks() {
+		e.unreserve(t)
 		delete(e.tasks, t.name())
 		for _, r := range t.Runs {
 			e.stop(r, StopEnded)
--- /dev/null
+++ b/dispatch/interrupted.go
@@ -0,0 +1,171 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// An interrupted service is one with a task that has run before and has no run now. Its
+// users wait, and the platform allows it to be away for a few seconds only, however many
+// other jobs wait. So it is planned before all other jobs. If no worker has capacity for
+// such a task, capacity is reserved for it on the worker where that costs the least work.
+const (
+	// evictAfter is how long a reservation waits for tasks to end by themselves before
+	// they are stopped. A stop and a start take about half a second of the time that a
+	// service may be away.
+	evictAfter = 1200 * time.Millisecond
+	// reservationTTL bounds how long capacity is reserved for a task that is not started.
+	reservationTTL = 4 * time.Second
+	// starvedReportInterval is the interval at which a task that no worker can run is
+	// reported.
+	starvedReportInterval = 5 * time.Second
+	// lossOfUncheckpointed is the factor by which a stop of a task that saves no
+	// checkpoints costs more: all its work is lost.
+	lossOfUncheckpointed = 4
+)
+
+// capacityReservation is the capacity that is reserved on a worker for a task.
+type capacityReservation struct {
+	worker *Worker
+	since  time.Time
+}
+
+// interrupted reports whether the task is a service task that has run before and is to
+// run again.
+func (t *Task) interrupted() bool { return t.Step.Service && t.hasRun && t.waiting() }
+
+// reserve reserves a task's demand on a worker, in place of an earlier reservation.
+func (e *Engine) reserve(t *Task, w *Worker, now time.Time) {
+	e.unreserve(t)
+	t.reserved = &capacityReservation{w, now}
+	w.reservedUse = w.reservedUse.Add(demand(t.Step))
+	e.reservations[t] = true
+}
+
+// unreserve releases the capacity that is reserved for a task.
+func (e *Engine) unreserve(t *Task) {
+	if t.reserved == nil {
+		return
+	}
+	w := t.reserved.worker
+	w.reservedUse = w.reservedUse.Sub(demand(t.Step))
+	t.reserved = nil
+	delete(e.reservations, t)
+}
+
+// expireReservations releases the reservations that are old, or whose worker can no
+// longer run tasks.
+func (e *Engine) expireReservations(now time.Time) {
+	for t := range e.reservations {
+		w := t.reserved.worker
+		if e.workers[w.Entry.ID] != w || !w.schedulable(now) || t.Job.State.Final() || now.Sub(t.reserved.since) > reservationTTL {
+			e.unreserve(t)
+		}
+	}
+}
+
+// freeFor returns the resources of a worker that a task may use.
+func (w *Worker) freeFor(t *Task) job.Resources {
+	free := w.free().Sub(w.reservedUse)
+	if t.reserved != nil && t.reserved.worker == w {
+		free = free.Add(demand(t.Step))
+	}
+	return free
+}
+
+// makeRoom reserves capacity for an interrupted service task that fits on no worker, and
+// stops other tasks there if these do not end soon.
+func (e *Engine) makeRoom(t *Task, now time.Time) {
+	if t.reserved == nil {
+		w := e.cheapestToClear(t, now)
+		if w == nil {
+			e.reportStarved(t, now)
+			return
+		}
+		e.reserve(t, w, now)
+	}
+	if now.Sub(t.readyAt) < evictAfter {
+		return
+	}
+	for _, r := range victimsOn(t.reserved.worker, t) {
+		e.stop(r, StopForService)
+	}
+}
+
+// cheapestToClear returns the worker on which stopping tasks that are no services makes
+// room for a task at the lowest cost, or nil if there is none.
+func (e *Engine) cheapestToClear(t *Task, now time.Time) *Worker {
+	var best *Worker
+	lowest := int64(0)
+	for _, w := range e.workerList {
+		if !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
+			continue
+		}
+		free, cost := w.freeFor(t), int64(0)
+		for _, r := range w.sortedRuns() {
+			if r.Task.Step.Service {
+				continue
+			}
+			free = free.Add(demand(r.Task.Step))
+		}
+		if !demand(t.Step).Fits(free) {
+			continue
+		}
+		for _, r := range victimsOn(w, t) {
+			cost += evictionCost(r)
+		}
+		if best == nil || cost < lowest || cost == lowest && w.Entry.ID < best.Entry.ID {
+			best, lowest = w, cost
+		}
+	}
+	return best
+}
+
+// victimsOn returns the runs to stop on a worker to make room for a task, the cheapest
+// first. Runs that are being stopped already count as freed.
+func victimsOn(w *Worker, t *Task) []*Run {
+	free := w.freeFor(t)
+	var candidates []*Run
+	for _, r := range w.sortedRuns() {
+		switch {
+		case r.Task.Step.Service:
+		case r.stopping:
+			free = free.Add(demand(r.Task.Step))
+		default:
+			candidates = append(candidates, r)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *Run) int { return cmp.Compare(evictionCost(a), evictionCost(b)) })
+	var victims []*Run
+	for _, r := range candidates {
+		if demand(t.Step).Fits(free) {
+			break
+		}
+		free = free.Add(demand(r.Task.Step))
+		victims = append(victims, r)
+	}
+	return victims
+}
+
+// evictionCost estimates the work that is lost if a run is stopped, in thousandths of a
+// core, weighted by the progress of tasks that save none of it.
+func evictionCost(r *Run) int64 {
+	step := r.Task.Step
+	if step.Checkpoints {
+		return step.Resources.MilliCPU
+	}
+	return step.Resources.MilliCPU * int64(lossOfUncheckpointed*(100+r.Progress)) / 100
+}
+
+// reportStarved reports a service task that no worker could run, even without its other
+// tasks.
+func (e *Engine) reportStarved(t *Task, now time.Time) {
+	if now.Sub(t.starvedReportedAt) < starvedReportInterval {
+		return
+	}
+	t.starvedReportedAt = now
+	e.out.Starved = append(e.out.Starved, t)
+}
--- /dev/null
+++ b/dispatch/interrupted_test.go
@@ -0,0 +1,189 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// serviceStep returns a step of service tasks.
+func serviceStep(tasks int, milliCPU int64) job.Step {
+	return job.Step{
+		Tasks: tasks, Service: true, Image: "desk", TargetLatencyMS: 50, MaxUnavailable: 1,
+		Resources: job.Resources{MilliCPU: milliCPU, MemoryMB: 1000},
+	}
+}
+
+// batchStep returns a step of tasks that count against the capacity and end after the
+// service's bound.
+func batchStep(tasks int, milliCPU int64, checkpoints bool) job.Step {
+	return job.Step{
+		Tasks: tasks, EstimateMS: 60_000, Checkpoints: checkpoints,
+		Resources: job.Resources{MilliCPU: milliCPU, MemoryMB: 1000},
+	}
+}
+
+// startAll plans until a job's tasks are started, and confirms the starts.
+func (f *fixture) startAll(t *testing.T, id string) []*Run {
+	t.Helper()
+	out := f.plan(serviceBatchWindow)
+	f.confirmStarts(out)
+	for _, r := range out.Starts {
+		if r.Task.ID.Job != id {
+			t.Fatalf("started %s in place of job %s", r.Task.ID, id)
+		}
+	}
+	return out.Starts
+}
+
+// Guards against LOST: a failed service task waited behind a backlog of batch work until
+// the backlog was gone (tagsa-yard-grown, mix 736079600811: 22 s).
+func TestFailedServiceTaskGoesBeforeTheBacklog(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	f.Add(spec("service", serviceStep(1, 4000)), f.now, 0)
+	service := f.startAll(t, "service")
+	for i := range 20 {
+		f.Add(spec(fmt.Sprintf("backlog-%02d", i), batchStep(2, 4000, false)), f.now, 0)
+	}
+	f.confirmStarts(f.plan(0))
+	f.listEnd(service[0], 1, port.EndFailed)
+	out := f.plan(0)
+	is.Equal(len(out.Starts), 1)
+	is.Equal(out.Starts[0].Task.ID.Job, "service")
+}
+
+// Guards against LOST: consolidation stopped a service task, and tasks of a backlog took
+// the place that it was to move to (sadaqa-rounds-grown, quiet-1: 17 s).
+func TestMovedServiceTaskKeepsItsNextPlace(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 16000, 64000), worker("b", 16000, 64000))
+	f.Add(spec("wide", serviceStep(2, 4000)), f.now, 0)
+	f.Add(spec("narrow", serviceStep(1, 4000)), f.now, 0)
+	f.Add(spec("crowd", job.Step{Tasks: 1, BestEffort: true, Image: "scan", Resources: job.Resources{MilliCPU: 100, MemoryMB: 100}}), f.now, 0)
+	for i := range 2 {
+		f.start(f.Job("wide").occurrences[0].tasks[0][i], f.Worker("a"), 1, f.now)
+	}
+	f.start(f.Job("narrow").occurrences[0].tasks[0][0], f.Worker("b"), 1, f.now)
+	f.start(f.Job("crowd").occurrences[0].tasks[0][0], f.Worker("a"), 1, f.now)
+	f.confirmStarts(f.TakeOutput())
+	var out Output
+	for began := f.now; len(out.Stops) == 0 && f.now.Sub(began) < 2*minServiceStay; {
+		f.listAllRunning()
+		for _, w := range f.Workers() {
+			w.ExtendLease(f.now, testOptions.MaxLease)
+		}
+		out = f.plan(time.Second)
+	}
+	is.Equal(len(out.Stops), 1)
+	moved := out.Stops[0]
+	is.Equal(moved.Task.ID.Job, "narrow")
+	for i := range 10 {
+		f.Add(spec(fmt.Sprintf("backlog-%02d", i), batchStep(8, 2000, false)), f.now, 0)
+	}
+	f.confirmStarts(f.plan(0))
+	f.HandleStopResponse(moved, nil, f.now, f.now)
+	f.listEnd(moved, 1, port.EndStopped)
+	out = f.plan(refusalBackoff)
+	is.True(len(out.Starts) > 0)
+	is.Equal(out.Starts[0].Task, moved.Task)
+	is.True(out.Starts[0].Worker != moved.Worker)
+}
+
+// Guards against LOST: services of a lost worker found all others full of tasks that run
+// for longer than a service may be away.
+func TestServicesOfALostWorkerReplaceBatchWork(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	f.Add(spec("service", serviceStep(2, 4000)), f.now, 0)
+	is.Equal(len(f.startAll(t, "service")), 2)
+	f.entries = append(f.entries, worker("b", 8000, 64000), worker("c", 8000, 64000))
+	f.SetWorkers(f.entries, f.now)
+	f.reportListing("b", port.Listing{})
+	f.reportListing("c", port.Listing{})
+	f.Add(spec("saved", batchStep(2, 4000, true)), f.now, 0)
+	f.confirmStarts(f.plan(0))
+	f.Add(spec("unsaved", batchStep(2, 4000, false)), f.now, 0)
+	f.confirmStarts(f.plan(0))
+	for i := range 10 {
+		f.Add(spec(fmt.Sprintf("backlog-%02d", i), batchStep(2, 4000, false)), f.now, 0)
+	}
+	f.SetWorkers(f.entries[1:], f.now)
+	f.HandleReplacement("a", f.now)
+
+	interrupted := f.now
+	restarted := 0
+	sequence := map[string]int64{}
+	for restarted < 2 && f.now.Sub(interrupted) < 6*time.Second {
+		out := f.plan(50 * time.Millisecond)
+		for _, r := range out.Stops {
+			is.Equal(r.Task.ID.Job, "saved") // the cheapest to stop
+			id := r.Worker.Entry.ID
+			sequence[id]++
+			f.HandleStopResponse(r, nil, f.now, f.now)
+			f.listEnd(r, sequence[id], port.EndStopped)
+		}
+		for _, r := range out.Starts {
+			is.Equal(r.Task.ID.Job, "service")
+			restarted++
+		}
+		f.confirmStarts(out)
+	}
+	is.Equal(restarted, 2)
+	is.True(f.now.Sub(interrupted) < 3*time.Second)
+}
+
+// A service that was never started waits like other jobs: it displaces nothing.
+func TestNewServiceDisplacesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	f.Add(spec("batch", batchStep(2, 4000, true)), f.now, 0)
+	f.confirmStarts(f.plan(0))
+	f.Add(spec("service", serviceStep(1, 4000)), f.now, 0)
+	for range 100 {
+		out := f.plan(50 * time.Millisecond)
+		is.Equal(len(out.Stops), 0)
+		is.Equal(len(out.Starts), 0)
+	}
+}
+
+// A pool that is too small for an interrupted service is reported, and nothing is stopped
+// in vain.
+func TestServiceWithoutAnyPossibleWorkerIsReported(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 2000, 64000))
+	f.Add(spec("service", serviceStep(1, 8000)), f.now, 0)
+	is.Equal(len(f.startAll(t, "service")), 1)
+	f.Add(spec("batch", batchStep(1, 2000, true)), f.now, 0)
+	f.confirmStarts(f.plan(0))
+	f.SetWorkers(f.entries[1:], f.now)
+	f.HandleReplacement("a", f.now)
+	starved := 0
+	for range 100 {
+		out := f.plan(50 * time.Millisecond)
+		starved += len(out.Starved)
+		is.Equal(len(out.Stops), 0)
+	}
+	is.Equal(starved, 1)
+}
+
+// A reservation ends with its worker, so that the capacity is not lost.
+func TestReservationsExpire(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	f.Add(spec("service", serviceStep(1, 4000)), f.now, 0)
+	task := f.startAll(t, "service")[0].Task
+	f.reserve(task, f.Worker("b"), f.now)
+	is.Equal(f.Worker("b").reservedUse, demand(task.Step))
+	f.plan(reservationTTL + time.Millisecond)
+	is.Equal(f.Worker("b").reservedUse, job.Resources{})
+	f.reserve(task, f.Worker("b"), f.now)
+	f.Cancel("service")
+	f.plan(0)
+	is.Equal(f.Worker("b").reservedUse, job.Resources{})
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -29,6 +29,11 @@
 	fullName      string
 	notBefore     time.Time
 	readyAt       time.Time // when the task was found ready; zero if it is not
+	hasRun        bool      // a run of the task was requested, by this owner or a former one
+	// reserved is the capacity that is reserved for the task; nil if there is none.
+	reserved *capacityReservation
+	// starvedReportedAt is when the task was last reported as starved.
+	starvedReportedAt time.Time
 }
 
 // ReadySince returns when a task that has just been started became ready.
@@ -60,6 +65,7 @@
 		t.Job.waiting--
 	}
 	t.Runs = append(t.Runs, r)
+	t.hasRun = true
 }
 
 // removeRun removes one of the task's runs.
@@ -90,6 +96,8 @@
 	// latestStart is when the job's longest chain must start to meet the objective.
 	latestStart time.Time
 	service     bool // a step is a service, which runs until the job is cancelled
+	// interrupted is set during a plan if a service task of the job is interrupted.
+	interrupted bool
 	timeliness  timeliness
 	// waiting is the number of tasks that are neither done nor have a run.
 	waiting int
@@ -100,6 +108,16 @@
 	speeds     map[stepKey]stepSpeeds
 }
 
+// hasInterruptedTask reports whether a service task of the job is interrupted.
+func (j *Job) hasInterruptedTask() bool {
+	for t := range j.allTasks() {
+		if t.interrupted() {
+			return true
+		}
+	}
+	return false
+}
+
 // occurrence is one run of a job's steps.
 type occurrence struct {
 	number  int
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -67,14 +67,19 @@
 
 // feasible is like eligible, but ignores the advisor.
 func (e *Engine) feasible(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
-	if w.Entry.Pool != t.Job.Queue.Pool || !w.schedulable(now) {
+	if !w.schedulable(now) {
 		return false
 	}
-	free := w.free()
+	free := w.freeFor(t)
 	if reserved != nil {
 		free = free.Sub(reserved.taken[w])
 	}
-	if !demand(t.Step).Fits(free) {
+	return demand(t.Step).Fits(free) && e.suits(t, w, now, reserved)
+}
+
+// suits reports whether a worker may run a task when it has capacity for it.
+func (e *Engine) suits(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
+	if w.Entry.Pool != t.Job.Queue.Pool || !w.schedulable(now) {
 		return false
 	}
 	if t.Step.BestEffort && !e.toleratesBestEffort(t, w, now) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -13,6 +13,7 @@
 func (e *Engine) Plan(now time.Time) {
 	e.now = now
 	e.Expire(now)
+	e.expireReservations(now)
 	e.evacuate()
 	e.consolidate(now)
 	e.unplaceable.reset()
@@ -41,6 +42,7 @@
 	})
 	for _, j := range e.jobs {
 		j.timeliness = j.timelinessAt(now)
+		j.interrupted = j.service && j.waiting > 0 && j.hasInterruptedTask()
 		if j.waiting > 0 && !j.inPlanOrder {
 			j.inPlanOrder = true
 			e.planOrder = append(e.planOrder, j)
@@ -51,6 +53,9 @@
 }
 
 func compareUrgency(a, b *Job) int {
+	if a.interrupted != b.interrupted {
+		return boolInt(b.interrupted) - boolInt(a.interrupted)
+	}
 	if a.timeliness != b.timeliness {
 		return int(a.timeliness) - int(b.timeliness)
 	}
@@ -126,13 +131,17 @@
 		if !e.mayStart(t, now) {
 			continue
 		}
-		if e.unplaceable.covers(t, now) {
+		if !t.interrupted() && e.unplaceable.covers(t, now) {
 			return
 		}
 		w := e.chooseWorker(t, tasks, now, nil)
 		if w == nil {
 			e.unplaceable.add(t, now)
 			e.requestAdvice(t, now)
+			if t.interrupted() {
+				e.makeRoom(t, now)
+				continue
+			}
 			return // the other tasks of the step do not fit either
 		}
 		e.start(t, w, t.Attempt+1, now)
@@ -257,6 +266,7 @@
 	}
 	// A start extends the worker's lease as a renewal does.
 	w.leaseUntilMS = max(w.leaseUntilMS, r.notAfterMS)
+	e.unreserve(t)
 	w.attach(r)
 	e.markRequested(t.Job)
 	e.markChanged(t.Job, false)
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -75,6 +75,7 @@
 		t.Failures = slices.Clone(tp.Failures)
 		t.Checkpoint = tp.Checkpoint
 		t.placedOn = tp.Worker
+		t.hasRun = tp.Attempt > 0
 		if tp.Done && !t.Done {
 			t.setDone()
 			o := j.occurrences[tp.Occurrence]
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -23,6 +23,8 @@
 	StopSlow    StopReason = "slow_worker"
 	// StopInterference means that the run slows down a colocated service.
 	StopInterference StopReason = "disturbs_service"
+	// StopForService means that the run makes room for an interrupted service task.
+	StopForService StopReason = "makes_room"
 	// StopConsolidate means that the service task moves to a worker with other
 	// services.
 	StopConsolidate StopReason = "consolidation"
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -30,6 +30,8 @@
 	unknownRuns   map[runKey]trackedUnknownRun
 	unmatchedEnds []unmatchedEnd
 	used          job.Resources
+	// reservedUse are the resources that are reserved for tasks without a run there.
+	reservedUse job.Resources
 
 	// lastContact is when the worker last answered any call.
 	lastContact time.Time
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -226,6 +226,10 @@
 	for _, j := range out.Finished {
 		t.addFinal(j)
 	}
+	for _, task := range out.Starved {
+		t.log.WithFields(log.Fields{"event": "service_starved", "task": task.ID.String(), "waited_ms": now.Sub(task.ReadySince(now)).Milliseconds()}).
+			Warn("no worker has capacity for an interrupted service task, even without its other tasks")
+	}
 	t.publishStates(out)
 	t.sendRequests(out, now)
 	t.heartbeatAll(now)
