--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -117,6 +117,9 @@
 	bestEffortStarted bool
 	consolidatedAt    time.Time
 	adviceInFlight    int
+	// reservedLoad and bestEffortLoad are what the open jobs request, in thousandths of a
+	// core.
+	reservedLoad, bestEffortLoad int64
 	// now is the time of the last call of Plan.
 	now time.Time
 	out Output
@@ -249,6 +252,7 @@
 	}
 	j.setObjective()
 	e.jobs[spec.ID] = j
+	e.addLoad(j, 1)
 	e.unstarted[spec.Queue]++
 	e.claimRunsAndEnds(j, now)
 	return j
@@ -285,6 +289,7 @@
 	e.out.Finished = append(e.out.Finished, j)
 	delete(e.out.Changed, j)
 	delete(e.jobs, j.Spec.ID)
+	e.addLoad(j, -1)
 	e.finalJobs[j.Spec.ID] = e.now
 	for t := range j.allTasks() {
 		e.unreserve(t)
--- a/dispatch/interrupted_test.go
+++ b/dispatch/interrupted_test.go
@@ -28,14 +28,15 @@
 	}
 }
 
-// startAll plans until a job's tasks are started, and confirms the starts.
-func (f *fixture) startAll(t *testing.T, id string) []*Run {
+// startService starts the tasks of the job "service", which must be the only one that
+// waits, and confirms the starts.
+func (f *fixture) startService(t *testing.T) []*Run {
 	t.Helper()
 	out := f.plan(serviceBatchWindow)
 	f.confirmStarts(out)
 	for _, r := range out.Starts {
-		if r.Task.ID.Job != id {
-			t.Fatalf("started %s in place of job %s", r.Task.ID, id)
+		if r.Task.ID.Job != "service" {
+			t.Fatalf("started %s in place of the service", r.Task.ID)
 		}
 	}
 	return out.Starts
@@ -47,7 +48,7 @@
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 64000))
 	f.Add(spec("service", serviceStep(1, 4000)), f.now, 0)
-	service := f.startAll(t, "service")
+	service := f.startService(t)
 	for i := range 20 {
 		f.Add(spec(fmt.Sprintf("backlog-%02d", i), batchStep(2, 4000, false)), f.now, 0)
 	}
@@ -101,7 +102,7 @@
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 64000))
 	f.Add(spec("service", serviceStep(2, 4000)), f.now, 0)
-	is.Equal(len(f.startAll(t, "service")), 2)
+	is.Equal(len(f.startService(t)), 2)
 	f.entries = append(f.entries, worker("b", 8000, 64000), worker("c", 8000, 64000))
 	f.SetWorkers(f.entries, f.now)
 	f.reportListing("b", port.Listing{})
@@ -158,7 +159,7 @@
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 64000), worker("b", 2000, 64000))
 	f.Add(spec("service", serviceStep(1, 8000)), f.now, 0)
-	is.Equal(len(f.startAll(t, "service")), 1)
+	is.Equal(len(f.startService(t)), 1)
 	f.Add(spec("batch", batchStep(1, 2000, true)), f.now, 0)
 	f.confirmStarts(f.plan(0))
 	f.SetWorkers(f.entries[1:], f.now)
@@ -177,7 +178,7 @@
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
 	f.Add(spec("service", serviceStep(1, 4000)), f.now, 0)
-	task := f.startAll(t, "service")[0].Task
+	task := f.startService(t)[0].Task
 	f.reserve(task, f.Worker("b"), f.now)
 	is.Equal(f.Worker("b").reservedUse, demand(task.Step))
 	f.plan(reservationTTL + time.Millisecond)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -60,6 +60,11 @@
 // RunCount returns the number of runs on the worker.
 func (w *Worker) RunCount() int { return len(w.runs) }
 
+// HasHistory reports whether the worker has runs, or has listed ends, under this owner.
+func (w *Worker) HasHistory() bool {
+	return len(w.runs)+len(w.unknownRuns)+len(w.unmatchedEnds) > 0 || w.lastEnd > 0
+}
+
 // Contacted reports whether the worker has answered a listing under this epoch.
 func (w *Worker) Contacted() bool { return w.contacted }
 
--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -25,6 +25,9 @@
 	// handoverDelay is the minimum age of a term at its handover, in which the owner
 	// learns of its followers.
 	handoverDelay = time.Second
+	// memberHandoverDelay is how long the cell map must name another daemon before the
+	// owner of a cell releases it.
+	memberHandoverDelay = 2 * time.Second
 	// repeatedHandoverDelay replaces handoverDelay after a release, because no larger
 	// candidate has taken over then.
 	repeatedHandoverDelay = 10 * time.Second
@@ -70,13 +73,30 @@
 	return c.MilliCPU
 }
 
+// handOverIfNotFirst releases a cell other than the lead cell if the cell map names
+// another daemon first for some time. After a takeover, it takes a moment until the map
+// names the new owner first.
+func (t *term) handOverIfNotFirst(now time.Time) {
+	c := t.c
+	delay := memberHandoverDelay
+	if t.afterRelease {
+		delay = repeatedHandoverDelay
+	}
+	settled := now.Sub(c.roleSince) > memberHandoverDelay && now.Sub(t.startedAt) > delay
+	if c.isLead() || c.role == 0 || !settled || !t.loaded || t.failing || t.unconfirmed {
+		return
+	}
+	t.log.WithFields(log.Fields{"event": "ownership_handover", "role": c.role}).Info("releasing the cell to the daemon that the cell map names")
+	t.release(now)
+}
+
 // handOverIfSmall releases the cell if a follower is much larger than this daemon.
 func (t *term) handOverIfSmall(now time.Time) {
 	delay := handoverDelay
 	if t.afterRelease {
 		delay = repeatedHandoverDelay
 	}
-	if t.c.MilliCPU <= 0 || now.Sub(t.startedAt) < delay || t.failing || t.unconfirmed {
+	if !t.c.isLead() || t.c.MilliCPU <= 0 || now.Sub(t.startedAt) < delay || t.failing || t.unconfirmed {
 		return // a release that cannot be committed would only stop the owner's work
 	}
 	largest := t.candidates.largest(now)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/chart"
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/dispatch"
@@ -45,13 +46,17 @@
 
 // Options configure a Cell.
 type Options struct {
-	// Partition is the cell's partition in the store.
-	Partition string
-	Self      Identity
-	Loop      Loop
-	Store     port.Store
-	Workers   port.Workers
-	Directory port.Directory
+	// Number is the cell's number in the cell map; zero is the lead cell.
+	Number int
+	// Partition is the cell's partition in the store, and LeadPartition that of the lead
+	// cell. The partitions of jobs are named after the latter; empty means Partition.
+	Partition     string
+	LeadPartition string
+	Self          Identity
+	Loop          Loop
+	Store         port.Store
+	Workers       port.Workers
+	Directory     port.Directory
 	// Machines may be nil; then an unresponsive worker is considered gone only
 	// when its lease has expired.
 	Machines port.Machines
@@ -97,6 +102,16 @@
 
 	state    chart.State
 	stopping bool
+	tables   jobTables
+	// group holds the cells of this daemon; nil if this is the only one.
+	group *Group
+	// role is the position of this daemon among the cell's members, or -1. In the lead
+	// cell, it is zero.
+	role int
+	// roleSince is when the role, or the cell map, last changed.
+	roleSince time.Time
+	// reportedOwner is the owner's address as the lead cell's owner has told it.
+	reportedOwner string
 
 	// owner is the owner record as last read from the store.
 	owner              ownerRecord
@@ -157,9 +172,14 @@
 
 // New returns a Cell; Start must be called to run it.
 func New(o Options) *Cell {
-	c := &Cell{Options: o, state: charts.Shard.Initial(), instruments: newInstruments(o.Metrics)}
+	if o.LeadPartition == "" {
+		o.LeadPartition = o.Partition
+	}
+	c := &Cell{Options: o, state: charts.Shard.Initial(), instruments: newInstruments(o.Metrics), tables: jobTablesOf(o.Number)}
 	c.jobStates.init()
-	c.registerDepthAge()
+	if c.isLead() {
+		c.registerDepthAge()
+	}
 	c.view.Store(&View{})
 	return c
 }
@@ -170,13 +190,21 @@
 	c.Loop.Every(tickInterval, c.tick)
 }
 
+// isLead reports whether the cell is the lead cell, which every daemon may own and whose
+// owner keeps the cell map and tells the configuration.
+func (c *Cell) isLead() bool { return c.Number == cellmap.Lead }
+
 // View returns the latest snapshot. It is safe for concurrent use.
 func (c *Cell) View() *View { return c.view.Load() }
 
 func (c *Cell) publish() {
 	c.observeOwnership()
+	owner := c.owner.Address
+	if c.role < 0 {
+		owner = c.reportedOwner
+	}
 	c.view.Store(&View{
-		Config: c.config, ConfigConfirmedAt: c.configConfirmedAt, Owner: c.owner.Address, Epoch: c.owner.Epoch,
+		Config: c.config, ConfigConfirmedAt: c.configConfirmedAt, Owner: owner, Epoch: c.owner.Epoch,
 		IsOwner: c.term != nil, Stopping: c.stopping, StoreLastContact: c.storeLastContact,
 	})
 }
@@ -188,7 +216,7 @@
 		return
 	}
 	c.state = next
-	c.Log.WithFields(log.Fields{"event": "cell_" + string(e), "epoch": c.owner.Epoch, "owner": c.owner.Name}).Info(string(next))
+	c.Log.WithFields(log.Fields{"event": "cell_" + string(e), "cell": c.Number, "epoch": c.owner.Epoch, "owner": c.owner.Name}).Info(string(next))
 }
 
 // tick runs the periodic work. It runs on the control loop.
@@ -200,9 +228,13 @@
 	if c.loopDelay.tick(now) {
 		c.Log.WithFields(log.Fields{"event": "loop_load", "overloaded": c.loopDelay.overloaded, "delay_ms": c.loopDelay.mean.Milliseconds()}).Info("the load of the control loop has changed")
 	}
-	c.pollConfig(now)
-	c.watchOwner(now)
-	c.follow(now)
+	if c.isLead() {
+		c.pollConfig(now)
+	}
+	if c.role >= 0 {
+		c.watchOwner(now)
+		c.follow(now)
+	}
 	if c.term != nil {
 		c.term.tick(now)
 	}
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -14,7 +14,7 @@
 
 // pollDirectory reads the list of workers if that is due.
 func (t *term) pollDirectory(now time.Time) {
-	if t.directoryReadInFlight || now.Sub(t.directoryPolledAt) < directoryPoll {
+	if t.directoryReadInFlight || now.Sub(t.directoryPolledAt) < t.directoryInterval() {
 		return
 	}
 	t.directoryReadInFlight, t.directoryPolledAt = true, now
@@ -22,12 +22,35 @@
 		t.directoryReadInFlight = false
 		t.c.recordStoreResult(err, t.c.Now())
 		if err == nil {
-			t.engine.SetWorkers(list, t.c.Now())
+			t.engine.SetWorkers(t.ownWorkers(list, now), t.c.Now())
 			t.schedulePlan()
 		}
 	})
 }
 
+// directoryPollPerWorker lengthens directoryPoll where the directory is large: each read
+// returns all of it, about half a kilobyte for a worker.
+const directoryPollPerWorker = 700 * time.Microsecond
+
+// directoryInterval returns the interval of the reads of the directory.
+func (t *term) directoryInterval() time.Duration {
+	workers := len(t.engine.Workers())
+	if t.c.group != nil && t.c.isLead() {
+		workers = len(t.c.group.workers)
+	}
+	return max(directoryPoll, time.Duration(workers)*directoryPollPerWorker)
+}
+
+// ownWorkers returns the workers of the cell. The lead cell's owner reads those of all
+// cells, and tells the other owners theirs.
+func (t *term) ownWorkers(list []port.WorkerEntry, readAt time.Time) []port.WorkerEntry {
+	if t.c.group == nil || !t.c.isLead() {
+		return list
+	}
+	t.c.group.setWorkers(list, readAt)
+	return t.leadWorkers()
+}
+
 // changeCursor is the position up to which the changes of a table have been read.
 type changeCursor struct {
 	version  int64
@@ -95,7 +118,7 @@
 func (t *term) applyChanges(table string, cursor *changeCursor, page port.Page, began time.Time, complete bool) {
 	cursor.version = max(cursor.version, page.Version)
 	t.applyRows(table, page.Rows)
-	if table == tableJobs && complete && began.After(t.jobsReadAt) {
+	if table == t.c.tables.jobs && complete && began.After(t.jobsReadAt) {
 		t.jobsReadAt = began
 		t.engine.HandleJobsRead(began)
 	}
@@ -108,7 +131,7 @@
 		if row.Version == 0 || row.Partition != t.c.jobPartition(row.Key) {
 			continue
 		}
-		if table == tableCancels {
+		if table == t.c.tables.cancels {
 			t.cancel(row.Key)
 			continue
 		}
@@ -126,7 +149,7 @@
 	if err != nil {
 		t.log.WithField("event", "job_row_unreadable").WithError(err).Error("cannot decode a job row; skipping it")
 	}
-	if err != nil || record.Spec == nil || record.Spec.ID != row.Key {
+	if err != nil || record.Spec == nil || record.Spec.ID != row.Key || record.Cell != t.c.Number {
 		return job.Spec{}, false
 	}
 	return *record.Spec, true
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -44,6 +44,8 @@
 	configChanges atomic.Int64
 	// milliCPU is the capacity of each daemon; nil if capacities are not known.
 	milliCPU func(name string) int64
+	// divided is set if the daemons divide the workers into cells.
+	divided bool
 	// logTo receives the events of daemons that are started after it is set; it may
 	// be nil.
 	logTo log.Handler
@@ -52,8 +54,10 @@
 // daemon is one boot of a daemon.
 type daemon struct {
 	name string
-	cell *Cell
-	loop *control.Loop
+	// cell is the only cell, or the lead cell of group.
+	cell  *Cell
+	group *Group
+	loop  *control.Loop
 	// storeUnreachable and workersUnreachable make the daemon's calls to the store or
 	// to the workers time out; isolated does so for these and all calls between daemons.
 	storeUnreachable, workersUnreachable, isolated atomic.Bool
@@ -108,7 +112,7 @@
 	if cl.milliCPU != nil {
 		milliCPU = cl.milliCPU(name)
 	}
-	d.cell = New(Options{
+	options := Options{
 		MilliCPU:  milliCPU,
 		Partition: "c0",
 		Self:      Identity{Name: name, Boot: fmt.Sprintf("%s-%d", name, cl.boots), Address: name},
@@ -124,12 +128,30 @@
 		Now: time.Now, Wall: time.Now,
 		Uptime: func() time.Duration { return time.Since(began) + time.Duration(d.suspended.Load()) },
 		Random: rng.Float64,
-	})
+	}
+	if cl.divided {
+		d.group = newDividedGroup(name, options)
+		d.cell = d.group.lead
+	} else {
+		d.cell = New(options)
+	}
 	cl.mu.Lock()
 	cl.daemons[name] = d
 	cl.mu.Unlock()
 	go d.loop.Run()
-	d.cell.Start()
+	if d.group != nil {
+		d.group.Start()
+	} else {
+		d.cell.Start()
+	}
+}
+
+// jobs returns the daemon's job API.
+func (d *daemon) jobs() port.Jobs {
+	if d.group != nil {
+		return d.group
+	}
+	return d.cell
 }
 
 // traceLogs prints the logs of the daemons, to debug a failed history.
@@ -228,7 +250,7 @@
 	if d == nil {
 		return errors.New("the daemon is not running")
 	}
-	return d.cell.Submit(ctx, spec)
+	return d.jobs().Submit(ctx, spec)
 }
 
 // state reads a job's state from every daemon and returns the last one, or "" if all
@@ -237,7 +259,7 @@
 	var last job.State
 	for _, name := range cl.names() {
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
-		state, err := cl.daemons[name].cell.State(ctx, id)
+		state, err := cl.daemons[name].jobs().State(ctx, id)
 		cancel()
 		if err == nil {
 			last = state
@@ -310,7 +332,11 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	resp := to.cell.Handle(ctx, req)
+	handle := to.cell.Handle
+	if to.group != nil {
+		handle = to.group.Handle
+	}
+	resp := handle(ctx, req)
 	if ctx.Err() != nil {
 		return nil, ctx.Err() // the response arrives too late
 	}
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/port"
@@ -128,6 +129,8 @@
 	// ones, are committed with this batch.
 	committed int64
 	ends      committedEnds
+	// cellMap is the cell map in the batch; nil if there is none.
+	cellMap *cellmap.Map
 	// outcomesDeleted is the number of outcomes that the commit deletes.
 	outcomesDeleted int
 	// suspensions is the number of suspensions of the VM before the commit was sent. A
@@ -148,6 +151,7 @@
 func (t *term) commit(now time.Time, release bool) {
 	b := t.buildBatch(release)
 	t.putLearned(&b, now)
+	t.mapKeeper.put(&b)
 	t.committing, t.triedAt = true, now
 	if release && t.releaseSentAt.IsZero() {
 		t.releaseSentAt = now
@@ -325,6 +329,7 @@
 		t.c.jobStates.set(j.Spec.ID, j.State, now)
 	}
 	t.compactor.expiredOutcomes = t.compactor.expiredOutcomes[b.outcomesDeleted:]
+	t.mapCommitted(b.cellMap)
 	t.unacknowledged = append(t.unacknowledged, b.ends)
 	for len(t.unacknowledged) > 0 && t.unacknowledged[0].number <= b.committed {
 		t.recordCommittedEnds(t.unacknowledged[0])
--- a/internal/cell/compactor.go
+++ b/internal/cell/compactor.go
@@ -16,8 +16,9 @@
 	// transaction.
 	compactInterval = 400 * time.Millisecond
 	compactTimeout  = 2 * time.Second
-	// maxCompacted keeps a transaction below the store's limit of 100 entries.
-	maxCompacted = 40
+	// maxCompacted keeps a transaction, with up to three entries for a job, below the
+	// store's limit of 100 entries.
+	maxCompacted = 30
 )
 
 // endedJob is a job whose outcome is committed.
@@ -72,9 +73,12 @@
 	jobs = jobs[:min(len(jobs), maxCompacted)]
 	txn := port.Txn{Partition: partition}
 	for _, j := range jobs {
-		txn.Puts = append(txn.Puts, port.Put{Table: tableJobs, Key: j.id, Value: encode(jobRecord{Ended: j.state})})
+		txn.Puts = append(txn.Puts, port.Put{Table: t.c.indexTable(), Key: j.id, Value: encode(jobRecord{Ended: j.state, Cell: t.c.Number})})
+		if t.c.indexTable() != t.c.tables.jobs {
+			txn.Deletes = append(txn.Deletes, port.Ref{Table: t.c.tables.jobs, Key: j.id})
+		}
 		if j.state == job.Cancelled {
-			txn.Deletes = append(txn.Deletes, port.Ref{Table: tableCancels, Key: j.id})
+			txn.Deletes = append(txn.Deletes, port.Ref{Table: t.c.tables.cancels, Key: j.id})
 		}
 	}
 	comp.inFlight = true
@@ -104,7 +108,7 @@
 		if byPartition[p] == nil {
 			byPartition[p] = &port.Txn{Partition: p}
 		}
-		byPartition[p].Deletes = append(byPartition[p].Deletes, port.Ref{Table: tableJobs, Key: id})
+		byPartition[p].Deletes = append(byPartition[p].Deletes, port.Ref{Table: t.c.indexTable(), Key: id})
 	}
 	for _, txn := range byPartition {
 		runAsync(t, compactTimeout, func(ctx context.Context) (int64, error) {
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -53,7 +53,9 @@
 		return
 	case c.config == nil || config.Version > c.config.Version:
 		c.config = config
-		c.Log.WithFields(log.Fields{"event": "config_adopted", "version": config.Version, "routes": len(config.Routes)}).Info("configuration is in force")
+		if c.isLead() {
+			c.Log.WithFields(log.Fields{"event": "config_adopted", "version": config.Version, "routes": len(config.Routes)}).Info("configuration is in force")
+		}
 		if c.term != nil {
 			c.term.setQueues()
 			c.jobStates.notify()
@@ -62,6 +64,9 @@
 	if at.After(c.configConfirmedAt) {
 		c.configConfirmedAt = at
 	}
+	if c.group != nil && c.isLead() {
+		c.group.shareConfig(c.config, c.configConfirmedAt)
+	}
 }
 
 // queues returns the configured queues.
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -65,12 +65,16 @@
 	}
 	l.inFlight, l.sentAt = true, now
 	generation, address := l.generation, c.owner.Address
-	req := &peerpb.Request{Kind: &peerpb.Request_Follow{Follow: &peerpb.FollowRequest{
-		Epoch: l.epoch, After: l.sequence, WaitMs: uint32(followWait.Milliseconds()),
+	follow := &peerpb.FollowRequest{
+		Cell: uint32(c.Number), Epoch: l.epoch, After: l.sequence, WaitMs: uint32(followWait.Milliseconds()),
 		Config:     c.configState(l.ownerConfigVersion, l.ownerCommitStale),
 		WantConfig: c.storeFailing,
 		Sender:     c.Self.Name, CandidateMilliCpu: uint64(c.candidateCapacity(now)),
-	}}}
+	}
+	if c.group != nil && c.isLead() {
+		c.group.describe(follow, now)
+	}
+	req := &peerpb.Request{Kind: &peerpb.Request_Follow{Follow: follow}}
 	control.Async(c.Loop, func(ctx context.Context) (*peerpb.FollowReply, error) {
 		ctx, cancel := context.WithTimeout(ctx, followTimeout)
 		defer cancel()
@@ -115,9 +119,14 @@
 	// the time of sending makes the configuration and the depths look older than
 	// they are, but never newer.
 	if !reply.GetLoading() {
-		c.jobStates.confirm(now, depthsByQueue(reply), l.sentAt.Add(-milliseconds(reply.GetDepthsAgeMs())))
+		c.jobStates.confirm(now, depthsByQueue(reply.GetDepths()), l.sentAt.Add(-milliseconds(reply.GetDepthsAgeMs())))
+	}
+	if c.isLead() {
+		c.receiveConfig(reply.GetConfig(), l.sentAt.Add(-milliseconds(reply.GetConfig().GetAgeMs())))
+		if c.group != nil {
+			c.group.receive(reply, l.sentAt)
+		}
 	}
-	c.receiveConfig(reply.GetConfig(), l.sentAt.Add(-milliseconds(reply.GetConfig().GetAgeMs())))
 	c.publish()
 	c.follow(now)
 }
@@ -131,9 +140,9 @@
 
 func milliseconds(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-func depthsByQueue(reply *peerpb.FollowReply) map[string]int {
+func depthsByQueue(list []*peerpb.QueueDepth) map[string]int {
 	depths := map[string]int{}
-	for _, d := range reply.GetDepths() {
+	for _, d := range list {
 		depths[d.GetQueue()] = int(d.GetPending())
 	}
 	return depths
@@ -146,6 +155,10 @@
 		return c.handleFollow(ctx, kind.Follow)
 	case *peerpb.Request_News:
 		return c.handleNews(ctx, kind.News)
+	case *peerpb.Request_State:
+		return c.handleState(ctx, kind.State)
+	case *peerpb.Request_CellLoad:
+		return c.handleLoad(ctx, kind.CellLoad)
 	default:
 		return peer.Refuse("request is not known")
 	}
@@ -158,10 +171,15 @@
 	after, epoch := req.GetAfter(), int64(0)
 	known := int64(0)
 	err := c.Loop.Do(ctx, func() {
-		c.receiveConfig(req.GetConfig(), c.configConfirmedAt)
+		if c.isLead() {
+			c.receiveConfig(req.GetConfig(), c.configConfirmedAt)
+		}
 		if c.term != nil {
 			epoch = c.term.record.Epoch
 			c.term.candidates.observe(req.GetSender(), int64(req.GetCandidateMilliCpu()), c.Now())
+			if c.group != nil && c.isLead() {
+				c.group.observeDaemon(req, c.Now())
+			}
 		}
 		known = c.configVersion()
 	})
@@ -200,11 +218,12 @@
 		reply.Loading = !t.loaded
 		if t.loaded {
 			reply.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
-			for queue, n := range t.depths() {
-				reply.Depths = append(reply.Depths, &peerpb.QueueDepth{Queue: queue, Pending: uint32(n)})
-			}
+			reply.Depths = encodeDepths(t.depths())
 		}
 		reply.Changes, reply.Sequence, _ = c.jobStates.changesAfter(req.GetAfter(), first)
+		if c.group != nil && c.isLead() {
+			c.group.inform(req, reply, now)
+		}
 	})
 	if err != nil || !owner {
 		return peer.Refuse("not the owner")
--- /dev/null
+++ b/internal/cell/group_test.go
@@ -0,0 +1,456 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/cellmap"
+	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// dividedRacks and workersPerRack are the size of a divided cluster. Its daemons carry
+// fewer workers than there are, so that there are several cells.
+const (
+	dividedRacks   = 8
+	workersPerRack = 3
+	smallMilliCPU  = 25 // carries 8 workers
+)
+
+// newDividedCluster returns a cluster whose daemons divide the workers into cells.
+func newDividedCluster(t *testing.T, seed uint64, daemons int, work func(task string) time.Duration, fails func(string, int) bool) *cluster {
+	t.Helper()
+	cl := &cluster{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{},
+		milliCPU: func(string) int64 { return smallMilliCPU }, divided: true,
+	}
+	cl.fleet = fake.NewFleet(fake.FleetOptions{Now: time.Now, TaskDuration: work, Fails: fails})
+	for r := range dividedRacks {
+		for i := range workersPerRack {
+			cl.fleet.AddTo(regionOfRack(r), fmt.Sprintf("r%d", r), fmt.Sprintf("w%d-%d", r, i), "pool", job.Resources{MilliCPU: 8000, MemoryMB: 64000})
+		}
+	}
+	for i := range daemons {
+		cl.start(fmt.Sprintf("d%d", i))
+	}
+	return cl
+}
+
+func regionOfRack(r int) string { return []string{"east", "west"}[2*r/dividedRacks] }
+
+// newDividedGroup returns the cells of a daemon; daemons with even numbers run in the east.
+func newDividedGroup(name string, o Options) *Group {
+	region := []string{"east", "west"}[int(name[len(name)-1]-'0')%2]
+	return NewGroup(GroupOptions{
+		Lead: o, DataCentre: region, Region: region,
+		RegionOf: func(dataCentre string) string { return dataCentre },
+	})
+}
+
+// cellMap returns the map that a daemon has in force.
+func (d *daemon) cellMap() *cellmap.Map { return d.group.view.Load().cellMap }
+
+// ownerOf returns the daemon that owns a cell, or nil. A former owner that is cut off may
+// not know that it was replaced.
+func (cl *cluster) ownerOf(n int) *daemon {
+	var owner *daemon
+	highest := int64(0)
+	for _, name := range cl.names() {
+		d := cl.daemons[name]
+		if v := d.group.cell(n).View(); v.IsOwner && v.Epoch > highest {
+			owner, highest = d, v.Epoch
+		}
+	}
+	return owner
+}
+
+// awaitCells waits until every cell of the map has an owner that has read the jobs, and
+// returns the map.
+func (cl *cluster) awaitCells() *cellmap.Map {
+	cl.t.Helper()
+	for range 600 {
+		time.Sleep(50 * time.Millisecond)
+		lead := cl.daemons[cl.owner()]
+		if lead == nil || lead.cellMap() == nil {
+			continue
+		}
+		m, owned := lead.cellMap(), 0
+		for n := range m.Cells {
+			if cl.ownerOf(n) != nil {
+				owned++
+			}
+		}
+		if owned == len(m.Cells) {
+			return m
+		}
+	}
+	cl.t.Fatal("the cells have no owners")
+	return nil
+}
+
+func TestFleetIsDividedAndEveryCellRunsJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 400, 6, halfSecond, nil)
+		defer cl.stopAll()
+		m := cl.awaitCells()
+		is.True(len(m.Cells) >= 3)
+		time.Sleep(time.Second) // the owners are known to all daemons
+		var ids []string
+		for i := range 40 {
+			spec := cl.spec(3)
+			cl.submit(fmt.Sprintf("d%d", i%6), spec)
+			ids = append(ids, spec.ID)
+		}
+		cells := map[int]int{}
+		for _, id := range ids {
+			cl.awaitState(id, job.Completed, 30*time.Second)
+			c, err := cl.daemons["d0"].group.find(context.Background(), id)
+			is.NoErr(err)
+			cells[c.Number]++
+		}
+		is.Equal(len(cells), len(m.Cells)) // every cell got some of the jobs
+		cl.check()
+		for _, name := range cl.names() {
+			pending, err := cl.daemons[name].group.Pending("batch")
+			is.NoErr(err)
+			is.Equal(pending, 0)
+		}
+	})
+}
+
+// Guards against TWICE: a job that is handed in at two daemons at the same time, which
+// choose different cells, is one job.
+func TestJobHandedInAtTwoDaemonsIsOneJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 401, 4, halfSecond, nil)
+		defer cl.stopAll()
+		cl.awaitCells()
+		for range 10 {
+			spec := cl.spec(2)
+			for _, name := range cl.names() {
+				go func() { is.NoErr(cl.trySubmit(name, spec)) }()
+			}
+			cl.awaitState(spec.ID, job.Completed, 20*time.Second)
+			is.Equal(cl.fleet.Starts(spec.ID+".0.0.0"), 1)
+		}
+		// After the end, and at a daemon that knows nothing of it, it is still that job.
+		spec := cl.spec(1)
+		cl.submit("d0", spec)
+		cl.awaitState(spec.ID, job.Completed, 20*time.Second)
+		time.Sleep(10 * time.Second) // its rows are compacted
+		cl.start("d9")
+		time.Sleep(3 * time.Second)
+		is.NoErr(cl.trySubmit("d9", spec))
+		state, err := cl.daemons["d9"].group.State(context.Background(), spec.ID)
+		is.NoErr(err)
+		is.Equal(state, job.Completed)
+		is.Equal(cl.fleet.Starts(spec.ID+".0.0.0"), 1)
+		cl.check()
+	})
+}
+
+// One cell's owner fails in each way; the others are not disturbed.
+func TestCellIsTakenOverByItself(t *testing.T) {
+	failures := []struct {
+		name   string
+		inject func(cl *cluster, d *daemon)
+	}{
+		{"killed", func(cl *cluster, d *daemon) { cl.kill(d.name) }},
+		{"frozen", func(_ *cluster, d *daemon) { d.loop.Post(func() { time.Sleep(recoveryBound) }) }},
+		{"cut off from the store", func(_ *cluster, d *daemon) { d.storeUnreachable.Store(true) }},
+		{"cut off from everybody", func(_ *cluster, d *daemon) { d.isolated.Store(true) }},
+	}
+	for i, failure := range failures {
+		t.Run(failure.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cl := newDividedCluster(t, uint64(410+i), 6, halfSecond, nil)
+				defer cl.stopAll()
+				cl.awaitCells()
+				time.Sleep(5 * time.Second)
+				const n = 2
+				first := cl.ownerOf(n)
+				epochs := map[int]int64{}
+				for other := range first.cellMap().Cells {
+					if d := cl.ownerOf(other); d != first {
+						epochs[other] = d.group.cell(other).View().Epoch
+					}
+				}
+				failure.inject(cl, first)
+				time.Sleep(recoveryBound)
+				second := cl.ownerOf(n)
+				is.True(second != nil)
+				is.True(second != first)
+				spec := cl.spec(2)
+				var submitter *daemon
+				for _, name := range cl.names() {
+					if name != first.name {
+						submitter = cl.daemons[name]
+					}
+				}
+				is.NoErr(submitter.group.cell(n).Submit(context.Background(), spec))
+				cl.awaitState(spec.ID, job.Completed, 10*time.Second)
+				for other, epoch := range epochs {
+					is.Equal(cl.ownerOf(other).group.cell(other).View().Epoch, epoch)
+				}
+				cl.check()
+			})
+		})
+	}
+}
+
+// Daemons that stop hand their cells over before they exit.
+func TestStoppingDaemonReleasesItsCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 420, 6, halfSecond, nil)
+		defer cl.stopAll()
+		m := cl.awaitCells()
+		time.Sleep(5 * time.Second)
+		first := cl.ownerOf(1)
+		is.NoErr(first.group.Release(context.Background()))
+		time.Sleep(1500 * time.Millisecond)
+		for n := range m.Cells {
+			is.True(cl.ownerOf(n) != nil)
+			is.True(cl.ownerOf(n) != first)
+		}
+	})
+}
+
+// Guards against a division by a partial directory, which left the workers that were added
+// later without cells or in too few.
+func TestWorkersThatAppearLaterGetCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 430, 6, halfSecond, nil)
+		defer cl.stopAll()
+		before := cl.awaitCells()
+		for i := range 20 {
+			cl.fleet.AddTo("east", "new", fmt.Sprintf("n%d", i), "pool", job.Resources{MilliCPU: 8000, MemoryMB: 64000})
+		}
+		time.Sleep(8 * time.Second)
+		after := cl.awaitCells()
+		is.True(len(after.Cells) > len(before.Cells))
+		for rack, n := range before.Racks {
+			is.Equal(after.Racks[rack], n)
+		}
+	})
+}
+
+// All daemons lose power; each cell is taken by one of its members again.
+func TestAllCellsRecoverAfterAllDaemonsAreRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 440, 6, func(string) time.Duration { return 3 * time.Second }, nil)
+		defer cl.stopAll()
+		cl.awaitCells()
+		var ids []string
+		for i := range 12 {
+			spec := cl.spec(2)
+			cl.submit(fmt.Sprintf("d%d", i%6), spec)
+			ids = append(ids, spec.ID)
+		}
+		time.Sleep(time.Second)
+		names := cl.names()
+		for _, name := range names {
+			cl.kill(name)
+		}
+		for _, name := range names {
+			cl.start(name)
+		}
+		began := time.Now()
+		cl.awaitCells()
+		is.True(time.Since(began) < recoveryBound)
+		for _, id := range ids {
+			cl.awaitState(id, job.Completed, 20*time.Second)
+			is.Equal(cl.fleet.Starts(id+".0.0.0"), 1) // runs go on
+		}
+		cl.check()
+	})
+}
+
+// A cancellation at any daemon holds, whichever cell the job is in and whether or not the
+// cell has an owner.
+func TestCancellationReachesTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 450, 6, func(string) time.Duration { return time.Hour }, nil)
+		defer cl.stopAll()
+		cl.awaitCells()
+		for i := range 12 {
+			spec := cl.spec(2)
+			cl.submit(fmt.Sprintf("d%d", i%6), spec)
+			time.Sleep(time.Second)
+			is.NoErr(cl.daemons[fmt.Sprintf("d%d", (i+3)%6)].group.Cancel(context.Background(), spec.ID))
+			cl.awaitState(spec.ID, job.Cancelled, 3*time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(cl.fleet.Running(), 0)
+		cl.check()
+	})
+}
+
+// A worker that has moved from the lead cell to another has seen the epoch of its new
+// owner. Its refusal of a late call must not end the lead cell's term, and the lead cell's
+// epoch, however high, must not keep the new owner from its workers.
+func TestEpochsOfCellsDoNotFenceEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 460, 6, halfSecond, nil)
+		defer cl.stopAll()
+		for range 3 { // raise the lead cell's epoch before the division
+			cl.kill(cl.awaitOwner())
+			cl.restartMissing()
+		}
+		m := cl.awaitCells()
+		time.Sleep(3 * time.Second)
+		lead := cl.daemons[cl.owner()]
+		for n := cellmap.Lead + 1; n < len(m.Cells); n++ {
+			is.True(m.Cells[n].FirstEpoch > 1)
+			is.Equal(cl.ownerOf(n).group.cell(n).View().Epoch, m.Cells[n].FirstEpoch)
+		}
+		c := lead.group.lead
+		is.NoErr(c.Loop.Do(context.Background(), func() {
+			moved, _ := cl.fleet.List(context.Background())
+			i := slices.IndexFunc(moved, func(w port.WorkerEntry) bool { return !c.contains(w) })
+			is.True(i >= 0)
+		}))
+	})
+}
+
+func (cl *cluster) restartMissing() {
+	for i := range 6 {
+		if name := fmt.Sprintf("d%d", i); cl.daemons[name] == nil {
+			cl.start(name)
+		}
+	}
+}
+
+// TestDividedHistories runs histories of faults in a divided cluster. It checks what
+// TestHistories checks.
+func TestDividedHistories(t *testing.T) {
+	for seed := *firstHistory; seed < *firstHistory+uint64(*histories); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runDividedHistory(t, seed) })
+		})
+	}
+}
+
+func runDividedHistory(t *testing.T, seed uint64) {
+	work := func(task string) time.Duration {
+		return time.Duration(100+200*(len(task)+int(task[len(task)-1]))%2900) * time.Millisecond
+	}
+	cl := newDividedCluster(t, seed, 6, work, func(_ string, attempt int) bool { return attempt%7 == 3 })
+	defer cl.stopAll()
+	cl.awaitOwner()
+	rng := rand.New(rand.NewPCG(seed, 7))
+	var accepted []string
+	var cancelled []string
+	for range 12 {
+		for range 1 + rng.IntN(4) {
+			spec := cl.spec(1 + rng.IntN(5))
+			if cl.trySubmit(fmt.Sprintf("d%d", rng.IntN(6)), spec) == nil {
+				accepted = append(accepted, spec.ID)
+			}
+		}
+		if len(accepted) > 0 && rng.IntN(3) == 0 {
+			id := accepted[rng.IntN(len(accepted))]
+			if d := cl.daemons[fmt.Sprintf("d%d", rng.IntN(6))]; d != nil && cl.tryCancel(d, id) {
+				cancelled = append(cancelled, id)
+			}
+		}
+		cl.injectDividedFault(rng)
+		time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+	}
+	cl.clearDividedFaults()
+	for _, id := range accepted {
+		cl.awaitFinal(id, 90*time.Second)
+	}
+	for _, id := range cancelled {
+		if state := cl.state(id); state != job.Cancelled && state != job.Completed && state != job.Failed {
+			t.Errorf("the cancelled job %s is %q", id, state)
+		}
+	}
+	cl.check()
+}
+
+func (cl *cluster) tryCancel(d *daemon, id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	return d.group.Cancel(ctx, id) == nil
+}
+
+// injectDividedFault injects a random fault, or clears one, and may restart daemons.
+func (cl *cluster) injectDividedFault(rng *rand.Rand) {
+	worker := fmt.Sprintf("w%d-%d", rng.IntN(dividedRacks), rng.IntN(workersPerRack))
+	d := cl.daemons[fmt.Sprintf("d%d", rng.IntN(6))]
+	if rng.IntN(2) == 0 {
+		if owner := cl.ownerOf(rng.IntN(4)); owner != nil {
+			d = owner
+		}
+	}
+	switch rng.IntN(10) {
+	case 0, 1:
+		if d != nil {
+			cl.kill(d.name)
+		}
+	case 2:
+		for _, name := range cl.names() {
+			cl.kill(name)
+		}
+		cl.restartMissing()
+	case 3:
+		cl.fleet.SetUnreachable(worker, rng.IntN(2) == 0)
+	case 4:
+		cl.fleet.Restart(worker)
+	case 5:
+		cl.fleet.DelayStarts(worker, time.Duration(rng.IntN(2))*2*time.Second)
+	case 6:
+		if d != nil {
+			d.storeUnreachable.Store(rng.IntN(2) == 0)
+		}
+	case 7:
+		if d != nil {
+			d.isolated.Store(rng.IntN(2) == 0)
+		}
+	case 8:
+		share, calls := rng.Float64(), rand.New(rand.NewPCG(rng.Uint64(), 4))
+		cl.store.SetFault(func(string) fake.StoreFault { // runs under the store's lock
+			if calls.Float64() < share/2 {
+				return fake.FaultResponseLost
+			}
+			return fake.FaultNone
+		})
+	case 9:
+		cl.store.Compact()
+	}
+	if rng.IntN(2) == 0 {
+		cl.restartMissing()
+	}
+}
+
+func (cl *cluster) clearDividedFaults() {
+	cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultNone })
+	for r := range dividedRacks {
+		for i := range workersPerRack {
+			id := fmt.Sprintf("w%d-%d", r, i)
+			cl.fleet.SetUnreachable(id, false)
+			cl.fleet.DelayStarts(id, 0)
+		}
+	}
+	cl.restartMissing()
+	for _, name := range cl.names() {
+		cl.daemons[name].storeUnreachable.Store(false)
+		cl.daemons[name].isolated.Store(false)
+	}
+}
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -184,7 +184,7 @@
 		t.engine.HandleReplacement(w.Entry.ID, t.c.Now())
 		return
 	}
-	t.checkEpoch(err)
+	t.checkEpoch(w, err)
 	t.engine.HandleNoResponse(w.Entry.ID, sent)
 }
 
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
@@ -41,16 +43,11 @@
 	if err := c.checkStore(); err != nil {
 		return err
 	}
-	partition := c.jobPartition(spec.ID)
-	err := c.write(ctx, port.Txn{
-		Partition: partition,
-		Checks:    []port.Check{{Table: tableJobs, Key: spec.ID}},
-		Puts:      []port.Put{{Table: tableJobs, Key: spec.ID, Value: encode(jobRecord{Spec: &spec})}},
-	})
+	err := c.write(ctx, c.submission(spec))
 	var conflict *port.ConflictError
 	if errors.As(err, &conflict) {
 		c.Log.WithFields(log.Fields{"event": "job_resubmitted", "job": spec.ID}).Info("the job is already stored")
-		err = nil
+		return c.storedAt(conflict.Rows, spec.ID)
 	}
 	if err != nil {
 		c.instruments.jobsNotStored.Inc(1)
@@ -59,7 +56,46 @@
 	}
 	c.instruments.jobsStored.Inc(1)
 	c.jobStates.set(spec.ID, job.Queued, c.Now())
-	c.notifyOwner(&peerpb.NewsRequest{Jobs: [][]byte{encode(spec)}}, []job.Spec{spec}, nil)
+	c.notifyOwner(&peerpb.NewsRequest{Cell: uint32(c.Number), Jobs: [][]byte{encode(spec)}}, []job.Spec{spec}, nil)
+	return nil
+}
+
+// submission returns the transaction that stores a job, unless it is stored in any cell.
+func (c *Cell) submission(spec job.Spec) port.Txn {
+	txn := port.Txn{
+		Partition: c.jobPartition(spec.ID),
+		Checks:    []port.Check{{Table: tableJobs, Key: spec.ID}, {Table: tableIndex, Key: spec.ID}},
+		Puts:      []port.Put{{Table: c.tables.jobs, Key: spec.ID, Value: encode(jobRecord{Spec: &spec, Cell: c.Number})}},
+	}
+	if c.Number != cellmap.Lead {
+		txn.Puts = append(txn.Puts, port.Put{Table: tableIndex, Key: spec.ID, Value: encode(jobRecord{Cell: c.Number})})
+	}
+	return txn
+}
+
+// OtherCellError reports a job that was submitted before, to another cell. The submission
+// has succeeded.
+type OtherCellError struct{ Cell int }
+
+// Error implements error.
+func (e *OtherCellError) Error() string { return fmt.Sprintf("the job is in cell %d", e.Cell) }
+
+// storedAt returns an *OtherCellError if the rows of a conflict show that a job is stored
+// in another cell. Without a readable row, the cell is not known, and the job's state is
+// looked up when it is asked for.
+func (c *Cell) storedAt(rows []port.Row, id string) error {
+	cell := cellmap.Lead
+	if row := findRow(rows, tableIndex, id); row.Version > 0 {
+		record, err := decode[jobRecord](row)
+		if err != nil {
+			c.Log.WithField("event", "job_row_unreadable").WithError(err).Error("cannot decode the index row of a job")
+			return nil
+		}
+		cell = record.Cell
+	}
+	if cell != c.Number {
+		return &OtherCellError{cell}
+	}
 	return nil
 }
 
@@ -157,6 +193,9 @@
 	if state, ok := c.jobStates.state(id, c.Now()); ok {
 		return state, nil
 	}
+	if state, ok := c.askOwner(ctx, id); ok {
+		return state, nil
+	}
 	state, _, err := c.storedState(ctx, id)
 	if err == nil && state.Final() {
 		c.jobStates.set(id, state, c.Now())
@@ -164,9 +203,32 @@
 	return state, err
 }
 
+// askOwner asks the owner of the cell for a job's state, if this daemon does not follow
+// it. It reports false if the owner does not answer or does not know the job.
+func (c *Cell) askOwner(ctx context.Context, id string) (job.State, bool) {
+	view := c.View()
+	if c.Number == cellmap.Lead || view.Owner == "" || view.IsOwner {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	resp, err := c.Peers.Call(ctx, view.Owner, &peerpb.Request{Kind: &peerpb.Request_State{State: &peerpb.StateRequest{Cell: uint32(c.Number), Job: id}}})
+	state := job.State(resp.GetState().GetState())
+	if err != nil || state == "" {
+		return "", false
+	}
+	if state.Final() {
+		c.jobStates.set(id, state, c.Now())
+	}
+	return state, true
+}
+
 // storedState reads a job's state and the version of its row from the store.
 func (c *Cell) storedState(ctx context.Context, id string) (job.State, int64, error) {
-	row, err := c.readRow(ctx, tableJobs, c.jobPartition(id), id)
+	row, err := c.readRow(ctx, c.tables.jobs, c.jobPartition(id), id)
+	if err == nil && row.Version == 0 && c.indexTable() != c.tables.jobs {
+		row, err = c.readRow(ctx, c.indexTable(), c.jobPartition(id), id)
+	}
 	if err != nil {
 		return "", 0, err
 	}
@@ -199,7 +261,7 @@
 		}
 		return outcome.State, nil
 	}
-	cancel, err := c.readRow(ctx, tableCancels, c.jobPartition(id), id)
+	cancel, err := c.readRow(ctx, c.tables.cancels, c.jobPartition(id), id)
 	if err != nil || cancel.Version > 0 {
 		return job.Cancelled, err
 	}
@@ -244,8 +306,8 @@
 		}
 		err = c.write(ctx, port.Txn{
 			Partition: c.jobPartition(id),
-			Checks:    []port.Check{{Table: tableJobs, Key: id, Version: version}},
-			Puts:      []port.Put{{Table: tableCancels, Key: id, Value: []byte("{}")}},
+			Checks:    []port.Check{{Table: c.tables.jobs, Key: id, Version: version}},
+			Puts:      []port.Put{{Table: c.tables.cancels, Key: id, Value: []byte("{}")}},
 		})
 		var conflict *port.ConflictError
 		if errors.As(err, &conflict) {
@@ -254,7 +316,7 @@
 		if err == nil {
 			c.jobStates.set(id, job.Cancelled, c.Now())
 			c.Log.WithFields(log.Fields{"event": "cancel_stored", "job": id}).Info("cancellation stored")
-			c.notifyOwner(&peerpb.NewsRequest{Cancelled: []string{id}}, nil, []string{id})
+			c.notifyOwner(&peerpb.NewsRequest{Cell: uint32(c.Number), Cancelled: []string{id}}, nil, []string{id})
 		}
 		return err
 	}
--- a/internal/cell/jobstates.go
+++ b/internal/cell/jobstates.go
@@ -112,6 +112,16 @@
 	cache.confirmedAt, cache.depths, cache.depthsAt = now, depths, depthsAt
 }
 
+// setDepths records the depths of the queues, which count every job that was stored at
+// depthsAt, without a confirmation of states.
+func (cache *jobStateCache) setDepths(depths map[string]int, depthsAt time.Time) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	if depthsAt.After(cache.depthsAt) {
+		cache.depths, cache.depthsAt = depths, depthsAt
+	}
+}
+
 // state returns a job's last known state and whether it is valid. Final states are
 // always valid, other states for confirmationTTL after a confirmation.
 func (cache *jobStateCache) state(id string, now time.Time) (job.State, bool) {
--- /dev/null
+++ b/internal/cell/load.go
@@ -0,0 +1,170 @@
+package cell
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooyard/bambooyard/cellmap"
+	"github.com/bambooyard/bambooyard/internal/peer"
+	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+const (
+	// loadTimeout is the timeout of a request for the load of a cell: a round trip between
+	// regions, and a busy owner. A caller waits for it.
+	loadTimeout = 250 * time.Millisecond
+	// noOwnerYetLoad and silentOwnerLoad are the loads, in percent, that are assumed for
+	// cells whose owners do not tell theirs.
+	noOwnerYetLoad  = 30
+	silentOwnerLoad = 95
+	// claimTTL is how long a cell's owner counts a job that is about to be stored. By then,
+	// it has been notified of the job, unless that went to another cell.
+	claimTTL = 400 * time.Millisecond
+)
+
+// loadClaims are the requests of jobs that daemons are about to store, by job ID.
+type loadClaims map[string]loadClaim
+
+type loadClaim struct {
+	reserved, bestEffort int64
+	at                   time.Time
+}
+
+// load returns the load of the cell, with the jobs that are about to be stored.
+func (t *term) load(now time.Time) *peerpb.CellLoad {
+	capacity, reserved, bestEffort := t.engine.Load()
+	for id, claim := range t.claims {
+		if now.Sub(claim.at) > claimTTL || t.engine.Job(id) != nil {
+			delete(t.claims, id)
+			continue
+		}
+		reserved += claim.reserved
+		bestEffort += claim.bestEffort
+	}
+	return &peerpb.CellLoad{CapacityMilliCpu: capacity, ReservedMilliCpu: reserved, BestEffortMilliCpu: bestEffort}
+}
+
+// handleLoad replies with the load of the cell to a daemon that is about to store a job,
+// and counts the job from then on.
+func (c *Cell) handleLoad(ctx context.Context, req *peerpb.LoadRequest) *peerpb.Response {
+	var load *peerpb.CellLoad
+	err := c.Loop.Do(ctx, func() {
+		if c.term == nil || !c.term.loaded || c.term.releasing {
+			return
+		}
+		load = c.term.load(c.Now())
+		if c.term.engine.Job(req.GetJob()) == nil {
+			c.term.claims[req.GetJob()] = loadClaim{req.GetReservedMilliCpu(), req.GetBestEffortMilliCpu(), c.Now()}
+		}
+	})
+	if err != nil || load == nil {
+		return peer.Refuse("not the owner")
+	}
+	return &peerpb.Response{Kind: &peerpb.Response_CellLoad{CellLoad: load}}
+}
+
+// handleState replies with the state of a job in the cell.
+func (c *Cell) handleState(ctx context.Context, req *peerpb.StateRequest) *peerpb.Response {
+	reply := &peerpb.StateReply{}
+	owner := false
+	err := c.Loop.Do(ctx, func() {
+		if owner = c.term != nil && c.term.loaded; !owner {
+			return
+		}
+		if state, ok := c.jobStates.state(req.GetJob(), c.Now()); ok {
+			reply.State = string(state)
+		}
+	})
+	if err != nil || !owner {
+		return peer.Refuse("not the owner")
+	}
+	return &peerpb.Response{Kind: &peerpb.Response_State{State: reply}}
+}
+
+func loadOf(l *peerpb.CellLoad) cellmap.Load {
+	return cellmap.Load{Capacity: l.GetCapacityMilliCpu(), Reserved: l.GetReservedMilliCpu(), BestEffort: l.GetBestEffortMilliCpu()}
+}
+
+// chooseCell returns the number of the cell that a new job should go to. It asks the
+// owners of a few cells for their loads, because jobs that arrive together would all go to
+// the cell that was the least loaded before.
+func (g *Group) chooseCell(ctx context.Context, spec job.Spec) int {
+	v := g.view.Load()
+	if v.cellMap == nil {
+		return cellmap.Lead
+	}
+	demand := cellmap.DemandOf(spec)
+	candidates := v.cellMap.Candidates(g.needs(spec), g.options.Region, rand.IntN)
+	loads := make([]*cellmap.Load, len(candidates))
+	var wg sync.WaitGroup
+	for i, n := range candidates {
+		wg.Go(func() { loads[i] = g.askLoad(ctx, n, spec.ID, demand.Share(len(candidates))) })
+	}
+	wg.Wait()
+	for i, n := range candidates {
+		if loads[i] == nil {
+			loads[i] = unansweredLoad(g.cell(n).View().Owner != "")
+		}
+	}
+	n := v.cellMap.Choose(candidates, loads, demand, g.options.Region)
+	g.lead.Log.WithFields(log.Fields{"event": "cell_chosen", "job": spec.ID, "cell": n, "candidates": len(candidates)}).Debug("chose the cell of a job")
+	return n
+}
+
+// unansweredLoad returns the load that is assumed for a cell whose owner does not tell it.
+// A cell that has no owner yet will have one soon, and fills like the others. If an owner
+// does not answer, it may take seconds until another one does.
+func unansweredLoad(hadOwner bool) *cellmap.Load {
+	share := noOwnerYetLoad
+	if hadOwner {
+		share = silentOwnerLoad
+	}
+	return &cellmap.Load{Capacity: 100, Reserved: int64(share)}
+}
+
+// needs returns what a job needs of its cell.
+func (g *Group) needs(spec job.Spec) cellmap.Needs {
+	needs := cellmap.NeedsOf(spec)
+	if config := g.View().Config; config != nil {
+		for _, r := range config.Routes {
+			if r.Queue.Name == spec.Queue {
+				needs.Pool = r.Queue.Pool
+			}
+		}
+	}
+	return needs
+}
+
+// askLoad asks the owner of a cell for its load, and to count a demand that may follow, or returns nil if it does not answer.
+func (g *Group) askLoad(ctx context.Context, n int, id string, demand cellmap.Demand) *cellmap.Load {
+	c := g.cell(n)
+	view := c.View()
+	if view.Owner == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	req := &peerpb.Request{Kind: &peerpb.Request_CellLoad{CellLoad: &peerpb.LoadRequest{
+		Cell: uint32(n), Job: id, ReservedMilliCpu: demand.Reserved, BestEffortMilliCpu: demand.BestEffort,
+	}}}
+	var resp *peerpb.Response
+	if view.IsOwner {
+		resp = c.Handle(ctx, req)
+	} else {
+		var err error
+		if resp, err = g.lead.Peers.Call(ctx, view.Owner, req); err != nil {
+			g.lead.Log.WithFields(log.Fields{"event": "load_unknown", "cell": n, "owner": view.Owner}).WithError(err).Debug("the owner of the cell does not tell its load")
+			return nil
+		}
+	}
+	if resp.GetCellLoad() == nil {
+		return nil
+	}
+	load := loadOf(resp.GetCellLoad())
+	return &load
+}
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -41,6 +41,9 @@
 
 // observeOwnership updates the gauges of the ownership.
 func (c *Cell) observeOwnership() {
+	if !c.isLead() {
+		return // the gauges are those of the lead cell
+	}
 	m, t := c.instruments, c.term
 	m.epoch.Update(c.owner.Epoch)
 	m.owner.Update(gaugeValue(t != nil))
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -16,8 +16,8 @@
 
 // recoveryData is the state of former owners in the store, and the workers.
 type recoveryData struct {
-	jobs, cancels, progress, outcomes, learned port.Page
-	workers                                    []port.WorkerEntry
+	jobs, cancels, progress, outcomes, learned, cellMap port.Page
+	workers                                             []port.WorkerEntry
 }
 
 // Timeouts and delays of the recovery.
@@ -82,11 +82,12 @@
 		return func(ctx context.Context) (port.Page, error) { return t.c.scanJobs(ctx, table) }
 	}
 	reads := []func() error{
-		readInto(ctx, t, tableJobs, &data.jobs, scanJobs(tableJobs)),
-		readInto(ctx, t, tableCancels, &data.cancels, scanJobs(tableCancels)),
+		readInto(ctx, t, t.c.tables.jobs, &data.jobs, scanJobs(t.c.tables.jobs)),
+		readInto(ctx, t, t.c.tables.cancels, &data.cancels, scanJobs(t.c.tables.cancels)),
 		readInto(ctx, t, tableProgress, &data.progress, scan(tableProgress)),
 		readInto(ctx, t, tableOutcomes, &data.outcomes, scan(tableOutcomes)),
 		readInto(ctx, t, tableLearned, &data.learned, scan(tableLearned)),
+		readInto(ctx, t, tableMap, &data.cellMap, t.c.readMap),
 		readInto(ctx, t, "workers", &data.workers, t.c.Directory.List),
 	}
 	errs := make([]error, len(reads))
@@ -125,7 +126,11 @@
 
 // restore initialises the engine from the state of former owners.
 func (t *term) restore(data recoveryData, now time.Time) {
-	t.engine.SetWorkers(data.workers, now)
+	if t.c.group != nil && t.c.isLead() {
+		t.c.group.restoreMap(data.cellMap)
+	}
+	workers := t.ownWorkers(data.workers, now)
+	t.engine.SetWorkers(workers, now)
 	t.restoreOutcomes(data.outcomes, now)
 	t.restoreLearned(data.learned)
 	progress := map[string]port.Row{}
@@ -142,16 +147,16 @@
 	for _, row := range data.cancels.Rows {
 		t.cancel(row.Key)
 	}
-	ids := make([]string, 0, len(data.workers))
-	for _, w := range data.workers {
+	ids := make([]string, 0, len(workers))
+	for _, w := range workers {
 		ids = append(ids, w.ID)
 	}
 	t.engine.ExpectInheritedRuns(ids, now)
 	if failedAt := t.c.storeFailedAt; !failedAt.IsZero() {
 		t.engine.ExpectUnlistedWorkers(failedAt.Add(directorySettleTime))
 	}
-	t.changes[tableJobs].version = data.jobs.Version
-	t.changes[tableCancels].version = data.cancels.Version
+	t.changes[t.c.tables.jobs].version = data.jobs.Version
+	t.changes[t.c.tables.cancels].version = data.cancels.Version
 	t.loaded = true
 }
 
--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -58,20 +58,29 @@
 			t.log.WithFields(log.Fields{"event": "task_start_failed", "task": req.Task, "attempt": req.Attempt, "worker": target.ID}).WithError(err).Info("start request refused or unanswered")
 		}
 		t.engine.HandleStartResponse(r, clock, err, now, t.c.Now())
-		t.checkEpoch(err)
+		t.checkEpoch(r.Worker, err)
 		t.schedulePlan()
 	})
 }
 
 // checkEpoch ends the term if a worker has refused a request because it has seen a
-// higher epoch.
-func (t *term) checkEpoch(err error) {
+// higher epoch. A worker that has moved to another cell has seen that of its new owner.
+func (t *term) checkEpoch(w *dispatch.Worker, err error) {
 	var refused *port.RefusedError
-	if errors.As(err, &refused) && refused.Reason == port.RefusedEpoch {
+	if errors.As(err, &refused) && refused.Reason == port.RefusedEpoch && t.c.contains(w.Entry) {
 		t.c.loseOwnership("a worker has seen a higher epoch")
 	}
 }
 
+// contains reports whether a worker belongs to the cell.
+func (c *Cell) contains(w port.WorkerEntry) bool {
+	if c.group == nil {
+		return true
+	}
+	n, ok := c.group.cellMap.CellOf(w)
+	return ok && n == c.Number
+}
+
 func (t *term) stop(r *dispatch.Run, now time.Time) {
 	name, target := r.Task.ID.String(), r.Worker.Target()
 	t.log.WithFields(log.Fields{"event": "task_stop", "task": name, "attempt": r.Attempt, "worker": target.ID, "reason": string(r.StopReason())}).Info("stop requested")
@@ -79,7 +88,7 @@
 		return struct{}{}, t.c.Workers.Stop(ctx, target, name, r.Attempt, t.epoch)
 	}, func(_ struct{}, err error) {
 		t.engine.HandleStopResponse(r, err, now, t.c.Now())
-		t.checkEpoch(err)
+		t.checkEpoch(r.Worker, err)
 		t.schedulePlan()
 	})
 }
@@ -92,7 +101,7 @@
 	runAsync(t, t.c.loopDelay.timeout(stopTimeout), func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, t.c.Workers.Stop(ctx, target, run.Task, run.Attempt, t.epoch)
 	}, func(_ struct{}, err error) {
-		t.checkEpoch(err)
+		t.checkEpoch(run.Worker, err)
 	})
 }
 
@@ -104,6 +113,6 @@
 		return struct{}{}, t.c.Workers.Throttle(ctx, target, name, r.Attempt, t.epoch, th.Percent)
 	}, func(_ struct{}, err error) {
 		t.engine.HandleThrottleResponse(r, th.Percent, err, t.c.Now())
-		t.checkEpoch(err)
+		t.checkEpoch(r.Worker, err)
 	})
 }
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
@@ -23,13 +24,36 @@
 	tableProgress = "progress"
 	tableOutcomes = "outcomes"
 	tableLearned  = "learned"
+	tableMap      = "cellmap"
 	ownerKey      = "owner"
 	learnedKey    = "images"
+	mapKey        = "map"
 
 	tableJobs    = "jobs"
 	tableCancels = "cancels"
+	// tableIndex holds the cell of each job that is not in the lead cell. Its rows are in
+	// the partitions of the jobs.
+	tableIndex = "index"
 )
 
+// tableSets is the number of sets of the tables of jobs and cancellations. The platform
+// allows 100 tables, so that further cells share the tables of others.
+const tableSets = 40
+
+// jobTables are the names of the tables of a cell's jobs and cancellations. Each cell
+// reads the changes of its own tables.
+type jobTables struct{ jobs, cancels string }
+
+func jobTablesOf(cell int) jobTables {
+	if cell == cellmap.Lead {
+		return jobTables{tableJobs, tableCancels}
+	}
+	return jobTables{
+		jobs:    fmt.Sprintf("%s-%d", tableJobs, cell%tableSets),
+		cancels: fmt.Sprintf("%s-%d", tableCancels, cell%tableSets),
+	}
+}
+
 // jobPartitions is the number of partitions that jobs are spread over. With 16, a
 // store that takes half a second per transaction still accepts thirty jobs per
 // second.
@@ -40,7 +64,18 @@
 	return c.partitionName(int(xxhash.Sum64String(id) % jobPartitions))
 }
 
-func (c *Cell) partitionName(n int) string { return fmt.Sprintf("%s-%02d", c.Partition, n) }
+// partitionName returns the name of a partition of jobs. All cells share these, so that a
+// job that is submitted to two daemons is found whichever cells they choose.
+func (c *Cell) partitionName(n int) string { return fmt.Sprintf("%s-%02d", c.LeadPartition, n) }
+
+// indexTable returns the table whose row of a job is kept after its end. The lead cell's
+// jobs need no row in tableIndex.
+func (c *Cell) indexTable() string {
+	if c.Number == cellmap.Lead {
+		return c.tables.jobs
+	}
+	return tableIndex
+}
 
 // jobRecord is the value of a job's row. The row is kept after the job's end, so
 // that a late resubmission finds it.
@@ -49,6 +84,8 @@
 	Spec *job.Spec `json:"spec,omitempty"`
 	// Ended is the final state.
 	Ended job.State `json:"ended,omitempty"`
+	// Cell is the number of the job's cell.
+	Cell int `json:"cell,omitempty"`
 }
 
 // outcomeRecord is the value of a final job's row in tableOutcomes.
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -50,6 +50,8 @@
 	// acquireJitter bounds the random delay that keeps daemons from acquiring the
 	// cell simultaneously.
 	acquireJitter = 60 * time.Millisecond
+	// laterMemberDelay is how long each member of a cell leaves it to the one before.
+	laterMemberDelay = 150 * time.Millisecond
 	// acquireDelayPerRoundTrip is the delay in round trips to the store, so that
 	// daemons near the store acquire the cell first.
 	acquireDelayPerRoundTrip = 4
@@ -75,9 +77,10 @@
 	}
 	if c.acquireAt.IsZero() {
 		delay := time.Duration(c.Random()*float64(acquireJitter)) + acquireDelayPerRoundTrip*c.storeRoundTrip
-		if c.MilliCPU < c.largestCandidate {
+		if c.isLead() && c.MilliCPU < c.largestCandidate {
 			delay += smallerCandidateDelay
 		}
+		delay += time.Duration(c.role) * laterMemberDelay
 		c.acquireAt = now.Add(delay)
 	}
 	if !c.acquiring && !now.Before(c.acquireAt) {
@@ -171,7 +174,7 @@
 	c.acquiring = true
 	c.logAcquisition(c.Now())
 	previous := c.owner
-	record := ownerRecord{Epoch: previous.Epoch + 1, Name: c.Self.Name, Boot: c.Self.Boot, Address: c.Self.Address, Sequence: previous.Sequence + 1, Backoff: nextBackoff(previous)}
+	record := ownerRecord{Epoch: max(previous.Epoch+1, c.firstEpoch()), Name: c.Self.Name, Boot: c.Self.Boot, Address: c.Self.Address, Sequence: previous.Sequence + 1, Backoff: nextBackoff(previous)}
 	version, sent, suspensions := c.ownerVersion, c.Now(), c.suspensions
 	control.Async(c.Loop, func(ctx context.Context) (int64, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -193,6 +196,14 @@
 	})
 }
 
+// firstEpoch returns the lowest epoch that an owner of the cell may use.
+func (c *Cell) firstEpoch() int64 {
+	if c.group == nil || c.group.cellMap == nil || c.Number >= len(c.group.cellMap.Cells) {
+		return 0
+	}
+	return c.group.cellMap.Cells[c.Number].FirstEpoch
+}
+
 // acquireFailed handles a failed acquisition. On a conflict, an earlier attempt
 // without a response may have succeeded.
 func (c *Cell) acquireFailed(err error, record ownerRecord, now time.Time) {
@@ -258,7 +269,7 @@
 	c.Loop.Go(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 		defer cancel()
-		_, err := c.Peers.Call(ctx, address, &peerpb.Request{Kind: &peerpb.Request_News{News: &peerpb.NewsRequest{Epoch: epoch}}})
+		_, err := c.Peers.Call(ctx, address, &peerpb.Request{Kind: &peerpb.Request_News{News: &peerpb.NewsRequest{Cell: uint32(c.Number), Epoch: epoch}}})
 		return func() {
 			c.Log.WithFields(log.Fields{"event": "former_owner_told", "address": address, "answered": err == nil}).Debug("tried to notify the former owner of the takeover")
 		}
@@ -271,7 +282,7 @@
 	if c.term == nil {
 		return
 	}
-	c.Log.WithFields(log.Fields{"event": "ownership_lost", "epoch": c.term.record.Epoch, "reason": reason}).Warn("lost ownership of the cell")
+	c.Log.WithFields(log.Fields{"event": "ownership_lost", "cell": c.Number, "epoch": c.term.record.Epoch, "reason": reason}).Warn("lost ownership of the cell")
 	c.instruments.ownershipsLost.Inc(1)
 	c.term.observeEnd()
 	c.term.ended = true
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -41,6 +41,8 @@
 	// afterRelease is set if the previous owner released the cell.
 	afterRelease bool
 	candidates   candidates
+	claims       loadClaims
+	mapKeeper    mapKeeper
 
 	planScheduled bool // a call of plan is posted or delayed
 	// planNotBefore is the earliest time of the next plan between ticks.
@@ -67,14 +69,15 @@
 	t := &term{
 		c: c, epoch: record.Epoch, record: record, version: version,
 		engine:     dispatch.NewEngine(c.Engine),
-		log:        c.Log.WithField("epoch", record.Epoch),
+		log:        c.Log.WithFields(log.Fields{"cell": c.Number, "epoch": record.Epoch}),
 		startedAt:  now,
 		candidates: candidates{},
+		claims:     loadClaims{},
 		heartbeats: map[string]*workerHeartbeat{},
 
 		cancelled: map[string]bool{},
 		changes: map[string]*changeCursor{
-			tableJobs: {}, tableCancels: {},
+			c.tables.jobs: {}, c.tables.cancels: {},
 		},
 	}
 	t.committer = newCommitter(now)
@@ -144,6 +147,7 @@
 		t.retryRelease(now)
 	} else {
 		t.handOverIfSmall(now)
+		t.handOverIfNotFirst(now)
 	}
 	if t.loaded && !t.releasing {
 		t.pollDirectory(now)
@@ -151,6 +155,7 @@
 		t.checkRecovered(now)
 		t.pollLiveness(now)
 		t.compactRows(now)
+		t.updateMap(now)
 	}
 	if t.loaded && now.Sub(t.prunedAt) > time.Minute {
 		t.prunedAt = now
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -20,9 +20,10 @@
 	// maxPerKind is the maximum number of events of one kind per rateWindow.
 	maxPerKind = 1000
 	rateWindow = time.Second
-	// bufferBytes is the size from which buffered events are written, about a hundred
-	// events.
-	bufferBytes = 16 << 10
+	// bufferBytes is the size from which buffered events are written. With one more event,
+	// it is below PIPE_BUF, 4 kB: longer writes to a pipe may be split, and a collector
+	// that reads the parts loses the end of a line.
+	bufferBytes = 3 << 10
 )
 
 // Handler is a log.Handler that passes events to another handler on a separate
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -80,6 +80,15 @@
 	f.workers[id] = f.newWorker(port.WorkerEntry{ID: id, Pool: pool, Address: id, Capacity: capacity, Boot: 1})
 }
 
+// AddTo adds a worker, whose ID is also its address, to a rack of a data centre.
+func (f *Fleet) AddTo(dataCentre, rack, id, pool string, capacity job.Resources) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id] = f.newWorker(port.WorkerEntry{
+		ID: id, Pool: pool, Address: id, Capacity: capacity, Boot: 1, DataCentre: dataCentre, Rack: rack, Labels: []string{rack},
+	})
+}
+
 func (f *Fleet) newWorker(entry port.WorkerEntry) *fleetWorker {
 	return &fleetWorker{entry: entry, fleet: f, startedAt: f.now(), runs: map[string]*fleetRun{}, highestAttempt: map[string]int{}}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
@@ -55,8 +56,7 @@
 	// retentionFactor extends the status retention to allow for a daemon that is
 	// slow to learn that a job has ended.
 	retentionFactor = 2
-	// partition is the store partition of the cell; an installation has only one
-	// cell.
+	// partition is the store partition of the lead cell.
 	partition = "c0"
 
 	readHeaderTimeout = 3 * time.Second
@@ -79,7 +79,7 @@
 			platform.NewClient,
 			peer.NewPool,
 			metrics.NewRegistry,
-			newCell,
+			newCells,
 			newDaemon,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, d *daemon) {
@@ -94,7 +94,16 @@
 	return 0
 }
 
-func newCell(s settings.Node, loop *control.Loop, client *platform.Client, pool *peer.Pool, logger log.Interface, registry metrics.Registry) *cell.Cell {
+func newCells(s settings.Node, loop *control.Loop, client *platform.Client, pool *peer.Pool, logger log.Interface, registry metrics.Registry) *cell.Group {
+	return cell.NewGroup(cell.GroupOptions{
+		DataCentre: s.DataCentre, Region: s.Region, LinkMbps: s.LinkMbps,
+		RegionOf: func(dataCentre string) string { return s.Regions[dataCentre] },
+		Lead:     leadOptions(s, loop, client, pool, logger, registry),
+	})
+}
+
+// leadOptions returns the options of the lead cell.
+func leadOptions(s settings.Node, loop *control.Loop, client *platform.Client, pool *peer.Pool, logger log.Interface, registry metrics.Registry) cell.Options {
 	store := platform.NewStore(client, s.StoreAddress)
 	var machines port.Machines
 	if s.MachinesAddress != "" {
@@ -104,7 +113,7 @@
 	if s.AdvisorAddress != "" {
 		advisor = platform.NewAdvisor(client, s.AdvisorAddress)
 	}
-	return cell.New(cell.Options{
+	return cell.Options{
 		Partition: partition,
 		Self:      cell.Identity{Name: s.Name, Boot: fmt.Sprintf("%016x", rand.Uint64()), Address: s.PeerAddress},
 		Loop:      loop,
@@ -125,7 +134,7 @@
 		Wall:      time.Now,
 		Uptime:    timeSinceBoot,
 		Random:    rand.Float64,
-	})
+	}
 }
 
 // timeSinceBoot returns the time since the machine started, with suspensions, or
@@ -143,7 +152,7 @@
 	settings   settings.Node
 	log        log.Interface
 	loop       *control.Loop
-	cell       *cell.Cell
+	cells      *cell.Group
 	pool       *peer.Pool
 	client     *platform.Client
 	registry   metrics.Registry
@@ -157,8 +166,8 @@
 	peers   *peer.Server
 }
 
-func newDaemon(s settings.Node, logger log.Interface, loop *control.Loop, c *cell.Cell, pool *peer.Pool, client *platform.Client, registry metrics.Registry, shutdowner fx.Shutdowner) *daemon {
-	return &daemon{settings: s, log: logger, loop: loop, cell: c, pool: pool, client: client, registry: registry, shutdowner: shutdowner}
+func newDaemon(s settings.Node, logger log.Interface, loop *control.Loop, cells *cell.Group, pool *peer.Pool, client *platform.Client, registry metrics.Registry, shutdowner fx.Shutdowner) *daemon {
+	return &daemon{settings: s, log: logger, loop: loop, cells: cells, pool: pool, client: client, registry: registry, shutdowner: shutdowner}
 }
 
 func (d *daemon) start(context.Context) error {
@@ -170,15 +179,15 @@
 	if err != nil {
 		return err
 	}
-	d.peers = peer.NewServer(listener, d.cell.Handle)
+	d.peers = peer.NewServer(listener, d.cells.Handle)
 	go d.peers.Serve()
 	go d.loop.Run()
-	d.cell.Start()
-	d.callers = newServer(&platform.Ingress{Jobs: d.cell, State: d.ingressState, Log: d.log, Now: time.Now, HasAdvisor: d.settings.AdvisorAddress != ""})
+	d.cells.Start()
+	d.callers = newServer(&platform.Ingress{Jobs: d.cells, State: d.ingressState, Log: d.log, Now: time.Now, HasAdvisor: d.settings.AdvisorAddress != ""})
 	d.callers.MaxHeaderBytes = maxHeaderBytes
 	d.ready = newServer(http.HandlerFunc(d.serveReady))
 	d.metrics = newServer(metricsHandler(d.registry))
-	d.jobs = newServer(jobapi.New(jobapi.Options{Jobs: d.cell, HasQueue: d.hasQueue, Log: d.log, Wall: time.Now}))
+	d.jobs = newServer(jobapi.New(jobapi.Options{Jobs: d.cells, HasQueue: d.hasQueue, Log: d.log, Wall: time.Now}))
 	d.reloadOnSIGHUP()
 	d.serveFixedMetrics()
 	return errors.Join(
@@ -220,14 +229,14 @@
 }
 
 func (d *daemon) ingressState() platform.IngressState {
-	v := d.cell.View()
+	v := d.cells.View()
 	return platform.IngressState{Config: v.Config, Fresh: d.configFresh(v), Closing: d.closing.Load()}
 }
 
 // hasQueue reports whether the configuration in force has a queue. It returns
 // ready false when the configuration is not fresh.
 func (d *daemon) hasQueue(name string) (exists, ready bool) {
-	v := d.cell.View()
+	v := d.cells.View()
 	if !d.configFresh(v) {
 		return false, false
 	}
@@ -243,7 +252,7 @@
 // serveReady answers the load balancer's probes: 503 when the daemon is stopping
 // or has no fresh configuration.
 func (d *daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if v := d.cell.View(); d.closing.Load() || !d.configFresh(v) {
+	if v := d.cells.View(); d.closing.Load() || !d.configFresh(v) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -261,7 +270,7 @@
 				d.log.WithField("event", "reload_failed").WithError(err).Error("cannot read the settings; keeping those in force")
 				continue
 			}
-			d.log.WithFields(log.Fields{"event": "reload", "changed": s != d.settings}).Info("settings read")
+			d.log.WithFields(log.Fields{"event": "reload", "changed": !reflect.DeepEqual(s, d.settings)}).Info("settings read")
 		}
 	}()
 }
@@ -275,7 +284,7 @@
 	d.log.WithField("event", "stop_begins").Info("draining")
 	ctx, cancel := context.WithTimeout(ctx, d.settings.StopTimeout-stopMargin)
 	defer cancel()
-	err := d.cell.Release(ctx)
+	err := d.cells.Release(ctx)
 	select {
 	case <-time.After(balancerDelay - time.Since(started)):
 	case <-ctx.Done():
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -29,6 +29,11 @@
 	// MilliCPU is the processor capacity in thousandths of a core; zero means that it
 	// is not known.
 	MilliCPU int64
+	// LinkMbps is the capacity of the network link in 1,000,000 bits per second; zero
+	// means that it is not known.
+	LinkMbps int64
+	// Regions holds the region of each data centre.
+	Regions map[string]string
 	// ConfigTimeout is the time within which an accepted configuration must be in
 	// force.
 	ConfigTimeout time.Duration
--- a/job/job.go
+++ b/job/job.go
@@ -122,6 +122,20 @@
 	return fmt.Sprintf("job field %s is %v, want %s", e.Field, e.Value, e.Want)
 }
 
+// PeakMilliCPU returns the processors that the widest step requests, in thousandths of a
+// core: those that count against the capacity of workers, and those of best-effort tasks.
+func (s Spec) PeakMilliCPU() (reserved, bestEffort int64) {
+	for _, step := range s.Steps {
+		width := int64(step.Tasks) * step.Resources.MilliCPU
+		if step.BestEffort {
+			bestEffort = max(bestEffort, width)
+		} else {
+			reserved = max(reserved, width)
+		}
+	}
+	return reserved, bestEffort
+}
+
 // Limits of a job. They keep its rows within the store's size limit.
 const (
 	MaxSteps        = 64
