Renew the leases of running tasks while a new owner reads its state

Cause: a new owner renewed no leases before it had read the recovery data; after a read that took longer than the leases, all runs were started again.

Change: after the cell map and the directory are read, each worker of the cell is called once for its clock and then once a second to renew its lease, until the state of former owners is known.

--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -87,8 +87,7 @@
 		readInto(ctx, t, tableProgress, &data.progress, scan(tableProgress)),
 		readInto(ctx, t, tableOutcomes, &data.outcomes, scan(tableOutcomes)),
 		readInto(ctx, t, tableLearned, &data.learned, scan(tableLearned)),
-		readInto(ctx, t, tableMap, &data.cellMap, t.c.readMap),
-		readInto(ctx, t, "workers", &data.workers, t.c.Directory.List),
+		t.readWorkers(ctx, &data),
 	}
 	errs := make([]error, len(reads))
 	var wg sync.WaitGroup
@@ -99,6 +98,36 @@
 	return data, errors.Join(errs...)
 }
 
+// readWorkers returns a function that reads the cell map and the workers, and begins to
+// renew the leases of the cell's workers.
+func (t *term) readWorkers(ctx context.Context, data *recoveryData) func() error {
+	readMap := readInto(ctx, t, tableMap, &data.cellMap, t.c.readMap)
+	readList := readInto(ctx, t, "workers", &data.workers, t.c.Directory.List)
+	return func() error {
+		if err := errors.Join(readMap(), readList()); err != nil {
+			return err
+		}
+		began, cellMap, workers := t.c.Now(), data.cellMap, data.workers
+		t.c.Loop.Post(func() {
+			if t.ended || t.loaded {
+				return
+			}
+			// Without the map, the lead cell's owner would call the workers of other cells.
+			t.restoreMap(cellMap)
+			t.inherited.set(t.ownWorkers(workers, began))
+			t.renewInherited(t.c.Now())
+		})
+		return nil
+	}
+}
+
+// restoreMap restores the cell map, if this is the lead cell.
+func (t *term) restoreMap(cellMap port.Page) {
+	if t.c.group != nil && t.c.isLead() {
+		t.c.group.restoreMap(cellMap)
+	}
+}
+
 // readInto returns a function that reads a table into dst and retries the read until
 // ctx ends.
 func readInto[T any](ctx context.Context, t *term, table string, dst *T, read func(context.Context) (T, error)) func() error {
@@ -126,9 +155,7 @@
 
 // restore initialises the engine from the state of former owners.
 func (t *term) restore(data recoveryData, now time.Time) {
-	if t.c.group != nil && t.c.isLead() {
-		t.c.group.restoreMap(data.cellMap)
-	}
+	t.restoreMap(data.cellMap)
 	workers := t.ownWorkers(data.workers, now)
 	t.engine.SetWorkers(workers, now)
 	t.restoreOutcomes(data.outcomes, now)
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -48,6 +48,8 @@
 	// planNotBefore is the earliest time of the next plan between ticks.
 	planNotBefore time.Time
 	heartbeats    map[string]*workerHeartbeat
+	// inherited are the leases to renew until the state of former owners is known.
+	inherited inheritedLeases
 
 	committer
 	compactor compactor
@@ -74,6 +76,7 @@
 		candidates: candidates{},
 		claims:     loadClaims{},
 		heartbeats: map[string]*workerHeartbeat{},
+		inherited:  inheritedLeases{},
 
 		cancelled: map[string]bool{},
 		changes: map[string]*changeCursor{
@@ -149,6 +152,7 @@
 		t.handOverIfSmall(now)
 		t.handOverIfNotFirst(now)
 	}
+	t.renewInherited(now)
 	if t.loaded && !t.releasing {
 		t.pollDirectory(now)
 		t.pollChanges(now)
