Move another service where a full pool has no room for an interrupted one

Change: one service task, whose step is complete, moves to another worker if the interrupted one then fits in its place; both places are reserved. Jobs are given to the least loaded of five cells in place of three, because a cell that is fuller than others has fewer such moves.

--- a/cellmap/choose.go
+++ b/cellmap/choose.go
@@ -8,10 +8,10 @@
 
 const (
 	// localCandidates and remoteCandidates are the numbers of cells in the own region and
-	// in others that are compared for a job. Two random choices are enough to keep the
+	// in others that are compared for a job. A few random choices are enough to keep the
 	// loads of many cells close to each other.
-	localCandidates  = 2
-	remoteCandidates = 1
+	localCandidates  = 3
+	remoteCandidates = 2
 	// remotePenalty is the difference of the loads, as a share of the capacity, from which
 	// a job goes to another region.
 	remotePenalty = 0.05
--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -77,11 +77,7 @@
 // movable reports whether a service task may be moved while all others of its
 // step serve.
 func (e *Engine) movable(r *Run, now time.Time) bool {
-	t := r.Task
-	if !t.Step.Service || t.Step.Gang || r.State != RunActive || r.stopping || r.Progress < 100 || now.Sub(r.requestedAt) < minServiceStay {
-		return false
-	}
-	return t.Step.MaxUnavailable != 0 && t.unavailableSiblings() == 0
+	return e.relocatable(r) && r.Progress == 100 && now.Sub(r.requestedAt) >= minServiceStay
 }
 
 // bestMove returns the worker of a run's best move, and the gain. Gains are differences
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -116,6 +116,7 @@
 	// bestEffortStarted is set once a best-effort task has been started.
 	bestEffortStarted bool
 	consolidatedAt    time.Time
+	relocatedAt       time.Time // when relocateService last searched
 	adviceInFlight    int
 	// reservedLoad and bestEffortLoad are what the open jobs request, in thousandths of a
 	// core.
--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -19,6 +19,11 @@
 	evictAfter = 1200 * time.Millisecond
 	// reservationTTL bounds how long capacity is reserved for a task that is not started.
 	reservationTTL = 4 * time.Second
+	// relocateInterval is the least time between two searches for a service task to move.
+	relocateInterval = 100 * time.Millisecond
+	// maxRelocateTargets is the number of workers that a task may be moved to, those with
+	// the most free processors.
+	maxRelocateTargets = 16
 	// starvedReportInterval is the interval at which a task that no worker can run is
 	// reported.
 	starvedReportInterval = 5 * time.Second
@@ -81,11 +86,15 @@
 func (e *Engine) makeRoom(t *Task, now time.Time) {
 	if t.reserved == nil {
 		w := e.cheapestToClear(t, now)
-		if w == nil {
+		switch {
+		case w != nil:
+			e.reserve(t, w, now)
+		case e.relocateService(t, now):
+			return
+		default:
 			e.reportStarved(t, now)
 			return
 		}
-		e.reserve(t, w, now)
 	}
 	if now.Sub(t.readyAt) < evictAfter {
 		return
@@ -160,6 +169,54 @@
 	return step.Resources.MilliCPU * int64(lossOfUncheckpointed*(100+r.Progress)) / 100
 }
 
+// relocateService moves a service task from a worker, on which an interrupted one fits
+// then, to one with less free capacity. It reports whether there is such a move. The free
+// capacity of a pool that is full of services is in pieces that are too small for some.
+func (e *Engine) relocateService(t *Task, now time.Time) bool {
+	if now.Sub(e.relocatedAt) < relocateInterval {
+		return false
+	}
+	e.relocatedAt = now
+	targets := e.mostFree()
+	for _, w := range e.workerList {
+		if !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
+			continue
+		}
+		for _, r := range w.sortedRuns() {
+			if !demand(t.Step).Fits(w.freeFor(t).Add(demand(r.Task.Step))) || !e.relocatable(r) {
+				continue
+			}
+			for _, target := range targets {
+				if target != w && e.eligible(r.Task, target, now, nil) {
+					e.reserve(t, w, now)
+					e.reserve(r.Task, target, now)
+					e.move(r, StopForService)
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// relocatable reports whether a service task may be moved while all others of its step
+// serve.
+func (e *Engine) relocatable(r *Run) bool {
+	t := r.Task
+	return t.Step.Service && !t.Step.Gang && r.State == RunActive && !r.stopping && t.reserved == nil &&
+		t.Step.MaxUnavailable != 0 && t.unavailableSiblings() == 0
+}
+
+// mostFree returns the workers with the most free processors.
+func (e *Engine) mostFree() []*Worker {
+	free := func(w *Worker) int64 { return w.free().Sub(w.reservedUse).MilliCPU }
+	sorted := slices.Clone(e.workerList)
+	slices.SortFunc(sorted, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(free(b), free(a)), cmp.Compare(a.Entry.ID, b.Entry.ID))
+	})
+	return sorted[:min(len(sorted), maxRelocateTargets)]
+}
+
 // reportStarved reports a service task that no worker could run, even without its other
 // tasks.
 func (e *Engine) reportStarved(t *Task, now time.Time) {
--- a/dispatch/interrupted_test.go
+++ b/dispatch/interrupted_test.go
@@ -139,6 +139,37 @@
 	is.True(f.now.Sub(interrupted) < 3*time.Second)
 }
 
+// Guards against LOST: the workers that were left after some had been taken away were full
+// of services, with free pieces too small for the interrupted ones (sadaqa-rounds-grown,
+// scale-2).
+func TestFragmentedPoolMovesAnotherService(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 10000, 64000), worker("b", 10000, 64000), worker("c", 6000, 64000))
+	place := func(id string, milliCPU int64, on ...string) {
+		f.Add(spec(id, serviceStep(len(on), milliCPU)), f.now, 0)
+		for i, w := range on {
+			f.start(f.Job(id).occurrences[0].tasks[0][i], f.Worker(w), 1, f.now)
+		}
+	}
+	place("small", 4000, "a", "a")
+	place("large", 6000, "b", "c")
+	f.confirmStarts(f.TakeOutput())
+	f.listAllRunning()
+	f.SetWorkers(f.entries[:2], f.now)
+	f.HandleReplacement("c", f.now)
+	out := f.plan(relocateInterval)
+	is.Equal(len(out.Stops), 1)
+	moved := out.Stops[0]
+	is.Equal(moved.Task.ID.Job, "small")
+	f.HandleStopResponse(moved, nil, f.now, f.now)
+	f.listEnd(moved, 1, port.EndStopped)
+	placed := map[string]string{}
+	for _, r := range f.plan(refusalBackoff).Starts {
+		placed[r.Task.ID.Job] = r.Worker.Entry.ID
+	}
+	is.Equal(placed, map[string]string{"large": "a", "small": "b"})
+}
+
 // A service that was never started waits like other jobs: it displaces nothing.
 func TestNewServiceDisplacesNothing(t *testing.T) {
 	is := is.New(t)
