--- a/explain/explain.go
+++ b/explain/explain.go
@@ -67,8 +67,8 @@
 // Report is the history of one job according to the logs.
 type Report struct {
 	ID string
-	// Events are those of the job, and those of ownerEvents between the job's
-	// first and last event, in order of time.
+	// Events are those of the job, and those of ownerEvents in the job's cell between the
+	// job's first and last event, in order of time.
 	Events []Event
 	// Findings are sentences on the probable causes of the outcome, the most
 	// important first.
@@ -92,6 +92,13 @@
 	return false
 }
 
+// inCell reports whether an event may be about a cell. Events of a whole daemon have no
+// cell, and neither have those of logs written before there were several.
+func (e Event) inCell(cell string) bool {
+	own := e.Fields["cell"]
+	return own == "" || cell == "" || own == cell
+}
+
 // Analyse returns the report on a job. It has no events if the logs do not mention
 // the job.
 func Analyse(events []Event, id string) Report {
@@ -99,9 +106,11 @@
 	slices.SortStableFunc(sorted, func(a, b Event) int { return a.At.Compare(b.At) })
 	report := Report{ID: id}
 	var first, last time.Time
+	cell := ""
 	for _, e := range sorted {
 		if e.concerns(id) {
 			first, last = cmp.Or(first, e.At), e.At
+			cell = cmp.Or(cell, e.Fields["cell"])
 		}
 	}
 	if first.IsZero() {
@@ -109,7 +118,7 @@
 	}
 	for _, e := range sorted {
 		during := !e.At.Before(first) && !e.At.After(last)
-		if e.concerns(id) || during && slices.Contains(ownerEvents, e.Name) {
+		if e.concerns(id) || during && slices.Contains(ownerEvents, e.Name) && e.inCell(cell) {
 			report.Events = append(report.Events, e)
 		}
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -78,3 +78,22 @@
 		})
 	}
 }
+
+// A change of the owner of another cell explains nothing about a job.
+func TestOwnersOfOtherCellsAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	log := `timestamp=2026-12-04T10:00:00Z daemon=a event=job_known job=one cell=2 epoch=3
+timestamp=2026-12-04T10:00:01Z daemon=b event=cell_acquire cell=1 epoch=8
+timestamp=2026-12-04T10:00:02Z daemon=c event=cell_acquire cell=2 epoch=4
+timestamp=2026-12-04T10:00:03Z daemon=c event=woke_up gap_ms=900
+timestamp=2026-12-04T10:00:04Z daemon=c event=job_final job=one cell=2 epoch=4 state=completed known_ms=4000
+`
+	events, skipped, err := Read(strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(skipped, 0)
+	var names []string
+	for _, e := range Analyse(events, "one").Events {
+		names = append(names, e.Daemon+" "+e.Name)
+	}
+	is.Equal(names, []string{"a job_known", "c cell_acquire", "c woke_up", "c job_final"})
+}
