Tell cells what others have learned, and replace members without the store

Causes: each cell learned by itself which images disturb each other, so that its services were disturbed once for each pair; and a cell whose members are refused by the store, but answer other daemons, stayed without an owner.

Change: pairs whose most likely coefficient has become known are told to the other cells through the owner of the lead cell; a cell that has not observed a pair starts from them. Daemons report failing calls to the store; they are the last choice as members, and lose the membership of a cell that has no owner that can commit.

--- a/cellmap/cellmap.go
+++ b/cellmap/cellmap.go
@@ -117,6 +117,8 @@
 	// Reachable is set while the daemon answers the owner of the lead cell, and Stopping
 	// while it shuts down.
 	Reachable, Stopping bool
+	// StoreFailing is set while calls of the daemon to the store fail.
+	StoreFailing bool
 	// Lead is set for the owner of the lead cell.
 	Lead bool
 }
@@ -128,7 +130,8 @@
 type Input struct {
 	Workers []port.WorkerEntry
 	Daemons []Daemon
-	// Owners holds the names of the daemons that report that they own a cell, by number.
+	// Owners holds the names of the daemons that report that they own a cell and can commit,
+	// by number.
 	Owners map[int]string
 	// RegionOf returns the region of a data centre.
 	RegionOf func(dataCentre string) string
--- a/cellmap/cellmap_test.go
+++ b/cellmap/cellmap_test.go
@@ -137,6 +137,31 @@
 	is.Equal(m.Cells[3].Members, members) // maps are immutable
 }
 
+// Guards against a cell that stays without an owner because its members, though reachable,
+// are refused by the store.
+func TestMembersWithoutTheStoreAreReplacedWhenTheOwnerIsLost(t *testing.T) {
+	is := is.New(t)
+	in := input(fleet(45), daemons("d", 20, 800, 200))
+	m := settle(t, nil, in)
+	in.ownedByFirst(m)
+	failing := map[string]bool{}
+	for _, member := range m.Cells[3].Members {
+		failing[member.Name] = true
+	}
+	for i := range in.Daemons {
+		in.Daemons[i].StoreFailing = failing[in.Daemons[i].Name]
+	}
+	_, changed := Update(m, in)
+	is.True(!changed) // while there is an owner, a failing store changes nothing
+	delete(in.Owners, 3)
+	next, changed := Update(m, in)
+	is.True(changed)
+	is.Equal(len(next.Cells[3].Members), membersPerCell)
+	for _, member := range next.Cells[3].Members {
+		is.True(!failing[member.Name])
+	}
+}
+
 // While no daemon can be given a cell, the members stay: they may return.
 func TestMembersStayWhileNoDaemonIsUsable(t *testing.T) {
 	is := is.New(t)
--- a/cellmap/members.go
+++ b/cellmap/members.go
@@ -17,6 +17,8 @@
 	// remoteFactor is the factor by which the load of a cell counts more at a daemon in
 	// another region, because its listings cross the link between them.
 	remoteFactor = 2
+	// storeFailingLoad makes a daemon without the store the last choice.
+	storeFailingLoad = 1e6
 	// rebalanceRatio is the ratio of the loads of two daemons, relative to their
 	// capacities, from which a cell moves to the less loaded one.
 	rebalanceRatio = 2
@@ -71,17 +73,19 @@
 // and moves its owner to the front.
 func (m *Map) dropMembers(n int, in Input, byName map[string]Daemon) {
 	c := &m.Cells[n]
-	usable := slices.ContainsFunc(in.Daemons, Daemon.usable)
+	owner, reported := in.Owners[n]
+	// Without an owner that can commit, the members must reach the store to take over.
+	mayOwn := func(d Daemon) bool { return d.usable() && (reported || !d.StoreFailing) }
+	replaceable := slices.ContainsFunc(in.Daemons, mayOwn)
 	members := slices.DeleteFunc(slices.Clone(c.Members), func(member Member) bool {
 		d, known := byName[member.Name]
-		return usable && (!known || !d.usable())
+		return replaceable && (!known || !mayOwn(d))
 	})
 	for i := range members {
 		if d, known := byName[members[i].Name]; known {
 			members[i].Address = d.Address
 		}
 	}
-	owner, reported := in.Owners[n]
 	if i := slices.IndexFunc(members, func(member Member) bool { return member.Name == owner }); reported && i > 0 {
 		members[0], members[i] = members[i], members[0]
 	}
@@ -126,6 +130,9 @@
 			continue
 		}
 		l := load[d.Name] + share(d, c.Region)
+		if d.StoreFailing {
+			l += storeFailingLoad
+		}
 		if best.Name == "" || l < least || l == least && strings.Compare(d.Name, best.Name) < 0 {
 			best, least = d, l
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -106,7 +106,9 @@
 	// takeoverAt is when ExpectInheritedRuns was called.
 	takeoverAt   time.Time
 	interference interference
-	unplaceable  unplaceable
+	// toldModes are the most likely coefficients that TakeLearned has returned.
+	toldModes   map[imagePair]int
+	unplaceable unplaceable
 	// reservations are the tasks that capacity is reserved for.
 	reservations map[*Task]bool
 	// unknownRunCounts is the number of unknown runs by task name.
@@ -170,6 +172,7 @@
 		uncontacted: map[string]time.Time{},
 
 		interference:     newInterference(),
+		toldModes:        map[imagePair]int{},
 		unplaceable:      unplaceable{},
 		reservations:     map[*Task]bool{},
 		unknownRunCounts: map[string]int{},
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -63,13 +63,16 @@
 type interference struct {
 	// posteriors are the distributions of the pairs' interference coefficients.
 	posteriors map[imagePair]posterior
+	// imported are the posteriors of other cells, from which those of pairs that have not
+	// been observed here start.
+	imported map[imagePair]posterior
 	// baselineTail is a service image's tail without load, relative to the target,
 	// and peakLoad the highest load of its own.
 	baselineTail, peakLoad map[string]float64
 }
 
 func newInterference() interference {
-	return interference{posteriors: map[imagePair]posterior{}, baselineTail: map[string]float64{}, peakLoad: map[string]float64{}}
+	return interference{posteriors: map[imagePair]posterior{}, imported: map[imagePair]posterior{}, baselineTail: map[string]float64{}, peakLoad: map[string]float64{}}
 }
 
 func (i *interference) baselineTailOf(image string) float64 {
@@ -90,12 +93,15 @@
 	return i.baselineTailOf(image) / (1 - min(maxLoad, load))
 }
 
-// posteriorOf returns the posterior of a pair's coefficient, or the prior if the
-// pair has not been observed.
+// posteriorOf returns the posterior of a pair's coefficient. For a pair that has not been
+// observed, it is that of another cell, or the prior.
 func (i *interference) posteriorOf(pair imagePair) posterior {
 	if p, ok := i.posteriors[pair]; ok {
 		return p
 	}
+	if p, ok := i.imported[pair]; ok {
+		return p
+	}
 	return prior
 }
 
--- a/dispatch/learned_test.go
+++ b/dispatch/learned_test.go
@@ -35,3 +35,31 @@
 	is.True(err != nil)
 	is.Equal(e.interference.baselineTailOf("desk"), defaultBaselineTail)
 }
+
+// Guards against services that are disturbed once in every cell until it has learned a
+// heavy pair of images by itself.
+func TestPairsOfOtherCellsAreStartedFrom(t *testing.T) {
+	is := is.New(t)
+	first := NewEngine(testOptions)
+	first.interference.posteriors[imagePair{"desk", "unclear"}] = prior // tells nothing
+	first.interference.posteriors[imagePair{"desk", "heavy"}] = posterior{5: 0.1, 6: 0.9}
+	told := first.TakeLearned()
+	is.Equal(len(told), 1)
+	is.Equal(len(first.TakeLearned()), 0) // nothing new
+	first.TellAllLearned()
+	is.Equal(first.TakeLearned(), told)
+
+	second := NewEngine(testOptions)
+	second.ImportLearned(told)
+	is.True(second.interference.coefficientOf("desk", "heavy") > prior.mean())
+	is.Equal(len(second.TakeLearned()), 0) // what was imported is not told again
+	is.Equal(len(second.Learned().Pairs), 0)
+
+	// What is observed here takes precedence.
+	second.interference.posteriors[imagePair{"desk", "heavy"}] = posterior{0: 1}
+	second.ImportLearned(told)
+	is.Equal(second.interference.coefficientOf("desk", "heavy"), 0.0)
+
+	second.ImportLearned([]LearnedPair{{Service: "desk", BestEffort: "scan", Permille: []int{1000}}})
+	is.Equal(second.interference.coefficientOf("desk", "scan"), prior.mean()) // other coefficients
+}
--- a/internal/cell/group.go
+++ b/internal/cell/group.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/bambooyard/bambooyard/cellmap"
+	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
@@ -62,6 +63,14 @@
 	workersReadAt time.Time
 	workersGrewAt time.Time
 	directories   map[int]*cellDirectory
+
+	// shared is what the owner of the lead cell has been told of the interference of
+	// images. learnedVersion is the version up to which this daemon has been told, in
+	// learnedEpoch of the lead cell; untold are the pairs in the poll that is in flight.
+	shared         sharedPairs
+	learnedVersion uint64
+	learnedEpoch   int64
+	untold         []dispatch.LearnedPair
 }
 
 // groupView is an immutable snapshot for requests.
@@ -72,6 +81,7 @@
 	g := &Group{
 		options: o, cells: map[int]*Cell{}, statuses: map[int]cellStatus{},
 		daemons: map[string]followingDaemon{}, directories: map[int]*cellDirectory{},
+		shared: sharedPairs{versions: map[pairKey]uint64{}, pairs: map[pairKey]dispatch.LearnedPair{}},
 	}
 	g.locations.init()
 	g.lead = New(o.Lead)
--- a/internal/cell/group_test.go
+++ b/internal/cell/group_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bambooyard/bambooyard/cellmap"
+	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
@@ -328,6 +329,47 @@
 	})
 }
 
+// Guards against services that are disturbed once in every cell for each pair of images.
+// The owner of the lead cell changes in between.
+func TestCellsTellEachOtherWhatTheyLearn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 470, 6, halfSecond, nil)
+		defer cl.stopAll()
+		m := cl.awaitCells()
+		time.Sleep(4 * time.Second)
+		learn := func(cell int, image string) {
+			c := cl.ownerOf(cell).group.cell(cell)
+			is.NoErr(c.Loop.Do(context.Background(), func() {
+				is.NoErr(c.term.engine.RestoreLearned(dispatch.Learned{Pairs: []dispatch.LearnedPair{
+					{Service: "desk", BestEffort: image, Permille: []int{0, 0, 0, 0, 0, 0, 1000}},
+				}}))
+			}))
+		}
+		everyCellKnows := func(image string) {
+			t.Helper()
+			time.Sleep(time.Second)
+			for n := range m.Cells {
+				c := cl.ownerOf(n).group.cell(n)
+				is.NoErr(c.Loop.Do(context.Background(), func() {
+					is.True(c.term.engine.Coefficient("desk", image) > 7)
+				}))
+			}
+		}
+		learn(2, "scan")
+		everyCellKnows("scan")
+		learn(cellmap.Lead, "index")
+		everyCellKnows("index")
+		cl.kill(cl.owner())
+		cl.restartMissing()
+		cl.awaitCells()
+		time.Sleep(2 * time.Second)
+		learn(1, "sort")
+		everyCellKnows("sort")
+		everyCellKnows("scan") // the new owner of the lead cell was told again
+	})
+}
+
 func (cl *cluster) restartMissing() {
 	for i := range 6 {
 		if name := fmt.Sprintf("d%d", i); cl.daemons[name] == nil {
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -136,7 +136,7 @@
 	}
 	in.Daemons = append(in.Daemons, g.self())
 	for n, s := range g.statuses {
-		if now.Sub(s.at) < statusTTL {
+		if now.Sub(s.at) < statusTTL && !s.status.GetCommitStale() {
 			in.Owners[n] = s.status.GetOwner()
 		}
 	}
@@ -180,10 +180,12 @@
 	g.daemons[req.GetSender()] = followingDaemon{cellmap.Daemon{
 		Name: req.GetSender(), Address: req.GetAddress(), Region: g.options.RegionOf(req.GetDataCentre()),
 		MilliCPU: int64(req.GetMilliCpu()), LinkMbps: int64(req.GetLinkMbps()), Stopping: req.GetStopping(),
+		StoreFailing: req.GetMilliCpu() > 0 && req.GetCandidateMilliCpu() == 0,
 	}, now}
 	for _, s := range req.GetOwned() {
 		g.recordStatus(s, now)
 	}
+	g.shareLearned(decodePairs(req.GetLearned()), nil)
 }
 
 // recordStatus records what the owner of a cell has told, unless a later owner has.
@@ -220,6 +222,9 @@
 			reply.Statuses = append(reply.Statuses, agedStatus(known.status, age))
 		}
 	}
+	if len(req.GetOwned()) > 0 {
+		reply.Learned, reply.LearnedVersion = g.shared.after(req.GetLearnedVersion())
+	}
 	for _, wanted := range req.GetWorkers() {
 		if d := g.directories[int(wanted.GetCell())]; d != nil {
 			reply.Workers = append(reply.Workers, d.encode(wanted, now))
@@ -231,7 +236,7 @@
 func agedStatus(s *peerpb.CellStatus, age time.Duration) *peerpb.CellStatus {
 	return &peerpb.CellStatus{
 		Cell: s.GetCell(), Epoch: s.GetEpoch(), Owner: s.GetOwner(), Address: s.GetAddress(), Load: s.GetLoad(),
-		Depths: s.GetDepths(), DepthsAgeMs: s.GetDepthsAgeMs() + uint64(max(0, age.Milliseconds())), Loading: s.GetLoading(),
+		CommitStale: s.GetCommitStale(), Depths: s.GetDepths(), DepthsAgeMs: s.GetDepthsAgeMs() + uint64(max(0, age.Milliseconds())), Loading: s.GetLoading(),
 	}
 }
 
@@ -244,6 +249,8 @@
 		return
 	}
 	req.MapVersion = g.cellMap.Version
+	req.LearnedVersion = g.learnedVersion
+	g.tellLearned(req)
 	for _, other := range g.others() {
 		if other.term != nil {
 			req.Owned = append(req.Owned, other.term.status(now))
@@ -266,6 +273,7 @@
 	for _, list := range reply.GetWorkers() {
 		g.receiveWorkers(list, sentAt)
 	}
+	g.receiveLearned(reply)
 }
 
 // observeOwned records the status of the cells that this daemon owns.
@@ -275,13 +283,16 @@
 			g.recordStatus(c.term.status(now), now)
 		}
 	}
+	if g.lead.term != nil && g.cellMap != nil {
+		g.shareOwnLearned()
+	}
 }
 
 // status returns the cell's status at its owner.
 func (t *term) status(now time.Time) *peerpb.CellStatus {
 	s := &peerpb.CellStatus{
 		Cell: uint32(t.c.Number), Epoch: t.epoch, Owner: t.c.Self.Name, Address: t.c.Self.Address,
-		Loading: !t.loaded, Load: t.load(now),
+		Loading: !t.loaded, Load: t.load(now), CommitStale: now.Sub(t.committedAt) > staleCommitAfter,
 	}
 	if t.loaded {
 		s.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
