Reject inconsistent cell maps, and cell numbers out of range

Cause: a row or message of another writer with a rack in a cell that the map lacks would have ended the daemon with an index out of range; a large cell number made it create that cell.

Change: maps are checked when they are decoded; statuses and index rows with unknown cells are ignored or refused with the reason.

Result: TestInconsistentMapsAreRejected, TestMalformedMessagesAndRowsAreSurvived.

--- a/cellmap/cellmap.go
+++ b/cellmap/cellmap.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -60,12 +61,33 @@
 	return value
 }
 
-// Decode decodes the stored form of a map.
+// MapError reports a cell map that is inconsistent.
+type MapError struct {
+	Rack string
+	// Cell is the number of a cell that the map does not have.
+	Cell int
+}
+
+// Error implements error.
+func (e *MapError) Error() string {
+	return fmt.Sprintf("rack %q is in cell %d, which the cell map lacks", e.Rack, e.Cell)
+}
+
+// Decode decodes the stored form of a map. The error is a *MapError or that of the JSON
+// decoder.
 func Decode(value []byte) (*Map, error) {
 	m := &Map{}
 	if err := json.Unmarshal(value, m); err != nil {
 		return nil, err
 	}
+	if len(m.Cells) == 0 {
+		return nil, &MapError{Cell: Lead}
+	}
+	for rack, n := range m.Racks {
+		if n < 0 || n >= len(m.Cells) {
+			return nil, &MapError{rack, n}
+		}
+	}
 	return m, nil
 }
 
--- a/cellmap/cellmap_test.go
+++ b/cellmap/cellmap_test.go
@@ -284,6 +284,17 @@
 	is.True(most-least < 0.12)
 }
 
+// Guards against a daemon that ends because of a malformed row or message.
+func TestInconsistentMapsAreRejected(t *testing.T) {
+	is := is.New(t)
+	for _, value := range []string{
+		``, `[]`, `{}`, `{"cells":[]}`, `{"cells":[{}],"racks":{"r1":1}}`, `{"cells":[{}],"racks":{"r1":-1}}`,
+	} {
+		_, err := Decode([]byte(value))
+		is.True(err != nil)
+	}
+}
+
 func TestJobsGoWhereTheirNeedsAreMet(t *testing.T) {
 	is := is.New(t)
 	workers := fleet(45)
--- a/internal/cell/group.go
+++ b/internal/cell/group.go
@@ -19,6 +19,9 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
+// maxCells bounds the numbers of cells in rows that this daemon reads.
+const maxCells = 10_000
+
 // GroupOptions configure a Group.
 type GroupOptions struct {
 	// Lead are the options of the lead cell. The other cells differ in their numbers,
@@ -321,6 +324,9 @@
 		return g.lead, nil
 	}
 	record, err := decode[jobRecord](row)
+	if err == nil && (record.Cell <= cellmap.Lead || record.Cell >= maxCells) {
+		err = &RowError{tableIndex, id, fmt.Errorf("cell %d is out of range", record.Cell)}
+	}
 	if err != nil {
 		g.lead.Log.WithField("event", "job_row_unreadable").WithError(err).Error("cannot decode the index row of a job; failing the request")
 		return nil, storeError(err, true)
--- a/internal/cell/group_test.go
+++ b/internal/cell/group_test.go
@@ -14,6 +14,7 @@
 	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
@@ -329,6 +330,46 @@
 	})
 }
 
+// Guards against a daemon that ends because of a malformed message of another, or a row
+// of another writer.
+func TestMalformedMessagesAndRowsAreSurvived(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 480, 6, halfSecond, nil)
+		defer cl.stopAll()
+		m := cl.awaitCells()
+		g := cl.daemons[cl.owner()].group
+		status := &peerpb.CellStatus{Cell: 4_000_000_000, Epoch: -1, Owner: "x"}
+		for _, req := range []*peerpb.Request{
+			{},
+			{Kind: &peerpb.Request_Follow{}},
+			{Kind: &peerpb.Request_Follow{Follow: &peerpb.FollowRequest{Sender: "x", Address: "x", DataCentre: "?", Owned: []*peerpb.CellStatus{status, {Cell: 2}}}}},
+			{Kind: &peerpb.Request_Follow{Follow: &peerpb.FollowRequest{Sender: "x", Address: "x", Owned: []*peerpb.CellStatus{status}, Learned: []*peerpb.LearnedPair{{Service: "s", Permille: []uint32{1}}}, Workers: []*peerpb.WorkersVersion{{Cell: 77}}}}},
+			{Kind: &peerpb.Request_News{News: &peerpb.NewsRequest{Cell: 99, Jobs: [][]byte{nil}}}},
+			{Kind: &peerpb.Request_News{News: &peerpb.NewsRequest{Cell: 1, Jobs: [][]byte{[]byte("{")}}}},
+			{Kind: &peerpb.Request_State{State: &peerpb.StateRequest{Cell: 1}}},
+			{Kind: &peerpb.Request_CellLoad{CellLoad: &peerpb.LoadRequest{Cell: 1, ReservedMilliCpu: -1 << 60}}},
+		} {
+			is.True(g.Handle(context.Background(), req) != nil)
+		}
+		is.NoErr(g.lead.Loop.Do(context.Background(), func() {
+			g.receive(&peerpb.FollowReply{
+				Map: []byte("{"), Statuses: []*peerpb.CellStatus{status}, Workers: []*peerpb.CellWorkers{{Cell: 77, Unchanged: true}},
+				Learned: []*peerpb.LearnedPair{{}},
+			}, time.Now())
+		}))
+		for _, value := range []string{"{", `{"cell":-1}`, `{"cell":1000000000}`} {
+			cl.store.Put(tableIndex, g.lead.jobPartition("odd"), "odd", []byte(value))
+			_, err := g.State(context.Background(), "odd")
+			is.True(err != nil)
+		}
+		spec := cl.spec(2)
+		cl.submit("d0", spec)
+		cl.awaitState(spec.ID, job.Completed, 20*time.Second)
+		is.Equal(len(cl.awaitCells().Cells), len(m.Cells))
+	})
+}
+
 // Guards against services that are disturbed once in every cell for each pair of images.
 // The owner of the lead cell changes in between.
 func TestCellsTellEachOtherWhatTheyLearn(t *testing.T) {
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -191,8 +191,11 @@
 // recordStatus records what the owner of a cell has told, unless a later owner has.
 func (g *Group) recordStatus(s *peerpb.CellStatus, at time.Time) {
 	n := int(s.GetCell())
+	if n == cellmap.Lead || g.cellMap == nil || n >= len(g.cellMap.Cells) {
+		return
+	}
 	known, ok := g.statuses[n]
-	if n == cellmap.Lead || ok && (s.GetEpoch() < known.status.GetEpoch() || s.GetEpoch() == known.status.GetEpoch() && at.Before(known.at)) {
+	if ok && (s.GetEpoch() < known.status.GetEpoch() || s.GetEpoch() == known.status.GetEpoch() && at.Before(known.at)) {
 		return
 	}
 	g.statuses[n] = cellStatus{s, at}
