--- a/internal/cell/group_test.go
+++ b/internal/cell/group_test.go
@@ -429,6 +429,19 @@
 	}
 }
 
+// TestDividedHistoriesRegression runs the histories that once failed.
+func TestDividedHistoriesRegression(t *testing.T) {
+	seeds := []uint64{
+		17, 60, // racks moved out of the lead cell whose ends it had not committed
+		35, // the lead cell's owner started tasks in other cells while the first map was being committed
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runDividedHistory(t, seed) })
+		})
+	}
+}
+
 func runDividedHistory(t *testing.T, seed uint64) {
 	work := func(task string) time.Duration {
 		return time.Duration(100+200*(len(task)+int(task[len(task)-1]))%2900) * time.Millisecond
