Prefer the own region less where cells are nearly full

Change: the preference is a share of the free capacity.

The test TestNearlyFullRegionsAreFilledEvenly failed before.

--- a/cellmap/cellmap_test.go
+++ b/cellmap/cellmap_test.go
@@ -295,6 +295,20 @@
 	}
 }
 
+// Guards against LOST: nearly full cells of two regions differed by as much as a job may
+// prefer its own, and services found no worker in the fuller one.
+func TestNearlyFullRegionsAreFilledEvenly(t *testing.T) {
+	is := is.New(t)
+	m := &Map{Cells: []Cell{{Region: "east", MilliCPU: 1e7}, {Region: "west", MilliCPU: 1e7}}}
+	loads := []*Load{{Capacity: 1e7}, {Capacity: 1e7}}
+	d := Demand{Reserved: 1e5}
+	for range 190 { // all callers are in the east
+		loads[m.Choose([]int{0, 1}, loads, d, "east")].Reserved += d.Reserved
+	}
+	is.True(loads[0].with(Demand{}) < 0.97)
+	is.True(loads[1].with(Demand{}) > 0.93)
+}
+
 func TestJobsGoWhereTheirNeedsAreMet(t *testing.T) {
 	is := is.New(t)
 	workers := fleet(45)
--- a/cellmap/choose.go
+++ b/cellmap/choose.go
@@ -12,8 +12,9 @@
 	// loads of many cells close to each other.
 	localCandidates  = 3
 	remoteCandidates = 2
-	// remotePenalty is the difference of the loads, as a share of the capacity, from which
-	// a job goes to another region.
+	// remotePenalty is the difference of the loads, as a share of the free capacity, from
+	// which a job goes to another region. In cells that are nearly full, a job may find no
+	// worker in one and some in the other.
 	remotePenalty = 0.05
 	// bestEffortWeight is the weight of best-effort tasks beside a job that is not
 	// best-effort: they use only processors that are left, but disturb.
@@ -131,7 +132,7 @@
 		}
 		load := loads[i].with(d)
 		if m.Cells[n].Region != region {
-			load += remotePenalty
+			load += remotePenalty * max(0, 1-load)
 		}
 		if best < 0 || load < least {
 			best, least = n, load
