--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -108,7 +108,7 @@
 	// role is the position of this daemon among the cell's members, or -1. In the lead
 	// cell, it is zero.
 	role int
-	// roleSince is when the role, or the cell map, last changed.
+	// roleSince is when the role last changed.
 	roleSince time.Time
 	// reportedOwner is the owner's address as the lead cell's owner has told it.
 	reportedOwner string
