Log and count runs that are given up without a listed end

What operators saw: a run that was lost with its worker left no line behind.

Change: each such run is logged as task_lost with its task, attempt, worker and reason, and counted by reason. Which runs are given up does not change.

Evidence: the tests of dispatch and internal/cell pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -138,6 +138,8 @@
 	// Changed are the jobs whose progress must be committed. The value is true if
 	// a run has ended, and false if the commit may be delayed.
 	Changed map[*Job]bool
+	// Lost are the runs that were given up without a listed end.
+	Lost []LostRun
 	// Finished are the jobs that have become final.
 	Finished []*Job
 	// Starved are interrupted service tasks that no worker can run, even without its
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -143,7 +143,7 @@
 	case RunActive:
 		if sent.After(r.confirmedAt) {
 			if r.missedListings++; r.missedListings >= maxMissedListings {
-				e.markLost(r)
+				e.markLost(r, LossNotListed)
 			}
 		}
 	case RunUnacknowledged:
@@ -152,7 +152,7 @@
 		startAcked := !r.confirmedAt.IsZero() && sent.After(r.confirmedAt)
 		switch {
 		case startExpired || stopAcked || startAcked:
-			e.markLost(r)
+			e.markLost(r, LossNeverListed)
 		case r.stopping && r.stopAckedAt.IsZero():
 			e.stop(r, r.stopReason) // repeat a request that got no response
 		}
--- /dev/null
+++ b/dispatch/loss.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import "time"
+
+// LossReason is why a run was given up although its worker has not listed its end.
+type LossReason string
+
+// Reasons to give up a run.
+const (
+	// LossWorkerRestarted means that a later boot of the worker has answered or is in
+	// the platform's list.
+	LossWorkerRestarted LossReason = "worker_restarted"
+	// LossWorkerGone means that another worker answered at the address, or that the VM
+	// is not up.
+	LossWorkerGone LossReason = "worker_gone"
+	// LossLeaseExpired means that the worker is silent and its lease has expired.
+	LossLeaseExpired LossReason = "lease_expired"
+	// LossNotListed means that the worker no longer lists a run that it has confirmed.
+	LossNotListed LossReason = "not_listed"
+	// LossNeverListed means that a run whose existence was not known does not exist and
+	// can no longer begin.
+	LossNeverListed LossReason = "never_listed"
+)
+
+// LostRun is a run that was given up without a listed end.
+type LostRun struct {
+	Run    *Run
+	Reason LossReason
+}
+
+// markLost gives up a run whose end has not been listed.
+func (e *Engine) markLost(r *Run, reason LossReason) {
+	r.Worker.detach(r)
+	r.Task.readyAt = time.Time{}
+	e.stopGang(r)
+	e.markChanged(r.Task.Job, false)
+	e.out.Lost = append(e.out.Lost, LostRun{r, reason})
+}
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -158,7 +158,7 @@
 	w.backoffUntil = now.Add(replacementBackoff)
 	e.dropUnknownRuns(w, func(runKey) bool { return true })
 	for _, r := range w.sortedRuns() {
-		e.markLost(r)
+		e.markLost(r, LossWorkerGone)
 	}
 }
 
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -223,7 +223,7 @@
 	w.speedHistory = speedHistory{}
 	for _, r := range w.sortedRuns() {
 		if r.listedByBoot {
-			e.markLost(r)
+			e.markLost(r, LossWorkerRestarted)
 			continue
 		}
 		// The request may have reached the new boot, or may still reach it. Its
@@ -292,7 +292,7 @@
 				if r.State == RunStarting || w.ClockMS(now) <= r.notAfterMS {
 					continue
 				}
-				e.markLost(r)
+				e.markLost(r, LossLeaseExpired)
 			}
 		}
 	}
@@ -317,11 +317,3 @@
 		}
 	}
 }
-
-// markLost gives up a run whose end has not been listed.
-func (e *Engine) markLost(r *Run) {
-	r.Worker.detach(r)
-	r.Task.readyAt = time.Time{}
-	e.stopGang(r)
-	e.markChanged(r.Task.Job, false)
-}
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
@@ -79,6 +80,11 @@
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
 	}
+	for _, reason := range []dispatch.LossReason{
+		dispatch.LossWorkerRestarted, dispatch.LossWorkerGone, dispatch.LossLeaseExpired, dispatch.LossNotListed, dispatch.LossNeverListed,
+	} {
+		m.lossCounter(reason)
+	}
 	for _, state := range []job.State{job.Completed, job.Failed, job.Cancelled} {
 		m.finalCounter(state)
 	}
@@ -89,12 +95,18 @@
 	return metrics.GetOrRegisterCounter("cell.tasks_ended."+string(reason), m.registry)
 }
 
+func (m *instruments) lossCounter(reason dispatch.LossReason) metrics.Counter {
+	return metrics.GetOrRegisterCounter("cell.tasks_lost."+string(reason), m.registry)
+}
+
 func (m *instruments) finalCounter(state job.State) metrics.Counter {
 	return metrics.GetOrRegisterCounter("cell.jobs_final."+string(state), m.registry)
 }
 
 func (m *instruments) countEnd(reason port.EndReason) { m.endCounter(reason).Inc(1) }
 
+func (m *instruments) countLost(reason dispatch.LossReason) { m.lossCounter(reason).Inc(1) }
+
 func (m *instruments) countFinal(state job.State) { m.finalCounter(state).Inc(1) }
 
 // observe records a latency in a histogram.
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/port"
 )
 
@@ -72,6 +73,15 @@
 	}
 }
 
+// observeLost logs and counts the runs that were given up.
+func (t *term) observeLost(lost []dispatch.LostRun) {
+	for _, l := range lost {
+		t.c.instruments.countLost(l.Reason)
+		t.log.WithFields(log.Fields{"event": "task_lost", "task": l.Run.Task.ID.String(), "attempt": l.Run.Attempt,
+			"worker": l.Run.Worker.Entry.ID, "reason": string(l.Reason)}).Info("run given up; its worker has not listed its end")
+	}
+}
+
 // observeListing records the result of a listing.
 func (m *instruments) observeListing(latency time.Duration, err error) {
 	if err != nil {
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -232,6 +232,7 @@
 	for j, ended := range out.Changed {
 		t.markDirty(j, ended)
 	}
+	t.observeLost(out.Lost)
 	for _, j := range out.Finished {
 		t.addFinal(j)
 	}
