Read whether VMs of unlisted workers are up after a takeover

What callers would see: after a takeover, tasks of a former owner wait until the longest lease of every worker that may run them has expired, 7 s and more with a lease of 6 s. A worker that had crashed and left the platform's list just before was waited for in full, services included, although the list of VMs shows that it is not up.

Cause: only workers in the platform's list were checked for their VMs.

Change: workers that a former owner's tasks were placed on are checked, listed or not.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -238,7 +238,8 @@
 }
 
 // UnresponsiveFor returns the workers, sorted, that have runs, or may have those of
-// a former owner, and have not answered for at least d.
+// a former owner, and have not answered for at least d. They include workers that the
+// platform no longer lists.
 func (e *Engine) UnresponsiveFor(now time.Time, d time.Duration) []string {
 	var ids []string
 	for id, w := range e.workers {
@@ -247,6 +248,11 @@
 			ids = append(ids, id)
 		}
 	}
+	for id := range e.uncontacted {
+		if e.workers[id] == nil && now.Sub(e.takeoverAt) >= d {
+			ids = append(ids, id)
+		}
+	}
 	slices.Sort(ids)
 	return ids
 }
