Add tests for tasks that crash their workers

Its neighbours, and tasks on workers that crash for other reasons, must not be.

The fake fleet crashes the workers of such tasks, restarts them under the next boot and records starts over the budget.

--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -89,9 +89,15 @@
 
 // newSizedCluster returns a cluster whose daemons have the given capacities.
 func newSizedCluster(t *testing.T, seed uint64, daemons, workers int, work func(task string) time.Duration, fails func(string, int) bool, milliCPU func(name string) int64) *cluster {
+	t.Helper()
+	return newClusterOf(t, seed, daemons, workers, fake.FleetOptions{Now: time.Now, TaskDuration: work, Fails: fails}, milliCPU)
+}
+
+// newClusterOf returns a cluster with a fleet of the given options.
+func newClusterOf(t *testing.T, seed uint64, daemons, workers int, o fake.FleetOptions, milliCPU func(name string) int64) *cluster {
 	t.Helper()
 	cl := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{}, milliCPU: milliCPU}
-	cl.fleet = fake.NewFleet(fake.FleetOptions{Now: time.Now, TaskDuration: work, Fails: fails})
+	cl.fleet = fake.NewFleet(o)
 	for i := range workers {
 		cl.fleet.Add(fmt.Sprintf("w%d", i), "pool", job.Resources{MilliCPU: 8000, MemoryMB: 64000})
 	}
--- /dev/null
+++ b/internal/cell/crash_test.go
@@ -0,0 +1,369 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/fake"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+const (
+	// crashDelay is the time from the start of a task to the crash of its worker, and
+	// crashRestart the time until the worker's next boot.
+	crashDelay   = 300 * time.Millisecond
+	crashRestart = 2 * time.Second
+	// crashPoll is the interval at which a test looks for crashes. It is shorter than any
+	// commit.
+	crashPoll = time.Millisecond
+	// minCrashes is the number of workers that must have crashed under a task before it
+	// may be given up.
+	minCrashes = 2
+	// maxCrashes is the number of crashes of one task for which a test waits, and
+	// crashWait the time after which it takes the task for given up.
+	maxCrashes = 6
+	crashWait  = 20 * time.Second
+	// outage is how long the store is away, and daemonAway a daemon that was killed.
+	outage     = 5 * time.Second
+	daemonAway = time.Second
+	// outcomeWait bounds the time in which jobs end after the last fault.
+	outcomeWait = 90 * time.Second
+)
+
+// crashFleet describes a fleet in which the tasks of crashing jobs crash their workers.
+func crashFleet(work func(task string) time.Duration) fake.FleetOptions {
+	workOrCrash := func(task string) time.Duration {
+		if isCrashing(task) {
+			return longTask(task) // it never ends by itself
+		}
+		return work(task)
+	}
+	return fake.FleetOptions{Now: time.Now, TaskDuration: workOrCrash, CrashOptions: fake.CrashOptions{
+		Crashes: isCrashing, CrashAfter: crashDelay, RestartAfter: crashRestart,
+	}}
+}
+
+const crashingPrefix = "crash-"
+
+func isCrashing(task string) bool { return strings.HasPrefix(task, crashingPrefix) }
+
+// crashingSpec returns a job of one task that crashes its workers.
+func (cl *cluster) crashingSpec() job.Spec {
+	spec := cl.spec(1)
+	spec.ID = crashingPrefix + spec.ID
+	spec.Steps = spec.Steps[:1]
+	return spec
+}
+
+// upTo3Seconds is the duration of a task, by its name.
+func upTo3Seconds(task string) time.Duration {
+	return time.Duration(500+700*(int(task[len(task)-1])%4)) * time.Millisecond
+}
+
+// checkOutcome waits until the jobs end, and checks that crashing jobs, and no others,
+// are given up, and not before two workers have crashed under their tasks.
+func (cl *cluster) checkOutcome(ids []string) {
+	cl.t.Helper()
+	deadline := time.Now().Add(outcomeWait)
+	for _, id := range ids {
+		state := cl.state(id)
+		for !state.Final() && time.Now().Before(deadline) {
+			time.Sleep(200 * time.Millisecond)
+			state = cl.state(id)
+		}
+		want := job.Completed
+		if isCrashing(id) {
+			want = job.Failed
+		}
+		if state != want {
+			cl.t.Errorf("job %s is %q, want %q", id, state, want)
+		}
+		if crashes := cl.fleet.CrashesUnder(id + ".0.0.0"); isCrashing(id) && state == job.Failed && crashes < minCrashes {
+			cl.t.Errorf("job %s was given up after %d crashes", id, crashes)
+		}
+	}
+	cl.check()
+}
+
+// awaitCrashes waits until n workers have been crashed by tasks, and reports whether they
+// were.
+func (cl *cluster) awaitCrashes(n int) bool {
+	for deadline := time.Now().Add(crashWait); time.Now().Before(deadline); time.Sleep(crashPoll) {
+		if cl.fleet.Crashes() >= n {
+			return true
+		}
+	}
+	return false
+}
+
+// killOwnerForAWhile kills the owner of a cell that is not divided, and starts it again.
+func (cl *cluster) killOwnerForAWhile() {
+	name := cl.owner()
+	if name == "" {
+		return
+	}
+	cl.kill(name)
+	time.Sleep(daemonAway)
+	cl.start(name)
+}
+
+// loseStore makes the store unreachable for a while.
+func (cl *cluster) loseStore() {
+	cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultRequestLost })
+	time.Sleep(outage)
+	cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultNone })
+}
+
+// onCrash returns the disturbance of a test, which occurs at the given crashes only.
+func onCrash(disturb func(*cluster), crashes ...int) func(*cluster, int) {
+	return func(cl *cluster, n int) {
+		if slices.Contains(crashes, n) {
+			disturb(cl)
+		}
+	}
+}
+
+// crashVariants are the ways in which workers crash.
+var crashVariants = []struct {
+	name string
+	vary func(o *fake.FleetOptions)
+}{
+	{"confirmed start", func(*fake.FleetOptions) {}},
+	{"unanswered start", func(o *fake.FleetOptions) { o.CrashAfter = 0 }},
+	{"crashed workers stay listed", func(o *fake.FleetOptions) { o.StayListed = true }},
+}
+
+// Guards against BUDGET: a task was started again and again after three workers had
+// crashed under it, also if an owner is lost before it commits a crash.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	killOwner, restartAll, loseStore := (*cluster).killOwnerForAWhile, (*cluster).restartAll, (*cluster).loseStore
+	disturbances := []struct {
+		name    string
+		disturb func(cl *cluster, crashes int)
+	}{
+		{"undisturbed", onCrash(killOwner)},
+		{"owner killed after the first crash", onCrash(killOwner, 1)},
+		{"owner killed after the second crash", onCrash(killOwner, 2)},
+		{"all daemons restarted after the first crash", onCrash(restartAll, 1)},
+		{"all daemons restarted after the second crash", onCrash(restartAll, 2)},
+		{"store away after the first crash", onCrash(loseStore, 1)},
+		{"store away after the second crash", onCrash(loseStore, 2)},
+	}
+	for _, variant := range crashVariants {
+		for i, d := range disturbances {
+			t.Run(variant.name+"/"+d.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { runCrashingJob(t, uint64(500+i), variant.vary, d.disturb) })
+			})
+		}
+	}
+}
+
+// Guards against BUDGET: a task was never given up because each of its owners was lost
+// before it committed the crash.
+func TestTaskIsGivenUpThoughEachCrashLosesItsOwner(t *testing.T) {
+	for _, variant := range crashVariants {
+		t.Run(variant.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runCrashingJob(t, 510, variant.vary, func(cl *cluster, _ int) { cl.killOwnerForAWhile() })
+			})
+		})
+	}
+}
+
+// runCrashingJob runs a crashing job beside others, with a disturbance at each crash, and
+// checks its outcome.
+func runCrashingJob(t *testing.T, seed uint64, vary func(*fake.FleetOptions), disturb func(cl *cluster, crashes int)) {
+	t.Helper()
+	o := crashFleet(upTo3Seconds)
+	vary(&o)
+	cl := newClusterOf(t, seed, 3, 4, o, nil)
+	defer cl.stopAll()
+	owner := cl.awaitOwner()
+	time.Sleep(time.Second)
+	specs := []job.Spec{cl.spec(3), cl.spec(4), cl.crashingSpec(), cl.spec(2), cl.spec(5)}
+	var ids []string
+	for _, spec := range specs {
+		cl.submit(owner, spec)
+		ids = append(ids, spec.ID)
+	}
+	for n := 1; n <= maxCrashes && cl.awaitCrashes(n); n++ {
+		disturb(cl, n)
+	}
+	cl.checkOutcome(ids)
+}
+
+// Guards against innocent jobs that are given up, or never run, because their tasks were
+// lost with workers that other tasks crashed.
+func TestNeighboursOfACrashingTaskComplete(t *testing.T) {
+	const workers, rounds, tasksPerStep = 6, 6, 9 // more tasks than the workers' 48 cores
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newClusterOf(t, 530+seed, 3, workers, crashFleet(upTo3Seconds), nil)
+				defer cl.stopAll()
+				owner := cl.awaitOwner()
+				time.Sleep(time.Second)
+				var ids []string
+				for range rounds {
+					for _, spec := range []job.Spec{cl.spec(tasksPerStep), cl.crashingSpec(), cl.spec(tasksPerStep)} {
+						cl.submit(owner, spec)
+						ids = append(ids, spec.ID)
+					}
+				}
+				cl.checkOutcome(ids)
+			})
+		})
+	}
+}
+
+// Guards against jobs, and services above all, that are given up because their workers
+// crashed for other reasons than their tasks.
+func TestManyCrashedWorkersFailNoJob(t *testing.T) {
+	const seeds = 20
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runWavesOfRestarts(t, seed) })
+		})
+	}
+}
+
+func runWavesOfRestarts(t *testing.T, seed uint64) {
+	const workers, waves, services, serviceTasks, jobs = 9, 8, 3, 2, 8
+	work := func(task string) time.Duration {
+		if strings.HasPrefix(task, "service") {
+			return time.Hour
+		}
+		return upTo3Seconds(task)
+	}
+	is := is.New(t)
+	cl := newClusterOf(t, 540+seed, 3, workers, crashFleet(work), nil)
+	defer cl.stopAll()
+	owner := cl.awaitOwner()
+	time.Sleep(time.Second)
+	var serviceIDs, ids []string
+	for range services {
+		spec := cl.spec(serviceTasks)
+		spec.ID, spec.Steps = "service"+spec.ID, spec.Steps[:1]
+		spec.Steps[0].Service = true
+		cl.submit(owner, spec)
+		serviceIDs = append(serviceIDs, spec.ID)
+	}
+	for range jobs {
+		spec := cl.spec(4)
+		cl.submit(owner, spec)
+		ids = append(ids, spec.ID)
+	}
+	lose := cl.fleet.Restart
+	if seed%2 == 1 {
+		lose = cl.fleet.Crash // it is away for a while
+	}
+	rng := rand.New(rand.NewPCG(seed, 6))
+	for range waves {
+		for _, w := range rng.Perm(workers)[:workers/3] {
+			lose(fmt.Sprintf("w%d", w))
+		}
+		time.Sleep(500*time.Millisecond + time.Duration(rng.IntN(3000))*time.Millisecond)
+	}
+	cl.checkOutcome(ids)
+	time.Sleep(10 * time.Second) // the services run again
+	for _, id := range serviceIDs {
+		is.Equal(cl.state(id), job.Running)
+	}
+	is.Equal(cl.fleet.Running(), services*serviceTasks)
+}
+
+// TestCrashHistories runs histories as TestHistories does, with tasks that crash their
+// workers and frozen daemons. Every job that does not crash workers must complete, and
+// every other one must be given up within the budget.
+func TestCrashHistories(t *testing.T) {
+	n := uint64(*histories+crashHistoryShare-1) / crashHistoryShare
+	for seed := *firstHistory; seed < *firstHistory+n; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runCrashHistory(t, seed) })
+		})
+	}
+}
+
+// crashHistoryShare is the number of histories for each of which one crash history is
+// played.
+const crashHistoryShare = 5
+
+func runCrashHistory(t *testing.T, seed uint64) {
+	const rounds, crashingJobs = 12, 2
+	rng := rand.New(rand.NewPCG(seed, 7))
+	o := crashFleet(upTo3Seconds)
+	o.CrashAfter = time.Duration(rng.IntN(3)) * crashDelay
+	o.StayListed = rng.IntN(2) == 0
+	cl := newClusterOf(t, seed, 3, 5, o, nil)
+	defer cl.stopAll()
+	cl.awaitOwner()
+	var accepted []string
+	for round := range rounds {
+		specs := []job.Spec{cl.spec(1 + rng.IntN(5))}
+		if round < crashingJobs {
+			specs = append(specs, cl.crashingSpec())
+		}
+		for _, spec := range specs {
+			if cl.trySubmit(fmt.Sprintf("d%d", rng.IntN(3)), spec) == nil {
+				accepted = append(accepted, spec.ID)
+			}
+		}
+		if rng.IntN(4) == 0 {
+			cl.freezeOwner(time.Duration(rng.IntN(4000)) * time.Millisecond)
+		}
+		cl.injectFault(rng)
+		time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
+	}
+	cl.clearFaults()
+	cl.checkOutcome(accepted)
+}
+
+// freezeOwner keeps the owner's control loop busy.
+func (cl *cluster) freezeOwner(busy time.Duration) {
+	if d := cl.daemons[cl.owner()]; d != nil {
+		d.loop.Post(func() { time.Sleep(busy) })
+	}
+}
+
+// Guards against BUDGET in a divided cluster, where the owner of the job's cell is lost
+// after the second crash.
+func TestTaskThatCrashesItsWorkersIsGivenUpInADividedCluster(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newDividedClusterOf(t, 560, 6, crashFleet(upTo3Seconds))
+		defer cl.stopAll()
+		cl.awaitCells()
+		time.Sleep(time.Second) // the owners are known to all daemons
+		crashing := cl.crashingSpec()
+		cl.submit("d0", crashing)
+		ids := []string{crashing.ID}
+		for i := range 12 {
+			spec := cl.spec(3)
+			cl.submit(fmt.Sprintf("d%d", i%6), spec)
+			ids = append(ids, spec.ID)
+		}
+		if cl.awaitCrashes(2) {
+			cl.killOwnerOf(crashing.ID)
+		}
+		cl.checkOutcome(ids)
+	})
+}
+
+// killOwnerOf kills the owner of the cell that a job is in.
+func (cl *cluster) killOwnerOf(id string) {
+	cl.t.Helper()
+	c, err := cl.daemons["d0"].group.find(context.Background(), id)
+	if err != nil {
+		cl.t.Fatalf("the cell of job %s: %v", id, err)
+	}
+	if owner := cl.ownerOf(c.Number); owner != nil {
+		cl.kill(owner.name)
+	}
+}
--- a/internal/cell/group_test.go
+++ b/internal/cell/group_test.go
@@ -29,12 +29,18 @@
 
 // newDividedCluster returns a cluster whose daemons divide the workers into cells.
 func newDividedCluster(t *testing.T, seed uint64, daemons int, work func(task string) time.Duration, fails func(string, int) bool) *cluster {
+	t.Helper()
+	return newDividedClusterOf(t, seed, daemons, fake.FleetOptions{Now: time.Now, TaskDuration: work, Fails: fails})
+}
+
+// newDividedClusterOf returns a divided cluster with a fleet of the given options.
+func newDividedClusterOf(t *testing.T, seed uint64, daemons int, o fake.FleetOptions) *cluster {
 	t.Helper()
 	cl := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{},
 		milliCPU: func(string) int64 { return smallMilliCPU }, divided: true,
 	}
-	cl.fleet = fake.NewFleet(fake.FleetOptions{Now: time.Now, TaskDuration: work, Fails: fails})
+	cl.fleet = fake.NewFleet(o)
 	for r := range dividedRacks {
 		for i := range workersPerRack {
 			cl.fleet.AddTo(regionOfRack(r), fmt.Sprintf("r%d", r), fmt.Sprintf("w%d-%d", r, i), "pool", job.Resources{MilliCPU: 8000, MemoryMB: 64000})
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -25,17 +25,19 @@
 	taskDuration func(task string) time.Duration
 	// fails reports whether an attempt fails when it ends.
 	fails      func(task string, attempt int) bool
+	crashing   crashing
 	running    map[string]int  // current runs of a task on live workers
 	done       map[string]bool // tasks whose completion was acknowledged
 	starts     map[string]int
 	violations []string
 }
 
-// FleetOptions describe the tasks that a fleet runs; Fails may be nil.
+// FleetOptions describe the tasks that a fleet runs; Fails and Crashes may be nil.
 type FleetOptions struct {
 	Now          func() time.Time
 	TaskDuration func(task string) time.Duration
 	Fails        func(task string, attempt int) bool
+	CrashOptions
 }
 
 // fleetWorker is one worker of a Fleet, guarded by the fleet's mutex.
@@ -50,6 +52,7 @@
 	lastSequence   int64            // of the last ended task
 	highestAttempt map[string]int   // highest attempt that ended or was stopped, by task
 	dead           bool
+	crashed        bool // dead, and to be restarted
 	unreachable    bool
 	unlisted       bool
 	// startDelay, if not zero, delays start requests and leaves them unanswered.
@@ -70,6 +73,7 @@
 	return &Fleet{
 		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, workers: map[string]*fleetWorker{},
 		running: map[string]int{}, done: map[string]bool{}, starts: map[string]int{},
+		crashing: newCrashing(o.CrashOptions),
 	}
 }
 
@@ -107,9 +111,14 @@
 	defer f.mu.Unlock()
 	w := f.workers[id]
 	w.kill()
+	w.restart()
+}
+
+// restart replaces a dead worker by its next boot.
+func (w *fleetWorker) restart() {
 	entry := w.entry
 	entry.Boot++
-	f.workers[id] = f.newWorker(entry)
+	w.fleet.workers[entry.ID] = w.fleet.newWorker(entry)
 }
 
 // SetUnreachable makes a worker unreachable or reachable again. Its tasks continue.
@@ -197,7 +206,7 @@
 	defer f.mu.Unlock()
 	var entries []port.WorkerEntry
 	for _, w := range f.workers {
-		if !w.dead && !w.unlisted {
+		if !w.unlisted && (!w.dead || w.crashed && f.crashing.StayListed) {
 			entries = append(entries, w.entry)
 		}
 	}
@@ -223,7 +232,7 @@
 
 func (w *fleetWorker) kill() {
 	w.advance()
-	w.dead = true
+	w.dead, w.crashed = true, false
 	for task := range w.runs {
 		w.fleet.running[task]--
 	}
@@ -300,6 +309,9 @@
 	}
 	defer f.mu.Unlock()
 	err = w.start(req)
+	if w.dead {
+		return 0, &port.UnansweredError{Op: "start", Err: errNoResponse}
+	}
 	return w.clock().Milliseconds(), err
 }
 
@@ -332,6 +344,7 @@
 		f.recordViolation("task %s started after its end was acknowledged", req.Task)
 	}
 	w.runs[req.Task] = &fleetRun{attempt: req.Attempt, startedAt: f.now(), endsAt: clock + f.taskDuration(req.Task)}
+	w.scheduleCrash(req.Task)
 	return nil
 }
 
