Give up a task after three workers have crashed under it

Cause: a run that is lost with its worker left nothing behind that decides. Only ends that a worker lists were counted, and the end of a crashed worker's run is never listed. The neighbours of such a task were planned again at the same moment, and followed it to the next worker. Class: a retry without a bound, because only one kind of failure counts.

Change: a crash counts under each run whose worker has ended unexpectedly: a later boot of it, another worker at its address, a VM that is not up. Cuts, planned departures, refused starts and expired leases of living workers do not. After three the task is given up and its job fails. The count is stored with the job's progress, and so is the boot of the worker that runs it, so that a new owner learns of a crash that the former one could not commit. Tasks under which a worker has crashed are kept apart from each other, those with two crashes on a worker without other suspects, so that neighbours do not reach three; a service task that has run for 10 s starts anew. task_given_up and explain tell of it.

Not covered: an owner that is lost at each start before it commits where it started the task (TestTaskIsGivenUpThoughEachStartLosesItsOwner).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -61,6 +61,10 @@
 	// processors in use, in thousandths, for others, as last listed.
 	Measurement float64
 
+	// boot is the worker's boot that the run was started on, as far as it is known.
+	boot int64
+	// crashes is the number of crashes under the task when the run was attached.
+	crashes        int
 	requestedAt    time.Time
 	confirmedAt    time.Time
 	notAfterMS     int64
@@ -113,6 +117,9 @@
 	reservations map[*Task]bool
 	// unknownRunCounts is the number of unknown runs by task name.
 	unknownRunCounts map[string]int
+	// silentRuns are the runs, by worker ID, whose workers have to show whether they
+	// have crashed.
+	silentRuns map[string][]silentRun
 	// planOrder are the jobs with waiting tasks in the order of the last plan.
 	planOrder []*Job
 	// bestEffortStarted is set once a best-effort task has been started.
@@ -140,6 +147,8 @@
 	Changed map[*Job]bool
 	// Lost are the runs that were given up without a listed end.
 	Lost []LostRun
+	// GivenUp are the tasks whose jobs have failed because workers crashed under them.
+	GivenUp []*Task
 	// Finished are the jobs that have become final.
 	Finished []*Job
 	// Starved are interrupted service tasks that no worker can run, even without its
@@ -178,6 +187,7 @@
 		unplaceable:      unplaceable{},
 		reservations:     map[*Task]bool{},
 		unknownRunCounts: map[string]int{},
+		silentRuns:       map[string][]silentRun{},
 
 		out: Output{Changed: map[*Job]bool{}},
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -16,6 +16,8 @@
 	Done     bool
 	Attempt  int // highest attempt number so far
 	Failures []int
+	// Crashes are the attempts under which a worker has crashed.
+	Crashes []int
 	// Checkpoint is the last known one; empty if there is none.
 	Checkpoint string
 	Runs       []*Run
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -29,6 +29,7 @@
 	if l.Boot > w.boot {
 		e.handleNewBoot(w, l.Boot)
 	}
+	e.handleBootAlive(id)
 	w.setClock(l.ClockMS, now)
 	w.markContact(now)
 	if !w.contacted {
@@ -79,7 +80,8 @@
 			e.stop(r, r.stopReason)
 		}
 	}
-	r.missedListings, r.listedByBoot = 0, true
+	r.missedListings, r.listedByBoot, r.boot = 0, true, w.boot
+	e.clearCrashes(r, now)
 	e.recordProgress(r, entry.Percent, now)
 	r.Progress, r.Measurement = entry.Percent, entry.Measurement
 	if entry.Checkpoint != "" && entry.Checkpoint != r.Task.Checkpoint {
@@ -110,7 +112,7 @@
 	if t == nil || t.Done || (len(t.Runs) > 0 && !t.Step.Speculative) {
 		return nil
 	}
-	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Progress: entry.Percent}
+	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Progress: entry.Percent, boot: w.boot}
 	w.attach(r)
 	t.Attempt = max(t.Attempt, entry.Attempt)
 	e.markStarted(t.Job)
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -26,6 +26,8 @@
 type LostRun struct {
 	Run    *Run
 	Reason LossReason
+	// Crashes is the number of workers that have crashed under the task so far.
+	Crashes int
 }
 
 // markLost gives up a run whose end has not been listed.
@@ -34,5 +36,6 @@
 	r.Task.readyAt = time.Time{}
 	e.stopGang(r)
 	e.markChanged(r.Task.Job, false)
-	e.out.Lost = append(e.out.Lost, LostRun{r, reason})
+	e.recordIfCrashed(r, reason)
+	e.out.Lost = append(e.out.Lost, LostRun{r, reason, len(r.Task.Crashes)})
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -82,6 +82,9 @@
 	if w.Entry.Pool != t.Job.Queue.Pool || !w.schedulable(now) {
 		return false
 	}
+	if t.mustAvoid(w, reserved != nil && reserved.count[w] > 0, now) {
+		return false
+	}
 	if t.Step.BestEffort && !e.toleratesBestEffort(t, w, now) {
 		return false
 	}
@@ -159,6 +162,7 @@
 		// Workers with services keep their free capacity for more services.
 		p += bonusServicesTogether
 	}
+	p += crashPenalty(t, w)
 	if w.Entry.ID == t.movedFrom {
 		p += penaltyMovedFrom
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -136,11 +136,16 @@
 		}
 		w := e.chooseWorker(t, tasks, now, nil)
 		if w == nil {
-			e.unplaceable.add(t, now)
+			if !t.keepsApart(now) {
+				e.unplaceable.add(t, now)
+			}
 			e.requestAdvice(t, now)
-			if t.interrupted() {
+			switch {
+			case t.interrupted():
 				e.makeRoom(t, now)
 				continue
+			case t.keepsApart(now):
+				continue
 			}
 			return // the other tasks of the step do not fit either
 		}
@@ -260,7 +265,7 @@
 func (e *Engine) start(t *Task, w *Worker, attempt int, now time.Time) {
 	t.Attempt = attempt
 	r := &Run{
-		Task: t, Worker: w, Attempt: attempt, State: RunStarting, FirstOfJob: !t.Job.requested,
+		Task: t, Worker: w, Attempt: attempt, State: RunStarting, FirstOfJob: !t.Job.requested, boot: w.boot,
 		requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Ticket: e.ticketFor(t, w, now),
 		notAfterMS: w.ClockMS(now) + e.options.StartWindow.Milliseconds(),
 	}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -16,9 +16,12 @@
 	Done       bool   `json:"d,omitempty"`
 	Attempt    int    `json:"a"`
 	Failures   []int  `json:"f,omitempty"`
+	Crashes    []int  `json:"x,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
-	// Worker is where the task was last started; empty if nothing runs.
+	// Worker is where the task was last started; empty if nothing runs. Boot is the
+	// worker's boot at that time.
 	Worker string `json:"w,omitempty"`
+	Boot   int64  `json:"b,omitempty"`
 }
 
 // Progress is the stored state of an open job, for the next owner.
@@ -42,12 +45,12 @@
 		}
 		tp := TaskProgress{
 			Occurrence: t.ID.Occurrence, Step: t.ID.Step, Index: t.ID.Index,
-			Done: t.Done, Attempt: t.Attempt, Failures: t.Failures,
+			Done: t.Done, Attempt: t.Attempt, Failures: t.Failures, Crashes: t.Crashes,
 		}
 		if !t.Done {
 			tp.Checkpoint = t.Checkpoint
 			if len(t.Runs) > 0 {
-				tp.Worker = t.Runs[0].Worker.Entry.ID
+				tp.Worker, tp.Boot = t.Runs[0].Worker.Entry.ID, t.Runs[0].boot
 			}
 		}
 		p.Tasks = append(p.Tasks, tp)
@@ -72,7 +75,7 @@
 			return fmt.Errorf("progress of job %s has unknown task %s", j.Spec.ID, id)
 		}
 		t.Attempt = max(t.Attempt, tp.Attempt)
-		t.Failures = slices.Clone(tp.Failures)
+		t.Failures, t.Crashes = slices.Clone(tp.Failures), slices.Clone(tp.Crashes)
 		t.Checkpoint = tp.Checkpoint
 		t.placedOn = tp.Worker
 		t.hasRun = tp.Attempt > 0
@@ -92,9 +95,30 @@
 	for t := range j.allTasks() {
 		t.Attempt += attemptGap
 	}
+	for _, tp := range p.Tasks {
+		e.restoreBoot(j, tp)
+	}
 	return nil
 }
 
+// restoreBoot counts a crash if the worker on which a former owner last started a task has
+// restarted since, or expects the worker to show that.
+func (e *Engine) restoreBoot(j *Job, tp TaskProgress) {
+	if tp.Boot == 0 || tp.Done {
+		return
+	}
+	id := job.TaskID{Job: j.Spec.ID, Occurrence: tp.Occurrence, Step: tp.Step, Index: tp.Index}
+	run := silentRun{task: id.String(), attempt: tp.Attempt, boot: tp.Boot}
+	w := e.workers[tp.Worker]
+	if w != nil {
+		run.address = w.Entry.Address
+	}
+	e.expectBoot(tp.Worker, run)
+	if w != nil {
+		e.handleBootEnded(tp.Worker, w.boot)
+	}
+}
+
 // ExpectInheritedRuns records that workers may run tasks of a former owner until
 // they are contacted, or until the longest lease has expired on the slowest clock.
 func (e *Engine) ExpectInheritedRuns(ids []string, now time.Time) {
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/bambooyard/bambooyard/internal/port"
@@ -55,6 +56,8 @@
 	}
 	w.markContact(now)
 	if refused.Reason == port.RefusedIncarnation {
+		w.detach(r) // another worker has refused it, so that it has not run
+		e.stopGang(r)
 		e.markReplaced(w, now)
 		return
 	}
@@ -150,12 +153,17 @@
 	delete(e.uncontacted, id)
 	if w := e.workers[id]; w != nil {
 		e.markReplaced(w, now)
+		return
 	}
+	e.handleBootEnded(id, math.MaxInt64)
 }
 
 // markReplaced gives up all runs on a worker whose known boot has ended.
 func (e *Engine) markReplaced(w *Worker, now time.Time) {
 	w.backoffUntil = now.Add(replacementBackoff)
+	if !w.Entry.Draining {
+		e.handleBootEnded(w.Entry.ID, w.boot+1)
+	}
 	e.dropUnknownRuns(w, func(runKey) bool { return true })
 	for _, r := range w.sortedRuns() {
 		e.markLost(r, LossWorkerGone)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -47,6 +47,9 @@
 	recentShares shareAverages
 	serviceLoads map[string]serviceLoad
 	colocation   colocation
+	// suspects is the number of runs of tasks under which a worker has crashed, and
+	// isolatedRuns the number of those that are to run without other suspects.
+	suspects, isolatedRuns int
 	// unansweredStarts is the number of consecutive start requests without response.
 	unansweredStarts int
 	speedHistory     speedHistory
@@ -153,6 +156,8 @@
 	w.runOrder = nil
 	w.used = w.used.Add(demand(r.Task.Step))
 	w.colocation.valid = false
+	r.crashes = len(r.Task.Crashes)
+	w.countSuspect(r, 1)
 	r.Task.addRun(r)
 }
 
@@ -165,6 +170,7 @@
 	w.runOrder = nil
 	w.used = w.used.Sub(demand(r.Task.Step))
 	w.colocation.valid = false
+	w.countSuspect(r, -1)
 	r.Task.removeRun(r)
 }
 
@@ -185,6 +191,7 @@
 		if w == nil {
 			w = &Worker{runs: map[runKey]*Run{}, unknownRuns: map[runKey]trackedUnknownRun{}, serviceLoads: map[string]serviceLoad{}, boot: entry.Boot}
 			e.workers[entry.ID] = w
+			e.handleNewWorker(entry)
 			if now.Before(e.directoryCompleteAt) {
 				e.uncontacted[entry.ID] = e.inheritedRunsDeadline()
 			}
@@ -212,6 +219,10 @@
 // may have reached the new boot, or may still arrive.
 func (e *Engine) handleNewBoot(w *Worker, boot int64) {
 	w.boot = boot
+	if w.Entry.Draining {
+		e.handleBootAlive(w.Entry.ID) // it has left as planned
+	}
+	e.handleBootEnded(w.Entry.ID, boot)
 	w.contacted = false // the new boot knows no epoch and would accept a former owner
 	w.clockAt, w.clockMS = time.Time{}, 0
 	w.lastEnd = 0
@@ -228,6 +239,9 @@
 		}
 		// The request may have reached the new boot, or may still reach it. Its
 		// expiry refers to a clock that no longer exists, so only a stop prevents it.
+		if w.Entry.Draining {
+			r.boot = boot
+		}
 		r.State = RunUnacknowledged
 		r.notAfterMS = math.MaxInt64
 		r.stopInFlight, r.stopAckedAt = false, time.Time{}
@@ -314,6 +328,7 @@
 		return
 	}
 	e.finalJobsCheckedAt = now
+	e.forgetSilentRuns()
 	for id, at := range e.finalJobs {
 		switch {
 		case at.IsZero():
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -122,7 +122,7 @@
 			report.Events = append(report.Events, e)
 		}
 	}
-	report.Findings = slices.Concat(report.refusals(), report.failures(events), report.ownerChanges(), report.longWaits())
+	report.Findings = slices.Concat(report.refusals(), report.crashes(), report.failures(events), report.ownerChanges(), report.longWaits())
 	if len(report.Findings) == 0 {
 		report.Findings = []string{"nothing unusual: " + report.outcome()}
 	}
@@ -150,6 +150,36 @@
 	return findings
 }
 
+// crashes returns a finding for each task that was given up because workers crashed under
+// it, and one for each other task that was lost with its worker.
+func (r Report) crashes() []string {
+	workers := map[string][]string{} // on which runs were lost, by task
+	givenUp := map[string]bool{}
+	var tasks []string
+	for _, e := range r.Events {
+		task := e.Fields["task"]
+		switch e.Name {
+		case "task_lost":
+			if workers[task] == nil {
+				tasks = append(tasks, task)
+			}
+			workers[task] = append(workers[task], e.Fields["worker"])
+		case "task_given_up":
+			givenUp[task] = true
+		}
+	}
+	slices.SortStableFunc(tasks, func(a, b string) int { return len(workers[b]) - len(workers[a]) })
+	var findings []string
+	for _, task := range tasks {
+		lost := fmt.Sprintf("task %s was lost %d times with its worker (%s)", task, len(workers[task]), strings.Join(workers[task], ", "))
+		if givenUp[task] {
+			lost += ", and was given up: it probably crashes the workers that start it"
+		}
+		findings = append(findings, lost)
+	}
+	return findings
+}
+
 // failures returns a finding for each task with failed attempts, by falling number
 // of failures. It attributes them to the workers if many runs of other jobs failed
 // there at about the same time, and to the task otherwise.
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -10,12 +10,13 @@
 )
 
 // TestReports compares the reports on a failed job, on a job whose owner changed
-// and on a refused job with golden files. The logs come from benchmark runs.
+// on a refused job and on one with a task that crashes its workers with golden files. The logs come from benchmark runs.
 func TestReports(t *testing.T) {
 	cases := []struct{ file, id string }{
 		{"failed", "29a42b25b85ed33e"},
 		{"taken-over", "03364cc11cb5fcec"},
 		{"refused", "19ece992f11e619e"},
+		{"crashed", "724eab8b0d62bd0b"},
 	}
 	for _, c := range cases {
 		t.Run(c.file, func(t *testing.T) {
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -40,6 +40,8 @@
 	listingLatency                metrics.Histogram
 	listingsSent, listingsFailed  metrics.Counter
 	depthsAnswered, depthsRefused metrics.Counter
+	// tasksGivenUp counts the tasks under which too many workers have crashed.
+	tasksGivenUp metrics.Counter
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -76,6 +78,7 @@
 		listingLatency: histogram("cell.listing_ms"),
 		depthsAnswered: counter("cell.depths_answered"),
 		depthsRefused:  counter("cell.depths_refused"),
+		tasksGivenUp:   counter("cell.tasks_given_up"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -78,7 +78,17 @@
 	for _, l := range lost {
 		t.c.instruments.countLost(l.Reason)
 		t.log.WithFields(log.Fields{"event": "task_lost", "task": l.Run.Task.ID.String(), "attempt": l.Run.Attempt,
-			"worker": l.Run.Worker.Entry.ID, "reason": string(l.Reason)}).Info("run given up; its worker has not listed its end")
+			"worker": l.Run.Worker.Entry.ID, "reason": string(l.Reason), "crashes": l.Crashes}).Info("run given up; its worker has not listed its end")
+	}
+}
+
+// observeGivenUp logs and counts the tasks that were given up because workers crashed
+// under them.
+func (t *term) observeGivenUp(tasks []*dispatch.Task) {
+	for _, task := range tasks {
+		t.c.instruments.tasksGivenUp.Inc(1)
+		t.log.WithFields(log.Fields{"event": "task_given_up", "task": task.ID.String(), "crashes": len(task.Crashes), "attempt": task.Attempt}).
+			Warn("workers crashed under the task again and again; its job fails")
 	}
 }
 
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -233,6 +233,7 @@
 		t.markDirty(j, ended)
 	}
 	t.observeLost(out.Lost)
+	t.observeGivenUp(out.GivenUp)
 	for _, j := range out.Finished {
 		t.addFinal(j)
 	}
