Give a restarted worker no work before its capacity is known

A worker may start again under its ID as a machine of another kind.

Cause: SetWorkers keeps an entry of an older boot than the known one, and nothing told that it describes another boot. A worker can now be used only when its entry is of the boot that its listings are of.

--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +39,17 @@
 	f.HandleListing(id, l, f.now, f.now)
 }
 
+// listBoot replaces a worker's entry in the list by that of another boot.
+func (f *fixture) listBoot(id string, boot int64) {
+	f.entries = slices.Clone(f.entries)
+	for i := range f.entries {
+		if f.entries[i].ID == id {
+			f.entries[i].Boot = boot
+		}
+	}
+	f.SetWorkers(f.entries, f.now)
+}
+
 // plan advances the clock, runs Plan and returns the engine's output.
 func (f *fixture) plan(after time.Duration) Output {
 	f.now = f.now.Add(after)
@@ -247,6 +259,7 @@
 	f.now = f.now.Add(10 * time.Millisecond)
 	// The second run was confirmed, but not listed: the new boot may have it.
 	f.reportListing("a", port.Listing{Boot: 2, ClockMS: 5, Running: []port.RunningTask{{Task: out.Starts[1].Task.ID.String(), Attempt: 1}}})
+	f.listBoot("a", 2)
 	again := f.plan(0)
 	is.Equal(len(again.Starts), 1)
 	is.Equal(again.Starts[0].Task, first.Task)
@@ -431,6 +444,7 @@
 	f.HandleStopResponse(run, nil, f.now, f.now)
 	f.now = f.now.Add(time.Millisecond)
 	f.reportListing("a", port.Listing{Boot: 2})
+	f.listBoot("a", 2)
 	is.Equal(len(f.plan(5*time.Second).Starts), 1)
 }
 
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -94,9 +94,11 @@
 // schedulable reports whether runs may be started on a worker in its current state.
 func (w *Worker) schedulable(now time.Time) bool {
 	reachable := w.Listed && w.contacted && !w.Entry.Draining && !w.clockAt.IsZero()
+	// Until the list shows the worker's boot, the capacity is that of a former boot.
+	described := w.Entry.Boot == w.boot
 	responsive := w.unansweredSince.IsZero() && !now.Before(w.backoffUntil)
 	// Unknown runs use an unknown amount of resources until they have ended.
-	return reachable && responsive && len(w.unknownRuns) == 0
+	return reachable && described && responsive && len(w.unknownRuns) == 0
 }
 
 // toleratesBestEffort reports whether one more best-effort task keeps the worker's
