Start nothing on capacities that were read too long ago

An owner whose commits succeed and whose reads of the directory time out went on with the last list, however old. The owner of another cell than the lead cell used lists of up to 4 s, plus its poll (0.75 s), plus a read (1 s); a request that is executed at the end of its window adds 1.5 s. An owner that restored a cell counted the list as read when all tables had been read, which may be 12 s later.

A list now keeps the time at which its read began, through the recovery and the lists that the lead cell's owner tells. On workers whose service has not enforcesCapacity, a start expires contactMs (settings, 4 s) after that time, on the slowest clock, and is not sent if that leaves less than 0.7 s. Other services are not affected: their workers refuse what does not fit. A told list is used for 2.5 s rather than 4 s, so that the owner of a cell has read the directory itself before its starts end.

The fake fleet can change capacities, and records starts that exceed one for longer than 5.1 s.

TestNoStartsOnCapacitiesThatWereReadLongAgo fails without the bound (CapacityTTL 0). TestShrunkWorkerHasNoRoomUntilEndsAreListed passed before: it guards what holds.

--- /dev/null
+++ b/dispatch/capacity.go
@@ -0,0 +1,22 @@
+package dispatch
+
+import "time"
+
+// minStartWindow is the least time for which a start request is worth sending: a round trip
+// between regions, and a slow response.
+const minStartWindow = 700 * time.Millisecond
+
+// SetWorkersReadAt records when the read of the list of workers began.
+func (e *Engine) SetWorkersReadAt(at time.Time) { e.workersReadAt = at }
+
+// startWindow returns how long after now a start request of a task may be executed, on the
+// worker's clock. A request may arrive late, so that it must expire with the capacities that
+// it relies on.
+func (e *Engine) startWindow(t *Task, now time.Time) time.Duration {
+	window := e.options.StartWindow
+	if e.options.CapacityTTL > 0 && !t.Job.Queue.GuardsCapacity {
+		left := e.options.CapacityTTL - now.Sub(e.workersReadAt)
+		window = min(window, time.Duration(clockRate*float64(left)))
+	}
+	return window
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -21,6 +21,10 @@
 	// MaxViolation is how long a service may exceed its latency target because of
 	// colocated tasks.
 	MaxViolation time.Duration
+	// CapacityTTL is how long after the read of the list of workers a start may begin on a
+	// worker that does not guard its capacity, which may have shrunk since. Zero means no
+	// bound.
+	CapacityTTL time.Duration
 }
 
 // clockRate is the lowest rate of a worker's clock relative to the owner's; the
@@ -100,6 +104,8 @@
 	uncontacted map[string]time.Time
 	// jobsKnownAt is the time before which all accepted jobs are known.
 	jobsKnownAt time.Time
+	// workersReadAt is when the read of the list of workers began.
+	workersReadAt time.Time
 	// directoryCompleteAt is the time until which the list of workers may lack workers
 	// that run tasks of a former owner.
 	directoryCompleteAt time.Time
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -79,7 +79,7 @@
 
 // suits reports whether a worker may run a task when it has capacity for it.
 func (e *Engine) suits(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
-	if w.Entry.Pool != t.Job.Queue.Pool || !w.schedulable(now) {
+	if w.Entry.Pool != t.Job.Queue.Pool || !w.schedulable(now) || e.startWindow(t, now) < min(minStartWindow, e.options.StartWindow) {
 		return false
 	}
 	if t.Step.BestEffort && !e.toleratesBestEffort(t, w, now) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -262,7 +262,7 @@
 	r := &Run{
 		Task: t, Worker: w, Attempt: attempt, State: RunStarting, FirstOfJob: !t.Job.requested,
 		requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Ticket: e.ticketFor(t, w, now),
-		notAfterMS: w.ClockMS(now) + e.options.StartWindow.Milliseconds(),
+		notAfterMS: w.ClockMS(now) + e.startWindow(t, now).Milliseconds(),
 	}
 	// A start extends the worker's lease as a renewal does.
 	w.leaseUntilMS = max(w.leaseUntilMS, r.notAfterMS)
--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -274,7 +274,7 @@
 			data.progress.Rows = append(data.progress.Rows, port.Row{Table: tableProgress, Key: spec.ID, Value: encode(progress), Version: 1})
 		}
 	}
-	data.workers, _ = newBenchFleet(benchFleetSize, benchTaskDuration).List(b.Context())
+	data.workers.workers, _ = newBenchFleet(benchFleetSize, benchTaskDuration).List(b.Context())
 	b.ReportAllocs()
 	for b.Loop() {
 		c := New(Options{Log: &log.Logger{Handler: discard.New()}, Now: time.Now, Wall: time.Now})
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -18,11 +18,11 @@
 		return
 	}
 	t.directoryReadInFlight, t.directoryPolledAt = true, now
-	runAsync(t, storeTimeout, t.c.Directory.List, func(list []port.WorkerEntry, err error) {
+	runAsync(t, storeTimeout, t.c.listWorkers, func(list workerList, err error) {
 		t.directoryReadInFlight = false
 		t.c.recordStoreResult(err, t.c.Now())
 		if err == nil {
-			t.engine.SetWorkers(t.ownWorkers(list, now), t.c.Now())
+			t.setWorkers(list)
 			t.schedulePlan()
 		}
 	})
@@ -43,14 +43,22 @@
 
 // ownWorkers returns the workers of the cell. The lead cell's owner reads those of all
 // cells, and tells the other owners theirs.
-func (t *term) ownWorkers(list []port.WorkerEntry, readAt time.Time) []port.WorkerEntry {
+func (t *term) ownWorkers(list workerList) []port.WorkerEntry {
 	if t.c.group == nil || !t.c.isLead() {
-		return list
+		return list.workers
 	}
-	t.c.group.setWorkers(list, readAt)
+	t.c.group.setWorkers(list.workers, list.readAt)
 	return t.leadWorkers()
 }
 
+// setWorkers applies a list of the cell's workers or, in the lead cell, of all workers.
+func (t *term) setWorkers(list workerList) []port.WorkerEntry {
+	own := t.ownWorkers(list)
+	t.engine.SetWorkers(own, t.c.Now())
+	t.engine.SetWorkersReadAt(list.readAt)
+	return own
+}
+
 // changeCursor is the position up to which the changes of a table have been read.
 type changeCursor struct {
 	version  int64
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -46,6 +46,8 @@
 	milliCPU func(name string) int64
 	// divided is set if the daemons divide the workers into cells.
 	divided bool
+	// storedDirectory is set if the directory is read from the store, with its faults.
+	storedDirectory bool
 	// logTo receives the events of daemons that are started after it is set; it may
 	// be nil.
 	logTo log.Handler
@@ -123,12 +125,15 @@
 		Configs: clusterConfig{cl, d},
 		Peers:   clusterPeers{cl, d},
 		Log:     cl.logger(name),
-		Engine:  dispatch.Options{MaxLease: 6 * time.Second, StartWindow: 1500 * time.Millisecond, MaxViolation: 4 * time.Second},
+		Engine:  dispatch.Options{MaxLease: 6 * time.Second, StartWindow: 1500 * time.Millisecond, MaxViolation: 4 * time.Second, CapacityTTL: 4 * time.Second},
 		Lease:   4500 * time.Millisecond, Retention: 4 * time.Minute,
 		Now: time.Now, Wall: time.Now,
 		Uptime: func() time.Duration { return time.Since(began) + time.Duration(d.suspended.Load()) },
 		Random: rng.Float64,
 	}
+	if cl.storedDirectory {
+		options.Directory = storedDirectory{cl, d}
+	}
 	if cl.divided {
 		d.group = newDividedGroup(name, options)
 		d.cell = d.group.lead
--- a/internal/cell/directory.go
+++ b/internal/cell/directory.go
@@ -12,8 +12,9 @@
 )
 
 // directoryTTL is how long a list of workers that the lead cell's owner has told is used.
-// After that, the owner of a cell reads the directory itself.
-const directoryTTL = 4 * time.Second
+// After that, the owner of a cell reads the directory itself: it must have done so before
+// the capacities in the list are too old for starts, at 4 s.
+const directoryTTL = 2500 * time.Millisecond
 
 // cellDirectory is the list of the workers of one cell.
 type cellDirectory struct {
@@ -148,9 +149,25 @@
 	cell int
 }
 
-// List implements port.Directory. It returns the list that the lead cell's owner has told,
-// or reads the directory if there is no recent one.
+// List implements port.Directory.
 func (d groupDirectory) List(ctx context.Context) ([]port.WorkerEntry, error) {
+	list, err := d.list(ctx)
+	return list.workers, err
+}
+
+// listWorkers reads the list of the cell's workers or, in the lead cell, of all workers.
+func (c *Cell) listWorkers(ctx context.Context) (workerList, error) {
+	if d, ok := c.Directory.(groupDirectory); ok {
+		return d.list(ctx)
+	}
+	began := c.Now()
+	workers, err := c.Directory.List(ctx)
+	return workerList{workers, began}, err
+}
+
+// list returns the list that the lead cell's owner has told, or reads the directory if there
+// is no recent one.
+func (d groupDirectory) list(ctx context.Context) (workerList, error) {
 	var list *workerList
 	var m *cellmap.Map
 	err := d.g.lead.Loop.Do(ctx, func() {
@@ -160,15 +177,15 @@
 		}
 	})
 	if err != nil {
-		return nil, err
+		return workerList{}, err
 	}
 	if list != nil && d.g.lead.Now().Sub(list.readAt) < directoryTTL {
-		return list.workers, nil
+		return *list, nil
 	}
 	began := d.g.lead.Now()
 	all, err := d.g.options.Lead.Directory.List(ctx)
 	if err != nil {
-		return nil, err
+		return workerList{}, err
 	}
 	var own []port.WorkerEntry
 	for _, w := range all {
@@ -177,7 +194,7 @@
 		}
 	}
 	d.g.lead.Loop.Post(func() { d.g.keepOwnRead(d.cell, own, began) })
-	return own, nil
+	return workerList{own, began}, nil
 }
 
 // keepOwnRead keeps a list that this daemon has read, so that it is not read again soon,
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -17,7 +17,7 @@
 // recoveryData is the state of former owners in the store, and the workers.
 type recoveryData struct {
 	jobs, cancels, progress, outcomes, learned, cellMap port.Page
-	workers                                             []port.WorkerEntry
+	workers                                             workerList
 }
 
 // Timeouts and delays of the recovery.
@@ -52,7 +52,7 @@
 		t.jobsReadAt = began
 		t.restore(data, now)
 		observe(t.c.instruments.recoveryReadLatency, now.Sub(began))
-		t.log.WithFields(log.Fields{"event": "recovery_read", "jobs": len(t.engine.Jobs()), "workers": len(data.workers),
+		t.log.WithFields(log.Fields{"event": "recovery_read", "jobs": len(t.engine.Jobs()), "workers": len(data.workers.workers),
 			"took_ms": now.Sub(began).Milliseconds()}).Info("state of former owners restored")
 		t.schedulePlan()
 	})
@@ -102,19 +102,19 @@
 // renew the leases of the cell's workers.
 func (t *term) readWorkers(ctx context.Context, data *recoveryData) func() error {
 	readMap := readInto(ctx, t, tableMap, &data.cellMap, t.c.readMap)
-	readList := readInto(ctx, t, "workers", &data.workers, t.c.Directory.List)
+	readList := readInto(ctx, t, "workers", &data.workers, t.c.listWorkers)
 	return func() error {
 		if err := errors.Join(readMap(), readList()); err != nil {
 			return err
 		}
-		began, cellMap, workers := t.c.Now(), data.cellMap, data.workers
+		cellMap, workers := data.cellMap, data.workers
 		t.c.Loop.Post(func() {
 			if t.ended || t.loaded {
 				return
 			}
 			// Without the map, the lead cell's owner would call the workers of other cells.
 			t.restoreMap(cellMap)
-			t.inherited.set(t.ownWorkers(workers, began))
+			t.inherited.set(t.ownWorkers(workers))
 			t.renewInherited(t.c.Now())
 		})
 		return nil
@@ -156,8 +156,7 @@
 // restore initialises the engine from the state of former owners.
 func (t *term) restore(data recoveryData, now time.Time) {
 	t.restoreMap(data.cellMap)
-	workers := t.ownWorkers(data.workers, now)
-	t.engine.SetWorkers(workers, now)
+	workers := t.setWorkers(data.workers)
 	t.restoreOutcomes(data.outcomes, now)
 	t.restoreLearned(data.learned)
 	progress := map[string]port.Row{}
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -24,18 +24,23 @@
 	// taskDuration returns how long a task runs, by its ID.
 	taskDuration func(task string) time.Duration
 	// fails reports whether an attempt fails when it ends.
-	fails      func(task string, attempt int) bool
+	fails func(task string, attempt int) bool
+	// demand returns what a task counts against its worker's capacity; nil if that is not
+	// checked.
+	demand     func(task string) job.Resources
 	running    map[string]int  // current runs of a task on live workers
 	done       map[string]bool // tasks whose completion was acknowledged
 	starts     map[string]int
 	violations []string
 }
 
-// FleetOptions describe the tasks that a fleet runs; Fails may be nil.
+// FleetOptions describe the tasks that a fleet runs; Fails may be nil. If Demand is nil,
+// the capacities of workers are not checked.
 type FleetOptions struct {
 	Now          func() time.Time
 	TaskDuration func(task string) time.Duration
 	Fails        func(task string, attempt int) bool
+	Demand       func(task string) job.Resources
 }
 
 // fleetWorker is one worker of a Fleet, guarded by the fleet's mutex.
@@ -54,6 +59,9 @@
 	unlisted       bool
 	// startDelay, if not zero, delays start requests and leaves them unanswered.
 	startDelay time.Duration
+	// capacities are the capacities that the worker has had, in order; empty if it has had
+	// only one.
+	capacities []capacityChange
 }
 
 type fleetRun struct {
@@ -68,7 +76,7 @@
 		o.Fails = func(string, int) bool { return false }
 	}
 	return &Fleet{
-		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, workers: map[string]*fleetWorker{},
+		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, demand: o.Demand, workers: map[string]*fleetWorker{},
 		running: map[string]int{}, done: map[string]bool{}, starts: map[string]int{},
 	}
 }
@@ -332,6 +340,7 @@
 		f.recordViolation("task %s started after its end was acknowledged", req.Task)
 	}
 	w.runs[req.Task] = &fleetRun{attempt: req.Attempt, startedAt: f.now(), endsAt: clock + f.taskDuration(req.Task)}
+	w.checkCapacity(req.Task)
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,7 +127,7 @@
 		Log:       logger,
 		Metrics:   registry,
 		MilliCPU:  s.MilliCPU,
-		Engine:    dispatch.Options{MaxLease: s.MaxLease, StartWindow: startWindow, MaxViolation: s.MaxViolation},
+		Engine:    dispatch.Options{MaxLease: s.MaxLease, StartWindow: startWindow, MaxViolation: s.MaxViolation, CapacityTTL: s.ContactTime},
 		Lease:     min(defaultLease, s.MaxLease),
 		Retention: retentionFactor * s.StatusRetention,
 		Now:       time.Now,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -48,6 +48,9 @@
 	// MaxViolation is how long a service may exceed its latency target because of
 	// interference by other work.
 	MaxViolation time.Duration
+	// ContactTime is the time within which a change that the platform shows must be taken
+	// into account.
+	ContactTime time.Duration
 }
 
 // Check returns all invalid settings, joined; each is an *Error.
--- a/job/job.go
+++ b/job/job.go
@@ -198,6 +198,9 @@
 	Name string
 	// Pool is the name of the worker pool that runs the queue's tasks.
 	Pool string
+	// GuardsCapacity is set if the pool's workers refuse tasks that do not fit. Others run
+	// whatever they are told to.
+	GuardsCapacity bool
 	// Priority orders the queues; zero is the highest.
 	Priority int
 	// MaxAttempts bounds the failed attempts of a task; zero means no limit.
