Keep the later list of workers when the lead cell's owner changes

Versions of different owners were compared: where a wall clock is behind, two owners, or an owner and a daemon that has read the list itself, gave the same version to different lists. An old list was then told to be unchanged, with the age of the newer one (LIMIT, and starts on workers that are gone).

Cause: a version started from the wall clock to differ from those of former owners, which that does not ensure, and the time of the read was not compared.

A list is now identified by the epoch of the owner that has read it and a version within it. Lists of one owner are applied by version. Between owners, and against own reads, the one with the later time of read (by its age) stays, and no version is claimed for the other. An owner tells only lists that it has read in its epoch, takes no version of another epoch for its own, and tells none that is too old to be used.

--- a/internal/cell/directory.go
+++ b/internal/cell/directory.go
@@ -18,8 +18,10 @@
 
 // cellDirectory is the list of the workers of one cell.
 type cellDirectory struct {
-	// version increases with every change, within one owner of the lead cell.
+	// version increases with every change, within one owner of the lead cell, whose epoch is
+	// epoch. The epoch is zero for a list that is not one of such an owner.
 	version uint64
+	epoch   int64
 	// current is read on any goroutine.
 	current atomic.Pointer[workerList]
 }
@@ -53,30 +55,33 @@
 	}
 	if g.cellMap != nil {
 		for n := range g.cellMap.Cells {
-			g.setDirectory(n, byCell[n], g.workersReadAt, 0)
+			g.setOwnRead(n, byCell[n])
 		}
 	} else {
-		g.setDirectory(cellmap.Lead, byCell[cellmap.Lead], g.workersReadAt, 0)
+		g.setOwnRead(cellmap.Lead, byCell[cellmap.Lead])
 	}
 }
 
-// setDirectory replaces the list of a cell's workers. A version of zero means that the
-// list was read here, so that its version increases if it has changed.
-func (g *Group) setDirectory(n int, workers []port.WorkerEntry, readAt time.Time, version uint64) {
+// setOwnRead replaces the list of a cell's workers by what the owner of the lead cell has
+// read. A change increases the version.
+func (g *Group) setOwnRead(n int, workers []port.WorkerEntry) {
+	d, epoch := g.directory(n), g.lead.term.epoch
+	known := d.current.Load()
+	if d.epoch != epoch || known == nil || !reflect.DeepEqual(known.workers, workers) {
+		d.version++
+	}
+	d.epoch = epoch
+	d.current.Store(&workerList{workers, g.workersReadAt})
+}
+
+// directory returns the list of a cell's workers, which may be empty.
+func (g *Group) directory(n int) *cellDirectory {
 	d := g.directories[n]
 	if d == nil {
 		d = &cellDirectory{}
 		g.directories[n] = d
 	}
-	known := d.current.Load()
-	switch {
-	case version > 0:
-		d.version = version
-	case known == nil || !reflect.DeepEqual(known.workers, workers):
-		// The versions of an owner must differ from those of former owners.
-		d.version = max(d.version+1, uint64(g.lead.Wall().UnixMilli()))
-	}
-	d.current.Store(&workerList{workers, readAt})
+	return d
 }
 
 // workersOf returns the workers of a cell.
@@ -87,15 +92,33 @@
 	return nil
 }
 
-func (g *Group) directoryVersion(n int) uint64 {
-	if d := g.directories[n]; d != nil {
+// directoryVersion returns the version of a cell's list that the owner of the lead cell in an
+// epoch has told; zero if the list is not one of those.
+func (g *Group) directoryVersion(n int, epoch int64) uint64 {
+	if d := g.directories[n]; d != nil && d.epoch == epoch {
 		return d.version
 	}
 	return 0
 }
 
-// encode returns the list for a daemon that has the version wanted, or only its age if
-// that is the current one.
+// tellWorkers adds to a reply the lists of workers that a daemon wants. Older ones are of no
+// use to it.
+func (g *Group) tellWorkers(req *peerpb.FollowRequest, reply *peerpb.FollowReply, now time.Time) {
+	epoch := g.lead.term.epoch
+	for _, wanted := range req.GetWorkers() {
+		d := g.directories[int(wanted.GetCell())]
+		if d == nil || d.epoch != epoch || now.Sub(d.current.Load().readAt) >= directoryTTL {
+			continue
+		}
+		if req.GetEpoch() != epoch {
+			wanted = &peerpb.WorkersVersion{Cell: wanted.GetCell()} // a version of another owner
+		}
+		reply.Workers = append(reply.Workers, d.encode(wanted, now))
+	}
+}
+
+// encode returns the list for a daemon that has the version wanted of this owner, or only its
+// age if that is the current one.
 func (d *cellDirectory) encode(wanted *peerpb.WorkersVersion, now time.Time) *peerpb.CellWorkers {
 	list := d.current.Load()
 	encoded := &peerpb.CellWorkers{
@@ -116,20 +139,32 @@
 	return encoded
 }
 
-// receiveWorkers applies a list of workers from a reply to a poll that was sent at a time.
-func (g *Group) receiveWorkers(list *peerpb.CellWorkers, sentAt time.Time) {
+// receiveWorkers applies a list of workers from a reply to a poll that was sent at a time. An
+// owner tells its lists in the order in which it has read them. Of those of different owners,
+// and those that this daemon has read, the later one is kept.
+func (g *Group) receiveWorkers(list *peerpb.CellWorkers, epoch int64, sentAt time.Time) {
 	n, readAt := int(list.GetCell()), sentAt.Add(-milliseconds(list.GetAgeMs()))
+	d := g.directory(n)
+	known := d.current.Load()
 	if list.GetUnchanged() {
-		if list.GetVersion() == g.directoryVersion(n) {
-			g.setDirectory(n, g.workersOf(n), readAt, list.GetVersion())
+		if known != nil && d.epoch == epoch && d.version == list.GetVersion() && readAt.After(known.readAt) {
+			d.current.Store(&workerList{known.workers, readAt})
 		}
 		return
 	}
+	if known != nil && (d.epoch != epoch || list.GetVersion() <= d.version) && !readAt.After(known.readAt) {
+		return
+	}
+	d.version, d.epoch = list.GetVersion(), epoch
+	d.current.Store(&workerList{decodeWorkers(list), readAt})
+}
+
+func decodeWorkers(list *peerpb.CellWorkers) []port.WorkerEntry {
 	workers := make([]port.WorkerEntry, 0, len(list.GetWorkers()))
 	for _, w := range list.GetWorkers() {
 		workers = append(workers, decodeWorkerEntry(w))
 	}
-	g.setDirectory(n, workers, readAt, list.GetVersion())
+	return workers
 }
 
 func decodeWorkerEntry(w *peerpb.WorkerEntry) port.WorkerEntry {
@@ -198,10 +233,12 @@
 }
 
 // keepOwnRead keeps a list that this daemon has read, so that it is not read again soon,
-// unless the lead cell's owner has told a later one.
+// unless a later one is known.
 func (g *Group) keepOwnRead(n int, workers []port.WorkerEntry, readAt time.Time) {
-	if d := g.directories[n]; d != nil && d.current.Load() != nil && !readAt.After(d.current.Load().readAt) {
+	d := g.directory(n)
+	if known := d.current.Load(); known != nil && !readAt.After(known.readAt) {
 		return
 	}
-	g.setDirectory(n, workers, readAt, 0)
+	d.epoch = 0 // the version stays, because an owner must not use it again
+	d.current.Store(&workerList{workers, readAt})
 }
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -228,11 +228,7 @@
 	if len(req.GetOwned()) > 0 {
 		reply.Learned, reply.LearnedVersion = g.shared.after(req.GetLearnedVersion())
 	}
-	for _, wanted := range req.GetWorkers() {
-		if d := g.directories[int(wanted.GetCell())]; d != nil {
-			reply.Workers = append(reply.Workers, d.encode(wanted, now))
-		}
-	}
+	g.tellWorkers(req, reply, now)
 }
 
 // agedStatus returns a copy of a status that was received some time ago.
@@ -259,7 +255,7 @@
 			req.Owned = append(req.Owned, other.term.status(now))
 		}
 		if other.role >= 0 || other.term != nil {
-			req.Workers = append(req.Workers, &peerpb.WorkersVersion{Cell: uint32(other.Number), Version: g.directoryVersion(other.Number)})
+			req.Workers = append(req.Workers, &peerpb.WorkersVersion{Cell: uint32(other.Number), Version: g.directoryVersion(other.Number, c.link.epoch)})
 		}
 	}
 }
@@ -274,7 +270,7 @@
 		g.recordStatus(s, sentAt)
 	}
 	for _, list := range reply.GetWorkers() {
-		g.receiveWorkers(list, sentAt)
+		g.receiveWorkers(list, reply.GetEpoch(), sentAt)
 	}
 	g.receiveLearned(reply)
 }
