Count the time of a suspension in the age of lists of workers

The monotonic clock stands still while a VM is suspended. After a suspension that is too short for a takeover, the owner's list of workers, the lists that it tells, and those that it has been told seemed younger by its length, and so did a read or a poll that was in flight.

A detected suspension, by the difference between the uptime and the monotonic clock, now makes all known lists older by its length, and the results of calls that were in flight. Ages of configurations and queue depths in a reply to a poll are corrected by the same line.

TestListsOfWorkersAgeWhileTheVMIsSuspended fails without ageDirectories (a list was 0.5 s old after 1.3 s).

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -9,6 +9,9 @@
 // SetWorkersReadAt records when the read of the list of workers began.
 func (e *Engine) SetWorkersReadAt(at time.Time) { e.workersReadAt = at }
 
+// AgeWorkers makes the list of workers older, by a time in which the clock stood still.
+func (e *Engine) AgeWorkers(by time.Duration) { e.workersReadAt = e.workersReadAt.Add(-by) }
+
 // startWindow returns how long after now a start request of a task may be executed, on the
 // worker's clock. A request may arrive late, so that it must expire with the capacities that
 // it relies on.
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -146,7 +146,9 @@
 	stallCheckedAt time.Time
 	lastUptime     time.Duration
 	suspensions    int // number of suspensions of the VM
-	loopDelay      loopDelay
+	// suspendedFor is the sum of their durations, by which the monotonic clock is behind.
+	suspendedFor time.Duration
+	loopDelay    loopDelay
 
 	view        atomic.Pointer[View]
 	jobStates   jobStateCache
@@ -266,9 +268,25 @@
 		return
 	}
 	c.suspensions++
+	c.suspendedFor += passed - paused
 	if c.term != nil {
 		c.term.unconfirmed, c.term.suspended = true, true
+		c.term.engine.AgeWorkers(passed - paused)
 	}
+	switch {
+	case c.group == nil:
+	case c.isLead():
+		c.group.ageDirectories(passed - paused)
+	default:
+		c.group.lead.checkStall(now) // before the lists of the group are used
+	}
+}
+
+// suspendedSince returns for how long the VM has been suspended since suspendedFor had a
+// value.
+func (c *Cell) suspendedSince(before time.Duration) time.Duration {
+	c.checkStall(c.Now())
+	return c.suspendedFor - before
 }
 
 // recordStoreResult records whether the store has answered a call. A refusal with
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -18,10 +18,12 @@
 		return
 	}
 	t.directoryReadInFlight, t.directoryPolledAt = true, now
+	suspended := t.c.suspendedFor
 	runAsync(t, storeTimeout, t.c.listWorkers, func(list workerList, err error) {
 		t.directoryReadInFlight = false
 		t.c.recordStoreResult(err, t.c.Now())
 		if err == nil {
+			list.readAt = list.readAt.Add(-t.c.suspendedSince(suspended))
 			t.setWorkers(list)
 			t.schedulePlan()
 		}
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -76,6 +76,9 @@
 	// suspended is the time for which the VM was suspended, in nanoseconds: it counts as
 	// uptime, but the monotonic clock stood still.
 	suspended atomic.Int64
+	// clockLag is how far the monotonic clock is behind because of calls of suspend, in
+	// nanoseconds.
+	clockLag atomic.Int64
 	// acquireBusy is how long the control loop is busy after each acquisition of the
 	// cell, in nanoseconds, and acquired the epoch of the last acquisition.
 	acquireBusy, acquired atomic.Int64
@@ -127,7 +130,7 @@
 		Log:     cl.logger(name),
 		Engine:  dispatch.Options{MaxLease: 6 * time.Second, StartWindow: 1500 * time.Millisecond, MaxViolation: 4 * time.Second, CapacityTTL: 4 * time.Second},
 		Lease:   4500 * time.Millisecond, Retention: 4 * time.Minute,
-		Now: time.Now, Wall: time.Now,
+		Now: func() time.Time { return time.Now().Add(-time.Duration(d.clockLag.Load())) }, Wall: time.Now,
 		Uptime: func() time.Duration { return time.Since(began) + time.Duration(d.suspended.Load()) },
 		Random: rng.Float64,
 	}
@@ -151,6 +154,15 @@
 	}
 }
 
+// suspend stops the daemon's control loop and its monotonic clock for a time. Calls that
+// are in flight go on.
+func (d *daemon) suspend(duration time.Duration) {
+	d.loop.Post(func() {
+		time.Sleep(duration)
+		d.clockLag.Add(int64(duration))
+	})
+}
+
 // jobs returns the daemon's job API.
 func (d *daemon) jobs() port.Jobs {
 	if d.group != nil {
--- a/internal/cell/directory.go
+++ b/internal/cell/directory.go
@@ -84,6 +84,18 @@
 	return d
 }
 
+// ageDirectories makes all lists older, by a time in which the clock stood still.
+func (g *Group) ageDirectories(by time.Duration) {
+	if !g.workersReadAt.IsZero() {
+		g.workersReadAt = g.workersReadAt.Add(-by)
+	}
+	for _, d := range g.directories {
+		if known := d.current.Load(); known != nil {
+			d.current.Store(&workerList{known.workers, known.readAt.Add(-by)})
+		}
+	}
+}
+
 // workersOf returns the workers of a cell.
 func (g *Group) workersOf(n int) []port.WorkerEntry {
 	if d := g.directories[n]; d != nil && d.current.Load() != nil {
@@ -205,8 +217,10 @@
 func (d groupDirectory) list(ctx context.Context) (workerList, error) {
 	var list *workerList
 	var m *cellmap.Map
+	var suspended time.Duration
 	err := d.g.lead.Loop.Do(ctx, func() {
-		m = d.g.cellMap
+		d.g.lead.checkStall(d.g.lead.Now())
+		m, suspended = d.g.cellMap, d.g.lead.suspendedFor
 		if known := d.g.directories[d.cell]; known != nil {
 			list = known.current.Load()
 		}
@@ -228,7 +242,7 @@
 			own = append(own, w)
 		}
 	}
-	d.g.lead.Loop.Post(func() { d.g.keepOwnRead(d.cell, own, began) })
+	d.g.lead.Loop.Post(func() { d.g.keepOwnRead(d.cell, own, began.Add(-d.g.lead.suspendedSince(suspended))) })
 	return workerList{own, began}, nil
 }
 
--- a/internal/cell/directory_test.go
+++ b/internal/cell/directory_test.go
@@ -112,3 +112,30 @@
 	g.setWorkers(nil, now.Add(2*time.Second))
 	is.True(!told(2, version).GetWorkers()[0].GetUnchanged())
 }
+
+// Guards against LIMIT: the monotonic clock stands still while a VM is suspended, so that
+// lists of workers seemed younger afterwards than they were, and started tasks on workers
+// that had shrunk meanwhile. The read that is in flight at the time counts as well.
+func TestListsOfWorkersAgeWhileTheVMIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newLimitedCluster(t, 501, 6, halfSecond, nil)
+		defer cl.stopAll()
+		m := cl.awaitCells()
+		time.Sleep(5 * time.Second)
+		const suspension = 1300 * time.Millisecond // nobody takes the cells over
+		for n := range m.Cells {
+			d := cl.ownerOf(n)
+			d.suspend(suspension)
+			is.NoErr(d.loop.Do(t.Context(), func() {
+				c := d.group.cell(n)
+				c.checkStall(c.Now())
+				list := d.group.directories[n].current.Load()
+				age := c.Now().Sub(list.readAt)
+				t.Logf("cell %d: the list is %s old", n, age)
+				is.True(age >= suspension)
+			}))
+			time.Sleep(time.Second)
+		}
+	})
+}
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -64,7 +64,7 @@
 		return
 	}
 	l.inFlight, l.sentAt = true, now
-	generation, address := l.generation, c.owner.Address
+	generation, address, suspended := l.generation, c.owner.Address, c.suspendedFor
 	follow := &peerpb.FollowRequest{
 		Cell: uint32(c.Number), Epoch: l.epoch, After: l.sequence, WaitMs: uint32(followWait.Milliseconds()),
 		Config:     c.configState(l.ownerConfigVersion, l.ownerCommitStale),
@@ -82,6 +82,7 @@
 		return resp.GetFollow(), err
 	}, func(reply *peerpb.FollowReply, err error) {
 		if c.link.generation == generation {
+			c.link.sentAt = c.link.sentAt.Add(-c.suspendedSince(suspended))
 			c.handleFollowReply(reply, err)
 		}
 	})
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -39,7 +39,7 @@
 // recover reads the state of former owners, and then requests a listing from
 // every worker with the new epoch, which fences the former owner.
 func (t *term) recover() {
-	began := t.c.Now()
+	began, suspended := t.c.Now(), t.c.suspendedFor
 	runAsync(t, recoveryTimeout, t.readRecoveryData, func(data recoveryData, err error) {
 		now := t.c.Now()
 		t.c.recordStoreResult(err, now)
@@ -50,6 +50,7 @@
 			return
 		}
 		t.jobsReadAt = began
+		data.workers.readAt = data.workers.readAt.Add(-t.c.suspendedSince(suspended))
 		t.restore(data, now)
 		observe(t.c.instruments.recoveryReadLatency, now.Sub(began))
 		t.log.WithFields(log.Fields{"event": "recovery_read", "jobs": len(t.engine.Jobs()), "workers": len(data.workers.workers),
