--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -79,7 +79,7 @@
 
 // suits reports whether a worker may run a task when it has capacity for it.
 func (e *Engine) suits(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
-	if w.Entry.Pool != t.Job.Queue.Pool || !w.schedulable(now) {
+	if w.Entry.Pool != t.Job.Queue.Pool || !w.schedulable(now) || e.startWindow(t, now) < min(minStartWindow, e.options.StartWindow) {
 		return false
 	}
 	if t.mustAvoid(w, reserved != nil && reserved.count[w] > 0, now) {
@@ -97,9 +97,11 @@
 // schedulable reports whether runs may be started on a worker in its current state.
 func (w *Worker) schedulable(now time.Time) bool {
 	reachable := w.Listed && w.contacted && !w.Entry.Draining && !w.clockAt.IsZero()
+	// Until the list shows the worker's boot, the capacity is that of a former boot.
+	described := w.Entry.Boot == w.boot
 	responsive := w.unansweredSince.IsZero() && !now.Before(w.backoffUntil)
 	// Unknown runs use an unknown amount of resources until they have ended.
-	return reachable && responsive && len(w.unknownRuns) == 0
+	return reachable && described && responsive && len(w.unknownRuns) == 0
 }
 
 // toleratesBestEffort reports whether one more best-effort task keeps the worker's
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -46,6 +46,8 @@
 	milliCPU func(name string) int64
 	// divided is set if the daemons divide the workers into cells.
 	divided bool
+	// storedDirectory is set if the directory is read from the store, with its faults.
+	storedDirectory bool
 	// logTo receives the events of daemons that are started after it is set; it may
 	// be nil.
 	logTo log.Handler
@@ -74,6 +76,9 @@
 	// suspended is the time for which the VM was suspended, in nanoseconds: it counts as
 	// uptime, but the monotonic clock stood still.
 	suspended atomic.Int64
+	// clockLag is how far the monotonic clock is behind because of calls of suspend, in
+	// nanoseconds.
+	clockLag atomic.Int64
 	// acquireBusy is how long the control loop is busy after each acquisition of the
 	// cell, in nanoseconds, and acquired the epoch of the last acquisition.
 	acquireBusy, acquired atomic.Int64
@@ -129,12 +134,15 @@
 		Configs: clusterConfig{cl, d},
 		Peers:   clusterPeers{cl, d},
 		Log:     cl.logger(name),
-		Engine:  dispatch.Options{MaxLease: 6 * time.Second, StartWindow: 1500 * time.Millisecond, MaxViolation: 4 * time.Second},
+		Engine:  dispatch.Options{MaxLease: 6 * time.Second, StartWindow: 1500 * time.Millisecond, MaxViolation: 4 * time.Second, CapacityTTL: 4 * time.Second},
 		Lease:   4500 * time.Millisecond, Retention: 4 * time.Minute,
-		Now: time.Now, Wall: time.Now,
+		Now: func() time.Time { return time.Now().Add(-time.Duration(d.clockLag.Load())) }, Wall: time.Now,
 		Uptime: func() time.Duration { return time.Since(began) + time.Duration(d.suspended.Load()) },
 		Random: rng.Float64,
 	}
+	if cl.storedDirectory {
+		options.Directory = storedDirectory{cl, d}
+	}
 	if cl.divided {
 		d.group = newDividedGroup(name, options)
 		d.cell = d.group.lead
@@ -152,6 +160,15 @@
 	}
 }
 
+// suspend stops the daemon's control loop and its monotonic clock for a time. Calls that
+// are in flight go on.
+func (d *daemon) suspend(duration time.Duration) {
+	d.loop.Post(func() {
+		time.Sleep(duration)
+		d.clockLag.Add(int64(duration))
+	})
+}
+
 // jobs returns the daemon's job API.
 func (d *daemon) jobs() port.Jobs {
 	if d.group != nil {
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -24,7 +24,10 @@
 	// taskDuration returns how long a task runs, by its ID.
 	taskDuration func(task string) time.Duration
 	// fails reports whether an attempt fails when it ends.
-	fails      func(task string, attempt int) bool
+	fails func(task string, attempt int) bool
+	// demand returns what a task counts against its worker's capacity; nil if that is not
+	// checked.
+	demand     func(task string) job.Resources
 	crashing   crashing
 	running    map[string]int  // current runs of a task on live workers
 	done       map[string]bool // tasks whose completion was acknowledged
@@ -32,11 +35,13 @@
 	violations []string
 }
 
-// FleetOptions describe the tasks that a fleet runs; Fails and Crashes may be nil.
+// FleetOptions describe the tasks that a fleet runs; Fails and Crashes may be nil. If
+// Demand is nil, the capacities of workers are not checked.
 type FleetOptions struct {
 	Now          func() time.Time
 	TaskDuration func(task string) time.Duration
 	Fails        func(task string, attempt int) bool
+	Demand       func(task string) job.Resources
 	CrashOptions
 }
 
@@ -57,6 +62,9 @@
 	unlisted       bool
 	// startDelay, if not zero, delays start requests and leaves them unanswered.
 	startDelay time.Duration
+	// capacities are the capacities that the worker has had, in order; empty if it has had
+	// only one.
+	capacities []capacityChange
 }
 
 type fleetRun struct {
@@ -71,7 +79,7 @@
 		o.Fails = func(string, int) bool { return false }
 	}
 	return &Fleet{
-		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, workers: map[string]*fleetWorker{},
+		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, demand: o.Demand, workers: map[string]*fleetWorker{},
 		running: map[string]int{}, done: map[string]bool{}, starts: map[string]int{},
 		crashing: newCrashing(o.CrashOptions),
 	}
@@ -345,6 +353,7 @@
 		f.recordViolation("task %s started after its end was acknowledged", req.Task)
 	}
 	w.runs[req.Task] = &fleetRun{attempt: req.Attempt, startedAt: f.now(), endsAt: clock + f.taskDuration(req.Task)}
+	w.checkCapacity(req.Task)
 	w.scheduleCrash(req.Task)
 	return nil
 }
