Test moves of services that keep or regain a place

Five tests that pass: services of a draining worker replace batch work, a limit per worker, an unanswered call or a late stop during a move, and refused starts.

--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -237,3 +237,91 @@
 	task := j.occurrences[0].tasks[0][1] // started just before the former owner was lost
 	f.returnsInTime(t, task)
 }
+
+// Guards against LOST: a service task that left a draining worker held no place, and a
+// pool full of tasks that run for long took it in.
+func TestServiceOfADrainingWorkerReplacesBatchWork(t *testing.T) {
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	f.place("batch", batchStep(2, 4000, false), "b", "b")
+	task := f.place("service", serviceStep(1, 4000), "a")[0].Task
+	for i := range 10 {
+		f.Add(spec(fmt.Sprintf("backlog-%02d", i), batchStep(2, 4000, false)), f.now, 0)
+	}
+	f.entries[0].Draining, f.entries[0].Remaining = true, 20*time.Second
+	f.SetWorkers(f.entries, f.now)
+	f.returnsInTime(t, task)
+}
+
+// Guards against LOST: an interrupted service task with a limit per worker fits beside no
+// other of its step, and the other workers are full of batch work.
+func TestInterruptedTaskWithALimitPerWorkerGetsRoom(t *testing.T) {
+	f := newFixture(worker("b", 8000, 64000), worker("c", 8000, 64000), worker("a", 8000, 64000))
+	step := serviceStep(2, 4000)
+	step.MaxPerWorker = 1
+	f.place("batch", batchStep(2, 4000, true), "c", "c")
+	runs := f.place("service", step, "a", "b")
+	f.lose()
+	f.returnsInTime(t, runs[0].Task)
+}
+
+// Guards against LOST: a moved task lost its reservation when the next worker left one
+// call unanswered, and batch work took the place.
+func TestMoveSurvivesAnUnansweredCall(t *testing.T) {
+	f := newFixture(worker("a", 4000, 64000), worker("b", 4000, 64000))
+	run := f.place("service", serviceStep(1, 4000), "a")[0]
+	f.reserve(run.Task, f.Worker("b"), f.now)
+	f.move(run, StopConsolidate)
+	for _, r := range f.TakeOutput().Stops {
+		f.HandleStopResponse(r, nil, f.now, f.now)
+	}
+	f.HandleNoResponse("b", f.now.Add(time.Millisecond))
+	f.now = f.now.Add(time.Millisecond)
+	f.plan(50 * time.Millisecond)
+	f.listAllRunning() // both workers answer again
+	f.Add(spec("backlog", batchStep(4, 4000, false)), f.now, 0)
+	f.confirmStarts(f.plan(50 * time.Millisecond))
+	f.listEnd(run, 1, port.EndStopped)
+	f.returnsInTime(t, run.Task)
+}
+
+// Guards against LOST: the reservation of a moved task expired before its stop was
+// answered, and a new service took the place.
+func TestLateStopOfAMoveKeepsAPlace(t *testing.T) {
+	f := newFixture(worker("a", 4000, 64000), worker("b", 4000, 64000))
+	run := f.place("service", serviceStep(1, 4000), "a")[0]
+	f.reserve(run.Task, f.Worker("b"), f.now)
+	f.move(run, StopConsolidate)
+	f.TakeOutput()
+	for _, w := range f.Workers() {
+		w.ExtendLease(f.now, time.Minute)
+	}
+	f.plan(reservationTTL + time.Millisecond)
+	f.Add(spec("new", serviceStep(1, 4000)), f.now, 0)
+	f.confirmStarts(f.plan(2 * serviceBatchWindow))
+	f.HandleStopResponse(run, nil, f.now, f.now)
+	f.listEnd(run, 1, port.EndStopped)
+	f.returnsInTime(t, run.Task)
+}
+
+// Guards against LOST: starts of a service task are refused again and again by the worker
+// that ranks first, while another has room.
+func TestRefusedServiceTaskTriesAnotherWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000), worker("c", 4000, 64000))
+	task := f.place("service", serviceStep(1, 4000), "c")[0].Task
+	f.lose()
+	for _, reason := range []port.Refusal{port.RefusedCapacity, port.RefusedBusy} {
+		began := f.now
+		for f.now.Sub(began) < mostAway {
+			for _, r := range f.plan(50 * time.Millisecond).Starts {
+				if r.Worker.Entry.ID == "b" {
+					f.HandleStartResponse(r, 0, nil, f.now, f.now)
+					continue
+				}
+				f.HandleStartResponse(r, 0, &port.RefusedError{Reason: reason}, f.now, f.now)
+			}
+		}
+		is.Equal(len(task.Runs), 1)
+		f.listEnd(task.Runs[0], task.Runs[0].Worker.lastEnd+1, port.EndStopped)
+	}
+}
