Plan the interrupted tasks of a step before its others

What callers would see: a service task that had run does not run again while another task of its step, which never ran, fits on no worker (LOST). Shown by a unit test only. Cause: planStep gave up a step at the first task without a worker, unless that one was interrupted; no room was made for interrupted tasks behind it. Change: planStep is called for the interrupted tasks of a step first. Evidence: TestInterruptedTaskIsPlannedBehindSiblingsThatNeverRan failed (away for 20 s) and passes.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -24,9 +24,13 @@
 			}
 			for s := range j.Spec.Steps {
 				step := &j.Spec.Steps[s]
-				if o.pending[s] > 0 && o.ready(step) {
-					e.planStep(step, o.tasks[s], now)
+				if o.pending[s] == 0 || !o.ready(step) {
+					continue
 				}
+				if j.interrupted {
+					e.planStep(step, o.tasks[s], true, now)
+				}
+				e.planStep(step, o.tasks[s], false, now)
 			}
 		}
 	}
@@ -121,14 +125,17 @@
 	return late
 }
 
-// planStep starts the tasks of a step that may start.
-func (e *Engine) planStep(step *job.Step, tasks []*Task, now time.Time) {
+// planStep starts the tasks of a step that may start: those that are interrupted, or
+// the others. A gang is interrupted if any of its tasks is.
+func (e *Engine) planStep(step *job.Step, tasks []*Task, interrupted bool, now time.Time) {
 	if step.Gang {
-		e.planGang(step, tasks, now)
+		if slices.ContainsFunc(tasks, (*Task).interrupted) == interrupted {
+			e.planGang(step, tasks, now)
+		}
 		return
 	}
 	for _, t := range tasks {
-		if !e.mayStart(t, now) {
+		if t.interrupted() != interrupted || !e.mayStart(t, now) {
 			continue
 		}
 		if !t.interrupted() && e.unplaceable.covers(t, now) {
