Plan interrupted service tasks before all other tasks

What callers would see: an interrupted service task does not run again, because tasks of another interrupted job that never ran take the free capacity (LOST). Shown by a unit test only. Cause: the rank of an interrupted job covered all its tasks. Change: Plan makes two passes in the normal order of jobs: one for the interrupted tasks of all jobs, then one for the other tasks. Jobs have no rank for it any more. Evidence: TestTasksThatNeverRanTakeNoPlaceOfInterruptedOnes failed and passes.

--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -10,8 +10,8 @@
 
 // An interrupted service is one with a task that has run before and has no run now. Its
 // users wait, and the platform allows it to be away for a few seconds only, however many
-// other jobs wait. So it is planned before all other jobs. If no worker has capacity for
-// such a task, capacity is reserved for it on the worker where that costs the least work.
+// other jobs wait. So such tasks are planned before all others. If no worker has capacity
+// for one, capacity is reserved for it on the worker where that costs the least work.
 const (
 	// evictAfter is how long a reservation waits for tasks to end by themselves before
 	// they are stopped. A stop and a start take about half a second of the time that a
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -8,8 +8,8 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
-// Plan starts every ready task for which there is capacity, evacuates draining
-// workers and consolidates services.
+// Plan starts every ready task for which there is capacity, the interrupted ones first,
+// evacuates draining workers and consolidates services.
 func (e *Engine) Plan(now time.Time) {
 	e.now = now
 	e.Expire(now)
@@ -17,20 +17,28 @@
 	e.evacuate()
 	e.consolidate(now)
 	e.unplaceable.reset()
-	for _, j := range e.byUrgency(now) {
-		for _, o := range j.occurrences {
-			if now.Before(o.due) {
-				continue
-			}
-			for s := range j.Spec.Steps {
-				step := &j.Spec.Steps[s]
-				if o.pending[s] == 0 || !o.ready(step) {
-					continue
-				}
-				if j.interrupted {
-					e.planStep(step, o.tasks[s], true, now)
-				}
-				e.planStep(step, o.tasks[s], false, now)
+	order := e.byUrgency(now)
+	for _, j := range order {
+		if j.interrupted {
+			e.planJob(j, true, now)
+		}
+	}
+	for _, j := range order {
+		e.planJob(j, false, now)
+	}
+}
+
+// planJob starts the tasks of a job that may start: those that are interrupted, or the
+// others.
+func (e *Engine) planJob(j *Job, interrupted bool, now time.Time) {
+	for _, o := range j.occurrences {
+		if now.Before(o.due) {
+			continue
+		}
+		for s := range j.Spec.Steps {
+			step := &j.Spec.Steps[s]
+			if o.pending[s] > 0 && o.ready(step) {
+				e.planStep(step, o.tasks[s], interrupted, now)
 			}
 		}
 	}
@@ -57,9 +65,6 @@
 }
 
 func compareUrgency(a, b *Job) int {
-	if a.interrupted != b.interrupted {
-		return boolInt(b.interrupted) - boolInt(a.interrupted)
-	}
 	if a.timeliness != b.timeliness {
 		return int(a.timeliness) - int(b.timeliness)
 	}
