Start interrupted services on workers in a failure backoff as the last choice

What callers would see: a service task that had run waits up to 16 s although a worker has room, after tasks of other jobs, or its own runs, failed there (LOST). Cause: the backoff after consecutive failures barred a worker like a refusal does. Change: an interrupted task that no worker can run, and for which no room can be made, is started after 1.2 s on the worker with the fewest consecutive failures among those in a backoff. Refused, unanswered and stalled requests and replaced workers still bar it, and no backoff is shortened by a later, shorter one. The failure of a run that was started in a backoff does not extend it, or other work would wait for as long as the service fails.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -70,6 +70,7 @@
 	stopAckedAt    time.Time
 	missedListings int  // consecutive listings without the run
 	listedByBoot   bool // listed by the worker's current boot
+	inBackoff      bool // started while the worker was in a backoff
 	// progressAt is when the progress last changed. progressFrom is the progress
 	// at sampledAt, from which the speed is measured.
 	progressAt, sampledAt time.Time
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -18,7 +18,7 @@
 		w.updateShares(r, now)
 		t.readyAt = time.Time{}
 	}
-	e.trackFailures(w, end, now)
+	e.trackFailures(w, r, end, now)
 	if _, final := e.finalJobs[jobIDOf(end.Task)]; t == nil && !final {
 		w.unmatchedEnds = append(w.unmatchedEnds, unmatchedEnd{end, now})
 	}
@@ -43,16 +43,18 @@
 	}
 }
 
-// trackFailures counts a worker's consecutive failures and backs off from it.
-func (e *Engine) trackFailures(w *Worker, end port.EndedTask, now time.Time) {
+// trackFailures counts a worker's consecutive failures and backs off from it. A run that
+// was started in a backoff does not extend it: the others would wait for as long as a
+// service fails. r is nil if the run is not known.
+func (e *Engine) trackFailures(w *Worker, r *Run, end port.EndedTask, now time.Time) {
 	switch end.Reason {
 	case port.EndDone:
 		w.consecutiveFailures = 0
 	case port.EndFailed:
 		w.consecutiveFailures++
-		if w.consecutiveFailures >= failureThreshold {
+		if w.consecutiveFailures >= failureThreshold && (r == nil || !r.inBackoff) {
 			backoff := failureBackoff << min(w.consecutiveFailures-failureThreshold, maxFailureDoublings)
-			w.backoffUntil = now.Add(backoff)
+			w.backoffUntil = later(w.backoffUntil, now.Add(backoff))
 		}
 	default:
 	}
@@ -60,7 +62,8 @@
 
 // A worker with consecutive failed runs gets no work for a backoff that doubles
 // with each further failure. A single failure is normal: a few percent of tasks
-// fail on healthy workers.
+// fail on healthy workers. The tasks may be at fault, so it is the last choice of
+// interrupted services, and not barred.
 const (
 	failureThreshold    = 2
 	failureBackoff      = 2 * time.Second
--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -14,8 +14,9 @@
 // for one, capacity is reserved for it on the worker where that costs the least work.
 const (
 	// evictAfter is how long a reservation waits for tasks to end by themselves before
-	// they are stopped. A stop and a start take about half a second of the time that a
-	// service may be away.
+	// they are stopped, and a task without a reservation for another worker before one
+	// in a backoff is used. A stop and a start take about half a second of the time
+	// that a service may be away.
 	evictAfter = 1200 * time.Millisecond
 	// reservationTTL bounds how long capacity is reserved for a task that is not started.
 	reservationTTL = 4 * time.Second
@@ -89,7 +90,7 @@
 		switch {
 		case w != nil:
 			e.reserve(t, w, now)
-		case e.relocateService(t, now):
+		case e.relocateService(t, now) || e.startInBackoff(t, now):
 			return
 		default:
 			e.reportStarved(t, now)
@@ -104,6 +105,43 @@
 	}
 }
 
+// startInBackoff starts a task that has waited for long on a worker in a backoff. It
+// reports whether there is such a worker.
+func (e *Engine) startInBackoff(t *Task, now time.Time) bool {
+	if now.Sub(t.readyAt) < evictAfter {
+		return false
+	}
+	w := e.leastFailing(t, now)
+	if w == nil {
+		return false
+	}
+	e.start(t, w, t.Attempt+1, now)
+	t.Runs[len(t.Runs)-1].inBackoff = true
+	return true
+}
+
+// leastFailing returns the worker with the fewest consecutive failures among those in a
+// backoff that may run a task, or nil if there is none.
+func (e *Engine) leastFailing(t *Task, now time.Time) *Worker {
+	var best *Worker
+	lowest := 0.0
+	for _, w := range e.workerList {
+		fits := w.lastChoice(now) && demand(t.Step).Fits(w.freeFor(t))
+		if !fits || !e.advisorAllows(t, w, now) || !e.matches(t, w, now, nil) {
+			continue
+		}
+		p := e.penalty(t, w, "", nil)
+		if best == nil || cmp.Or(
+			cmp.Compare(w.consecutiveFailures, best.consecutiveFailures),
+			cmp.Compare(p, lowest),
+			cmp.Compare(w.Entry.ID, best.Entry.ID),
+		) < 0 {
+			best, lowest = w, p
+		}
+	}
+	return best
+}
+
 // cheapestToClear returns the worker on which stopping tasks that are no services makes
 // room for a task at the lowest cost, or nil if there is none.
 func (e *Engine) cheapestToClear(t *Task, now time.Time) *Worker {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -79,7 +79,12 @@
 
 // suits reports whether a worker may run a task when it has capacity for it.
 func (e *Engine) suits(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
-	if w.Entry.Pool != t.Job.Queue.Pool || !w.schedulable(now) {
+	return w.schedulable(now) && e.matches(t, w, now, reserved)
+}
+
+// matches is like suits, but ignores the worker's state.
+func (e *Engine) matches(t *Task, w *Worker, now time.Time, reserved *reservation) bool {
+	if w.Entry.Pool != t.Job.Queue.Pool {
 		return false
 	}
 	if t.Step.BestEffort && !e.toleratesBestEffort(t, w, now) {
@@ -93,10 +98,34 @@
 
 // schedulable reports whether runs may be started on a worker in its current state.
 func (w *Worker) schedulable(now time.Time) bool {
+	return w.responsive() && !now.Before(w.backoffUntil)
+}
+
+// responsive reports whether a worker accepts runs, as far as is known.
+func (w *Worker) responsive() bool {
 	reachable := w.Listed && w.contacted && !w.Entry.Draining && !w.clockAt.IsZero()
-	responsive := w.unansweredSince.IsZero() && !now.Before(w.backoffUntil)
 	// Unknown runs use an unknown amount of resources until they have ended.
-	return reachable && responsive && len(w.unknownRuns) == 0
+	return reachable && w.unansweredSince.IsZero() && len(w.unknownRuns) == 0
+}
+
+// lastChoice reports whether only interrupted service tasks without another worker may be
+// started on a worker.
+func (w *Worker) lastChoice(now time.Time) bool {
+	return w.responsive() && now.Before(w.backoffUntil) && !now.Before(w.barredUntil)
+}
+
+// bar backs off from a worker until a time, also for interrupted service tasks. It does
+// not shorten a longer backoff.
+func (w *Worker) bar(until time.Time) {
+	w.backoffUntil = later(w.backoffUntil, until)
+	w.barredUntil = later(w.barredUntil, until)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // toleratesBestEffort reports whether one more best-effort task keeps the worker's
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -59,13 +59,13 @@
 		return
 	}
 	if refused.Reason == port.RefusedBusy {
-		w.backoffUntil = now.Add(busyBackoff)
+		w.bar(now.Add(busyBackoff))
 	}
 	if refused.Reason == port.RefusedTicket {
 		r.Task.dropTicket(w)
 	}
 	if refused.Reason == port.RefusedCapacity {
-		w.backoffUntil = now.Add(capacityBackoff)
+		w.bar(now.Add(capacityBackoff))
 	}
 	w.detach(r)
 	e.stopGang(r)
@@ -112,7 +112,7 @@
 		r.State = RunUnacknowledged
 	}
 	w := r.Worker
-	w.backoffUntil = sent.Add(unansweredBackoff << min(w.unansweredStarts, maxUnansweredDoublings))
+	w.bar(sent.Add(unansweredBackoff << min(w.unansweredStarts, maxUnansweredDoublings)))
 	if w.unansweredStarts++; e.pathFaulty() {
 		w.unansweredStarts = 1
 	}
@@ -155,7 +155,7 @@
 
 // markReplaced gives up all runs on a worker whose known boot has ended.
 func (e *Engine) markReplaced(w *Worker, now time.Time) {
-	w.backoffUntil = now.Add(replacementBackoff)
+	w.bar(now.Add(replacementBackoff))
 	e.dropUnknownRuns(w, func(runKey) bool { return true })
 	for _, r := range w.sortedRuns() {
 		e.markLost(r, LossWorkerGone)
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		if now.Sub(r.progressAt) > stallTimeout {
-			w.backoffUntil = now.Add(stallBackoff)
+			w.bar(now.Add(stallBackoff))
 			e.move(r, StopStalled)
 			continue
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -40,8 +40,10 @@
 	// roundTrip is the shortest observed duration of a start request.
 	roundTrip           time.Duration
 	consecutiveFailures int
-	backoffUntil        time.Time
-	latency             latencyState
+	// backoffUntil is when the worker gets work again. barredUntil is when, within that
+	// time, an interrupted service task that has no other worker may be started.
+	backoffUntil, barredUntil time.Time
+	latency                   latencyState
 	// recentShares are the CPU shares of best-effort images, and serviceLoads the
 	// loads of service images.
 	recentShares shareAverages
