Start interrupted services on workers that answer after lost start requests

Shown by a unit test only. Cause: the backoff after unanswered start requests barred the worker until its end. Change: like the backoff after failures, it leaves the worker as the last choice of interrupted services. A worker that has answered nothing since the request stays barred. TestSilentWorkersAreBarredFromInterruptedServices fails if silence is no bar.

--- a/dispatch/backoff_test.go
+++ b/dispatch/backoff_test.go
@@ -73,3 +73,21 @@
 	is.Equal(len(f.plan(capacityBackoff/2).Starts), 0)
 	is.Equal(len(f.plan(capacityBackoff).Starts), 1)
 }
+
+// Guards against starts on a worker that has answered nothing since a lost start request.
+func TestSilentWorkersAreBarredFromInterruptedServices(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	task := f.place("service", serviceStep(1, 4000), "a")[0].Task
+	f.listEnd(task.Runs[0], 1, port.EndFailed)
+	run := f.plan(50 * time.Millisecond).Starts[0]
+	run.Worker.unansweredStarts = maxUnansweredDoublings
+	f.HandleStartResponse(run, 0, &port.UnansweredError{Op: "start"}, f.now.Add(time.Millisecond), f.now.Add(time.Millisecond))
+	run.Worker.detach(run)
+	f.Worker("a").ExtendLease(f.now, time.Minute)
+	for range 100 {
+		is.Equal(len(f.plan(50*time.Millisecond).Starts), 0)
+	}
+	f.reportListing("a", port.Listing{})
+	is.Equal(len(f.plan(50*time.Millisecond).Starts), 1)
+}
--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -120,8 +120,8 @@
 	return true
 }
 
-// leastFailing returns the worker with the fewest consecutive failures among those in a
-// backoff that may run a task, or nil if there is none.
+// leastFailing returns the worker with the fewest consecutive failures and unanswered
+// starts among those in a backoff that may run a task, or nil if there is none.
 func (e *Engine) leastFailing(t *Task, now time.Time) *Worker {
 	var best *Worker
 	lowest := 0.0
@@ -132,7 +132,7 @@
 		}
 		p := e.penalty(t, w, "", nil)
 		if best == nil || cmp.Or(
-			cmp.Compare(w.consecutiveFailures, best.consecutiveFailures),
+			cmp.Compare(w.consecutiveFailures+w.unansweredStarts, best.consecutiveFailures+best.unansweredStarts),
 			cmp.Compare(p, lowest),
 			cmp.Compare(w.Entry.ID, best.Entry.ID),
 		) < 0 {
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -82,7 +82,8 @@
 
 // A worker that leaves start requests unanswered gets no more for a backoff that
 // doubles each time. If many workers do so at once, the network path is at fault
-// and the backoff does not grow, because all are needed when the path recovers.
+// and the backoff does not grow, because all are needed when the path recovers. A worker
+// that has answered other calls since is the last choice of interrupted services.
 const (
 	unansweredBackoff      = 1500 * time.Millisecond
 	maxUnansweredDoublings = 4
@@ -112,7 +113,7 @@
 		r.State = RunUnacknowledged
 	}
 	w := r.Worker
-	w.bar(sent.Add(unansweredBackoff << min(w.unansweredStarts, maxUnansweredDoublings)))
+	w.backoffUntil = later(w.backoffUntil, sent.Add(unansweredBackoff<<min(w.unansweredStarts, maxUnansweredDoublings)))
 	if w.unansweredStarts++; e.pathFaulty() {
 		w.unansweredStarts = 1
 	}
