Move services for interrupted ones to workers where batch work is stopped

What callers would see: a service task that had run does not run again where another service must move for it and all free capacity for that one is used by batch work (LOST). Shown by a unit test only. Cause: relocateService looked for free capacity only. Evidence: TestAnotherServiceMovesToTheRoomOfBatchWork failed (away for 20 s) and passes.

--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -75,7 +75,7 @@
 
 // freeFor returns the resources of a worker that a task may use.
 func (w *Worker) freeFor(t *Task) job.Resources {
-	free := w.free().Sub(w.reservedUse)
+	free := w.unreserved()
 	if t.reserved != nil && t.reserved.worker == w {
 		free = free.Add(demand(t.Step))
 	}
@@ -151,16 +151,10 @@
 		if !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
 			continue
 		}
-		free, cost := w.freeFor(t), int64(0)
-		for _, r := range w.sortedRuns() {
-			if r.Task.Step.Service {
-				continue
-			}
-			free = free.Add(demand(r.Task.Step))
-		}
-		if !demand(t.Step).Fits(free) {
+		if !demand(t.Step).Fits(w.freeFor(t).Add(w.clearable())) {
 			continue
 		}
+		cost := int64(0)
 		for _, r := range victimsOn(w, t) {
 			cost += evictionCost(r)
 		}
@@ -171,6 +165,17 @@
 	return best
 }
 
+// clearable returns the resources that runs of tasks that are no services use.
+func (w *Worker) clearable() job.Resources {
+	var total job.Resources
+	for _, r := range w.sortedRuns() {
+		if !r.Task.Step.Service {
+			total = total.Add(demand(r.Task.Step))
+		}
+	}
+	return total
+}
+
 // victimsOn returns the runs to stop on a worker to make room for a task, the cheapest
 // first. Runs that are being stopped already count as freed.
 func victimsOn(w *Worker, t *Task) []*Run {
@@ -210,12 +215,31 @@
 // relocateService moves a service task from a worker, on which an interrupted one fits
 // then, to one with less free capacity. It reports whether there is such a move. The free
 // capacity of a pool that is full of services is in pieces that are too small for some.
+// If the interrupted task has waited for long, other tasks are stopped at the target.
 func (e *Engine) relocateService(t *Task, now time.Time) bool {
 	if now.Sub(e.relocatedAt) < relocateInterval {
 		return false
 	}
 	e.relocatedAt = now
-	targets := e.mostFree()
+	r, target := e.findRelocation(t, e.mostRoom((*Worker).unreserved), now)
+	if r == nil && now.Sub(t.readyAt) >= evictAfter {
+		r, target = e.findRelocation(t, e.mostRoom(func(w *Worker) job.Resources { return w.unreserved().Add(w.clearable()) }), now)
+	}
+	if r == nil {
+		return false
+	}
+	e.reserve(t, r.Worker, now)
+	e.reserve(r.Task, target, now)
+	for _, victim := range victimsOn(target, r.Task) {
+		e.stop(victim, StopForService)
+	}
+	e.move(r, StopForService)
+	return true
+}
+
+// findRelocation returns a run of a service task whose worker has room for an interrupted
+// one without it, and a target with room for the run; nil if there is none.
+func (e *Engine) findRelocation(t *Task, targets []roomyWorker, now time.Time) (*Run, *Worker) {
 	for _, w := range e.workerList {
 		if !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
 			continue
@@ -225,16 +249,13 @@
 				continue
 			}
 			for _, target := range targets {
-				if target != w && e.eligible(r.Task, target, now, nil) {
-					e.reserve(t, w, now)
-					e.reserve(r.Task, target, now)
-					e.move(r, StopForService)
-					return true
+				if target.worker != w && demand(r.Task.Step).Fits(target.room) && e.suits(r.Task, target.worker, now, nil) && e.advisorAllows(r.Task, target.worker, now) {
+					return r, target.worker
 				}
 			}
 		}
 	}
-	return false
+	return nil, nil
 }
 
 // relocatable reports whether a service task may be moved while all others of its step
@@ -245,16 +266,27 @@
 		t.Step.MaxUnavailable != 0 && t.unavailableSiblings() == 0
 }
 
-// mostFree returns the workers with the most free processors.
-func (e *Engine) mostFree() []*Worker {
-	free := func(w *Worker) int64 { return w.free().Sub(w.reservedUse).MilliCPU }
-	sorted := slices.Clone(e.workerList)
-	slices.SortFunc(sorted, func(a, b *Worker) int {
-		return cmp.Or(cmp.Compare(free(b), free(a)), cmp.Compare(a.Entry.ID, b.Entry.ID))
+// roomyWorker is a worker with the room that a task may be moved to.
+type roomyWorker struct {
+	worker *Worker
+	room   job.Resources
+}
+
+// mostRoom returns the workers with the most processors by a measure of room.
+func (e *Engine) mostRoom(room func(*Worker) job.Resources) []roomyWorker {
+	sorted := make([]roomyWorker, 0, len(e.workerList))
+	for _, w := range e.workerList {
+		sorted = append(sorted, roomyWorker{w, room(w)})
+	}
+	slices.SortFunc(sorted, func(a, b roomyWorker) int {
+		return cmp.Or(cmp.Compare(b.room.MilliCPU, a.room.MilliCPU), cmp.Compare(a.worker.Entry.ID, b.worker.Entry.ID))
 	})
 	return sorted[:min(len(sorted), maxRelocateTargets)]
 }
 
+// unreserved returns the resources of a worker that no run uses and no task has reserved.
+func (w *Worker) unreserved() job.Resources { return w.free().Sub(w.reservedUse) }
+
 // reportStarved reports a service task that no worker could run, even without its other
 // tasks.
 func (e *Engine) reportStarved(t *Task, now time.Time) {
