Make room for interrupted service gangs

What callers would see: a gang of service tasks that had run does not run again while batch work takes each piece of capacity that becomes free (LOST). Cause: planGang reserved no capacity. A task that uses its own reservation is not counted twice. TestInterruptedGangUsesItsReservations fails if it is counted twice.

--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -105,6 +105,35 @@
 	}
 }
 
+// makeRoomForGang reserves capacity for all tasks of an interrupted gang, or for none, and
+// stops other tasks there if these do not end soon.
+func (e *Engine) makeRoomForGang(tasks []*Task, now time.Time) {
+	for _, t := range tasks {
+		if t.reserved != nil {
+			continue
+		}
+		w := e.cheapestToClear(t, now)
+		if w == nil {
+			for _, member := range tasks {
+				e.unreserve(member)
+			}
+			e.reportStarved(t, now)
+			return
+		}
+		e.reserve(t, w, now)
+	}
+	for _, t := range tasks {
+		if now.Sub(t.readyAt) < evictAfter {
+			return
+		}
+	}
+	for _, t := range tasks {
+		for _, r := range victimsOn(t.reserved.worker, t) {
+			e.stop(r, StopForService)
+		}
+	}
+}
+
 // startInBackoff starts a task that has waited for long on a worker in a backoff. It
 // reports whether there is such a worker.
 func (e *Engine) startInBackoff(t *Task, now time.Time) bool {
--- a/dispatch/moves_test.go
+++ b/dispatch/moves_test.go
@@ -224,6 +224,19 @@
 	f.returnsInTime(t, runs[0].Task)
 }
 
+// Guards against reservations of a gang that keep its own tasks out until they expire.
+func TestInterruptedGangUsesItsReservations(t *testing.T) {
+	f := newFixture(worker("b", 8000, 64000), worker("a", 8000, 64000))
+	gang := serviceStep(2, 4000)
+	gang.Gang = true
+	f.place("batch", batchStep(2, 4000, true), "b", "b")
+	runs := f.place("service", gang, "a", "a")
+	f.lose()
+	if away := f.serve(runs[0].Task, 20*time.Second); away >= reservationTTL {
+		t.Fatalf("away for %v", away)
+	}
+}
+
 // Guards against LOST: a task of a former owner waits behind all other work, because its
 // start was not recorded yet: placements are committed after up to 250 ms.
 func TestServiceOfAFormerOwnerGoesBeforeTheBacklog(t *testing.T) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -244,9 +244,14 @@
 		w := e.chooseWorker(t, tasks, now, reserved)
 		if w == nil {
 			e.requestAdvice(t, now)
+			if slices.ContainsFunc(tasks, (*Task).interrupted) {
+				e.makeRoomForGang(tasks, now)
+			}
 			return
 		}
-		reserved.taken[w] = reserved.taken[w].Add(demand(step))
+		if t.reserved == nil || t.reserved.worker != w { // otherwise it is taken already
+			reserved.taken[w] = reserved.taken[w].Add(demand(step))
+		}
 		reserved.count[w]++
 		chosen[i] = w
 	}
