--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -10,12 +10,13 @@
 
 // An interrupted service is one with a task that has run before and has no run now. Its
 // users wait, and the platform allows it to be away for a few seconds only, however many
-// other jobs wait. So it is planned before all other jobs. If no worker has capacity for
-// such a task, capacity is reserved for it on the worker where that costs the least work.
+// other jobs wait. So such tasks are planned before all others. If no worker has capacity
+// for one, capacity is reserved for it on the worker where that costs the least work.
 const (
 	// evictAfter is how long a reservation waits for tasks to end by themselves before
-	// they are stopped. A stop and a start take about half a second of the time that a
-	// service may be away.
+	// they are stopped, and a task without a reservation for another worker before one
+	// in a backoff is used. A stop and a start take about half a second of the time
+	// that a service may be away.
 	evictAfter = 1200 * time.Millisecond
 	// reservationTTL bounds how long capacity is reserved for a task that is not started.
 	reservationTTL = 4 * time.Second
@@ -74,7 +75,7 @@
 
 // freeFor returns the resources of a worker that a task may use.
 func (w *Worker) freeFor(t *Task) job.Resources {
-	free := w.free().Sub(w.reservedUse)
+	free := w.unreserved()
 	if t.reserved != nil && t.reserved.worker == w {
 		free = free.Add(demand(t.Step))
 	}
@@ -89,7 +90,7 @@
 		switch {
 		case w != nil:
 			e.reserve(t, w, now)
-		case e.relocateService(t, now):
+		case e.relocateService(t, now) || e.startInBackoff(t, now):
 			return
 		default:
 			e.reportStarved(t, now)
@@ -104,6 +105,72 @@
 	}
 }
 
+// makeRoomForGang reserves capacity for all tasks of an interrupted gang, or for none, and
+// stops other tasks there if these do not end soon.
+func (e *Engine) makeRoomForGang(tasks []*Task, now time.Time) {
+	for _, t := range tasks {
+		if t.reserved != nil {
+			continue
+		}
+		w := e.cheapestToClear(t, now)
+		if w == nil {
+			for _, member := range tasks {
+				e.unreserve(member)
+			}
+			e.reportStarved(t, now)
+			return
+		}
+		e.reserve(t, w, now)
+	}
+	for _, t := range tasks {
+		if now.Sub(t.readyAt) < evictAfter {
+			return
+		}
+	}
+	for _, t := range tasks {
+		for _, r := range victimsOn(t.reserved.worker, t) {
+			e.stop(r, StopForService)
+		}
+	}
+}
+
+// startInBackoff starts a task that has waited for long on a worker in a backoff. It
+// reports whether there is such a worker.
+func (e *Engine) startInBackoff(t *Task, now time.Time) bool {
+	if now.Sub(t.readyAt) < evictAfter {
+		return false
+	}
+	w := e.leastFailing(t, now)
+	if w == nil {
+		return false
+	}
+	e.start(t, w, t.Attempt+1, now)
+	t.Runs[len(t.Runs)-1].inBackoff = true
+	return true
+}
+
+// leastFailing returns the worker with the fewest consecutive failures and unanswered
+// starts among those in a backoff that may run a task, or nil if there is none.
+func (e *Engine) leastFailing(t *Task, now time.Time) *Worker {
+	var best *Worker
+	lowest := 0.0
+	for _, w := range e.workerList {
+		fits := w.lastChoice(now) && demand(t.Step).Fits(w.freeFor(t))
+		if !fits || !e.advisorAllows(t, w, now) || !e.matches(t, w, now, nil) {
+			continue
+		}
+		p := e.penalty(t, w, "", nil)
+		if best == nil || cmp.Or(
+			cmp.Compare(w.consecutiveFailures+w.unansweredStarts, best.consecutiveFailures+best.unansweredStarts),
+			cmp.Compare(p, lowest),
+			cmp.Compare(w.Entry.ID, best.Entry.ID),
+		) < 0 {
+			best, lowest = w, p
+		}
+	}
+	return best
+}
+
 // cheapestToClear returns the worker on which stopping tasks that are no services makes
 // room for a task at the lowest cost, or nil if there is none.
 func (e *Engine) cheapestToClear(t *Task, now time.Time) *Worker {
@@ -113,16 +180,10 @@
 		if !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
 			continue
 		}
-		free, cost := w.freeFor(t), int64(0)
-		for _, r := range w.sortedRuns() {
-			if r.Task.Step.Service {
-				continue
-			}
-			free = free.Add(demand(r.Task.Step))
-		}
-		if !demand(t.Step).Fits(free) {
+		if !demand(t.Step).Fits(w.freeFor(t).Add(w.clearable())) {
 			continue
 		}
+		cost := int64(0)
 		for _, r := range victimsOn(w, t) {
 			cost += evictionCost(r)
 		}
@@ -133,6 +194,17 @@
 	return best
 }
 
+// clearable returns the resources that runs of tasks that are no services use.
+func (w *Worker) clearable() job.Resources {
+	var total job.Resources
+	for _, r := range w.sortedRuns() {
+		if !r.Task.Step.Service {
+			total = total.Add(demand(r.Task.Step))
+		}
+	}
+	return total
+}
+
 // victimsOn returns the runs to stop on a worker to make room for a task, the cheapest
 // first. Runs that are being stopped already count as freed.
 func victimsOn(w *Worker, t *Task) []*Run {
@@ -172,12 +244,31 @@
 // relocateService moves a service task from a worker, on which an interrupted one fits
 // then, to one with less free capacity. It reports whether there is such a move. The free
 // capacity of a pool that is full of services is in pieces that are too small for some.
+// If the interrupted task has waited for long, other tasks are stopped at the target.
 func (e *Engine) relocateService(t *Task, now time.Time) bool {
 	if now.Sub(e.relocatedAt) < relocateInterval {
 		return false
 	}
 	e.relocatedAt = now
-	targets := e.mostFree()
+	r, target := e.findRelocation(t, e.mostRoom((*Worker).unreserved), now)
+	if r == nil && now.Sub(t.readyAt) >= evictAfter {
+		r, target = e.findRelocation(t, e.mostRoom(func(w *Worker) job.Resources { return w.unreserved().Add(w.clearable()) }), now)
+	}
+	if r == nil {
+		return false
+	}
+	e.reserve(t, r.Worker, now)
+	e.reserve(r.Task, target, now)
+	for _, victim := range victimsOn(target, r.Task) {
+		e.stop(victim, StopForService)
+	}
+	e.move(r, StopForService)
+	return true
+}
+
+// findRelocation returns a run of a service task whose worker has room for an interrupted
+// one without it, and a target with room for the run; nil if there is none.
+func (e *Engine) findRelocation(t *Task, targets []roomyWorker, now time.Time) (*Run, *Worker) {
 	for _, w := range e.workerList {
 		if !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
 			continue
@@ -187,16 +278,13 @@
 				continue
 			}
 			for _, target := range targets {
-				if target != w && e.eligible(r.Task, target, now, nil) {
-					e.reserve(t, w, now)
-					e.reserve(r.Task, target, now)
-					e.move(r, StopForService)
-					return true
+				if target.worker != w && demand(r.Task.Step).Fits(target.room) && e.suits(r.Task, target.worker, now, nil) && e.advisorAllows(r.Task, target.worker, now) {
+					return r, target.worker
 				}
 			}
 		}
 	}
-	return false
+	return nil, nil
 }
 
 // relocatable reports whether a service task may be moved while all others of its step
@@ -207,16 +295,27 @@
 		t.Step.MaxUnavailable != 0 && t.unavailableSiblings() == 0
 }
 
-// mostFree returns the workers with the most free processors.
-func (e *Engine) mostFree() []*Worker {
-	free := func(w *Worker) int64 { return w.free().Sub(w.reservedUse).MilliCPU }
-	sorted := slices.Clone(e.workerList)
-	slices.SortFunc(sorted, func(a, b *Worker) int {
-		return cmp.Or(cmp.Compare(free(b), free(a)), cmp.Compare(a.Entry.ID, b.Entry.ID))
+// roomyWorker is a worker with the room that a task may be moved to.
+type roomyWorker struct {
+	worker *Worker
+	room   job.Resources
+}
+
+// mostRoom returns the workers with the most processors by a measure of room.
+func (e *Engine) mostRoom(room func(*Worker) job.Resources) []roomyWorker {
+	sorted := make([]roomyWorker, 0, len(e.workerList))
+	for _, w := range e.workerList {
+		sorted = append(sorted, roomyWorker{w, room(w)})
+	}
+	slices.SortFunc(sorted, func(a, b roomyWorker) int {
+		return cmp.Or(cmp.Compare(b.room.MilliCPU, a.room.MilliCPU), cmp.Compare(a.worker.Entry.ID, b.worker.Entry.ID))
 	})
 	return sorted[:min(len(sorted), maxRelocateTargets)]
 }
 
+// unreserved returns the resources of a worker that no run uses and no task has reserved.
+func (w *Worker) unreserved() job.Resources { return w.free().Sub(w.reservedUse) }
+
 // reportStarved reports a service task that no worker could run, even without its other
 // tasks.
 func (e *Engine) reportStarved(t *Task, now time.Time) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -8,8 +8,8 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
-// Plan starts every ready task for which there is capacity, evacuates draining
-// workers and consolidates services.
+// Plan starts every ready task for which there is capacity, the interrupted ones first,
+// evacuates draining workers and consolidates services.
 func (e *Engine) Plan(now time.Time) {
 	e.now = now
 	e.Expire(now)
@@ -17,16 +17,28 @@
 	e.evacuate()
 	e.consolidate(now)
 	e.unplaceable.reset()
-	for _, j := range e.byUrgency(now) {
-		for _, o := range j.occurrences {
-			if now.Before(o.due) {
-				continue
-			}
-			for s := range j.Spec.Steps {
-				step := &j.Spec.Steps[s]
-				if o.pending[s] > 0 && o.ready(step) {
-					e.planStep(step, o.tasks[s], now)
-				}
+	order := e.byUrgency(now)
+	for _, j := range order {
+		if j.interrupted {
+			e.planJob(j, true, now)
+		}
+	}
+	for _, j := range order {
+		e.planJob(j, false, now)
+	}
+}
+
+// planJob starts the tasks of a job that may start: those that are interrupted, or the
+// others.
+func (e *Engine) planJob(j *Job, interrupted bool, now time.Time) {
+	for _, o := range j.occurrences {
+		if now.Before(o.due) {
+			continue
+		}
+		for s := range j.Spec.Steps {
+			step := &j.Spec.Steps[s]
+			if o.pending[s] > 0 && o.ready(step) {
+				e.planStep(step, o.tasks[s], interrupted, now)
 			}
 		}
 	}
@@ -53,9 +65,6 @@
 }
 
 func compareUrgency(a, b *Job) int {
-	if a.interrupted != b.interrupted {
-		return boolInt(b.interrupted) - boolInt(a.interrupted)
-	}
 	if a.timeliness != b.timeliness {
 		return int(a.timeliness) - int(b.timeliness)
 	}
@@ -121,14 +130,17 @@
 	return late
 }
 
-// planStep starts the tasks of a step that may start.
-func (e *Engine) planStep(step *job.Step, tasks []*Task, now time.Time) {
+// planStep starts the tasks of a step that may start: those that are interrupted, or
+// the others. A gang is interrupted if any of its tasks is.
+func (e *Engine) planStep(step *job.Step, tasks []*Task, interrupted bool, now time.Time) {
 	if step.Gang {
-		e.planGang(step, tasks, now)
+		if slices.ContainsFunc(tasks, (*Task).interrupted) == interrupted {
+			e.planGang(step, tasks, now)
+		}
 		return
 	}
 	for _, t := range tasks {
-		if !e.mayStart(t, now) {
+		if t.interrupted() != interrupted || !e.mayStart(t, now) {
 			continue
 		}
 		if !t.interrupted() && e.unplaceable.covers(t, now) {
@@ -237,9 +249,14 @@
 		w := e.chooseWorker(t, tasks, now, reserved)
 		if w == nil {
 			e.requestAdvice(t, now)
+			if slices.ContainsFunc(tasks, (*Task).interrupted) {
+				e.makeRoomForGang(tasks, now)
+			}
 			return
 		}
-		reserved.taken[w] = reserved.taken[w].Add(demand(step))
+		if t.reserved == nil || t.reserved.worker != w { // otherwise it is taken already
+			reserved.taken[w] = reserved.taken[w].Add(demand(step))
+		}
 		reserved.count[w]++
 		chosen[i] = w
 	}
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -62,13 +62,13 @@
 		return
 	}
 	if refused.Reason == port.RefusedBusy {
-		w.backoffUntil = now.Add(busyBackoff)
+		w.bar(now.Add(busyBackoff))
 	}
 	if refused.Reason == port.RefusedTicket {
 		r.Task.dropTicket(w)
 	}
 	if refused.Reason == port.RefusedCapacity {
-		w.backoffUntil = now.Add(capacityBackoff)
+		w.bar(now.Add(capacityBackoff))
 	}
 	w.detach(r)
 	e.stopGang(r)
@@ -85,7 +85,8 @@
 
 // A worker that leaves start requests unanswered gets no more for a backoff that
 // doubles each time. If many workers do so at once, the network path is at fault
-// and the backoff does not grow, because all are needed when the path recovers.
+// and the backoff does not grow, because all are needed when the path recovers. A worker
+// that has answered other calls since is the last choice of interrupted services.
 const (
 	unansweredBackoff      = 1500 * time.Millisecond
 	maxUnansweredDoublings = 4
@@ -115,7 +116,7 @@
 		r.State = RunUnacknowledged
 	}
 	w := r.Worker
-	w.backoffUntil = sent.Add(unansweredBackoff << min(w.unansweredStarts, maxUnansweredDoublings))
+	w.backoffUntil = later(w.backoffUntil, sent.Add(unansweredBackoff<<min(w.unansweredStarts, maxUnansweredDoublings)))
 	if w.unansweredStarts++; e.pathFaulty() {
 		w.unansweredStarts = 1
 	}
@@ -160,7 +161,7 @@
 
 // markReplaced gives up all runs on a worker whose known boot has ended.
 func (e *Engine) markReplaced(w *Worker, now time.Time) {
-	w.backoffUntil = now.Add(replacementBackoff)
+	w.bar(now.Add(replacementBackoff))
 	if !w.Entry.Draining {
 		e.handleBootEnded(w.Entry.ID, w.boot+1)
 	}
