Leave starts in flight to their own responses when a worker was replaced

What callers would see: a job fails although no worker has crashed under its tasks. Cause: when another worker answered at an address, or the VM was not up, all runs there counted as crashed, those whose start request was still in flight included; their own responses, refusals of the other worker, came later. Change: runs whose start has no response yet stay until it arrives. Evidence: TestStartsRefusedByAnotherWorkerAreNoCrashes failed in both cases and passes.

--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -147,15 +147,33 @@
 	}
 }
 
-// Guards against giving up a task that another worker refused to start.
-func TestStartRefusedByAnotherWorkerIsNoCrash(t *testing.T) {
-	is := is.New(t)
-	f := newFixture(worker("a", 8000, 8000))
-	task := f.Add(spec("j", small(1)), f.now, 0).occurrences[0].tasks[0][0]
-	r := f.plan(0).Starts[0]
-	f.HandleStartResponse(r, 0, &port.RefusedError{Op: "start", Reason: port.RefusedIncarnation}, f.now, f.now)
-	is.Equal(len(task.Runs), 0)
-	is.Equal(len(task.Crashes), 0)
+// Guards against giving up tasks that another worker at the address refused to start: they
+// have not run, whichever call shows first that the worker was replaced.
+func TestStartsRefusedByAnotherWorkerAreNoCrashes(t *testing.T) {
+	refused := &port.RefusedError{Op: "start", Reason: port.RefusedIncarnation}
+	for name, before := range map[string]func(f *fixture, id string){
+		"start first":   func(*fixture, string) {},
+		"listing first": func(f *fixture, id string) { f.HandleReplacement(id, f.now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(worker("a", 8000, 8000), worker("b", 8000, 8000), worker("c", 8000, 8000))
+			j := f.Add(spec("j", small(2)), f.now, 0)
+			for range maxCrashes {
+				out := f.plan(time.Second)
+				is.Equal(len(out.Starts), 2)
+				for _, r := range out.Starts {
+					before(f, r.Worker.Entry.ID)
+					f.HandleStartResponse(r, 0, refused, f.now, f.now)
+					is.Equal(len(r.Task.Runs), 0)
+				}
+			}
+			is.Equal(j.State.Final(), false)
+			for task := range j.allTasks() {
+				is.Equal(len(task.Crashes), 0)
+			}
+		})
+	}
 }
 
 // Guards against BUDGET over takeovers: a new owner started the count anew, or did not
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -167,6 +167,9 @@
 	}
 	e.dropUnknownRuns(w, func(runKey) bool { return true })
 	for _, r := range w.sortedRuns() {
+		if r.State == RunStarting {
+			continue // the response shows whether the worker has received the request
+		}
 		e.markLost(r, LossWorkerGone)
 	}
 }
