Store that a start was withdrawn

What callers would see: after a takeover a crash is counted for a start that was refused or never sent, because the stored progress still names the worker and its boot. Cause: removing such a run did not mark the job as changed. Evidence: TestWithdrawnStartIsNoCrashAfterATakeover failed in its three cases and passes. Found in review.

--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -215,11 +215,7 @@
 			f.onlyStart(t, time.Second)
 
 			list, after := takeover(f.entries[0])
-			next := &fixture{Engine: NewEngine(testOptions), now: f.now, entries: list}
-			next.SetQueues([]job.Queue{f.queues["q"]})
-			next.SetWorkers(list, next.now)
-			j := next.Add(former.Spec, next.now, 0)
-			is.NoErr(next.Restore(j, former.Progress()))
+			next, j := f.takeOver(t, former, list)
 			next.ExpectInheritedRuns(nil, next.now)
 			if after != nil {
 				after(next)
@@ -235,11 +231,7 @@
 	f := newFixture(worker("a", 8000, 8000))
 	former := f.Add(spec("j", small(1)), f.now, 0)
 	r := f.onlyStart(t, 0)
-	next := &fixture{Engine: NewEngine(testOptions), now: f.now, entries: f.entries}
-	next.SetQueues([]job.Queue{f.queues["q"]})
-	next.SetWorkers(f.entries, next.now)
-	j := next.Add(former.Spec, next.now, 0)
-	is.NoErr(next.Restore(j, former.Progress()))
+	next, j := f.takeOver(t, former, f.entries)
 	next.ExpectInheritedRuns([]string{"a"}, next.now)
 	next.reportListing("a", port.Listing{Running: []port.RunningTask{{Task: r.Task.name(), Attempt: r.Attempt}}})
 	task := j.occurrences[0].tasks[0][0]
@@ -373,3 +365,36 @@
 	is.Equal(len(out.Starts), 1)
 	is.Equal(out.Starts[0].Task.ID.Job, "other")
 }
+
+// Guards against a crash that a new owner counts for a start that was refused or not sent.
+func TestWithdrawnStartIsNoCrashAfterATakeover(t *testing.T) {
+	for name, err := range map[string]error{
+		"no capacity": &port.RefusedError{Op: "start", Reason: port.RefusedCapacity},
+		"replaced":    &port.RefusedError{Op: "start", Reason: port.RefusedIncarnation},
+		"not sent":    &port.UnansweredError{Op: "start", NotSent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(worker("a", 8000, 8000))
+			former := f.Add(spec("j", small(1)), f.now, 0)
+			r := f.plan(time.Second).Starts[0]
+			f.HandleStartResponse(r, 0, err, f.now, f.now)
+			_, changed := f.TakeOutput().Changed[former]
+			is.True(changed)
+			f.entries[0].Boot++
+			_, j := f.takeOver(t, former, f.entries)
+			is.Equal(len(j.occurrences[0].tasks[0][0].Crashes), 0)
+		})
+	}
+}
+
+// takeOver returns the engine of a next owner that has restored a job.
+func (f *fixture) takeOver(t *testing.T, former *Job, list []port.WorkerEntry) (*fixture, *Job) {
+	t.Helper()
+	next := &fixture{Engine: NewEngine(testOptions), now: f.now, entries: list}
+	next.SetQueues([]job.Queue{f.queues["q"]})
+	next.SetWorkers(list, next.now)
+	j := next.Add(former.Spec, next.now, 0)
+	is.New(t).NoErr(next.Restore(j, former.Progress()))
+	return next, j
+}
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -56,8 +56,7 @@
 	}
 	w.markContact(now)
 	if refused.Reason == port.RefusedIncarnation {
-		w.detach(r) // another worker has refused it, so that it has not run
-		e.stopGang(r)
+		e.withdraw(r) // another worker has refused it
 		e.markReplaced(w, now)
 		return
 	}
@@ -70,11 +69,17 @@
 	if refused.Reason == port.RefusedCapacity {
 		w.bar(now.Add(capacityBackoff))
 	}
-	w.detach(r)
-	e.stopGang(r)
+	e.withdraw(r)
 	r.Task.notBefore = now.Add(refusalBackoff)
 }
 
+// withdraw removes a run that has certainly not begun. A next owner must not look for it.
+func (e *Engine) withdraw(r *Run) {
+	r.Worker.detach(r)
+	e.stopGang(r)
+	e.markChanged(r.Task.Job, false)
+}
+
 // Backoffs after refused requests: short enough that another worker is tried
 // within a small part of the shortest objective, long enough to avoid a busy loop.
 const (
@@ -107,8 +112,7 @@
 
 func (e *Engine) handleUnansweredStart(r *Run, err error, sent time.Time) {
 	if unanswered, ok := err.(*port.UnansweredError); ok && unanswered.NotSent {
-		r.Worker.detach(r)
-		e.stopGang(r)
+		e.withdraw(r)
 		e.HandleNoResponse(r.Worker.Entry.ID, sent)
 		return
 	}
