Count a crash if the replacement was listed before the lease expired

What callers would see: BUDGET is not counted for a worker whose replacement is in the list while its lease still runs, as after a freeze or while the list of VMs is away. Cause: the list was compared with silent runs only when a worker was added, and runs become silent when the lease expires. Evidence: the new case of TestTaskThatCrashesItsWorkersIsGivenUp failed and passes. The workers of the unit tests get addresses of their own, as real ones have; all had the same one. Found in review.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -64,11 +64,20 @@
 	case w.Entry.Draining:
 	case reason == LossWorkerGone, r.boot < w.boot:
 		e.recordCrash(r.Task, r.Attempt)
+	case reason == LossLeaseExpired && e.replaced(w):
+		e.recordCrash(r.Task, r.Attempt)
 	case reason == LossLeaseExpired:
 		e.expectBoot(w.Entry.ID, silentRun{r.Task.name(), r.Attempt, r.boot, w.Entry.Address})
 	}
 }
 
+// replaced reports whether another worker has a worker's address.
+func (e *Engine) replaced(w *Worker) bool {
+	return slices.ContainsFunc(e.workerList, func(other *Worker) bool {
+		return other.Listed && other != w && other.Entry.Address == w.Entry.Address && other.Entry.ID != w.Entry.ID
+	})
+}
+
 // expectBoot records a run whose worker has to show whether it has crashed.
 func (e *Engine) expectBoot(worker string, run silentRun) {
 	e.silentRuns[worker] = append(e.silentRuns[worker], run)
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -57,6 +57,14 @@
 			f.Expire(f.now)
 			f.restart(id)
 		},
+		"another worker has the address before the lease expires": func(f *fixture, id string) {
+			i := slices.IndexFunc(f.entries, func(e port.WorkerEntry) bool { return e.ID == id })
+			f.entries[i].ID += "'"
+			f.SetWorkers(f.entries, f.now)
+			f.reportListing(f.entries[i].ID, port.Listing{})
+			f.now = f.now.Add(testOptions.MaxLease + time.Second)
+			f.Expire(f.now)
+		},
 		"another worker has the address after the lease has expired": func(f *fixture, id string) {
 			f.now = f.now.Add(testOptions.MaxLease + time.Second)
 			f.Expire(f.now)
@@ -70,10 +78,6 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(worker("a", 8000, 8000), worker("b", 8000, 8000), worker("c", 8000, 8000))
-			for i := range f.entries {
-				f.entries[i].Address = fmt.Sprintf("127.0.0.1:%d", i+1)
-			}
-			f.SetWorkers(f.entries, f.now)
 			j := f.Add(spec("j", small(1)), f.now, 0)
 			for range maxCrashes {
 				is.Equal(j.State.Final(), false)
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -12,7 +12,7 @@
 // worker returns the entry of a healthy worker.
 func worker(id string, milliCPU, memoryMB int64) port.WorkerEntry {
 	return port.WorkerEntry{
-		ID: id, Pool: "pool", Address: "127.0.0.1:1", Boot: 1, Labels: []string{"a", "r1"}, Rack: "r1",
+		ID: id, Pool: "pool", Address: id + ":1", Boot: 1, Labels: []string{"a", "r1"}, Rack: "r1",
 		Capacity: job.Resources{MilliCPU: milliCPU, MemoryMB: memoryMB},
 	}
 }
