Expect silent workers to show a crash for a minute only

What callers would see: a worker that was cut off and restarts hours later counts as a crash under the tasks that it once ran. Evidence: the case cut off for long of TestOnlyCrashesOfWorkersCount.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -30,6 +30,9 @@
 	// crashFreePeriod is how long a service task must run to be no suspect any more:
 	// over its life it survives many failures of workers that it did not cause.
 	crashFreePeriod = 10 * time.Second
+	// silentRunRetention is how long a silent worker is expected to show whether it has
+	// crashed.
+	silentRunRetention = time.Minute
 )
 
 // silentRun is a run whose worker has to show whether it has crashed: the worker was
@@ -40,6 +43,8 @@
 	boot    int64 // of the worker when the run was started
 	// address is the worker's; empty if it is not known.
 	address string
+	// since is when the run was lost or restored; zero until forgetSilentRuns is called.
+	since time.Time
 }
 
 // recordCrash counts a crash of a worker under a run of a task, and fails the job after
@@ -67,7 +72,7 @@
 	case reason == LossLeaseExpired && e.replaced(w):
 		e.recordCrash(r.Task, r.Attempt)
 	case reason == LossLeaseExpired:
-		e.expectBoot(w.Entry.ID, silentRun{r.Task.name(), r.Attempt, r.boot, w.Entry.Address})
+		e.expectBoot(w.Entry.ID, silentRun{task: r.Task.name(), attempt: r.Attempt, boot: r.boot, address: w.Entry.Address})
 	}
 }
 
@@ -115,12 +120,18 @@
 // ends, or their leases have expired.
 func (e *Engine) handleBootAlive(worker string) { delete(e.silentRuns, worker) }
 
-// forgetSilentRuns forgets the silent runs of tasks that are done or whose jobs have ended.
-func (e *Engine) forgetSilentRuns() {
+// forgetSilentRuns forgets the silent runs of tasks that are done or whose jobs have ended,
+// and those that are old.
+func (e *Engine) forgetSilentRuns(now time.Time) {
 	for worker, runs := range e.silentRuns {
+		for i := range runs {
+			if runs[i].since.IsZero() {
+				runs[i].since = now
+			}
+		}
 		runs = slices.DeleteFunc(runs, func(run silentRun) bool {
 			t := e.tasks[run.task]
-			return t == nil || t.Done
+			return t == nil || t.Done || now.Sub(run.since) > silentRunRetention
 		})
 		if e.silentRuns[worker] = runs; len(runs) == 0 {
 			delete(e.silentRuns, worker)
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -119,6 +119,15 @@
 			f.reportListing("a", port.Listing{})
 			f.restart("a")
 		},
+		"cut off for long": func(f *fixture, _ *Run) {
+			f.now = f.now.Add(testOptions.MaxLease + time.Second)
+			f.HandleNoResponse("a", f.now)
+			f.Plan(f.now)
+			f.plan(2 * time.Second)
+			f.now = f.now.Add(silentRunRetention + time.Second)
+			f.Plan(f.now)
+			f.restart("a")
+		},
 		"planned departure": func(f *fixture, _ *Run) {
 			f.entries[0].Draining = true
 			f.SetWorkers(f.entries, f.now)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -330,7 +330,7 @@
 		return
 	}
 	e.finalJobsCheckedAt = now
-	e.forgetSilentRuns()
+	e.forgetSilentRuns(now)
 	for id, at := range e.finalJobs {
 		switch {
 		case at.IsZero():
