Store no boot for runs on workers that are about to leave

What callers would see: a planned departure during a takeover counts as a crash. Cause: the next owner sees another boot, and does not know that the former one drained. Evidence: TestPlannedDepartureIsNoCrashAfterATakeover failed and passes.

--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -411,3 +411,17 @@
 	is.New(t).NoErr(next.Restore(j, former.Progress()))
 	return next, j
 }
+
+// Guards against a crash that a new owner counts for a worker that left as planned.
+func TestPlannedDepartureIsNoCrashAfterATakeover(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 8000))
+	former := f.Add(spec("j", small(1)), f.now, 0)
+	f.onlyStart(t, time.Second)
+	f.entries[0].Draining = true
+	f.SetWorkers(f.entries, f.now)
+	next := worker("a", 8000, 8000)
+	next.Boot++
+	_, j := f.takeOver(t, former, []port.WorkerEntry{next})
+	is.Equal(len(j.occurrences[0].tasks[0][0].Crashes), 0)
+}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -19,7 +19,7 @@
 	Crashes    []int  `json:"x,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
 	// Worker is where the task was last started; empty if nothing runs. Boot is the
-	// worker's boot at that time.
+	// worker's boot at that time; zero if the worker is about to leave.
 	Worker string `json:"w,omitempty"`
 	Boot   int64  `json:"b,omitempty"`
 }
@@ -50,7 +50,11 @@
 		if !t.Done {
 			tp.Checkpoint = t.Checkpoint
 			if len(t.Runs) > 0 {
-				tp.Worker, tp.Boot = t.Runs[0].Worker.Entry.ID, t.Runs[0].boot
+				w := t.Runs[0].Worker.Entry
+				tp.Worker = w.ID
+				if !w.Draining { // the end of its boot is planned
+					tp.Boot = t.Runs[0].boot
+				}
 			}
 		}
 		p.Tasks = append(p.Tasks, tp)
