End the isolation of services before other tasks are stopped for them

What callers would see: work is thrown away for an interrupted service task that fits beside another suspect: room was made after 1.2 s, and it could share after 1.5 s. Evidence: TestIsolatedServiceTaskStopsNoOtherIfItFits failed and passes. Found in review.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -25,8 +25,8 @@
 	// that are no longer suspects have made room.
 	isolationWait = crashFreePeriod
 	// serviceIsolationWait replaces isolationWait for service tasks, which may be
-	// interrupted for a few seconds only.
-	serviceIsolationWait = 1500 * time.Millisecond
+	// interrupted for a few seconds only. It ends before other tasks are stopped for them.
+	serviceIsolationWait = evictAfter - 200*time.Millisecond
 	// crashFreePeriod is how long a service task must run to be no suspect any more:
 	// over its life it survives many failures of workers that it did not cause.
 	crashFreePeriod = 10 * time.Second
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -425,3 +425,22 @@
 	_, j := f.takeOver(t, former, []port.WorkerEntry{next})
 	is.Equal(len(j.occurrences[0].tasks[0][0].Crashes), 0)
 }
+
+// Guards against wasted work: room was made for an isolated service task, although it fits
+// beside another suspect.
+func TestIsolatedServiceTaskStopsNoOtherIfItFits(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	f.Add(spec("suspect", small(1)), f.now, 0).occurrences[0].tasks[0][0].Crashes = []int{1}
+	f.confirmStarts(f.plan(0))
+	f.Add(spec("other", batchStep(1, 8000, false)), f.now, 0)
+	f.confirmStarts(f.plan(0))
+	task := f.Add(spec("service", serviceStep(1, 4000)), f.now, 0).occurrences[0].tasks[0][0]
+	task.Crashes, task.hasRun, task.Attempt = []int{1, 2}, true, 2
+	for range 20 {
+		out := f.plan(100 * time.Millisecond)
+		is.Equal(len(out.Stops), 0)
+		f.confirmStarts(out)
+	}
+	is.Equal(len(task.Runs), 1)
+}
