Let crashed workers of the tests return under another ID

That is the form in which the users' platform brings a crashed runner back: another ID at the address, which refuses calls for the former one, and a list of VMs that lacks it. Found in review: with the form, waves of restarts failed good jobs before.

--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -48,6 +48,8 @@
 	divided bool
 	// storedDirectory is set if the directory is read from the store, with its faults.
 	storedDirectory bool
+	// machines tells which workers are up; nil if there is no such list.
+	machines port.Machines
 	// logTo receives the events of daemons that are started after it is set; it may
 	// be nil.
 	logTo log.Handler
@@ -103,6 +105,9 @@
 	t.Helper()
 	cl := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{}, milliCPU: milliCPU}
 	cl.fleet = fake.NewFleet(o)
+	if o.NewID { // the list of VMs alone shows that a worker is gone
+		cl.machines = cl.fleet
+	}
 	for i := range workers {
 		cl.fleet.Add(fmt.Sprintf("w%d", i), "pool", job.Resources{MilliCPU: 8000, MemoryMB: 64000})
 	}
@@ -130,7 +135,7 @@
 		Loop:      d.loop,
 		Store:     daemonStore{cl.store, d},
 		Workers:   daemonWorkers{fake.FleetWorkers{Fleet: cl.fleet}, d},
-		Directory: cl.fleet, Machines: nil,
+		Directory: cl.fleet, Machines: cl.machines,
 		Configs: clusterConfig{cl, d},
 		Peers:   clusterPeers{cl, d},
 		Log:     cl.logger(name),
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -148,6 +148,7 @@
 	{"confirmed start", func(*fake.FleetOptions) {}},
 	{unansweredStart, func(o *fake.FleetOptions) { o.CrashAfter = 0 }},
 	{"crashed workers stay listed", func(o *fake.FleetOptions) { o.StayListed = true }},
+	{"crashed workers return under another ID", func(o *fake.FleetOptions) { o.NewID = true }},
 }
 
 // Guards against BUDGET: a task was started again and again after three workers had
@@ -322,7 +323,9 @@
 		}
 		return upTo3Seconds(task)
 	}
-	cl := newClusterOf(t, 540+seed, 3, waveWorkers, crashFleet(work), nil)
+	o := crashFleet(work)
+	o.NewID = seed%4 >= 2
+	cl := newClusterOf(t, 540+seed, 3, waveWorkers, o, nil)
 	cl.awaitOwner()
 	time.Sleep(time.Second)
 	return cl, rand.New(rand.NewPCG(seed, 6))
@@ -387,6 +390,7 @@
 	o := crashFleet(upTo3Seconds)
 	o.CrashAfter = time.Duration(rng.IntN(3)) * crashDelay
 	o.StayListed = rng.IntN(2) == 0
+	o.NewID = rng.IntN(2) == 0
 	cl := newClusterOf(t, seed, 3, 5, o, nil)
 	defer cl.stopAll()
 	cl.awaitOwner()
--- a/internal/fake/crash.go
+++ b/internal/fake/crash.go
@@ -16,6 +16,8 @@
 	RestartAfter time.Duration
 	// StayListed keeps crashed workers in the directory, under the boot that has crashed.
 	StayListed bool
+	// NewID gives restarted workers another ID at their address.
+	NewID bool
 }
 
 // A task under which crashesToGiveUp workers have crashed may be started startsAfterCrashes
@@ -121,7 +123,7 @@
 	time.AfterFunc(f.crashing.RestartAfter, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if w.crashed && f.workers[w.entry.ID] == w { // not killed or restarted since
+		if w.crashed && f.workers[w.entry.Address] == w { // not killed or restarted since
 			w.restart()
 		}
 	})
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -126,7 +126,10 @@
 func (w *fleetWorker) restart() {
 	entry := w.entry
 	entry.Boot++
-	w.fleet.workers[entry.ID] = w.fleet.newWorker(entry)
+	if w.fleet.crashing.NewID {
+		entry.ID, entry.Boot = entry.ID+"'", 1
+	}
+	w.fleet.workers[entry.Address] = w.fleet.newWorker(entry)
 }
 
 // SetUnreachable makes a worker unreachable or reachable again. Its tasks continue.
@@ -292,6 +295,10 @@
 		return nil, &port.UnansweredError{Op: op, Err: ctx.Err()}
 	}
 	w.advance()
+	if to.ID != w.entry.ID {
+		f.mu.Unlock()
+		return nil, &port.RefusedError{Op: op, Reason: port.RefusedIncarnation}
+	}
 	return w, nil
 }
 
