--- a/explain/explain.go
+++ b/explain/explain.go
@@ -122,7 +122,7 @@
 			report.Events = append(report.Events, e)
 		}
 	}
-	report.Findings = slices.Concat(report.refusals(), report.crashes(), report.failures(events), report.ownerChanges(), report.longWaits())
+	report.Findings = slices.Concat(report.refusals(), report.losses(), report.failures(events), report.ownerChanges(), report.longWaits())
 	if len(report.Findings) == 0 {
 		report.Findings = []string{"nothing unusual: " + report.outcome()}
 	}
@@ -150,9 +150,9 @@
 	return findings
 }
 
-// crashes returns a finding for each task that was given up because workers crashed under
-// it, and one for each other task that was lost with its worker.
-func (r Report) crashes() []string {
+// losses returns a finding for each task with runs that ended without a listed end, and tells
+// of tasks whose job failed because workers crashed under them.
+func (r Report) losses() []string {
 	workers := map[string][]string{} // on which runs were lost, by task
 	givenUp := map[string]bool{}
 	var tasks []string
@@ -171,9 +171,9 @@
 	slices.SortStableFunc(tasks, func(a, b string) int { return len(workers[b]) - len(workers[a]) })
 	var findings []string
 	for _, task := range tasks {
-		lost := fmt.Sprintf("task %s was lost %d times with its worker (%s)", task, len(workers[task]), strings.Join(workers[task], ", "))
+		lost := fmt.Sprintf("task %s had %d runs without a listed end, on %s", task, len(workers[task]), strings.Join(workers[task], ", "))
 		if givenUp[task] {
-			lost += ", and was given up: it probably crashes the workers that start it"
+			lost += ": workers crashed under it, and its job failed"
 		}
 		findings = append(findings, lost)
 	}
