--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -18,10 +18,6 @@
 	// loadTimeout is the timeout of a request for the load of a cell: a round trip between
 	// regions, and a busy owner. A caller waits for it.
 	loadTimeout = 250 * time.Millisecond
-	// noOwnerYetLoad and silentOwnerLoad are the loads, in percent, that are assumed for
-	// cells whose owners do not tell theirs.
-	noOwnerYetLoad  = 30
-	silentOwnerLoad = 95
 	// claimTTL is how long a cell's owner counts a job that is about to be stored. By then,
 	// it has been notified of the job, unless that went to another cell.
 	claimTTL = 400 * time.Millisecond
@@ -106,27 +102,16 @@
 		wg.Go(func() { loads[i] = g.askLoad(ctx, n, spec.ID, demand.Share(len(candidates))) })
 	}
 	wg.Wait()
+	owned := make([]bool, len(candidates))
 	for i, n := range candidates {
-		if loads[i] == nil {
-			loads[i] = unansweredLoad(g.cell(n).View().Owner != "")
-		}
+		owned[i] = g.cell(n).View().Owner != ""
 	}
+	cellmap.AssumeLoads(loads, owned)
 	n := v.cellMap.Choose(candidates, loads, demand, g.options.Region)
 	g.lead.Log.WithFields(log.Fields{"event": "cell_chosen", "job": spec.ID, "cell": n, "candidates": len(candidates)}).Debug("chose the cell of a job")
 	return n
 }
 
-// unansweredLoad returns the load that is assumed for a cell whose owner does not tell it.
-// A cell that has no owner yet will have one soon, and fills like the others. If an owner
-// does not answer, it may take seconds until another one does.
-func unansweredLoad(hadOwner bool) *cellmap.Load {
-	share := noOwnerYetLoad
-	if hadOwner {
-		share = silentOwnerLoad
-	}
-	return &cellmap.Load{Capacity: 100, Reserved: int64(share)}
-}
-
 // needs returns what a job needs of its cell.
 func (g *Group) needs(spec job.Spec) cellmap.Needs {
 	needs := cellmap.NeedsOf(spec)
