Start no task in a data centre under evacuation

Where bounds.evacuateMs is set, the evacuations are read with each read of the worker directory, by the same daemon. Both reads begin after the time that the list carries, and if one fails, the list counts as not read. Entries carry the flag Evacuating, also in the lists that daemons exchange; a list of a daemon that does not read evacuations is not used. A worker with the flag gets no run of any kind and counts neither as capacity nor as a place for services to move to.

A row that names no known data centre, or a malformed one, is logged once and has no effect. A key that is not valid UTF-8 no longer makes a paged read endless.

Where the setting is absent, nothing else is read and nothing changes.

Tests: dispatch/evacuation_test.go for each kind of start, internal/cell/evacuation_test.go for takeovers, restarts, a slow and an unavailable store, new workers and overlapping evacuations, platform/evacuations_test.go for the rows.

--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -55,7 +55,7 @@
 func (e *Engine) leastServiceShare() []*Worker {
 	var sources []*Worker
 	for _, w := range e.workerList {
-		if w.Listed && !w.Entry.Draining && len(e.colocationOf(w).services) > 0 {
+		if w.Listed && w.acceptsWork() && len(e.colocationOf(w).services) > 0 {
 			sources = append(sources, w)
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -25,6 +25,10 @@
 	// worker that does not guard its capacity, which may have shrunk since. Zero means no
 	// bound.
 	CapacityTTL time.Duration
+	// MaxEvacuation is how long after the read of the list of workers a start may begin on
+	// any worker, whose data centre may be under evacuation since. Zero means that the list
+	// does not show evacuations.
+	MaxEvacuation time.Duration
 }
 
 // clockRate is the lowest rate of a worker's clock relative to the owner's; the
--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -305,7 +305,9 @@
 func (e *Engine) mostRoom(room func(*Worker) job.Resources) []roomyWorker {
 	sorted := make([]roomyWorker, 0, len(e.workerList))
 	for _, w := range e.workerList {
-		sorted = append(sorted, roomyWorker{w, room(w)})
+		if !w.Entry.Evacuating { // a data centre that empties would take all places
+			sorted = append(sorted, roomyWorker{w, room(w)})
+		}
 	}
 	slices.SortFunc(sorted, func(a, b roomyWorker) int {
 		return cmp.Or(cmp.Compare(b.room.MilliCPU, a.room.MilliCPU), cmp.Compare(a.worker.Entry.ID, b.worker.Entry.ID))
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -5,7 +5,7 @@
 // thousandths of a core.
 func (e *Engine) Load() (capacity, reserved, bestEffort int64) {
 	for _, w := range e.workerList {
-		if w.Listed && !w.Entry.Draining {
+		if w.Listed && w.acceptsWork() {
 			capacity += w.Entry.Capacity.MilliCPU
 		}
 	}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -104,9 +104,13 @@
 	return w.responsive() && !now.Before(w.backoffUntil)
 }
 
+// acceptsWork reports whether the worker neither leaves nor is in a data centre under
+// evacuation.
+func (w *Worker) acceptsWork() bool { return !w.Entry.Draining && !w.Entry.Evacuating }
+
 // responsive reports whether a worker accepts runs, as far as is known.
 func (w *Worker) responsive() bool {
-	reachable := w.Listed && w.contacted && !w.Entry.Draining && !w.clockAt.IsZero()
+	reachable := w.Listed && w.contacted && w.acceptsWork() && !w.clockAt.IsZero()
 	// Until the list shows the worker's boot, the capacity is that of a former boot.
 	described := w.Entry.Boot == w.boot
 	// Unknown runs use an unknown amount of resources until they have ended.
--- a/internal/cell/capacity_test.go
+++ b/internal/cell/capacity_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,7 +50,18 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := (daemonStore{s.cl.store, s.d}).Range(ctx, "servers", "", "", "\x00", 1); err != nil {
+	read := func() error {
+		_, err := (daemonStore{s.cl.store, s.d}).Range(ctx, "servers", "", "", "\x00", 1)
+		return err
+	}
+	var evacuationsErr error
+	var wg sync.WaitGroup
+	if s.cl.maxEvacuation > 0 { // two reads, either of which may fail
+		wg.Go(func() { evacuationsErr = read() })
+	}
+	err = read()
+	wg.Wait()
+	if err = errors.Join(err, evacuationsErr); err != nil {
 		return nil, err
 	}
 	return list, nil
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -48,6 +48,9 @@
 	divided bool
 	// storedDirectory is set if the directory is read from the store, with its faults.
 	storedDirectory bool
+	// maxEvacuation is the bound of evacuations, where these are in force. The workers guard
+	// their capacity then, so that no other bound limits the age of the list.
+	maxEvacuation time.Duration
 	// machines tells which workers are up; nil if there is no such list.
 	machines port.Machines
 	// logTo receives the events of daemons that are started after it is set; it may
@@ -145,6 +148,9 @@
 		Uptime: func() time.Duration { return time.Since(began) + time.Duration(d.suspended.Load()) },
 		Random: rng.Float64,
 	}
+	if cl.maxEvacuation > 0 {
+		options.Engine.MaxEvacuation, options.Engine.CapacityTTL = cl.maxEvacuation, 0
+	}
 	if cl.storedDirectory {
 		options.Directory = storedDirectory{cl, d}
 	}
--- a/internal/cell/directory.go
+++ b/internal/cell/directory.go
@@ -125,17 +125,17 @@
 		if req.GetEpoch() != epoch {
 			wanted = &peerpb.WorkersVersion{Cell: wanted.GetCell()} // a version of another owner
 		}
-		reply.Workers = append(reply.Workers, d.encode(wanted, now))
+		reply.Workers = append(reply.Workers, d.encode(wanted, g.readsEvacuations(), now))
 	}
 }
 
 // encode returns the list for a daemon that has the version wanted of this owner, or only its
 // age if that is the current one.
-func (d *cellDirectory) encode(wanted *peerpb.WorkersVersion, now time.Time) *peerpb.CellWorkers {
+func (d *cellDirectory) encode(wanted *peerpb.WorkersVersion, evacuationsRead bool, now time.Time) *peerpb.CellWorkers {
 	list := d.current.Load()
 	encoded := &peerpb.CellWorkers{
 		Cell: wanted.GetCell(), Version: d.version, AgeMs: uint64(max(0, now.Sub(list.readAt).Milliseconds())),
-		Unchanged: wanted.GetVersion() == d.version,
+		Unchanged: wanted.GetVersion() == d.version, EvacuationsRead: evacuationsRead,
 	}
 	if encoded.Unchanged {
 		return encoded
@@ -145,16 +145,22 @@
 			Id: w.ID, Pool: w.Pool, Address: w.Address, DataCentre: w.DataCentre, Draining: w.Draining,
 			RemainingMs: w.Remaining.Milliseconds(), WarmUpMs: w.WarmUp.Milliseconds(),
 			MilliCpu: w.Capacity.MilliCPU, MemoryMb: w.Capacity.MemoryMB, Gpu: w.Capacity.GPU,
-			Labels: w.Labels, Rack: w.Rack, Boot: w.Boot,
+			Labels: w.Labels, Rack: w.Rack, Boot: w.Boot, Evacuating: w.Evacuating,
 		})
 	}
 	return encoded
 }
 
+// readsEvacuations reports whether this daemon reads the evacuations with the directory.
+func (g *Group) readsEvacuations() bool { return g.options.Lead.Engine.MaxEvacuation > 0 }
+
 // receiveWorkers applies a list of workers from a reply to a poll that was sent at a time. An
 // owner tells its lists in the order in which it has read them. Of those of different owners,
 // and those that this daemon has read, the later one is kept.
 func (g *Group) receiveWorkers(list *peerpb.CellWorkers, epoch int64, sentAt time.Time) {
+	if g.readsEvacuations() && !list.GetEvacuationsRead() {
+		return // of a daemon of an earlier version: this one reads the directory itself
+	}
 	n, readAt := int(list.GetCell()), sentAt.Add(-milliseconds(list.GetAgeMs()))
 	d := g.directory(n)
 	known := d.current.Load()
@@ -183,7 +189,7 @@
 	entry := port.WorkerEntry{
 		ID: w.GetId(), Pool: w.GetPool(), Address: w.GetAddress(), DataCentre: w.GetDataCentre(), Draining: w.GetDraining(),
 		Remaining: time.Duration(w.GetRemainingMs()) * time.Millisecond, WarmUp: time.Duration(w.GetWarmUpMs()) * time.Millisecond,
-		Labels: w.GetLabels(), Rack: w.GetRack(), Boot: w.GetBoot(),
+		Labels: w.GetLabels(), Rack: w.GetRack(), Boot: w.GetBoot(), Evacuating: w.GetEvacuating(),
 	}
 	entry.Capacity.MilliCPU, entry.Capacity.MemoryMB, entry.Capacity.GPU = w.GetMilliCpu(), w.GetMemoryMb(), w.GetGpu()
 	return entry
--- a/internal/cell/group_test.go
+++ b/internal/cell/group_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,7 +60,10 @@
 	region := []string{"east", "west"}[int(name[len(name)-1]-'0')%2]
 	return NewGroup(GroupOptions{
 		Lead: o, DataCentre: region, Region: region,
-		RegionOf: func(dataCentre string) string { return dataCentre },
+		RegionOf: func(dataCentre string) string {
+			region, _, _ := strings.Cut(dataCentre, "-")
+			return region
+		},
 	})
 }
 
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -27,12 +27,14 @@
 	fails func(task string, attempt int) bool
 	// demand returns what a task counts against its worker's capacity; nil if that is not
 	// checked.
-	demand     func(task string) job.Resources
-	crashing   crashing
-	running    map[string]int  // current runs of a task on live workers
-	done       map[string]bool // tasks whose completion was acknowledged
-	starts     map[string]int
-	violations []string
+	demand   func(task string) job.Resources
+	crashing crashing
+	// evacuations are those in force, by data centre.
+	evacuations map[string]evacuation
+	running     map[string]int  // current runs of a task on live workers
+	done        map[string]bool // tasks whose completion was acknowledged
+	starts      map[string]int
+	violations  []string
 }
 
 // FleetOptions describe the tasks that a fleet runs; Fails and Crashes may be nil. If
@@ -81,7 +83,7 @@
 	return &Fleet{
 		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, demand: o.Demand, workers: map[string]*fleetWorker{},
 		running: map[string]int{}, done: map[string]bool{}, starts: map[string]int{},
-		crashing: newCrashing(o.CrashOptions),
+		crashing: newCrashing(o.CrashOptions), evacuations: map[string]evacuation{},
 	}
 }
 
@@ -218,7 +220,7 @@
 	var entries []port.WorkerEntry
 	for _, w := range f.workers {
 		if !w.unlisted && (!w.dead || w.crashed && f.crashing.StayListed) {
-			entries = append(entries, w.entry)
+			entries = append(entries, f.withEvacuation(w.entry))
 		}
 	}
 	slices.SortFunc(entries, func(a, b port.WorkerEntry) int { return strings.Compare(a.ID, b.ID) })
@@ -359,6 +361,7 @@
 	if f.done[req.Task] {
 		f.recordViolation("task %s started after its end was acknowledged", req.Task)
 	}
+	f.checkEvacuation(w, req.Task)
 	w.runs[req.Task] = &fleetRun{attempt: req.Attempt, startedAt: f.now(), endsAt: clock + f.taskDuration(req.Task)}
 	w.checkCapacity(req.Task)
 	w.scheduleCrash(req.Task)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -119,7 +120,7 @@
 		Loop:      loop,
 		Store:     store,
 		Workers:   platform.NewWorkers(client),
-		Directory: platform.NewDirectory(store, logger),
+		Directory: newDirectory(s, store, logger),
 		Machines:  machines,
 		Advisor:   advisor,
 		Configs:   platform.NewConfigSource(store),
@@ -127,7 +128,7 @@
 		Log:       logger,
 		Metrics:   registry,
 		MilliCPU:  s.MilliCPU,
-		Engine:    dispatch.Options{MaxLease: s.MaxLease, StartWindow: startWindow, MaxViolation: s.MaxViolation, CapacityTTL: s.ContactTime},
+		Engine:    dispatch.Options{MaxLease: s.MaxLease, StartWindow: startWindow, MaxViolation: s.MaxViolation, CapacityTTL: s.ContactTime, MaxEvacuation: s.MaxEvacuation},
 		Lease:     min(defaultLease, s.MaxLease),
 		Retention: retentionFactor * s.StatusRetention,
 		Now:       time.Now,
@@ -137,6 +138,15 @@
 	}
 }
 
+// newDirectory returns the directory of workers, with the evacuations where these are in
+// force.
+func newDirectory(s settings.Node, store port.Store, logger log.Interface) port.Directory {
+	if s.MaxEvacuation <= 0 {
+		return platform.NewDirectory(store, logger)
+	}
+	return platform.NewEvacuatingDirectory(store, slices.Collect(maps.Keys(s.Regions)), logger)
+}
+
 // timeSinceBoot returns the time since the machine started, with suspensions, or
 // zero if the clock cannot be read.
 func timeSinceBoot() time.Duration {
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -78,10 +78,14 @@
 // ScanAll reads all rows of a table in one partition, page by page. The version
 // is that of the first page: changes after it may be missing from the rows.
 func ScanAll(ctx context.Context, store Store, table, partition string) (Page, error) {
+	return ScanRange(ctx, store, table, partition, "", "")
+}
+
+// ScanRange is like ScanAll for the rows with from <= key < to.
+func ScanRange(ctx context.Context, store Store, table, partition, from, to string) (Page, error) {
 	whole := Page{}
-	from := ""
 	for {
-		page, err := store.Range(ctx, table, partition, from, "", 0)
+		page, err := store.Range(ctx, table, partition, from, to, 0)
 		if err != nil {
 			return whole, err
 		}
@@ -92,7 +96,13 @@
 		if !page.More || len(page.Rows) == 0 {
 			return whole, nil
 		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+		next := page.Rows[len(page.Rows)-1].Key + "\x00"
+		if next <= from {
+			// The key is not as it is stored: bytes that are not valid UTF-8 are replaced on
+			// the wire. The same rows would be read again without end.
+			return whole, nil
+		}
+		from = next
 	}
 }
 
@@ -108,6 +118,8 @@
 	Draining   bool
 	// Remaining is the minimum time until a draining worker leaves.
 	Remaining time.Duration
+	// Evacuating is set while the operators have the worker's data centre evacuated.
+	Evacuating bool
 	// WarmUp is how much longer the worker runs slowly after its start.
 	WarmUp   time.Duration
 	Capacity job.Resources
@@ -208,8 +220,8 @@
 	Throttle(ctx context.Context, to Target, task string, attempt int, epoch int64, percent int) error
 }
 
-// Directory lists the workers. Implementations skip and report entries that
-// cannot be decoded.
+// Directory lists the workers, with the evacuations in force. Implementations skip
+// and report entries that cannot be decoded.
 type Directory interface {
 	List(ctx context.Context) ([]WorkerEntry, error)
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -51,6 +51,9 @@
 	// ContactTime is the time within which a change that the platform shows must be taken
 	// into account.
 	ContactTime time.Duration
+	// MaxEvacuation is the time within which no more tasks may start in a data centre after
+	// its evacuation is stored; zero means that evacuations are not in force.
+	MaxEvacuation time.Duration
 }
 
 // Check returns all invalid settings, joined; each is an *Error.
