Log, count and show evacuations

Operators who evacuate a data centre could not see whether the scheduler had read it, nor what still ran there.

The owner of each cell logs evacuation_begins and evacuation_ended once, with the workers and what runs on them. The gauges cell.evacuating_workers and cell.evacuating_runs cover the cells that a daemon owns. Owners tell their evacuations with the status of their cell, and that of the lead cell with each reply to a poll, so that every daemon answers GET /v1/cells of the job interface.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -112,6 +112,8 @@
 	roleSince time.Time
 	// reportedOwner is the owner's address as the lead cell's owner has told it.
 	reportedOwner string
+	// reportedEvacuations are those of the lead cell as its owner has told them.
+	reportedEvacuations []port.Evacuation
 
 	// owner is the owner record as last read from the store.
 	owner              ownerRecord
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -58,6 +58,7 @@
 	own := t.ownWorkers(list)
 	t.engine.SetWorkers(own, t.c.Now())
 	t.engine.SetWorkersReadAt(list.readAt)
+	t.logEvacuations()
 	return own
 }
 
--- a/internal/cell/evacuation_test.go
+++ b/internal/cell/evacuation_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/matryer/is"
 
 	"github.com/bambooyard/bambooyard/internal/fake"
@@ -227,3 +229,130 @@
 	is.Equal(g.workersOf(1), sender.workersOf(1))
 	is.True(g.workersOf(1)[0].Evacuating)
 }
+
+// Guards against an evacuation that operators cannot follow: each owner logs its begin and end
+// once, the gauges show what still runs, and every daemon knows the state of every cell.
+func TestEvacuationsAreLoggedAndShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var mu sync.Mutex
+		var entries []*log.Entry
+		cl := newEvacuationCluster(t, 608)
+		defer cl.stopAll()
+		for _, name := range cl.names() {
+			cl.kill(name)
+		}
+		cl.logTo = log.HandlerFunc(func(e *log.Entry) error {
+			mu.Lock()
+			defer mu.Unlock()
+			entries = append(entries, e)
+			return nil
+		})
+		for i := range 6 {
+			cl.start(fmt.Sprintf("d%d", i))
+		}
+		m := cl.awaitCells()
+		events := func(name string) (cells []any) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, e := range entries {
+				if e.Fields.Get("event") == name {
+					is.Equal(e.Fields.Get("data_centre"), "east-1")
+					is.True(e.Fields.Get("workers").(int) > 0)
+					cells = append(cells, e.Fields.Get("cell"))
+				}
+			}
+			return cells
+		}
+		evacuated := func(name string) (workers, tasks, known int) {
+			states, err := cl.daemons[name].group.States(t.Context())
+			is.NoErr(err)
+			is.Equal(len(states), len(m.Cells))
+			for _, s := range states {
+				if s.Known && s.Owner != "" {
+					known++
+				}
+				for _, ev := range s.Evacuations {
+					is.Equal(ev.DataCentre, "east-1")
+					workers += ev.Workers
+					tasks += ev.Tasks
+				}
+			}
+			return workers, tasks, known
+		}
+		stop := cl.feed()
+		cl.awaitRunningIn("east-1", true, 10*time.Second)
+		time.Sleep(2 * time.Second)
+		stop()
+		cl.fleet.SetTaskDuration(func(string) time.Duration { return 10 * time.Second })
+		for i := range 12 {
+			cl.submit("d0", job.Spec{ID: fmt.Sprintf("long%d", i), Queue: "batch", Steps: []job.Step{{Tasks: 8, EstimateMS: 9000, Resources: job.Resources{MilliCPU: 1000, MemoryMB: 1000}}}})
+		}
+		time.Sleep(2 * time.Second)
+		cl.fleet.Evacuate("east-1", evacuationBound)
+		time.Sleep(4 * time.Second)
+		size := dividedRacks / 4 * workersPerRack
+		gauges := func() (workers, runs int) {
+			for _, name := range cl.names() {
+				m := cl.daemons[name].cell.instruments
+				workers += int(m.evacuatingWorkers.Value())
+				runs += int(m.evacuatingRuns.Value())
+			}
+			return workers, runs
+		}
+		workers, runs := gauges()
+		is.Equal(workers, size)
+		is.Equal(runs, cl.fleet.RunningIn("east-1"))
+		is.True(runs > 0)
+		for _, name := range cl.names() {
+			workers, tasks, known := evacuated(name)
+			is.Equal(workers, size)
+			is.Equal(tasks, runs)
+			is.Equal(known, len(m.Cells))
+		}
+		time.Sleep(10 * time.Second)
+		begun := events("evacuation_begins")
+		is.True(len(begun) > 0)
+		is.Equal(len(events("evacuation_ended")), 0)
+		cl.fleet.WithdrawEvacuation("east-1")
+		time.Sleep(4 * time.Second)
+		is.Equal(events("evacuation_begins"), begun) // each once
+		is.Equal(len(events("evacuation_ended")), len(begun))
+		workers, runs = gauges()
+		is.Equal(workers+runs, 0)
+		for _, name := range cl.names() {
+			workers, tasks, known := evacuated(name)
+			is.Equal(workers+tasks, 0)
+			is.Equal(known, len(m.Cells))
+		}
+	})
+}
+
+// Guards against a state that is shown as present although its owner has long been silent.
+func TestStateOfASilentOwnerIsNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newEvacuationCluster(t, 609)
+		defer cl.stopAll()
+		m := cl.awaitCells()
+		time.Sleep(2 * time.Second)
+		lead := cl.owner()
+		other := "d0"
+		if lead == other {
+			other = "d1"
+		}
+		for _, name := range cl.names() {
+			if name != other {
+				cl.kill(name)
+			}
+		}
+		time.Sleep(1200 * time.Millisecond) // nobody has taken over yet
+		time.Sleep(time.Second)
+		states, err := cl.daemons[other].group.States(t.Context())
+		is.NoErr(err)
+		is.Equal(len(states), len(m.Cells))
+		for n, s := range states {
+			is.Equal(s.Known, cl.daemons[other].group.cell(n).View().IsOwner)
+		}
+	})
+}
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -123,6 +123,7 @@
 		c.jobStates.confirm(now, depthsByQueue(reply.GetDepths()), l.sentAt.Add(-milliseconds(reply.GetDepthsAgeMs())))
 	}
 	if c.isLead() {
+		c.reportedEvacuations = decodeEvacuations(reply.GetEvacuations())
 		c.receiveConfig(reply.GetConfig(), l.sentAt.Add(-milliseconds(reply.GetConfig().GetAgeMs())))
 		if c.group != nil {
 			c.group.receive(reply, l.sentAt)
@@ -221,6 +222,9 @@
 			reply.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
 			reply.Depths = encodeDepths(t.depths())
 		}
+		if c.isLead() {
+			reply.Evacuations = encodeEvacuations(t.engine.Evacuations())
+		}
 		reply.Changes, reply.Sequence, _ = c.jobStates.changesAfter(req.GetAfter(), first)
 		if c.group != nil && c.isLead() {
 			c.group.inform(req, reply, now)
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -236,6 +236,7 @@
 	return &peerpb.CellStatus{
 		Cell: s.GetCell(), Epoch: s.GetEpoch(), Owner: s.GetOwner(), Address: s.GetAddress(), Load: s.GetLoad(),
 		CommitStale: s.GetCommitStale(), Depths: s.GetDepths(), DepthsAgeMs: s.GetDepthsAgeMs() + uint64(max(0, age.Milliseconds())), Loading: s.GetLoading(),
+		Evacuations: s.GetEvacuations(),
 	}
 }
 
@@ -277,6 +278,7 @@
 
 // observeOwned records the status of the cells that this daemon owns.
 func (g *Group) observeOwned(now time.Time) {
+	g.observeEvacuations()
 	for _, c := range g.others() {
 		if c.term != nil {
 			g.recordStatus(c.term.status(now), now)
@@ -297,6 +299,7 @@
 		s.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
 		s.Depths = encodeDepths(t.depths())
 	}
+	s.Evacuations = encodeEvacuations(t.engine.Evacuations())
 	return s
 }
 
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -42,6 +42,9 @@
 	depthsAnswered, depthsRefused metrics.Counter
 	// tasksGivenUp counts the tasks under which too many workers have crashed.
 	tasksGivenUp metrics.Counter
+	// evacuatingWorkers and evacuatingRuns are the workers under evacuation, and the runs on
+	// them, in the cells that this daemon owns.
+	evacuatingWorkers, evacuatingRuns metrics.Gauge
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -79,6 +82,9 @@
 		depthsAnswered: counter("cell.depths_answered"),
 		depthsRefused:  counter("cell.depths_refused"),
 		tasksGivenUp:   counter("cell.tasks_given_up"),
+
+		evacuatingWorkers: gauge("cell.evacuating_workers"),
+		evacuatingRuns:    gauge("cell.evacuating_runs"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -59,6 +59,9 @@
 	// either not yet or no longer.
 	cancelled map[string]bool
 
+	// evacuated are the data centres whose evacuation has been logged.
+	evacuated map[string]bool
+
 	directoryPolledAt     time.Time
 	directoryReadInFlight bool
 	changes               map[string]*changeCursor
@@ -79,6 +82,7 @@
 		inherited:  inheritedLeases{},
 
 		cancelled: map[string]bool{},
+		evacuated: map[string]bool{},
 		changes: map[string]*changeCursor{
 			c.tables.jobs: {}, c.tables.cancels: {},
 		},
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -96,7 +96,7 @@
 		{"forget", "Declare a lost daemon to be gone", "Ends the lost sessions of a daemon that is known to be stopped, so that no revision waits for it.", &forgetCommand{tool: t}},
 		{"history", "List the accepted revisions", "", &historyCommand{tool: t}},
 		{"rollback", "Put an earlier document in force", "Makes the document of an earlier revision the next revision.", &rollbackCommand{tool: t}},
-		{"status", "Show a daemon and its peers", "", &statusCommand{tool: t}},
+		{"status", "Show a daemon and its peers", "On the users' platform, where daemons have no operator address, it asks the job interface and shows the cells, and which data centres are under evacuation.", &statusCommand{tool: t}},
 		{"targets", "List the targets of all services", "", &targetsCommand{tool: t}},
 		{"validate", "Check a document without a daemon", "", &validateCommand{tool: t}},
 		{"workers", "List the VMs", "", &workersCommand{tool: t}},
--- a/internal/fake/evacuation.go
+++ b/internal/fake/evacuation.go
@@ -56,3 +56,10 @@
 	}
 	return n
 }
+
+// SetTaskDuration replaces the function that returns how long a task runs, for later starts.
+func (f *Fleet) SetTaskDuration(taskDuration func(task string) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.taskDuration = taskDuration
+}
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -5,6 +5,7 @@
 //	GET    /v1/queues/QUEUE/jobs/ID   {"state": "running"}
 //	DELETE /v1/queues/QUEUE/jobs/ID
 //	GET    /v1/queues/QUEUE           {"pending": 3}
+//	GET    /v1/cells                  {"cells": [...]}
 //
 // The body of an error is {"code", "message", "verdict"}; the verdict says whether
 // the request may have taken effect, and the header Retry-After when to retry.
@@ -31,7 +32,9 @@
 	// HasQueue reports whether a queue exists in the configuration in force; ready is
 	// false while that is not known.
 	HasQueue func(name string) (exists, ready bool)
-	Log      log.Interface
+	// Cells returns the state of all cells, as far as the daemon knows it.
+	Cells func(ctx context.Context) ([]port.CellState, error)
+	Log   log.Interface
 	// Wall returns the time of the wall clock.
 	Wall func() time.Time
 }
@@ -57,6 +60,11 @@
 	Pending int `json:"pending"`
 }
 
+// CellsReply is the response with the state of all cells.
+type CellsReply struct {
+	Cells []port.CellState `json:"cells"`
+}
+
 // ErrorReply is the response to a refused or failed request.
 type ErrorReply struct {
 	Code    verdict.Code `json:"code"`
@@ -76,6 +84,7 @@
 	queue.PUT("/jobs/:id", h.submit)
 	queue.GET("/jobs/:id", h.state)
 	queue.DELETE("/jobs/:id", h.cancel)
+	engine.GET("/v1/cells", withTimeout, h.cells)
 	return engine
 }
 
@@ -131,6 +140,11 @@
 	h.respond(c, err, PendingReply{n})
 }
 
+func (h *handler) cells(c *gin.Context) {
+	cells, err := h.Cells(c.Request.Context())
+	h.respond(c, err, CellsReply{cells})
+}
+
 // respond writes the result of an operation.
 func (h *handler) respond(c *gin.Context, err error, body any) {
 	if err != nil {
--- a/internal/jobapi/jobapi_test.go
+++ b/internal/jobapi/jobapi_test.go
@@ -109,3 +109,17 @@
 		})
 	}
 }
+
+func TestCellsAreShown(t *testing.T) {
+	is := is.New(t)
+	cells := []port.CellState{{Owner: "d1", Known: true, Evacuations: []port.Evacuation{{DataCentre: "a", Workers: 3, Services: 2, Tasks: 1}}}, {Number: 1}}
+	var err error
+	h := New(Options{Cells: func(context.Context) ([]port.CellState, error) { return cells, err }, Log: &log.Logger{Handler: discard.New()}})
+	w := do(h, http.MethodGet, "/v1/cells", "")
+	is.Equal(w.Code, http.StatusOK)
+	var reply CellsReply
+	is.NoErr(json.Unmarshal(w.Body.Bytes(), &reply))
+	is.Equal(reply.Cells, cells)
+	err = errors.New("the control loop has stopped")
+	is.True(do(h, http.MethodGet, "/v1/cells", "").Code >= http.StatusInternalServerError)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -197,7 +197,7 @@
 	d.callers.MaxHeaderBytes = maxHeaderBytes
 	d.ready = newServer(http.HandlerFunc(d.serveReady))
 	d.metrics = newServer(metricsHandler(d.registry))
-	d.jobs = newServer(jobapi.New(jobapi.Options{Jobs: d.cells, HasQueue: d.hasQueue, Log: d.log, Wall: time.Now}))
+	d.jobs = newServer(jobapi.New(jobapi.Options{Jobs: d.cells, HasQueue: d.hasQueue, Cells: d.cells.States, Log: d.log, Wall: time.Now}))
 	d.reloadOnSIGHUP()
 	d.serveFixedMetrics()
 	return errors.Join(
--- a/internal/port/jobs.go
+++ b/internal/port/jobs.go
@@ -18,3 +18,22 @@
 	// any task.
 	Pending(queue string) (int, error)
 }
+
+// Evacuation is what still runs in a data centre under evacuation, in one cell.
+type Evacuation struct {
+	DataCentre string `json:"dataCentre"`
+	Workers    int    `json:"workers"`
+	// Services are the running tasks of services, and Tasks the others.
+	Services int `json:"services"`
+	Tasks    int `json:"tasks"`
+}
+
+// CellState is the state of a cell as a daemon knows it.
+type CellState struct {
+	Number int `json:"cell"`
+	// Owner is the name of the owner; empty if it is not known.
+	Owner string `json:"owner"`
+	// Known is set if the owner has told its state recently.
+	Known       bool         `json:"known"`
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
+}
