Place best-effort tasks by contention

Best-effort tasks were packed by memory on the workers without services.

A placement now costs what it loses: the slowdown of the task and its neighbours, the probability that services exceed their targets, and the processors that remain without memory.

--- a/dispatch/colocation.go
+++ b/dispatch/colocation.go
@@ -9,8 +9,11 @@
 	services []colocatedService
 	// bestEffort is the number of best-effort tasks.
 	bestEffort int
-	// serviceCPU is the request of all service tasks, in thousandths of a core.
-	serviceCPU int64
+	// serviceCPU is the request of all service tasks, and otherCPU that of all other tasks
+	// that are not suspended, in thousandths of a core.
+	serviceCPU, otherCPU int64
+	// serviceUse is what the service tasks are estimated to use, in thousandths of a core.
+	serviceUse float64
 }
 
 // colocatedService summarises one service image on a worker.
@@ -39,9 +42,13 @@
 		if step.BestEffort {
 			w.colocation.bestEffort++
 		}
-		if step.Service {
+		switch {
+		case step.Service:
 			w.colocation.serviceCPU += step.Resources.MilliCPU
+			w.colocation.serviceUse += w.serviceUseOf(step)
 			w.colocation.add(step, r.Measurement)
+		case r.desiredLimit > 0:
+			w.colocation.otherCPU += step.Resources.MilliCPU
 		}
 	}
 	var shares map[string]float64
--- /dev/null
+++ b/dispatch/contention.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bambooyard/bambooyard/contention"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// penaltyPerLostRun converts costs of contention, in shares of a task's work, into
+// penalties. A task that loses all its work there weighs as much as one that shares a worker
+// with a service of another image.
+const penaltyPerLostRun = bonusServicesTogether
+
+// defaultServiceUse is the share of its request that a service is taken to use before its
+// load is known.
+const defaultServiceUse = 0.45
+
+// serviceUseOf returns what a service task is estimated to use, in thousandths of a core.
+func (w *Worker) serviceUseOf(step *job.Step) float64 {
+	use := defaultServiceUse
+	if l, ok := w.serviceLoads[step.Image]; ok {
+		use = l.own
+	}
+	return use * float64(step.Resources.MilliCPU)
+}
+
+// contendedLoad returns what tasks on a worker request, and services use, as a share of its
+// processors.
+func (e *Engine) contendedLoad(w *Worker) float64 {
+	c := e.colocationOf(w)
+	return (float64(c.otherCPU) + c.serviceUse) * w.cpuShareOf(1)
+}
+
+// bestEffortCost returns the cost of one more best-effort task on a worker, as a share of
+// its work.
+func (e *Engine) bestEffortCost(w *Worker, step *job.Step) float64 {
+	c := e.colocationOf(w)
+	cost := contention.SlowdownCost(e.contendedLoad(w), w.cpuShare(step), c.bestEffort)
+	for k := range c.services {
+		s := &c.services[k]
+		load := s.loadWhile(step)
+		cost += contention.ServiceCost(load, load+e.addedLoadOf(w, s, step), e.interference.loadAt(s.image, 1), s.tasks)
+	}
+	return cost + e.strandedCost(w, step)
+}
+
+// strandedCost returns the cost of the memory that a best-effort task takes from tasks that
+// count against the worker's processors.
+func (e *Engine) strandedCost(w *Worker, step *job.Step) float64 {
+	if e.reservedLoad == 0 {
+		return 0
+	}
+	capacity, free := w.Entry.Capacity, w.unreserved()
+	memory := float64(max(1, capacity.MemoryMB))
+	// The requests of the open jobs show how much memory goes with a processor.
+	perWorker := float64(e.reservedMemory) / float64(e.reservedLoad) * float64(capacity.MilliCPU) / memory
+	return contention.StrandedCost(w.cpuShareOf(free.MilliCPU), float64(free.MemoryMB)/memory, float64(step.Resources.MemoryMB)/memory, perWorker)
+}
+
+// toleratesContention reports whether a worker takes one more best-effort task beside the
+// others.
+func (e *Engine) toleratesContention(t *Task, w *Worker, now time.Time) bool {
+	return contention.Accepts(e.contendedLoad(w), w.cpuShare(t.Step), e.colocationOf(w).bestEffort, t.urgent(now))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -139,8 +139,8 @@
 	relocatedAt       time.Time // when relocateService last searched
 	adviceInFlight    int
 	// reservedLoad and bestEffortLoad are what the open jobs request, in thousandths of a
-	// core.
-	reservedLoad, bestEffortLoad int64
+	// core. reservedMemory is the memory that goes with reservedLoad.
+	reservedLoad, bestEffortLoad, reservedMemory int64
 	// now is the time of the last call of Plan.
 	now time.Time
 	out Output
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -227,13 +227,11 @@
 // worker's services are expected to reach beside one more best-effort task while
 // it runs.
 func (e *Engine) predictedTail(w *Worker, added *job.Step) float64 {
-	share := w.cpuShare(added)
-	ramp := min(1, float64(added.EstimateMS)/float64(peakRampTime.Milliseconds()))
 	highest := 0.0
-	for _, s := range e.colocationOf(w).services {
-		ownLoad := max(s.ownLoad, s.ownLoad+ramp*(s.peakLoad-s.ownLoad))
-		load := ownLoad + s.addedLoad + e.interference.coefficientOf(s.image, added.Image)*share
-		highest = max(highest, e.interference.tailAt(s.image, load))
+	services := e.colocationOf(w).services
+	for k := range services {
+		s := &services[k]
+		highest = max(highest, e.interference.tailAt(s.image, s.loadWhile(added)+e.addedLoadOf(w, s, added)))
 		if s.highestTail >= 1 {
 			highest = max(highest, s.highestTail)
 		}
@@ -241,6 +239,19 @@
 	return highest
 }
 
+// loadWhile returns the load that a service is expected to reach beside the present
+// best-effort tasks while another one runs.
+func (s *colocatedService) loadWhile(added *job.Step) float64 {
+	ramp := min(1, float64(added.EstimateMS)/float64(peakRampTime.Milliseconds()))
+	return max(s.ownLoad, s.ownLoad+ramp*(s.peakLoad-s.ownLoad)) + s.addedLoad
+}
+
+// addedLoadOf returns the load that one more best-effort task is expected to add to a
+// service on a worker.
+func (e *Engine) addedLoadOf(w *Worker, s *colocatedService, added *job.Step) float64 {
+	return e.interference.coefficientOf(s.image, added.Image) * w.cpuShare(added)
+}
+
 // addedLoadOn returns the load that a worker's best-effort tasks are expected to
 // add to a service.
 func (e *Engine) addedLoadOn(w *Worker, added *job.Step) float64 {
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -17,4 +17,5 @@
 	reserved, bestEffort := j.Spec.PeakMilliCPU()
 	e.reservedLoad += n * reserved
 	e.bestEffortLoad += n * bestEffort
+	e.reservedMemory += n * j.Spec.MemoryBeside(reserved)
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -15,7 +15,6 @@
 	penaltyMovedFrom      = 5e6 // the task was moved away from the worker
 	penaltyCold           = 1e6 // the worker is slow after its start
 	penaltySlow           = 2e6 // tasks on the worker are slow
-	penaltyBesideServices = 3e5 // best-effort tasks slow down services
 	bonusServicesTogether = 1e5 // packing services leaves other workers to best-effort tasks
 	penaltyPerMS          = 200 // a round trip delays the start and the end
 	// penaltyAddedLoad applies per unit of load that the best-effort tasks would
@@ -90,7 +89,7 @@
 	if t.mustAvoid(w, reserved != nil && reserved.count[w] > 0, now) {
 		return false
 	}
-	if t.Step.BestEffort && !e.toleratesBestEffort(t, w, now) {
+	if t.Step.BestEffort && !(e.toleratesContention(t, w, now) && e.toleratesBestEffort(t, w, now)) {
 		return false
 	}
 	if t.Step.Label != "" && !slices.Contains(w.Entry.Labels, t.Step.Label) {
@@ -179,12 +178,7 @@
 	services, bestEffort := len(colocated.services), colocated.bestEffort
 	switch {
 	case t.Step.BestEffort:
-		// Best-effort tasks do not slow each other down, so they are packed, which
-		// leaves other workers to services.
-		p = float64(w.free().MemoryMB)
-		if services > 0 {
-			p = penaltyBesideServices * (1 + e.predictedTail(w, t.Step))
-		}
+		p = penaltyPerLostRun * e.bestEffortCost(w, t.Step)
 	case t.Step.Service:
 		if services > 0 {
 			p -= bonusServicesTogether
--- a/job/job.go
+++ b/job/job.go
@@ -136,6 +136,19 @@
 	return reserved, bestEffort
 }
 
+// MemoryBeside returns the memory that the widest step with a request of reserved
+// thousandths of a core requests, in the unit of Resources.MemoryMB. It is zero if no step
+// that is not best-effort requests that many.
+func (s Spec) MemoryBeside(reserved int64) int64 {
+	memory := int64(0)
+	for _, step := range s.Steps {
+		if !step.BestEffort && int64(step.Tasks)*step.Resources.MilliCPU == reserved {
+			memory = max(memory, int64(step.Tasks)*step.Resources.MemoryMB)
+		}
+	}
+	return memory
+}
+
 // Limits of a job. They keep its rows within the store's size limit.
 const (
 	MaxSteps        = 64
