Learn run times from ended runs

Declared run times differ from real ones by half to nine tenths, and every decision relied on them. Package forecast learns for each queue and image how the logarithm of the run time depends on that of the declaration, and predicts a log-normal distribution, also for the rest of a running task. The engine of dispatch keeps a model and records runs that ended done and were neither throttled, stopped, resumed nor started by a former owner.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/bambooyard/bambooyard/forecast"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -86,6 +87,9 @@
 
 	desiredLimit     int // CPU limit that the run should have, in percent
 	throttleInFlight bool
+	// adopted is set if a former owner has started the run, resumed if it started from a
+	// checkpoint, and throttled once its limit has been changed.
+	adopted, resumed, throttled bool
 }
 
 // Engine holds the scheduling state of a cell's owner.
@@ -117,6 +121,8 @@
 	// takeoverAt is when ExpectInheritedRuns was called.
 	takeoverAt   time.Time
 	interference interference
+	// model predicts run times from those of ended runs.
+	model *forecast.Model
 	// toldModes are the most likely coefficients that TakeLearned has returned.
 	toldModes   map[imagePair]int
 	unplaceable unplaceable
@@ -190,6 +196,7 @@
 		uncontacted: map[string]time.Time{},
 
 		interference:     newInterference(),
+		model:            forecast.NewModel(),
 		toldModes:        map[imagePair]int{},
 		unplaceable:      unplaceable{},
 		reservations:     map[*Task]bool{},
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -33,6 +33,9 @@
 	e.markStarted(t.Job)
 	switch end.Reason {
 	case port.EndDone:
+		if r != nil {
+			e.observeRunTime(r, now)
+		}
 		e.markDone(t)
 	case port.EndFailed:
 		e.recordFailure(t, w, end.Attempt)
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -112,7 +112,7 @@
 	if t == nil || t.Done || (len(t.Runs) > 0 && !t.Step.Speculative) {
 		return nil
 	}
-	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Progress: entry.Percent, boot: w.boot}
+	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Progress: entry.Percent, boot: w.boot, adopted: true}
 	w.attach(r)
 	t.Attempt = max(t.Attempt, entry.Attempt)
 	e.markStarted(t.Job)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -291,6 +291,7 @@
 		Task: t, Worker: w, Attempt: attempt, State: RunStarting, FirstOfJob: !t.Job.requested, boot: w.boot,
 		requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Ticket: e.ticketFor(t, w, now),
 		notAfterMS: w.ClockMS(now) + e.startWindow(t, now).Milliseconds(),
+		resumed:    t.Checkpoint != "",
 	}
 	// A start extends the worker's lease as a renewal does.
 	w.leaseUntilMS = max(w.leaseUntilMS, r.notAfterMS)
--- a/dispatch/protection.go
+++ b/dispatch/protection.go
@@ -149,7 +149,7 @@
 		if !r.Task.Step.BestEffort || r.State != RunActive || r.stopping || r.throttleInFlight || r.ConfirmedLimit == r.desiredLimit {
 			continue
 		}
-		r.throttleInFlight = true
+		r.throttleInFlight, r.throttled = true, true
 		e.out.Throttles = append(e.out.Throttles, Throttle{r, r.desiredLimit})
 	}
 }
