Plan waiting jobs by the value that is lost by waiting

A job's objective was computed from declared run times, which are off by half and more, and a job counted as on time until its objective had passed, although its rest no longer fitted. Jobs that could still be in time were planned after others as late, and under a backlog each job started when it was just late.

Package urgency ranks jobs by class (can still be in time, late, expired), priority, and value per core-second that is left, less the time that they can still wait. Chains, objectives and work follow from learned run times and from the ended tasks of the job itself.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bambooyard/bambooyard/forecast"
@@ -123,6 +124,10 @@
 	interference interference
 	// model predicts run times from those of ended runs.
 	model *forecast.Model
+	// meanWork is the mean predicted work of a job in core-seconds, by queue, and meanChain
+	// the mean length of the longest chains in seconds.
+	meanWork  map[string]*mean
+	meanChain mean
 	// toldModes are the most likely coefficients that TakeLearned has returned.
 	toldModes   map[imagePair]int
 	unplaceable unplaceable
@@ -197,6 +202,7 @@
 
 		interference:     newInterference(),
 		model:            forecast.NewModel(),
+		meanWork:         map[string]*mean{},
 		toldModes:        map[imagePair]int{},
 		unplaceable:      unplaceable{},
 		reservations:     map[*Task]bool{},
@@ -238,6 +244,7 @@
 	for _, j := range e.jobs {
 		if q, ok := e.queues[j.Spec.Queue]; ok {
 			j.Queue = q
+			j.profiledAt = time.Time{}
 		}
 	}
 }
@@ -280,7 +287,9 @@
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
-	j.setObjective()
+	j.service = slices.ContainsFunc(spec.Steps, func(s job.Step) bool { return s.Service })
+	e.profileJob(j, now)
+	e.countWork(j)
 	e.jobs[spec.ID] = j
 	e.addLoad(j, 1)
 	e.unstarted[spec.Queue]++
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -87,7 +87,9 @@
 		o.pending[t.ID.Step] = 0
 	} else {
 		t.setDone()
-		o.pending[t.ID.Step]--
+		if o.pending[t.ID.Step]--; o.pending[t.ID.Step] == 0 {
+			t.Job.profiledAt = time.Time{}
+		}
 		for _, r := range t.Runs {
 			e.stop(r, StopEnded)
 		}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bambooyard/bambooyard/job"
+	"github.com/bambooyard/bambooyard/urgency"
 )
 
 // Task is one task of a job.
@@ -93,14 +94,24 @@
 	occurrences []*occurrence
 	objective   time.Time
 	arrived     time.Time
-	// remaining is the length of the longest chain of work from each step on.
+	// remaining is the predicted length of the longest chain of work from each step on.
 	remaining []time.Duration
 	// latestStart is when the job's longest chain must start to meet the objective.
 	latestStart time.Time
 	service     bool // a step is a service, which runs until the job is cancelled
 	// interrupted is set during a plan if a service task of the job is interrupted.
 	interrupted bool
-	timeliness  timeliness
+	// profile holds what the job's rank follows from, as of profiledAt; class and rank are
+	// those at the last plan. The rank is kept up to date while tasks wait.
+	profile    urgency.Profile
+	profiledAt time.Time
+	class      urgency.Class
+	rank       urgency.Rank
+	// work is the predicted work in core-seconds, and chain the length of the longest chain.
+	work  float64
+	chain time.Duration
+	// stepTimes are the run times of tasks of the job that have ended, by step.
+	stepTimes []observedTimes
 	// waiting is the number of tasks that are neither done nor have a run.
 	waiting int
 	// inPlanOrder is set while the job is in the engine's planOrder.
@@ -184,19 +195,6 @@
 // Job returns an open job, or nil.
 func (e *Engine) Job(id string) *Job { return e.jobs[id] }
 
-// setObjective computes when the job should be done.
-func (j *Job) setObjective() {
-	j.remaining = j.Spec.RemainingCriticalPath()
-	chain := slices.Max(j.remaining)
-	stretch := j.Queue.Stretch
-	if stretch == 0 {
-		stretch = 1
-	}
-	j.objective = j.arrived.Add(time.Duration(stretch*float64(chain)) + j.Queue.Slack)
-	j.latestStart = j.objective.Add(-chain)
-	j.service = slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return s.Service })
-}
-
 // slack returns how long a task may wait without its job missing the objective;
 // it is negative if the job is late.
 func (t *Task) slack(now time.Time) time.Duration {
@@ -206,5 +204,5 @@
 // urgent reports whether waiting for a better worker would make the task's job
 // miss its objective. A job that is already late loses nothing by waiting.
 func (t *Task) urgent(now time.Time) bool {
-	return t.Job.timeliness == onTime && t.slack(now) < urgentSlack
+	return t.Job.class == urgency.OnTime && t.slack(now) < urgentSlack
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/bambooyard/bambooyard/job"
@@ -44,92 +43,6 @@
 	}
 }
 
-// byUrgency returns the open jobs with waiting tasks in the order in which they are
-// planned: those that lose most by waiting come first. The slice is valid until the
-// next call. It starts from the last order, which is nearly sorted.
-func (e *Engine) byUrgency(now time.Time) []*Job {
-	e.planOrder = slices.DeleteFunc(e.planOrder, func(j *Job) bool {
-		j.inPlanOrder = j.waiting > 0 && !j.State.Final()
-		return !j.inPlanOrder
-	})
-	for _, j := range e.jobs {
-		j.timeliness = j.timelinessAt(now)
-		j.interrupted = j.service && j.waiting > 0 && j.hasInterruptedTask()
-		if j.waiting > 0 && !j.inPlanOrder {
-			j.inPlanOrder = true
-			e.planOrder = append(e.planOrder, j)
-		}
-	}
-	slices.SortFunc(e.planOrder, compareUrgency)
-	return e.planOrder
-}
-
-func compareUrgency(a, b *Job) int {
-	if a.timeliness != b.timeliness {
-		return int(a.timeliness) - int(b.timeliness)
-	}
-	if a.Queue.Priority != b.Queue.Priority {
-		return a.Queue.Priority - b.Queue.Priority
-	}
-	if a.service || b.service {
-		if c := compareServices(a, b); c != 0 {
-			return c
-		}
-	}
-	if c := a.latestStart.Compare(b.latestStart); c != 0 {
-		return c
-	}
-	return strings.Compare(a.Spec.ID, b.Spec.ID)
-}
-
-// compareServices orders services after other jobs, which end sooner, and groups
-// services that should share workers by image; those with a limit per worker are
-// the hardest to place and come first.
-func compareServices(a, b *Job) int {
-	if a.service != b.service {
-		return boolInt(a.service) - boolInt(b.service)
-	}
-	first, second := &a.Spec.Steps[0], &b.Spec.Steps[0]
-	if c := strings.Compare(first.Image, second.Image); c != 0 {
-		return c
-	}
-	return boolInt(first.MaxPerWorker == 0) - boolInt(second.MaxPerWorker == 0)
-}
-
-func boolInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// timeliness ranks jobs by the value that they can still yield.
-type timeliness int
-
-const (
-	// onTime means that the objective has not passed. Services and scheduled jobs
-	// are always on time.
-	onTime timeliness = iota
-	// late means that the job yields a part of its value.
-	late
-	// expired means that the job yields nothing any more.
-	expired
-)
-
-// lateFactor is the multiple of the time to its objective after which a job
-// yields nothing; the platform's documentation says three.
-const lateFactor = 3
-
-func (j *Job) timelinessAt(now time.Time) timeliness {
-	switch {
-	case j.Spec.Schedule.Times > 0 || j.service || !now.After(j.objective):
-		return onTime
-	case now.Sub(j.arrived) > lateFactor*j.objective.Sub(j.arrived):
-		return expired
-	}
-	return late
-}
-
 // planStep starts the tasks of a step that may start: those that are interrupted, or
 // the others. A gang is interrupted if any of its tasks is.
 func (e *Engine) planStep(step *job.Step, tasks []*Task, interrupted bool, now time.Time) {
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -25,9 +25,38 @@
 	// The request and the news of the end have each been on the way for half a round trip.
 	took := now.Sub(r.requestedAt) - r.Worker.roundTrip
 	e.model.Observe(kindOf(r.Task.Job, r.Task.Step), estimateOf(r.Task.Step), took, 1)
+	r.Task.Job.stepTimes[r.Task.ID.Step].add(took)
 }
 
 // predict returns the distribution of the run time of a task of a step.
 func (e *Engine) predict(j *Job, step *job.Step) forecast.RunTime {
 	return e.model.Predict(kindOf(j, step), estimateOf(step))
 }
+
+// observedTimes are the run times of ended tasks of one step.
+type observedTimes struct {
+	sum time.Duration
+	n   int
+}
+
+func (o *observedTimes) add(took time.Duration) {
+	if took > 0 {
+		o.sum += took
+		o.n++
+	}
+}
+
+// predictionWeight is the number of ended tasks of a step that its prediction counts for.
+// Declared run times are off for a step as a whole, so that its own tasks show more than
+// those of other jobs.
+const predictionWeight = 2
+
+// stepTime returns the expected run time of a task of a step, from the prediction and from
+// the tasks of the step that have ended, and by what factor the prediction is hardly
+// exceeded.
+func (e *Engine) stepTime(j *Job, step int) (run time.Duration, spread float64) {
+	prediction := e.predict(j, &j.Spec.Steps[step])
+	median, seen := prediction.Quantile(0.5), j.stepTimes[step]
+	run = (predictionWeight*median + seen.sum) / time.Duration(predictionWeight+seen.n)
+	return run, prediction.Quantile(0.95).Seconds() / median.Seconds()
+}
