--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,8 +7,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"github.com/bambooyard/bambooyard/forecast"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -90,6 +92,9 @@
 
 	desiredLimit     int // CPU limit that the run should have, in percent
 	throttleInFlight bool
+	// adopted is set if a former owner has started the run, resumed if it started from a
+	// checkpoint, and throttled once its limit has been changed.
+	adopted, resumed, throttled bool
 }
 
 // Engine holds the scheduling state of a cell's owner.
@@ -121,6 +126,12 @@
 	// takeoverAt is when ExpectInheritedRuns was called.
 	takeoverAt   time.Time
 	interference interference
+	// model predicts run times from those of ended runs.
+	model *forecast.Model
+	// meanWork is the mean predicted work of a job in core-seconds, by queue, and meanChain
+	// the mean length of the longest chains in seconds.
+	meanWork  map[string]*mean
+	meanChain mean
 	// toldModes are the most likely coefficients that TakeLearned has returned.
 	toldModes   map[imagePair]int
 	unplaceable unplaceable
@@ -194,6 +205,8 @@
 		uncontacted: map[string]time.Time{},
 
 		interference:     newInterference(),
+		model:            forecast.NewModel(),
+		meanWork:         map[string]*mean{},
 		toldModes:        map[imagePair]int{},
 		unplaceable:      unplaceable{},
 		reservations:     map[*Task]bool{},
@@ -235,6 +248,7 @@
 	for _, j := range e.jobs {
 		if q, ok := e.queues[j.Spec.Queue]; ok {
 			j.Queue = q
+			j.profiledAt = time.Time{}
 		}
 	}
 }
@@ -277,7 +291,9 @@
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
-	j.setObjective()
+	j.service = slices.ContainsFunc(spec.Steps, func(s job.Step) bool { return s.Service })
+	e.profileJob(j, now)
+	e.countWork(j)
 	e.jobs[spec.ID] = j
 	e.addLoad(j, 1)
 	e.unstarted[spec.Queue]++
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -33,6 +33,9 @@
 	e.markStarted(t.Job)
 	switch end.Reason {
 	case port.EndDone:
+		if r != nil {
+			e.observeRunTime(r, now)
+		}
 		e.markDone(t)
 	case port.EndFailed:
 		e.recordFailure(t, w, end.Attempt)
@@ -84,7 +87,9 @@
 		o.pending[t.ID.Step] = 0
 	} else {
 		t.setDone()
-		o.pending[t.ID.Step]--
+		if o.pending[t.ID.Step]--; o.pending[t.ID.Step] == 0 {
+			t.Job.profiledAt = time.Time{}
+		}
 		for _, r := range t.Runs {
 			e.stop(r, StopEnded)
 		}
