--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -98,6 +98,8 @@
 	// latestStart is when the job's longest chain must start to meet the objective.
 	latestStart time.Time
 	service     bool // a step is a service, which runs until the job is cancelled
+	// held is set while the job is being given to another cell; none of its tasks starts.
+	held bool
 	// interrupted is set during a plan if a service task of the job is interrupted.
 	interrupted bool
 	timeliness  timeliness
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -31,6 +31,9 @@
 // planJob starts the tasks of a job that may start: those that are interrupted, or the
 // others.
 func (e *Engine) planJob(j *Job, interrupted bool, now time.Time) {
+	if j.held {
+		return
+	}
 	for _, o := range j.occurrences {
 		if now.Before(o.due) {
 			continue
