Do not subtract a cancelled job twice from the depth of its queue

A job that is cancelled between the request of its first start and the confirmation is taken out of the jobs that have not started when it is cancelled, and was taken out again when a worker listed the run. The depth of the queue became -1, and at other daemons, until the owner changed.

A final job is not counted as started any more.

Test: TestCancelledJobIsNotSubtractedTwiceFromTheDepth, which fails without the change.

--- a/dispatch/counts_test.go
+++ b/dispatch/counts_test.go
@@ -67,3 +67,16 @@
 	}
 	is.Equal(e.Unstarted(), unstarted) // jobs that have not started, by queue
 }
+
+// Guards against a negative depth of a queue: a job that was cancelled before its requested
+// start was confirmed was subtracted again when a worker listed the run.
+func TestCancelledJobIsNotSubtractedTwiceFromTheDepth(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("w", 8000, 8000))
+	f.Add(spec("j", small(1)), f.now, 0)
+	out := f.plan(0)
+	is.Equal(len(out.Starts), 1)
+	f.Cancel("j")
+	f.reportListing("w", port.Listing{Running: []port.RunningTask{{Task: "j.0.0.0", Attempt: out.Starts[0].Attempt}}})
+	is.Equal(f.Unstarted(), map[string]int{})
+}
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -132,7 +132,8 @@
 // markStarted records that a worker has confirmed a run of a task of a job.
 func (e *Engine) markStarted(j *Job) {
 	e.markRequested(j)
-	if !j.Started {
+	// A job that has ended meanwhile is no longer counted among those that have not started.
+	if !j.Started && !j.State.Final() {
 		e.countStarted(j)
 		j.Started = true
 		e.markChanged(j, false)
