Move jobs that have not begun to another cell

A job waited in the cell that it was stored in, also when all workers of that cell drained or left, or when it was full beside an empty one.

The owner of the job's cell moves it in three transactions: it records the move with a commit conditional on the owner's row, moves the job's rows conditional on the version of the job's row and on the absence of a cancellation, and removes the record. The job is held in between. The version is read before the first transaction and recorded, so that a former owner cannot use the one that a revocation has written. An owner without a response, and a successor that finds a record, rewrite the job's row first. Notifications carry the version of the row, and the former owner and its successors ignore outdated ones. Requests that do not find a job in its former cell follow its rows. The depth of the queue counts a job in both cells for a second rather than in none. The wire format between daemons is unchanged.

--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -138,7 +138,7 @@
 func (t *term) applyRows(table string, rows []port.Row) {
 	now := t.c.Now()
 	for _, row := range rows {
-		if row.Version == 0 || row.Partition != t.c.jobPartition(row.Key) {
+		if row.Version == 0 || row.Partition != t.c.jobPartition(row.Key) || table == t.c.tables.jobs && t.rowIsOutdated(row) {
 			continue
 		}
 		if table == t.c.tables.cancels {
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -75,6 +75,8 @@
 	commitDelay atomic.Int64
 	// commitHook, if set, is called in place of each commit of the owner.
 	commitHook atomic.Pointer[commitHook]
+	// txnHook, if set, is called in place of each commit.
+	txnHook atomic.Pointer[txnHook]
 	// suspended is the time for which the VM was suspended, in nanoseconds: it counts as
 	// uptime, but the monotonic clock stood still.
 	suspended atomic.Int64
@@ -407,6 +409,9 @@
 	if hook := s.d.commitHook.Load(); hook != nil && slices.ContainsFunc(txn.Puts, func(p port.Put) bool { return p.Table == tableOwners }) {
 		return (*hook)(ctx, commit)
 	}
+	if hook := s.d.txnHook.Load(); hook != nil {
+		return (*hook)(ctx, txn, commit)
+	}
 	return commit()
 }
 
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -131,6 +131,8 @@
 	ends      committedEnds
 	// cellMap is the cell map in the batch; nil if there is none.
 	cellMap *cellmap.Map
+	// moves are those whose records are in the batch.
+	moves []batchMove
 	// outcomesDeleted is the number of outcomes that the commit deletes.
 	outcomesDeleted int
 	// suspensions is the number of suspensions of the VM before the commit was sent. A
@@ -152,6 +154,7 @@
 	b := t.buildBatch(release)
 	t.putLearned(&b, now)
 	t.mapKeeper.put(&b)
+	t.putMoves(&b)
 	t.committing, t.triedAt = true, now
 	if release && t.releaseSentAt.IsZero() {
 		t.releaseSentAt = now
@@ -300,7 +303,7 @@
 			t.dirty[j.Spec.ID] = j
 		}
 	}
-	t.urgent = t.urgent || len(b.outcomes) > 0 || len(b.jobs) > 0
+	t.urgent = t.urgent || len(b.outcomes) > 0 || len(b.jobs) > 0 || len(b.moves) > 0
 }
 
 func (t *term) commitApplied(b batch, version int64, now time.Time) {
@@ -330,6 +333,7 @@
 	}
 	t.compactor.expiredOutcomes = t.compactor.expiredOutcomes[b.outcomesDeleted:]
 	t.mapCommitted(b.cellMap)
+	t.movesCommitted(b.moves)
 	t.unacknowledged = append(t.unacknowledged, b.ends)
 	for len(t.unacknowledged) > 0 && t.unacknowledged[0].number <= b.committed {
 		t.recordCommittedEnds(t.unacknowledged[0])
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -235,13 +235,13 @@
 // handleNews handles jobs and cancellations that another daemon has stored, and
 // the notification of a newer owner.
 func (c *Cell) handleNews(ctx context.Context, news *peerpb.NewsRequest) *peerpb.Response {
-	var specs []job.Spec
+	var jobs []storedJob
 	for _, body := range news.GetJobs() {
-		var spec job.Spec
-		if err := json.Unmarshal(body, &spec); err != nil {
+		var stored storedJob
+		if err := json.Unmarshal(body, &stored); err != nil {
 			return peer.Refuse("job is not valid: %v", err)
 		}
-		specs = append(specs, spec)
+		jobs = append(jobs, stored)
 	}
 	owner := false
 	err := c.Loop.Do(ctx, func() {
@@ -252,7 +252,7 @@
 			return
 		}
 		owner = true
-		c.term.acceptStored(specs, news.GetCancelled())
+		c.term.acceptStored(jobs, news.GetCancelled())
 	})
 	if err != nil || !owner {
 		return peer.Refuse("not the owner")
--- a/internal/cell/group.go
+++ b/internal/cell/group.go
@@ -275,20 +275,17 @@
 
 // State implements port.Jobs.
 func (g *Group) State(ctx context.Context, id string) (job.State, error) {
-	c, err := g.find(ctx, id)
-	if err != nil {
-		return "", err
-	}
-	return c.State(ctx, id)
+	var state job.State
+	err := g.inCellOf(ctx, id, func(c *Cell) (err error) {
+		state, err = c.State(ctx, id)
+		return err
+	})
+	return state, err
 }
 
 // Cancel implements port.Jobs.
 func (g *Group) Cancel(ctx context.Context, id string) error {
-	c, err := g.find(ctx, id)
-	if err != nil {
-		return err
-	}
-	return c.Cancel(ctx, id)
+	return g.inCellOf(ctx, id, func(c *Cell) error { return c.Cancel(ctx, id) })
 }
 
 // Pending implements port.Jobs. The number is known only if those of all cells are.
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -43,7 +43,7 @@
 	if err := c.checkStore(); err != nil {
 		return err
 	}
-	err := c.write(ctx, c.submission(spec))
+	version, err := c.write(ctx, c.submission(spec))
 	var conflict *port.ConflictError
 	if errors.As(err, &conflict) {
 		c.Log.WithFields(log.Fields{"event": "job_resubmitted", "job": spec.ID}).Info("the job is already stored")
@@ -55,8 +55,9 @@
 		return err
 	}
 	c.instruments.jobsStored.Inc(1)
-	c.jobStates.set(spec.ID, job.Queued, c.Now())
-	c.notifyOwner(&peerpb.NewsRequest{Cell: uint32(c.Number), Jobs: [][]byte{encode(spec)}}, []job.Spec{spec}, nil)
+	c.jobStates.add(spec.ID, job.Queued, c.Now())
+	stored := storedJob{spec, version}
+	c.notifyOwner(&peerpb.NewsRequest{Cell: uint32(c.Number), Jobs: [][]byte{encode(stored)}}, []storedJob{stored}, nil)
 	return nil
 }
 
@@ -73,8 +74,7 @@
 	return txn
 }
 
-// OtherCellError reports a job that was submitted before, to another cell. The submission
-// has succeeded.
+// OtherCellError reports a job that is in another cell. A submission of it has succeeded.
 type OtherCellError struct{ Cell int }
 
 // Error implements error.
@@ -110,16 +110,16 @@
 // write commits a caller's transaction, and retries it if it was refused or the
 // response was lost: its checks make it idempotent. A *port.ConflictError is returned
 // unchanged.
-func (c *Cell) write(ctx context.Context, txn port.Txn) error {
+func (c *Cell) write(ctx context.Context, txn port.Txn) (int64, error) {
 	uncertain := false
 	for attempt := 0; ; attempt++ {
-		err := c.writeOnce(ctx, txn)
+		version, err := c.writeOnce(ctx, txn)
 		var conflict *port.ConflictError
 		var refused *port.RefusedError
 		switch {
 		case err == nil, errors.As(err, &conflict):
 			c.breaker.recordSuccess(c.Now())
-			return err
+			return version, err
 		case errors.As(err, &refused):
 			if refused.Reason != port.RefusedRateLimit {
 				c.breaker.recordFailure(c.Now())
@@ -130,16 +130,15 @@
 			uncertain = uncertain || !errors.As(err, &unanswered) || !unanswered.NotSent
 		}
 		if ctx.Err() != nil || attempt+1 >= maxStoreAttempts || sleep(ctx, storeRetryDelay) != nil {
-			return storeError(err, uncertain)
+			return 0, storeError(err, uncertain)
 		}
 	}
 }
 
-func (c *Cell) writeOnce(ctx context.Context, txn port.Txn) error {
+func (c *Cell) writeOnce(ctx context.Context, txn port.Txn) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err := c.Store.Commit(ctx, txn)
-	return err
+	return c.Store.Commit(ctx, txn)
 }
 
 // storeError returns the error for a caller whose call the store did not confirm.
@@ -157,12 +156,12 @@
 }
 
 // notifyOwner sends stored jobs and cancellations to the owner asynchronously.
-func (c *Cell) notifyOwner(news *peerpb.NewsRequest, specs []job.Spec, cancelled []string) {
+func (c *Cell) notifyOwner(news *peerpb.NewsRequest, jobs []storedJob, cancelled []string) {
 	view := c.View()
 	if view.IsOwner {
 		c.Loop.Post(func() {
 			if c.term != nil {
-				c.term.acceptStored(specs, cancelled)
+				c.term.acceptStored(jobs, cancelled)
 			}
 		})
 		return
@@ -187,8 +186,8 @@
 	Code: verdict.CodeNotFound, Message: "no such job", Verdict: verdict.NotRun, Status: http.StatusGone,
 }
 
-// State returns a job's state. The error is ErrNoJob or another
-// *verdict.RequestError.
+// State returns a job's state. The error is ErrNoJob or another *verdict.RequestError, or an
+// *OtherCellError.
 func (c *Cell) State(ctx context.Context, id string) (job.State, error) {
 	if state, ok := c.jobStates.state(id, c.Now()); ok {
 		return state, nil
@@ -226,8 +225,9 @@
 // storedState reads a job's state and the version of its row from the store.
 func (c *Cell) storedState(ctx context.Context, id string) (job.State, int64, error) {
 	row, err := c.readRow(ctx, c.tables.jobs, c.jobPartition(id), id)
-	if err == nil && row.Version == 0 && c.indexTable() != c.tables.jobs {
-		row, err = c.readRow(ctx, c.indexTable(), c.jobPartition(id), id)
+	here := err == nil && row.Version > 0
+	if err == nil && !here && c.group != nil {
+		row, err = c.findElsewhere(ctx, id)
 	}
 	if err != nil {
 		return "", 0, err
@@ -243,6 +243,9 @@
 	if record.Ended != "" {
 		return record.Ended, row.Version, nil
 	}
+	if !here || record.Cell != c.Number {
+		return "", 0, &OtherCellError{record.Cell}
+	}
 	state, err := c.openState(ctx, id)
 	return state, row.Version, err
 }
@@ -291,7 +294,7 @@
 }
 
 // Cancel stores a job's cancellation. The error is ErrNoJob or another
-// *verdict.RequestError. A job that has ended stays as it is.
+// *verdict.RequestError, or an *OtherCellError. A job that has ended stays as it is.
 func (c *Cell) Cancel(ctx context.Context, id string) error {
 	if state, ok := c.jobStates.state(id, c.Now()); ok && state.Final() {
 		return nil
@@ -304,14 +307,14 @@
 		if state.Final() {
 			return nil
 		}
-		err = c.write(ctx, port.Txn{
+		_, err = c.write(ctx, port.Txn{
 			Partition: c.jobPartition(id),
 			Checks:    []port.Check{{Table: c.tables.jobs, Key: id, Version: version}},
 			Puts:      []port.Put{{Table: c.tables.cancels, Key: id, Value: []byte("{}")}},
 		})
 		var conflict *port.ConflictError
 		if errors.As(err, &conflict) {
-			continue // the job ended in the meantime
+			continue // the job has ended or moved in the meantime
 		}
 		if err == nil {
 			c.jobStates.set(id, job.Cancelled, c.Now())
--- a/internal/cell/jobstates.go
+++ b/internal/cell/jobstates.go
@@ -15,6 +15,10 @@
 	maxChanges     = 8192
 )
 
+// stateMoved stands for the state of a job that the owner has given to another cell, or is
+// giving to one. It is that in the store.
+const stateMoved job.State = ""
+
 // cachedState is the last known state of a job, and when it was recorded.
 type cachedState struct {
 	state job.State
@@ -79,6 +83,16 @@
 	cache.changed = make(chan struct{})
 }
 
+// add records the state of a job that is not known. What the owner has told is kept.
+func (cache *jobStateCache) add(id string, state job.State, now time.Time) {
+	cache.mu.Lock()
+	_, known := cache.states[id]
+	cache.mu.Unlock()
+	if !known {
+		cache.set(id, state, now)
+	}
+}
+
 // notify makes waiting long polls return at once.
 func (cache *jobStateCache) notify() {
 	cache.mu.Lock()
@@ -128,7 +142,7 @@
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	entry, ok := cache.states[id]
-	return entry.state, ok && (entry.state.Final() || now.Sub(cache.confirmedAt) < confirmationTTL)
+	return entry.state, ok && entry.state != stateMoved && (entry.state.Final() || now.Sub(cache.confirmedAt) < confirmationTTL)
 }
 
 // depth returns the number of jobs of a queue that have not started, and whether
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -42,6 +42,10 @@
 	depthsAnswered, depthsRefused metrics.Counter
 	// tasksGivenUp counts the tasks under which too many workers have crashed.
 	tasksGivenUp metrics.Counter
+	// jobsMoved counts the jobs that this owner has moved to another cell, movesRevoked the
+	// moves that were begun and revoked, and movesCancelled those of jobs that were
+	// cancelled meanwhile.
+	jobsMoved, movesRevoked, movesCancelled metrics.Counter
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -79,6 +83,9 @@
 		depthsAnswered: counter("cell.depths_answered"),
 		depthsRefused:  counter("cell.depths_refused"),
 		tasksGivenUp:   counter("cell.tasks_given_up"),
+		jobsMoved:      counter("cell.jobs_moved"),
+		movesRevoked:   counter("cell.moves_revoked"),
+		movesCancelled: counter("cell.moves_cancelled"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
--- a/internal/cell/ownership_test.go
+++ b/internal/cell/ownership_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/internal/port"
-	"github.com/bambooyard/bambooyard/job"
 )
 
 // holdCommits applies the commits of a daemon at once and holds their responses. The
@@ -55,7 +54,7 @@
 	spec.Steps = spec.Steps[:1]
 	before(first)
 	first.loop.Post(func() {
-		first.cell.term.acceptStored([]job.Spec{spec}, nil)
+		first.cell.term.acceptStored([]storedJob{{Spec: spec}}, nil)
 		time.Sleep(freezeTime)
 	})
 	cl.submit(other, spec)
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -16,8 +16,8 @@
 
 // recoveryData is the state of former owners in the store, and the workers.
 type recoveryData struct {
-	jobs, cancels, progress, outcomes, learned, cellMap port.Page
-	workers                                             workerList
+	jobs, cancels, progress, outcomes, learned, cellMap, moves port.Page
+	workers                                                    workerList
 }
 
 // Timeouts and delays of the recovery.
@@ -88,6 +88,7 @@
 		readInto(ctx, t, tableProgress, &data.progress, scan(tableProgress)),
 		readInto(ctx, t, tableOutcomes, &data.outcomes, scan(tableOutcomes)),
 		readInto(ctx, t, tableLearned, &data.learned, scan(tableLearned)),
+		readInto(ctx, t, tableMoves, &data.moves, t.readMoves),
 		t.readWorkers(ctx, &data),
 	}
 	errs := make([]error, len(reads))
@@ -174,6 +175,7 @@
 	for _, row := range data.cancels.Rows {
 		t.cancel(row.Key)
 	}
+	t.restoreMoves(data.moves, data.jobs)
 	ids := make([]string, 0, len(workers))
 	for _, w := range workers {
 		ids = append(ids, w.ID)
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -25,9 +25,11 @@
 	tableOutcomes = "outcomes"
 	tableLearned  = "learned"
 	tableMap      = "cellmap"
-	ownerKey      = "owner"
-	learnedKey    = "images"
-	mapKey        = "map"
+	// tableMoves holds the moves of jobs to other cells that are not completed.
+	tableMoves = "moves"
+	ownerKey   = "owner"
+	learnedKey = "images"
+	mapKey     = "map"
 
 	tableJobs    = "jobs"
 	tableCancels = "cancels"
@@ -86,6 +88,10 @@
 	Ended job.State `json:"ended,omitempty"`
 	// Cell is the number of the job's cell.
 	Cell int `json:"cell,omitempty"`
+	// Moves is how often the job has moved to another cell, and From the cell that it came
+	// from last.
+	Moves int `json:"moves,omitempty"`
+	From  int `json:"from,omitempty"`
 }
 
 // outcomeRecord is the value of a final job's row in tableOutcomes.
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -43,6 +43,7 @@
 	candidates   candidates
 	claims       loadClaims
 	mapKeeper    mapKeeper
+	mover        mover
 
 	planScheduled bool // a call of plan is posted or delayed
 	// planNotBefore is the earliest time of the next plan between ticks.
@@ -75,6 +76,7 @@
 		startedAt:  now,
 		candidates: candidates{},
 		claims:     loadClaims{},
+		mover:      newMover(),
 		heartbeats: map[string]*workerHeartbeat{},
 		inherited:  inheritedLeases{},
 
@@ -160,6 +162,7 @@
 		t.pollLiveness(now)
 		t.compactRows(now)
 		t.updateMap(now)
+		t.moveJobs(now)
 	}
 	if t.loaded && now.Sub(t.prunedAt) > time.Minute {
 		t.prunedAt = now
@@ -255,16 +258,22 @@
 
 // depths returns the number of jobs that have not started, by queue. Empty queues
 // are left out.
-func (t *term) depths() map[string]int { return maps.Clone(t.engine.Unstarted()) }
+func (t *term) depths() map[string]int {
+	depths := maps.Clone(t.engine.Unstarted())
+	t.countDepartures(depths, t.c.Now())
+	return depths
+}
 
 // acceptStored adds jobs and cancellations that a daemon has stored.
-func (t *term) acceptStored(specs []job.Spec, cancelled []string) {
+func (t *term) acceptStored(jobs []storedJob, cancelled []string) {
 	if !t.loaded {
 		return // included in the rows that are being read, or in the changes after them
 	}
 	now := t.c.Now()
-	for _, spec := range specs {
-		t.add(spec, now)
+	for _, stored := range jobs {
+		if !t.hasLeft(stored) {
+			t.add(stored.Spec, now)
+		}
 	}
 	for _, id := range cancelled {
 		t.cancel(id)
