--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -45,6 +45,10 @@
 	// evacuatingWorkers and evacuatingRuns are the workers under evacuation, and the runs on
 	// them, in the cells that this daemon owns.
 	evacuatingWorkers, evacuatingRuns metrics.Gauge
+	// jobsMoved counts the jobs that this owner has moved to another cell, movesRevoked the
+	// moves that were begun and revoked, and movesCancelled those of jobs that were
+	// cancelled meanwhile.
+	jobsMoved, movesRevoked, movesCancelled metrics.Counter
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -85,6 +89,9 @@
 
 		evacuatingWorkers: gauge("cell.evacuating_workers"),
 		evacuatingRuns:    gauge("cell.evacuating_runs"),
+		jobsMoved:         counter("cell.jobs_moved"),
+		movesRevoked:      counter("cell.moves_revoked"),
+		movesCancelled:    counter("cell.moves_cancelled"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
