Start copies of slow and unanswered tasks of speculative steps

A step waited for a task on a slow worker until its end, and for one whose worker or start request was not answered until the lease or the start had expired, although its step allows several runs of a task.

Plan now starts copies last, at most four each 100 ms, with capacity that nothing of the pool waits for, on another worker than the first run's, if possible in another rack. The first run that is done counts and the other is stopped; failures of both count; a third run that a worker lists is stopped. A copy needs a budget for every run that may still fail, and its start request expires within 0.9 s, because no start may follow more than a second after the end of the other run was acknowledged. Progress rows record both runs with their attempts and boots, and that a copy was requested, so that the limit of one copy and the count of crashes hold over a takeover. Of two runs, the one with more progress sets the checkpoint. A task with a copy is not moved off a slow worker.

BenchmarkPlanCopies shows what a plan of copies for 3,000 runs takes.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -169,3 +169,34 @@
 		f.plan(10 * time.Microsecond)
 	}
 }
+
+// BenchmarkPlanCopies measures a plan of copies for 300 jobs of ten tasks each, of which a
+// tenth run slowly, while no worker has room.
+func BenchmarkPlanCopies(b *testing.B) {
+	e, _, now := newRunningEngine(b)
+	step := job.Step{Tasks: 10, EstimateMS: 1000, Resources: job.Resources{MilliCPU: 1, MemoryMB: 1}, Speculative: true}
+	for i := range 300 {
+		e.Add(job.Spec{ID: fmt.Sprintf("speculative%d", i), Queue: "batch", Steps: []job.Step{step}}, now, 0)
+	}
+	e.Plan(now)
+	starts := e.TakeOutput().Starts
+	for i, r := range starts {
+		e.HandleStartResponse(r, 0, nil, now, now)
+		r.listedAt, r.baseAt, r.Progress = now.Add(time.Second), now, 60
+		if i%10 == 0 {
+			r.Progress = 5
+		}
+	}
+	for _, w := range e.workerList {
+		w.backoffUntil = now.Add(time.Hour)
+	}
+	now = now.Add(time.Second)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		e.copiesPlannedAt = time.Time{}
+		e.planCopies(now)
+	}
+	b.ReportMetric(float64(len(starts)), "starts")
+	b.ReportMetric(float64(len(e.out.Copies)), "copies")
+}
--- a/dispatch/counts_test.go
+++ b/dispatch/counts_test.go
@@ -24,6 +24,7 @@
 			case 0:
 				step := small(rapid.IntRange(1, 4).Draw(t, "tasks"))
 				step.Gang = rapid.Bool().Draw(t, "gang")
+				step.Speculative = rapid.Bool().Draw(t, "speculative")
 				queue := rapid.SampledFrom([]string{"q", "other"}).Draw(t, "queue")
 				j := f.Add(job.Spec{ID: fmt.Sprintf("j%d", n), Queue: queue, Steps: []job.Step{step}}, f.now, 0)
 				if rapid.Bool().Draw(t, "restored") {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bambooyard/bambooyard/job"
@@ -83,6 +84,13 @@
 	// at sampledAt, from which the speed is measured.
 	progressAt, sampledAt time.Time
 	progressFrom          int
+	// listedAt is when the progress was last listed, and basePercent the progress at
+	// baseAt, from which the run's rate is computed.
+	listedAt, baseAt time.Time
+	basePercent      int
+	// isCopy is set if the run was started beside another one, adopted if a former owner
+	// started it, resumed if it began from a checkpoint, and throttled if it was limited.
+	isCopy, adopted, resumed, throttled bool
 
 	desiredLimit     int // CPU limit that the run should have, in percent
 	throttleInFlight bool
@@ -129,6 +137,11 @@
 	silentRuns map[string][]silentRun
 	// planOrder are the jobs with waiting tasks in the order of the last plan.
 	planOrder []*Job
+	// copyable are the open jobs, by ID, with steps that allow copies, and waitingPools the
+	// pools in which the last plan found no room for a task.
+	copyable        map[string]*Job
+	waitingPools    map[string]bool
+	copiesPlannedAt time.Time
 	// bestEffortStarted is set once a best-effort task has been started.
 	bestEffortStarted bool
 	consolidatedAt    time.Time
@@ -144,7 +157,11 @@
 
 // Output holds the requests to send and the job changes to commit.
 type Output struct {
-	Starts         []*Run
+	Starts []*Run
+	// Copies are those of Starts that are copies.
+	Copies []StartedCopy
+	// Races are the tasks with two runs of which one is done.
+	Races          []Race
 	Stops          []*Run
 	UnknownRuns    []UnknownRun
 	Throttles      []Throttle
@@ -195,6 +212,8 @@
 		reservations:     map[*Task]bool{},
 		unknownRunCounts: map[string]int{},
 		silentRuns:       map[string][]silentRun{},
+		copyable:         map[string]*Job{},
+		waitingPools:     map[string]bool{},
 
 		out: Output{Changed: map[*Job]bool{}},
 	}
@@ -275,6 +294,9 @@
 	}
 	j.setObjective()
 	e.jobs[spec.ID] = j
+	if slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return allowsCopies(&s) }) {
+		e.copyable[spec.ID] = j
+	}
 	e.addLoad(j, 1)
 	e.unstarted[spec.Queue]++
 	e.claimRunsAndEnds(j, now)
@@ -312,6 +334,7 @@
 	e.out.Finished = append(e.out.Finished, j)
 	delete(e.out.Changed, j)
 	delete(e.jobs, j.Spec.ID)
+	delete(e.copyable, j.Spec.ID)
 	e.addLoad(j, -1)
 	e.finalJobs[j.Spec.ID] = e.now
 	for t := range j.allTasks() {
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -25,7 +25,7 @@
 	if t == nil || t.Job.State.Final() {
 		return
 	}
-	if end.Checkpoint != "" {
+	if end.Checkpoint != "" && (r == nil || r.leads()) {
 		t.Checkpoint = end.Checkpoint
 	}
 	t.Attempt = max(t.Attempt, end.Attempt)
@@ -33,6 +33,10 @@
 	e.markStarted(t.Job)
 	switch end.Reason {
 	case port.EndDone:
+		if r != nil {
+			t.Job.recordFinished(r, now)
+			e.recordRace(r)
+		}
 		e.markDone(t)
 	case port.EndFailed:
 		e.recordFailure(t, w, end.Attempt)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -23,8 +23,8 @@
 	Runs       []*Run
 	// inherited is set if a former owner may have started the task.
 	inherited bool
-	// placedOn is the worker that a former owner last recorded for the task.
-	placedOn string
+	// placedOn are the workers that a former owner last recorded for the task.
+	placedOn []string
 	// movedFrom is the worker that the task was last moved away from.
 	movedFrom     string
 	failedWorkers map[string]bool // workers on which the task has failed
@@ -34,6 +34,13 @@
 	hasRun        bool      // a run of the task was requested, by this owner or a former one
 	// reserved is the capacity that is reserved for the task; nil if there is none.
 	reserved *capacityReservation
+	// copied is set once a copy of the task has been requested that may have begun, under
+	// this owner or a former one. copyNotBefore is the earliest time of the next one.
+	copied        bool
+	copyNotBefore time.Time
+	// unresolvedRuns is the number of runs that were given up without a listed end, and
+	// may have failed.
+	unresolvedRuns int
 	// starvedReportedAt is when the task was last reported as starved.
 	starvedReportedAt time.Time
 }
@@ -108,6 +115,8 @@
 	// stepAdvice is the advisor's responses by step; nil if there are none.
 	stepAdvice map[stepKey]*advice
 	speeds     map[stepKey]stepSpeeds
+	// finishedRuns are the run times of completed runs, by step that allows copies.
+	finishedRuns map[stepKey][]time.Duration
 }
 
 // hasInterruptedTask reports whether a service task of the job is interrupted.
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -82,9 +82,10 @@
 	}
 	r.missedListings, r.listedByBoot, r.boot = 0, true, w.boot
 	e.clearCrashes(r, now)
+	r.recordListed(entry.Percent, now)
 	e.recordProgress(r, entry.Percent, now)
 	r.Progress, r.Measurement = entry.Percent, entry.Measurement
-	if entry.Checkpoint != "" && entry.Checkpoint != r.Task.Checkpoint {
+	if entry.Checkpoint != "" && entry.Checkpoint != r.Task.Checkpoint && r.leads() {
 		r.Task.Checkpoint = entry.Checkpoint
 		e.markChanged(r.Task.Job, false)
 	}
@@ -109,10 +110,13 @@
 // must not continue.
 func (e *Engine) adopt(w *Worker, entry port.RunningTask, now time.Time) *Run {
 	t := e.tasks[entry.Task]
-	if t == nil || t.Done || (len(t.Runs) > 0 && !t.Step.Speculative) {
+	if t == nil || t.Done || len(t.Runs) >= t.maxRunsOf() {
 		return nil
 	}
-	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Progress: entry.Percent, boot: w.boot}
+	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Progress: entry.Percent, boot: w.boot, adopted: true}
+	if len(t.Runs) > 0 {
+		r.isCopy, t.copied = true, true
+	}
 	w.attach(r)
 	t.Attempt = max(t.Attempt, entry.Attempt)
 	e.markStarted(t.Job)
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -34,6 +34,9 @@
 func (e *Engine) markLost(r *Run, reason LossReason) {
 	r.Worker.detach(r)
 	r.Task.readyAt = time.Time{}
+	if reason != LossNeverListed {
+		r.Task.unresolvedRuns++
+	}
 	e.stopGang(r)
 	e.markChanged(r.Task.Job, false)
 	e.recordIfCrashed(r, reason)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -9,7 +9,7 @@
 )
 
 // Plan starts every ready task for which there is capacity, the interrupted ones first,
-// evacuates draining workers and consolidates services.
+// evacuates draining workers and consolidates services. Copies are started last.
 func (e *Engine) Plan(now time.Time) {
 	e.now = now
 	e.Expire(now)
@@ -17,6 +17,7 @@
 	e.evacuate()
 	e.consolidate(now)
 	e.unplaceable.reset()
+	clear(e.waitingPools)
 	order := e.byUrgency(now)
 	for _, j := range order {
 		if j.interrupted {
@@ -26,6 +27,7 @@
 	for _, j := range order {
 		e.planJob(j, false, now)
 	}
+	e.planCopies(now)
 }
 
 // planJob starts the tasks of a job that may start: those that are interrupted, or the
@@ -144,6 +146,7 @@
 			continue
 		}
 		if !t.interrupted() && e.unplaceable.covers(t, now) {
+			e.waitingPools[t.Job.Queue.Pool] = true
 			if t.keepsApart(now) {
 				continue
 			}
@@ -152,6 +155,7 @@
 		w := e.chooseWorker(t, tasks, now, nil)
 		if w == nil {
 			e.unplaceable.add(t, now)
+			e.waitingPools[t.Job.Queue.Pool] = true
 			e.requestAdvice(t, now)
 			switch {
 			case t.interrupted():
@@ -254,6 +258,7 @@
 	for i, t := range tasks {
 		w := e.chooseWorker(t, tasks, now, reserved)
 		if w == nil {
+			e.waitingPools[t.Job.Queue.Pool] = true
 			e.requestAdvice(t, now)
 			if slices.ContainsFunc(tasks, (*Task).interrupted) {
 				e.makeRoomForGang(tasks, now)
@@ -287,10 +292,16 @@
 // start creates a run of a task and requests its start.
 func (e *Engine) start(t *Task, w *Worker, attempt int, now time.Time) {
 	t.Attempt = attempt
+	window := e.startWindow(t, now)
+	if len(t.Runs) > 0 {
+		window = min(window, copyStartWindow)
+		t.copied = true
+	}
 	r := &Run{
+		isCopy: len(t.Runs) > 0, resumed: t.Checkpoint != "",
 		Task: t, Worker: w, Attempt: attempt, State: RunStarting, FirstOfJob: !t.Job.requested, boot: w.boot,
 		requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Ticket: e.ticketFor(t, w, now),
-		notAfterMS: w.ClockMS(now) + e.startWindow(t, now).Milliseconds(),
+		notAfterMS: w.ClockMS(now) + window.Milliseconds(),
 	}
 	// A start extends the worker's lease as a renewal does.
 	w.leaseUntilMS = max(w.leaseUntilMS, r.notAfterMS)
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -22,6 +23,40 @@
 	// worker's boot at that time; zero if the worker is about to leave.
 	Worker string `json:"w,omitempty"`
 	Boot   int64  `json:"b,omitempty"`
+	// RunAttempt is the attempt of that run; zero if it is Attempt.
+	RunAttempt int `json:"r,omitempty"`
+	// Second is the task's second run; nil if there is none. Copied is set if a copy of
+	// the task has been requested.
+	Second *RunProgress `json:"c2,omitempty"`
+	Copied bool         `json:"cp,omitempty"`
+}
+
+// RunProgress is the stored state of a second run of a task.
+type RunProgress struct {
+	Worker  string `json:"w"`
+	Boot    int64  `json:"b,omitempty"`
+	Attempt int    `json:"a"`
+}
+
+// progressOf returns the stored state of a run.
+func progressOf(r *Run) RunProgress {
+	p := RunProgress{Worker: r.Worker.Entry.ID, Attempt: r.Attempt}
+	if !r.Worker.Entry.Draining { // the end of its boot is planned
+		p.Boot = r.boot
+	}
+	return p
+}
+
+// runs returns the recorded runs of a task.
+func (tp TaskProgress) runs() []RunProgress {
+	var runs []RunProgress
+	if tp.Worker != "" {
+		runs = append(runs, RunProgress{tp.Worker, tp.Boot, cmp.Or(tp.RunAttempt, tp.Attempt)})
+	}
+	if tp.Second != nil {
+		runs = append(runs, *tp.Second)
+	}
+	return runs
 }
 
 // Progress is the stored state of an open job, for the next owner.
@@ -49,13 +84,18 @@
 		}
 		if !t.Done {
 			tp.Checkpoint = t.Checkpoint
+			tp.Copied = t.copied
 			if len(t.Runs) > 0 {
-				w := t.Runs[0].Worker.Entry
-				tp.Worker = w.ID
-				if !w.Draining { // the end of its boot is planned
-					tp.Boot = t.Runs[0].boot
+				first := progressOf(t.Runs[0])
+				tp.Worker, tp.Boot = first.Worker, first.Boot
+				if first.Attempt != t.Attempt {
+					tp.RunAttempt = first.Attempt
 				}
 			}
+			if len(t.Runs) > 1 {
+				second := progressOf(t.Runs[1])
+				tp.Second = &second
+			}
 		}
 		p.Tasks = append(p.Tasks, tp)
 	}
@@ -81,7 +121,11 @@
 		t.Attempt = max(t.Attempt, tp.Attempt)
 		t.Failures, t.Crashes = slices.Clone(tp.Failures), slices.Clone(tp.Crashes)
 		t.Checkpoint = tp.Checkpoint
-		t.placedOn = tp.Worker
+		t.copied = t.copied || tp.Copied
+		t.placedOn = nil
+		for _, run := range tp.runs() {
+			t.placedOn = append(t.placedOn, run.Worker)
+		}
 		t.hasRun = tp.Attempt > 0
 		if tp.Done && !t.Done {
 			t.setDone()
@@ -105,21 +149,26 @@
 	return nil
 }
 
-// restoreBoot counts a crash if the worker on which a former owner last started a task has
-// restarted since, or expects the worker to show that.
+// restoreBoot counts a crash for each worker on which a former owner last started a task and
+// that has restarted since, or expects the worker to show that.
 func (e *Engine) restoreBoot(j *Job, tp TaskProgress) {
-	if tp.Boot == 0 || tp.Done {
+	if tp.Done {
 		return
 	}
 	id := job.TaskID{Job: j.Spec.ID, Occurrence: tp.Occurrence, Step: tp.Step, Index: tp.Index}
-	run := silentRun{task: id.String(), attempt: tp.Attempt, boot: tp.Boot}
-	w := e.workers[tp.Worker]
-	if w != nil {
-		run.address = w.Entry.Address
-	}
-	e.expectBoot(tp.Worker, run)
-	if w != nil {
-		e.handleBootEnded(tp.Worker, w.boot)
+	for _, recorded := range tp.runs() {
+		if recorded.Boot == 0 {
+			continue
+		}
+		run := silentRun{task: id.String(), attempt: recorded.Attempt, boot: recorded.Boot}
+		w := e.workers[recorded.Worker]
+		if w != nil {
+			run.address = w.Entry.Address
+		}
+		e.expectBoot(recorded.Worker, run)
+		if w != nil {
+			e.handleBootEnded(recorded.Worker, w.boot)
+		}
 	}
 }
 
@@ -135,8 +184,10 @@
 	}
 	for _, j := range e.jobs {
 		for t := range j.allTasks() {
-			if t.placedOn != "" && (e.workers[t.placedOn] == nil || !e.workers[t.placedOn].contacted) {
-				e.uncontacted[t.placedOn] = deadline
+			for _, id := range t.placedOn {
+				if w := e.workers[id]; w == nil || !w.contacted {
+					e.uncontacted[id] = deadline
+				}
 			}
 		}
 	}
--- a/dispatch/protection.go
+++ b/dispatch/protection.go
@@ -146,6 +146,7 @@
 // confirmed limit differs.
 func (e *Engine) requestThrottles(w *Worker) {
 	for _, r := range w.sortedRuns() {
+		r.throttled = r.throttled || r.desiredLimit < 100
 		if !r.Task.Step.BestEffort || r.State != RunActive || r.stopping || r.throttleInFlight || r.ConfirmedLimit == r.desiredLimit {
 			continue
 		}
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -76,6 +76,10 @@
 // withdraw removes a run that has certainly not begun. A next owner must not look for it.
 func (e *Engine) withdraw(r *Run) {
 	r.Worker.detach(r)
+	if r.isCopy {
+		r.Task.copied = false
+		r.Task.copyNotBefore = r.requestedAt.Add(copyBackoff)
+	}
 	e.stopGang(r)
 	e.markChanged(r.Task.Job, false)
 }
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -33,10 +33,16 @@
 // speedHistory holds the speeds of a worker's recent tasks, relative to other
 // tasks of their steps.
 type speedHistory struct {
-	samples   []float64
+	samples   []speedSample
 	sampledAt time.Time
 }
 
+// speedSample is a relative speed of one task.
+type speedSample struct {
+	task  string
+	ratio float64
+}
+
 // stepSpeeds holds the sum of a step's task speeds by worker. A speed is the
 // declared run time that is completed per unit of time.
 type stepSpeeds map[*Worker]speedSum
@@ -101,7 +107,7 @@
 		return
 	}
 	s := &w.speedHistory
-	s.samples = append(s.samples, speed/mean)
+	s.samples = append(s.samples, speedSample{r.Task.name(), speed / mean})
 	s.sampledAt = now
 	if len(s.samples) > maxSpeedSamples {
 		s.samples = s.samples[1:]
@@ -114,8 +120,31 @@
 	if len(s.samples) < minSpeedSamples || now.Sub(s.sampledAt) > slowExpiry {
 		return false
 	}
-	sorted := slices.Sorted(slices.Values(s.samples))
-	return sorted[len(sorted)/2] < slowRatio
+	return s.median(func(speedSample) bool { return true }) < slowRatio
+}
+
+// median returns the median of the samples that match; zero if there are none.
+func (s *speedHistory) median(match func(speedSample) bool) float64 {
+	var ratios []float64
+	for _, sample := range s.samples {
+		if match(sample) {
+			ratios = append(ratios, sample.ratio)
+		}
+	}
+	if len(ratios) == 0 {
+		return 0
+	}
+	slices.Sort(ratios)
+	return ratios[len(ratios)/2]
+}
+
+// speedOfOthers returns the speed of a worker's tasks other than the given one, relative to
+// other workers; zero if it is not known.
+func (w *Worker) speedOfOthers(t *Task, now time.Time) float64 {
+	if now.Sub(w.speedHistory.sampledAt) > slowExpiry {
+		return 0
+	}
+	return w.speedHistory.median(func(s speedSample) bool { return s.task != t.name() })
 }
 
 // moveStalledAndSlow moves stalled runs, and runs on slow workers, elsewhere.
@@ -132,7 +161,8 @@
 			continue
 		}
 		remaining := time.Duration(step.EstimateMS*int64(100-r.Progress)/100) * time.Millisecond
-		if slow && step.Checkpoints && remaining > minRemainingToMove && e.hasFasterWorker(r, now) {
+		// A task with two runs needs no third one.
+		if slow && len(r.Task.Runs) == 1 && step.Checkpoints && remaining > minRemainingToMove && e.hasFasterWorker(r, now) {
 			e.move(r, StopSlow)
 		}
 	}
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -42,6 +42,9 @@
 	depthsAnswered, depthsRefused metrics.Counter
 	// tasksGivenUp counts the tasks under which too many workers have crashed.
 	tasksGivenUp metrics.Counter
+	// copiesStarted counts the copies whose start was requested, and copiesWon those that
+	// were done before the first run.
+	copiesStarted, copiesWon metrics.Counter
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -79,6 +82,8 @@
 		depthsAnswered: counter("cell.depths_answered"),
 		depthsRefused:  counter("cell.depths_refused"),
 		tasksGivenUp:   counter("cell.tasks_given_up"),
+		copiesStarted:  counter("cell.copies_started"),
+		copiesWon:      counter("cell.copies_won"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -92,6 +92,24 @@
 	}
 }
 
+// observeCopies logs and counts the copies whose start is requested, and the tasks of which
+// one of two runs is done.
+func (t *term) observeCopies(started []dispatch.StartedCopy, races []dispatch.Race) {
+	for _, c := range started {
+		t.c.instruments.copiesStarted.Inc(1)
+		t.log.WithFields(log.Fields{"event": "task_copy", "task": c.Run.Task.ID.String(), "attempt": c.Run.Attempt, "worker": c.Run.Worker.Entry.ID,
+			"first_attempt": c.First.Attempt, "first_worker": c.First.Worker.Entry.ID, "reason": string(c.Reason), "gain_ms": c.Gain.Milliseconds()}).
+			Info("starting a second run of a task")
+	}
+	for _, r := range races {
+		if r.Winner.IsCopy() {
+			t.c.instruments.copiesWon.Inc(1)
+		}
+		t.log.WithFields(log.Fields{"event": "task_copy_ended", "task": r.Task.ID.String(), "attempt": r.Winner.Attempt,
+			"worker": r.Winner.Worker.Entry.ID, "copy_won": r.Winner.IsCopy()}).Info("one of two runs is done; the other is stopped")
+	}
+}
+
 // observeListing records the result of a listing.
 func (m *instruments) observeListing(latency time.Duration, err error) {
 	if err != nil {
--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -45,12 +45,17 @@
 		Checkpoint: task.Checkpoint, Ticket: r.Ticket, Epoch: t.epoch, NotAfterMS: r.NotAfterMS(),
 	}
 	target := r.Worker.Target()
-	observe(t.c.instruments.startLatency, now.Sub(task.ReadySince(now)))
+	waited := now.Sub(task.ReadySince(now))
+	if r.IsCopy() {
+		waited = 0 // the task has had a run since
+	} else {
+		observe(t.c.instruments.startLatency, waited)
+	}
 	if r.FirstOfJob {
 		observe(t.c.instruments.firstStartLatency, now.Sub(task.Job.Arrived()))
 	}
 	t.log.WithFields(log.Fields{"event": "task_start", "task": req.Task, "attempt": req.Attempt, "worker": target.ID,
-		"resumed": req.Checkpoint != "", "waited_ms": now.Sub(task.ReadySince(now)).Milliseconds()}).Info("start requested")
+		"resumed": req.Checkpoint != "", "waited_ms": waited.Milliseconds()}).Info("start requested")
 	runAsync(t, t.c.loopDelay.timeout(requestTimeout), func(ctx context.Context) (int64, error) {
 		return t.c.Workers.Start(ctx, target, req)
 	}, func(clock int64, err error) {
