--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -104,6 +104,7 @@
 func newClusterOf(t *testing.T, seed uint64, daemons, workers int, o fake.FleetOptions, milliCPU func(name string) int64) *cluster {
 	t.Helper()
 	cl := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{}, milliCPU: milliCPU}
+	o.Speculative = speculativeTask
 	cl.fleet = fake.NewFleet(o)
 	if o.NewID { // the list of VMs alone shows that a worker is gone
 		cl.machines = cl.fleet
