--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -25,7 +25,7 @@
 	if t == nil || t.Job.State.Final() {
 		return
 	}
-	if end.Checkpoint != "" {
+	if end.Checkpoint != "" && (r == nil || r.leads()) {
 		t.Checkpoint = end.Checkpoint
 	}
 	t.Attempt = max(t.Attempt, end.Attempt)
@@ -35,6 +35,8 @@
 	case port.EndDone:
 		if r != nil {
 			e.observeRunTime(r, now)
+			t.Job.recordFinished(r, now)
+			e.recordRace(r)
 		}
 		e.markDone(t)
 	case port.EndFailed:
--- a/dispatch/movable_test.go
+++ b/dispatch/movable_test.go
@@ -14,12 +14,13 @@
 func TestOnlyJobsThatWereNeverRequestedMayMove(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(worker("w", 1000, 8000))
-	running, waiting := f.Add(spec("a", small(1)), f.now, 0), f.Add(spec("b", small(1)), f.now, 0)
+	running := f.Add(spec("a", small(1)), f.now, 0)
 	is.True(f.MayMove(running))
 	out := f.plan(0)
 	is.Equal(len(out.Starts), 1)
 	is.Equal(out.Starts[0].Task.Job, running)
 	is.True(!f.MayMove(running)) // without a response yet
+	waiting := f.Add(spec("b", small(1)), f.now, 0)
 	is.True(f.MayMove(waiting))
 	f.HandleStartResponse(out.Starts[0], 0, &port.RefusedError{Op: "start", Reason: port.RefusedBusy}, f.now, f.now)
 	is.True(!f.MayMove(running)) // refused, but requested
--- a/internal/cell/divided_histories_test.go
+++ b/internal/cell/divided_histories_test.go
@@ -27,7 +27,7 @@
 func TestDividedHistories(t *testing.T) {
 	for seed := *firstHistory; seed < *firstHistory+uint64(*histories); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runDividedHistory(t, seed, true) })
+			synctest.Test(t, func(t *testing.T) { runDividedHistory(t, seed, true, (*cluster).historySpec) })
 		})
 	}
 }
@@ -41,14 +41,14 @@
 	for _, seed := range seeds {
 		for _, moves := range []bool{false, true} {
 			t.Run(fmt.Sprintf("seed=%d,moves=%t", seed, moves), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { runDividedHistory(t, seed, moves) })
+				synctest.Test(t, func(t *testing.T) { runDividedHistory(t, seed, moves, (*cluster).spec) })
 			})
 		}
 	}
 }
 
 // runDividedHistory runs a history of faults, in which jobs also move if moves is set.
-func runDividedHistory(t *testing.T, seed uint64, moves bool) {
+func runDividedHistory(t *testing.T, seed uint64, moves bool, newSpec func(*cluster, int) job.Spec) {
 	work := func(task string) time.Duration {
 		return time.Duration(100+200*(len(task)+int(task[len(task)-1]))%2900) * time.Millisecond
 	}
@@ -61,7 +61,7 @@
 	emptied := newEmptiedCells(cl, seed)
 	for range 12 {
 		for range 1 + rng.IntN(4) {
-			spec := cl.spec(1 + rng.IntN(5))
+			spec := newSpec(cl, 1+rng.IntN(5))
 			if cl.trySubmit(fmt.Sprintf("d%d", rng.IntN(6)), spec) == nil {
 				accepted = append(accepted, spec.ID)
 			}
--- a/internal/cell/group_test.go
+++ b/internal/cell/group_test.go
@@ -41,6 +41,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{},
 		milliCPU: func(string) int64 { return smallMilliCPU }, divided: true,
 	}
+	o.Speculative = speculativeTask
 	cl.fleet = fake.NewFleet(o)
 	for r := range dividedRacks {
 		for i := range workersPerRack {
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -49,6 +49,9 @@
 	// moves that were begun and revoked, and movesCancelled those of jobs that were
 	// cancelled meanwhile.
 	jobsMoved, movesRevoked, movesCancelled metrics.Counter
+	// copiesStarted counts the copies whose start was requested, and copiesWon those that
+	// were done before the first run.
+	copiesStarted, copiesWon metrics.Counter
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -92,6 +95,8 @@
 		jobsMoved:         counter("cell.jobs_moved"),
 		movesRevoked:      counter("cell.moves_revoked"),
 		movesCancelled:    counter("cell.moves_cancelled"),
+		copiesStarted:     counter("cell.copies_started"),
+		copiesWon:         counter("cell.copies_won"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
