Move services out of a data centre under evacuation

Services run until they are cancelled, so that an evacuated data centre never became empty.

After the interrupted services have been planned, one service task each 100 ms moves to a worker that has room for it, which is reserved before the task is stopped. A step keeps all but maxUnavailable of its other tasks serving; steps that tolerate none, gangs and tasks that fit nowhere stay. A task does not move to a worker that an interrupted one may get. Nothing is stopped to make room. The function that empties draining workers is renamed, so that evacuation means that of a data centre only.

Tests: dispatch/moveout_test.go for each decision, and TestServicesLeaveAnEvacuatedDataCentre under load past a change of the owner.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -137,7 +137,10 @@
 	bestEffortStarted bool
 	consolidatedAt    time.Time
 	relocatedAt       time.Time // when relocateService last searched
-	adviceInFlight    int
+	movedOutAt        time.Time // when moveOut last searched
+	// movedOutFrom is the last worker that moveOut considered.
+	movedOutFrom   string
+	adviceInFlight int
 	// reservedLoad and bestEffortLoad are what the open jobs request, in thousandths of a
 	// core.
 	reservedLoad, bestEffortLoad int64
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -9,12 +9,12 @@
 )
 
 // Plan starts every ready task for which there is capacity, the interrupted ones first,
-// evacuates draining workers and consolidates services.
+// empties draining workers and data centres under evacuation, and consolidates services.
 func (e *Engine) Plan(now time.Time) {
 	e.now = now
 	e.Expire(now)
 	e.expireReservations(now)
-	e.evacuate()
+	e.leaveDraining()
 	e.consolidate(now)
 	e.unplaceable.reset()
 	order := e.byUrgency(now)
@@ -23,6 +23,7 @@
 			e.planJob(j, true, now)
 		}
 	}
+	e.moveOut(order, now)
 	for _, j := range order {
 		e.planJob(j, false, now)
 	}
@@ -305,19 +306,19 @@
 // NotAfterMS is the time on the worker's clock after which it rejects the start.
 func (r *Run) NotAfterMS() int64 { return r.notAfterMS }
 
-// evacuationMargin is the time before a draining worker leaves at which its
+// drainMargin is the time before a draining worker leaves at which its
 // remaining runs are stopped, so that their checkpoints are saved and their ends
 // are listed. Stops take up to 200 ms and a round trip.
-const evacuationMargin = 700 * time.Millisecond
+const drainMargin = 700 * time.Millisecond
 
-// evacuate moves services off draining workers, and stops all other runs there
+// leaveDraining moves services off draining workers, and stops all other runs there
 // shortly before the workers leave.
-func (e *Engine) evacuate() {
+func (e *Engine) leaveDraining() {
 	for _, w := range e.workerList {
 		if !w.Entry.Draining || len(w.runs) == 0 {
 			continue
 		}
-		leaving := w.Entry.Remaining <= evacuationMargin
+		leaving := w.Entry.Remaining <= drainMargin
 		for _, r := range w.sortedRuns() {
 			if r.stopping || r.State != RunActive {
 				continue
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -28,6 +28,8 @@
 	// StopConsolidate means that the service task moves to a worker with other
 	// services.
 	StopConsolidate StopReason = "consolidation"
+	// StopEvacuation means that the service task leaves a data centre under evacuation.
+	StopEvacuation StopReason = "evacuation"
 )
 
 // move stops a run whose task should continue on another worker.
--- a/internal/cell/evacuation_test.go
+++ b/internal/cell/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,12 +24,24 @@
 // newEvacuationCluster returns a divided cluster with two data centres in each region, where
 // evacuations are in force.
 func newEvacuationCluster(t *testing.T, seed uint64) *cluster {
+	t.Helper()
+	return newSizedEvacuationCluster(t, seed, smallMilliCPU)
+}
+
+// newSizedEvacuationCluster returns such a cluster whose daemons have the given capacity.
+func newSizedEvacuationCluster(t *testing.T, seed uint64, milliCPU int64) *cluster {
 	t.Helper()
 	cl := &cluster{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: fake.NewRowStore(), daemons: map[string]*daemon{},
-		milliCPU: func(string) int64 { return smallMilliCPU }, divided: true, storedDirectory: true, maxEvacuation: evacuationBound,
+		milliCPU: func(string) int64 { return milliCPU }, divided: true, storedDirectory: true, maxEvacuation: evacuationBound,
 	}
-	cl.fleet = fake.NewFleet(fake.FleetOptions{Now: time.Now, TaskDuration: halfSecond})
+	isService := func(task string) bool { return strings.HasPrefix(task, "service") }
+	cl.fleet = fake.NewFleet(fake.FleetOptions{Now: time.Now, Serves: isService, TaskDuration: func(task string) time.Duration {
+		if isService(task) {
+			return time.Hour
+		}
+		return halfSecond(task)
+	}})
 	for r := range dividedRacks {
 		for i := range workersPerRack {
 			cl.addWorker(r, fmt.Sprintf("w%d-%d", r, i))
@@ -356,3 +369,55 @@
 		}
 	})
 }
+
+// Guards against AVAIL and LOST: services leave an evacuated data centre under load, past a
+// change of the owners, and no step ever has more than one task away.
+func TestServicesLeaveAnEvacuatedDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newSizedEvacuationCluster(t, 610, 2*smallMilliCPU) // a cell has both data centres of a region
+		defer cl.stopAll()
+		cl.awaitCells()
+		time.Sleep(2 * time.Second)
+		const services, tasks = 8, 4
+		for i := range services {
+			step := job.Step{Tasks: tasks, Service: true, Image: "desk", MaxUnavailable: 1, TargetLatencyMS: 50, Resources: job.Resources{MilliCPU: 2000, MemoryMB: 1000}}
+			cl.submit("d0", job.Spec{ID: fmt.Sprintf("service%d", i), Queue: "batch", Steps: []job.Step{step}})
+		}
+		defer cl.feed()()
+		time.Sleep(5 * time.Second)
+		is.True(cl.serviceTasksIn("east-1") > 0)
+		cl.fleet.Evacuate("east-1", evacuationBound)
+		for i := range 1500 {
+			time.Sleep(10 * time.Millisecond)
+			if i == 100 {
+				cl.kill(cl.owner())
+			}
+			for s := range services {
+				is.True(cl.fleet.RunningTasksOf(fmt.Sprintf("service%d", s)) >= tasks-1)
+			}
+		}
+		is.Equal(cl.serviceTasksIn("east-1"), 0)
+		for s := range services {
+			is.Equal(cl.fleet.RunningTasksOf(fmt.Sprintf("service%d", s)), tasks)
+		}
+		cl.check()
+	})
+}
+
+// serviceTasksIn returns the number of service tasks in a data centre, as the owners of the
+// cells know it.
+func (cl *cluster) serviceTasksIn(dataCentre string) int {
+	n := 0
+	for _, name := range cl.names() {
+		g := cl.daemons[name].group
+		_ = g.lead.Loop.Do(cl.t.Context(), func() {
+			for _, c := range append(g.others(), g.lead) {
+				if c.term != nil {
+					n += c.term.engine.CountIn(dataCentre).Services
+				}
+			}
+		})
+	}
+	return n
+}
--- a/internal/fake/evacuation.go
+++ b/internal/fake/evacuation.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"strings"
 	"time"
 
 	"github.com/bambooyard/bambooyard/internal/port"
@@ -63,3 +64,16 @@
 	defer f.mu.Unlock()
 	f.taskDuration = taskDuration
 }
+
+// RunningTasksOf returns the number of tasks of a job that run.
+func (f *Fleet) RunningTasksOf(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for task, runs := range f.running {
+		if jobID, _, _ := strings.Cut(task, "."); jobID == id && runs > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -27,7 +27,10 @@
 	fails func(task string, attempt int) bool
 	// demand returns what a task counts against its worker's capacity; nil if that is not
 	// checked.
-	demand   func(task string) job.Resources
+	demand func(task string) job.Resources
+	// serves reports whether a task is one of a service, which serves from its start on; nil
+	// if there are none.
+	serves   func(task string) bool
 	crashing crashing
 	// evacuations are those in force, by data centre.
 	evacuations map[string]evacuation
@@ -37,13 +40,14 @@
 	violations  []string
 }
 
-// FleetOptions describe the tasks that a fleet runs; Fails and Crashes may be nil. If
+// FleetOptions describe the tasks that a fleet runs; Fails, Crashes and Serves may be nil. If
 // Demand is nil, the capacities of workers are not checked.
 type FleetOptions struct {
 	Now          func() time.Time
 	TaskDuration func(task string) time.Duration
 	Fails        func(task string, attempt int) bool
 	Demand       func(task string) job.Resources
+	Serves       func(task string) bool
 	CrashOptions
 }
 
@@ -81,7 +85,7 @@
 		o.Fails = func(string, int) bool { return false }
 	}
 	return &Fleet{
-		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, demand: o.Demand, workers: map[string]*fleetWorker{},
+		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, demand: o.Demand, serves: o.Serves, workers: map[string]*fleetWorker{},
 		running: map[string]int{}, done: map[string]bool{}, starts: map[string]int{},
 		crashing: newCrashing(o.CrashOptions), evacuations: map[string]evacuation{},
 	}
@@ -425,13 +429,16 @@
 	}
 	l := port.Listing{ClockMS: w.clock().Milliseconds(), Boot: w.entry.Boot, Ended: slices.Clone(w.ended)}
 	for task, r := range w.runs {
-		l.Running = append(l.Running, port.RunningTask{Task: task, Attempt: r.attempt, Percent: w.percent(r)})
+		l.Running = append(l.Running, port.RunningTask{Task: task, Attempt: r.attempt, Percent: w.percent(task, r)})
 	}
 	return l, len(w.ended) > 0, nil
 }
 
 // percent returns the progress of a run, from 0 to 100.
-func (w *fleetWorker) percent(r *fleetRun) int {
+func (w *fleetWorker) percent(task string, r *fleetRun) int {
+	if w.fleet.serves != nil && w.fleet.serves(task) {
+		return 100
+	}
 	total := r.endsAt - (r.startedAt.Sub(w.startedAt) + time.Second)
 	if total <= 0 {
 		return 100
