Rate cold workers by the time that is lost on them

Each cold worker had the same penalty, so that one that is nearly warm stayed unused, and tasks started on a cold one although a warm one was about to become free. Workers that were slow while cold were marked as slow and lost their tasks. After an evacuation, most workers of the data centre are cold.

Where bounds.evacuateMs is set, the penalty is that of a round trip as long as the time that the task would lose, and a task other than a service or a gang waits for a warm worker if that is expected to have room sooner. An expected end is claimed by one task in a plan, and a wait lasts no longer than the time that it saves. Speeds on cold workers are not compared, and no run moves from a slow worker to a cold one. That tasks run twice as long on a cold worker is assumed, not measured. Elsewhere the penalty is fixed, as before.

The time of the list is recorded before the list is applied, because the remaining cold times count from it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -124,6 +124,10 @@
 	// toldModes are the most likely coefficients that TakeLearned has returned.
 	toldModes   map[imagePair]int
 	unplaceable unplaceable
+	// warmRooms is the room that becomes free on warm workers, computed once in a plan when it
+	// is needed.
+	warmRooms      []*warmRoom
+	warmRoomsValid bool
 	// reservations are the tasks that capacity is reserved for.
 	reservations map[*Task]bool
 	// unknownRunCounts is the number of unknown runs by task name.
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -55,7 +55,8 @@
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 64000))
 	f.setEvacuating("a")
-	f.listBoot("a", 2)
+	f.entries[0].Boot = 2
+	f.SetWorkers(f.entries, f.now)
 	f.reportListing("a", port.Listing{Boot: 2, ClockMS: 5})
 	added := worker("new", 8000, 64000)
 	added.Evacuating = true
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -210,9 +210,7 @@
 	if rack != "" && w.Entry.Rack != rack {
 		p += penaltyRemoteData
 	}
-	if w.Entry.WarmUp > 0 {
-		p += penaltyCold
-	}
+	p += e.coldPenalty(t, w)
 	return p + penaltyPerMS*float64(w.roundTrip.Milliseconds())
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -17,6 +17,7 @@
 	e.leaveDraining()
 	e.consolidate(now)
 	e.unplaceable.reset()
+	e.warmRoomsValid = false
 	order := e.byUrgency(now)
 	for _, j := range order {
 		if j.interrupted {
@@ -163,6 +164,9 @@
 			}
 			return // the other tasks of the step do not fit either
 		}
+		if !t.interrupted() && e.awaitsWarmWorker(t, w, now) {
+			continue
+		}
 		e.start(t, w, t.Attempt+1, now)
 	}
 }
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -74,7 +74,9 @@
 	r.Progress = percent
 	if took := now.Sub(r.sampledAt); took >= minSampleInterval && r.desiredLimit == 100 {
 		done := float64(percent-r.progressFrom) / 100 * float64(r.Task.Step.EstimateMS)
-		e.recordSpeed(r, done/float64(took.Milliseconds()), now)
+		if cold := e.ratesCold() && r.Worker.coldUntil.After(r.sampledAt); !cold { // will soon be faster
+			e.recordSpeed(r, done/float64(took.Milliseconds()), now)
+		}
 		r.sampledAt, r.progressFrom = now, percent
 	}
 }
@@ -141,5 +143,8 @@
 // hasFasterWorker reports whether a run could continue on a worker that is not slow.
 func (e *Engine) hasFasterWorker(r *Run, now time.Time) bool {
 	other := e.alternativeWorker(r, now)
-	return other != nil && !e.isSlow(other, now)
+	if other == nil || e.isSlow(other, now) {
+		return false
+	}
+	return !e.ratesCold() || !other.coldUntil.After(now)
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -44,6 +44,8 @@
 	// time, an interrupted service task that has no other worker may be started.
 	backoffUntil, barredUntil time.Time
 	latency                   latencyState
+	// coldUntil is the time until which the worker is or was cold.
+	coldUntil time.Time
 	// recentShares are the CPU shares of best-effort images, and serviceLoads the
 	// loads of service images.
 	recentShares shareAverages
@@ -203,6 +205,7 @@
 		}
 		if entry.Boot >= w.boot {
 			w.Entry = entry
+			w.setCold(entry.WarmUp, e.workersReadAt)
 		}
 		w.Listed = true
 	}
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -56,8 +56,8 @@
 // setWorkers applies a list of the cell's workers or, in the lead cell, of all workers.
 func (t *term) setWorkers(list workerList) []port.WorkerEntry {
 	own := t.ownWorkers(list)
-	t.engine.SetWorkers(own, t.c.Now())
 	t.engine.SetWorkersReadAt(list.readAt)
+	t.engine.SetWorkers(own, t.c.Now())
 	t.logEvacuations()
 	return own
 }
