--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -139,6 +139,10 @@
 	// toldModes are the most likely coefficients that TakeLearned has returned.
 	toldModes   map[imagePair]int
 	unplaceable unplaceable
+	// warmRooms is the room that becomes free on warm workers, computed once in a plan when it
+	// is needed.
+	warmRooms      []*warmRoom
+	warmRoomsValid bool
 	// reservations are the tasks that capacity is reserved for.
 	reservations map[*Task]bool
 	// unknownRunCounts is the number of unknown runs by task name.
@@ -157,7 +161,10 @@
 	bestEffortStarted bool
 	consolidatedAt    time.Time
 	relocatedAt       time.Time // when relocateService last searched
-	adviceInFlight    int
+	movedOutAt        time.Time // when moveOut last searched
+	// movedOutFrom is the last worker that moveOut considered.
+	movedOutFrom   string
+	adviceInFlight int
 	// reservedLoad and bestEffortLoad are what the open jobs request, in thousandths of a
 	// core. reservedMemory is the memory that goes with reservedLoad.
 	reservedLoad, bestEffortLoad, reservedMemory int64
