Reserve workers for large tasks at the time at which they will be free

A task that requests much more than others waited for as long as smaller tasks took what became free: there was no reservation for ordinary tasks, and no use of when running ones end.

Package lookahead decides when a task or a gang is expected to fit, on which VMs, and what becomes of a reservation. dispatch reserves a worker for a task that requests more than twice the mean of the running ones and fits nowhere; others start there only in what is spare beside it, or if they are expected to end before. Services, and tasks of a queue with a higher priority, may use a reserved worker. At most one worker in eight and 16 in all are reserved, for 30 s at most; overdue reservations move, and a new owner has none. Begin and end are logged and counted.

All tests of dispatch/lookahead_test.go fail without reservations, but the two that guard against needless ones.

--- a/dispatch/consolidate.go
+++ b/dispatch/consolidate.go
@@ -89,7 +89,7 @@
 	var target *Worker
 	best := 0.0
 	for _, w := range e.workerList {
-		if w == from || e.serviceShare(w) <= share || !e.eligible(t, w, now, nil) {
+		if w == from || w.advance != nil || e.serviceShare(w) <= share || !e.eligible(t, w, now, nil) {
 			continue
 		}
 		if gain := e.gainAt(r, w); gain > best {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -90,6 +90,9 @@
 	// adopted is set if a former owner has started the run, resumed if it started from a
 	// checkpoint, and throttled once its limit has been changed.
 	adopted, resumed, throttled bool
+	// runTime is the predicted run time if predicted is set.
+	runTime   forecast.RunTime
+	predicted bool
 }
 
 // Engine holds the scheduling state of a cell's owner.
@@ -122,7 +125,8 @@
 	takeoverAt   time.Time
 	interference interference
 	// model predicts run times from those of ended runs.
-	model *forecast.Model
+	model     *forecast.Model
+	lookahead lookaheadState
 	// toldModes are the most likely coefficients that TakeLearned has returned.
 	toldModes   map[imagePair]int
 	unplaceable unplaceable
@@ -167,6 +171,8 @@
 	// Starved are interrupted service tasks that no worker can run, even without its
 	// other tasks. Each is reported again after a while.
 	Starved []*Task
+	// Reservations are the advance reservations that were made or have ended.
+	Reservations []ReservationEvent
 }
 
 // UnknownRun is a run to stop that a worker lists, but that is not recorded with any
@@ -323,6 +329,9 @@
 	e.finalJobs[j.Spec.ID] = e.now
 	for t := range j.allTasks() {
 		e.unreserve(t)
+		if t.advance != nil {
+			e.release(t.advance, ReservationNotWaiting, e.now)
+		}
 		delete(e.tasks, t.name())
 		for _, r := range t.Runs {
 			e.stop(r, StopEnded)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -34,6 +34,10 @@
 	hasRun        bool      // a run of the task was requested, by this owner or a former one
 	// reserved is the capacity that is reserved for the task; nil if there is none.
 	reserved *capacityReservation
+	// advance is the advance reservation for the task; nil if there is none.
+	// notReservedBefore is when one may be made again.
+	advance           *advanceReservation
+	notReservedBefore time.Time
 	// starvedReportedAt is when the task was last reported as starved.
 	starvedReportedAt time.Time
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -29,13 +29,19 @@
 
 // chooseWorker returns the best eligible worker for a task, or nil.
 func (e *Engine) chooseWorker(t *Task, siblings []*Task, now time.Time, reserved *reservation) *Worker {
-	var best *Worker
-	bestPenalty := math.Inf(1)
+	return e.chooseAmong(e.workerList, t, siblings, now, reserved)
+}
+
+// chooseAmong is like chooseWorker for some of the workers.
+func (e *Engine) chooseAmong(workers []*Worker, t *Task, siblings []*Task, now time.Time, reserved *reservation) *Worker {
+	var best, bestReserved *Worker
+	bestPenalty, reservedPenalty := math.Inf(1), math.Inf(1)
+	e.lookahead.refused = false
 	rack := ""
 	if t.Step.SameRack {
 		rack = e.commonRack(siblings)
 	}
-	for _, w := range e.workerList {
+	for _, w := range workers {
 		if !e.eligible(t, w, now, reserved) {
 			continue
 		}
@@ -43,10 +49,20 @@
 		if e.isSlow(w, now) {
 			p += penaltySlow
 		}
+		if admitted, passes := e.admits(t, w, reserved, now); !admitted {
+			e.lookahead.refused = true
+			if passes && (p < reservedPenalty || (p == reservedPenalty && w.Entry.ID < bestReserved.Entry.ID)) {
+				bestReserved, reservedPenalty = w, p
+			}
+			continue
+		}
 		if p < bestPenalty || (p == bestPenalty && w.Entry.ID < best.Entry.ID) {
 			best, bestPenalty = w, p
 		}
 	}
+	if best == nil {
+		return bestReserved
+	}
 	return best
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -14,6 +14,7 @@
 	e.now = now
 	e.Expire(now)
 	e.expireReservations(now)
+	e.reviewAdvance(now)
 	e.evacuate()
 	e.consolidate(now)
 	e.unplaceable.reset()
@@ -26,6 +27,7 @@
 	for _, j := range order {
 		e.planJob(j, false, now)
 	}
+	e.reserveAhead(now)
 }
 
 // planJob starts the tasks of a job that may start: those that are interrupted, or the
@@ -143,27 +145,47 @@
 		if t.interrupted() != interrupted || !e.mayStart(t, now) {
 			continue
 		}
-		if !t.interrupted() && e.unplaceable.covers(t, now) {
-			if t.keepsApart(now) {
-				continue
-			}
-			return
+		w := e.placeTask(t, tasks, now)
+		if w != nil {
+			e.start(t, w, t.Attempt+1, now)
+			continue
 		}
-		w := e.chooseWorker(t, tasks, now, nil)
+		e.markBlocked(t, now)
+		switch {
+		case t.interrupted():
+			e.makeRoom(t, now)
+		case t.keepsApart(now) || t.advance != nil:
+		default:
+			return // the other tasks of the step do not fit either
+		}
+	}
+}
+
+// placeTask returns the worker for a task that may start, or nil. It skips the search if the
+// task is known to fit nowhere.
+func (e *Engine) placeTask(t *Task, siblings []*Task, now time.Time) *Worker {
+	known := fitsUnknown
+	if !t.interrupted() {
+		known = e.unplaceable.covers(t, now)
+	}
+	switch {
+	case known == fitsUnknown:
+		w := e.chooseWorker(t, siblings, now, nil)
 		if w == nil {
-			e.unplaceable.add(t, now)
+			e.unplaceable.add(t, e.lookahead.refused, now)
 			e.requestAdvice(t, now)
-			switch {
-			case t.interrupted():
-				e.makeRoom(t, now)
-				continue
-			case t.keepsApart(now):
-				continue
-			}
-			return // the other tasks of the step do not fit either
 		}
-		e.start(t, w, t.Attempt+1, now)
+		return w
+	case t.advance != nil:
+		return e.reservedWorkerFor(t, now)
+	case known == fitsReserved && e.lookahead.fills < maxFailedFills:
+		w := e.chooseAmong(e.lookahead.workers, t, siblings, now, nil)
+		if w == nil {
+			e.lookahead.fills++
+		}
+		return w
 	}
+	return nil
 }
 
 // demandClass is what decides, besides its resources, where a task fits.
@@ -177,7 +199,37 @@
 // unplaceable records, within one plan, the demands that fit on no worker. Free
 // capacity only shrinks during a plan, and suspects only join workers, so another task of
 // the same class that requests as much or more is not tried.
-type unplaceable map[demandClass][]job.Resources
+type unplaceable map[demandClass][]unplaceableSize
+
+// unplaceableSize is a request that fits nowhere.
+type unplaceableSize struct {
+	resources job.Resources
+	// refused is set if a worker was refused that is reserved for another task. Then tasks
+	// with a shorter declared run time, or of a queue with a higher priority, may fit there.
+	refused    bool
+	estimateMS int64
+	priority   int
+}
+
+// knownFit is what the sizes that fit nowhere tell about a task.
+type knownFit int
+
+const (
+	fitsUnknown  knownFit = iota
+	fitsReserved          // it may fit on workers that are reserved for others, and nowhere else
+	fitsNowhere
+)
+
+// covers returns what the size tells about a task.
+func (s unplaceableSize) covers(t *Task) knownFit {
+	switch {
+	case !s.resources.Fits(t.Step.Resources):
+		return fitsUnknown
+	case s.refused && (t.Step.EstimateMS < s.estimateMS || t.Job.Queue.Priority < s.priority):
+		return fitsReserved
+	}
+	return fitsNowhere
+}
 
 // maxSizesPerClass limits the sizes recorded for a class. Tasks that no recorded
 // size covers are tried.
@@ -197,23 +249,24 @@
 	return k
 }
 
-// covers reports whether a task is known to fit on no worker.
-func (u unplaceable) covers(t *Task, now time.Time) bool {
+// covers returns what the recorded sizes tell about a task.
+func (u unplaceable) covers(t *Task, now time.Time) knownFit {
+	known := fitsUnknown
 	for _, size := range u[classOf(t, now)] {
-		if size.Fits(t.Step.Resources) {
-			return true
-		}
+		known = max(known, size.covers(t))
 	}
-	return false
+	return known
 }
 
-// add records that a task fits on no worker. Tasks with a limit per worker or an
-// advisor are not recorded, because others may fit where they do not.
-func (u unplaceable) add(t *Task, now time.Time) {
+// add records that a task fits on no worker; refused is set if one was refused because it
+// is reserved. Tasks with a limit per worker or an advisor are not recorded, because others
+// may fit where they do not.
+func (u unplaceable) add(t *Task, refused bool, now time.Time) {
 	k := classOf(t, now)
-	if t.Step.MaxPerWorker == 0 && t.Job.Queue.Advisor == nil && len(u[k]) < maxSizesPerClass {
-		u[k] = append(u[k], t.Step.Resources)
+	if t.Step.MaxPerWorker != 0 || t.Job.Queue.Advisor != nil || len(u[k]) >= maxSizesPerClass {
+		return
 	}
+	u[k] = append(u[k], unplaceableSize{t.Step.Resources, refused, t.Step.EstimateMS, t.Job.Queue.Priority})
 }
 
 // serviceBatchWindow is how long a new service waits for others that arrive with
@@ -258,6 +311,7 @@
 			if slices.ContainsFunc(tasks, (*Task).interrupted) {
 				e.makeRoomForGang(tasks, now)
 			}
+			e.markBlocked(tasks[0], now)
 			return
 		}
 		if t.reserved == nil || t.reserved.worker != w { // otherwise it is taken already
@@ -296,6 +350,7 @@
 	// A start extends the worker's lease as a renewal does.
 	w.leaseUntilMS = max(w.leaseUntilMS, r.notAfterMS)
 	e.unreserve(t)
+	e.noteStart(t, w, now)
 	w.attach(r)
 	e.markRequested(t.Job)
 	e.markChanged(t.Job, false)
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -5,6 +5,7 @@
 
 	"github.com/bambooyard/bambooyard/forecast"
 	"github.com/bambooyard/bambooyard/job"
+	"github.com/bambooyard/bambooyard/lookahead"
 )
 
 // kindOf returns what tasks with similar run times as those of a step have in common.
@@ -31,3 +32,48 @@
 func (e *Engine) predict(j *Job, step *job.Step) forecast.RunTime {
 	return e.model.Predict(kindOf(j, step), estimateOf(step))
 }
+
+// expectedEnd returns when a run is expected to have ended with a probability; zero if it
+// does not end by itself.
+func (e *Engine) expectedEnd(r *Run, p float64, now time.Time) time.Time {
+	switch {
+	case r.stopping:
+		return now.Add(stopTime)
+	case r.Task.Step.Service:
+		return time.Time{}
+	}
+	if !r.predicted {
+		r.runTime, r.predicted = e.predict(r.Task.Job, r.Task.Step), true
+	}
+	var end time.Time
+	switch done := float64(r.Progress) / 100; {
+	case done == 0 || r.progressAt.IsZero():
+		end = now.Add(r.runTime.Remaining(now.Sub(r.requestedAt), -1).Quantile(p))
+	case r.adopted || r.resumed:
+		// The progress was not made in the time since the request.
+		end = r.progressAt.Add(time.Duration((1 - done) * float64(r.runTime.Quantile(p))))
+	default:
+		end = r.progressAt.Add(r.runTime.Remaining(r.progressAt.Sub(r.requestedAt), done).Quantile(p))
+	}
+	return later(end, now.Add(leastRemaining))
+}
+
+// endOfNewRun returns when a task that is started now is expected to have ended with a
+// probability; zero if it does not end by itself.
+func (e *Engine) endOfNewRun(t *Task, p float64, now time.Time) time.Time {
+	if t.Step.Service {
+		return time.Time{}
+	}
+	return now.Add(e.predict(t.Job, t.Step).Quantile(p))
+}
+
+// endsOn returns the expected ends of the runs on a worker.
+func (e *Engine) endsOn(w *Worker, now time.Time) []lookahead.End {
+	var ends []lookahead.End
+	for _, r := range w.sortedRuns() {
+		if at := e.expectedEnd(r, endProbability, now); !at.IsZero() {
+			ends = append(ends, lookahead.End{At: at, Frees: demand(r.Task.Step)})
+		}
+	}
+	return ends
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -32,6 +32,8 @@
 	used          job.Resources
 	// reservedUse are the resources that are reserved for tasks without a run there.
 	reservedUse job.Resources
+	// advance is the part of an advance reservation; nil if there is none.
+	advance *advancePart
 
 	// lastContact is when the worker last answered any call.
 	lastContact time.Time
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -42,6 +42,8 @@
 	depthsAnswered, depthsRefused metrics.Counter
 	// tasksGivenUp counts the tasks under which too many workers have crashed.
 	tasksGivenUp metrics.Counter
+	// reservationsMade counts the advance reservations for large tasks.
+	reservationsMade metrics.Counter
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -79,6 +81,8 @@
 		depthsAnswered: counter("cell.depths_answered"),
 		depthsRefused:  counter("cell.depths_refused"),
 		tasksGivenUp:   counter("cell.tasks_given_up"),
+
+		reservationsMade: counter("cell.reservations_made"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
@@ -88,6 +92,9 @@
 	} {
 		m.lossCounter(reason)
 	}
+	for _, end := range dispatch.ReservationEnds {
+		m.reservationEndCounter(end)
+	}
 	for _, state := range []job.State{job.Completed, job.Failed, job.Cancelled} {
 		m.finalCounter(state)
 	}
@@ -102,6 +109,10 @@
 	return metrics.GetOrRegisterCounter("cell.tasks_lost."+string(reason), m.registry)
 }
 
+func (m *instruments) reservationEndCounter(end dispatch.ReservationEnd) metrics.Counter {
+	return metrics.GetOrRegisterCounter("cell.reservations_ended."+string(end), m.registry)
+}
+
 func (m *instruments) finalCounter(state job.State) metrics.Counter {
 	return metrics.GetOrRegisterCounter("cell.jobs_final."+string(state), m.registry)
 }
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -92,6 +93,23 @@
 	}
 }
 
+// observeReservations logs and counts the advance reservations that were made, used and given
+// up.
+func (t *term) observeReservations(events []dispatch.ReservationEvent) {
+	for _, r := range events {
+		fields := log.Fields{"event": "reservation_made", "task": r.Task.ID.String(), "workers": strings.Join(r.Workers, ",")}
+		if r.End == "" {
+			t.c.instruments.reservationsMade.Inc(1)
+			fields["expected_in_ms"] = r.ExpectedIn.Milliseconds()
+			t.log.WithFields(fields).Info("workers reserved for a large task that fits nowhere")
+			continue
+		}
+		t.c.instruments.reservationEndCounter(r.End).Inc(1)
+		fields["event"], fields["reason"], fields["held_ms"] = "reservation_ended", string(r.End), r.Held.Milliseconds()
+		t.log.WithFields(fields).Info("workers are no longer reserved for the task")
+	}
+}
+
 // observeListing records the result of a listing.
 func (m *instruments) observeListing(latency time.Duration, err error) {
 	if err != nil {
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -234,6 +234,7 @@
 	}
 	t.observeLost(out.Lost)
 	t.observeGivenUp(out.GivenUp)
+	t.observeReservations(out.Reservations)
 	for _, j := range out.Finished {
 		t.addFinal(j)
 	}
