--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -13,14 +13,9 @@
 // Where evacuations are in force, a cold worker is rated by the time that a task would lose
 // there, and a task waits for a warm one if that costs less. Elsewhere each cold worker has
 // the same penalty.
-const (
-	// coldSlowdown is how many times longer tasks are assumed to run on a cold worker. The
-	// platform does not tell it; the value is chosen, not measured.
-	coldSlowdown = 2.0
-	// overdueShare is the share of its estimate that a run which has exceeded it is assumed to
-	// take longer.
-	overdueShare = 0.1
-)
+// coldSlowdown is how many times longer tasks are assumed to run on a cold worker; the
+// platform does not tell it.
+const coldSlowdown = 2.0
 
 // ratesCold reports whether cold workers are rated by the time that is lost on them.
 func (e *Engine) ratesCold() bool { return e.options.MaxEvacuation > 0 }
@@ -106,8 +101,8 @@
 		}
 		room := &warmRoom{worker: w, room: w.unreserved()}
 		for _, r := range w.sortedRuns() {
-			if left, ok := r.expectedLeft(now); ok {
-				room.ends = append(room.ends, expectedEnd{left, demand(r.Task.Step)})
+			if at := e.expectedEnd(r, endProbability, now); !at.IsZero() {
+				room.ends = append(room.ends, expectedEnd{at.Sub(now), demand(r.Task.Step)})
 			}
 		}
 		if len(room.ends) == 0 {
@@ -140,18 +135,3 @@
 		room = room.Add(r.ends[i].demand)
 	}
 }
-
-// expectedLeft returns how long a run is expected to continue, and whether it is known.
-func (r *Run) expectedLeft(now time.Time) (left time.Duration, ok bool) {
-	step := r.Task.Step
-	if step.Service || step.EstimateMS <= 0 {
-		return 0, false
-	}
-	estimate := time.Duration(step.EstimateMS) * time.Millisecond
-	if r.progressAt.IsZero() {
-		left = estimate - now.Sub(r.requestedAt)
-	} else {
-		left = estimate*time.Duration(100-r.Progress)/100 - now.Sub(r.progressAt)
-	}
-	return max(left, time.Duration(overdueShare*float64(estimate))), true
-}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -99,6 +99,9 @@
 
 	desiredLimit     int // CPU limit that the run should have, in percent
 	throttleInFlight bool
+	// runTime is the predicted run time if predicted is set.
+	runTime   forecast.RunTime
+	predicted bool
 }
 
 // Engine holds the scheduling state of a cell's owner.
@@ -136,6 +139,7 @@
 	// the mean length of the longest chains in seconds.
 	meanWork  map[string]*mean
 	meanChain mean
+	lookahead lookaheadState
 	// toldModes are the most likely coefficients that TakeLearned has returned.
 	toldModes   map[imagePair]int
 	unplaceable unplaceable
@@ -196,6 +200,8 @@
 	// Starved are interrupted service tasks that no worker can run, even without its
 	// other tasks. Each is reported again after a while.
 	Starved []*Task
+	// Reservations are the advance reservations that were made or have ended.
+	Reservations []ReservationEvent
 }
 
 // UnknownRun is a run to stop that a worker lists, but that is not recorded with any
@@ -362,6 +368,9 @@
 	e.finalJobs[j.Spec.ID] = e.now
 	for t := range j.allTasks() {
 		e.unreserve(t)
+		if t.advance != nil {
+			e.release(t.advance, ReservationNotWaiting, e.now)
+		}
 		delete(e.tasks, t.name())
 		for _, r := range t.Runs {
 			e.stop(r, StopEnded)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -42,6 +42,10 @@
 	// unresolvedRuns is the number of runs that were given up without a listed end, and
 	// may have failed.
 	unresolvedRuns int
+	// advance is the advance reservation for the task; nil if there is none.
+	// notReservedBefore is when one may be made again.
+	advance           *advanceReservation
+	notReservedBefore time.Time
 	// starvedReportedAt is when the task was last reported as starved.
 	starvedReportedAt time.Time
 }
--- a/dispatch/movable.go
+++ b/dispatch/movable.go
@@ -59,11 +59,15 @@
 		e.countStarted(j)
 	}
 	delete(e.jobs, id)
+	delete(e.copyable, id)
 	delete(e.out.Changed, j)
 	e.addLoad(j, -1)
 	e.planOrder = slices.DeleteFunc(e.planOrder, func(o *Job) bool { return o == j })
 	for t := range j.allTasks() {
 		e.unreserve(t)
+		if t.advance != nil {
+			e.release(t.advance, ReservationNotWaiting, e.now)
+		}
 		delete(e.tasks, t.name())
 	}
 }
--- a/dispatch/moveout.go
+++ b/dispatch/moveout.go
@@ -41,14 +41,14 @@
 		}
 		e.movedOutFrom = w.Entry.ID
 		for _, r := range w.sortedRuns() {
-			if failed[r.Task.Step] || !mayMoveOut(r) || noRoom.covers(r.Task, now) {
+			if failed[r.Task.Step] || !mayMoveOut(r) || noRoom.covers(r.Task, now) != fitsUnknown {
 				continue
 			}
 			searches++
 			target := e.chooseWorker(r.Task, r.Task.siblings(), now, nil)
 			if target == nil || e.wanted(target, interrupted, now) {
 				failed[r.Task.Step] = true
-				noRoom.add(r.Task, now)
+				noRoom.add(r.Task, e.lookahead.refused, now)
 				continue
 			}
 			// Another task must not take the capacity before this one has stopped.
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -52,6 +52,8 @@
 	// copiesStarted counts the copies whose start was requested, and copiesWon those that
 	// were done before the first run.
 	copiesStarted, copiesWon metrics.Counter
+	// reservationsMade counts the advance reservations for large tasks.
+	reservationsMade metrics.Counter
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -97,6 +99,7 @@
 		movesCancelled:    counter("cell.moves_cancelled"),
 		copiesStarted:     counter("cell.copies_started"),
 		copiesWon:         counter("cell.copies_won"),
+		reservationsMade:  counter("cell.reservations_made"),
 	}
 	for _, reason := range []port.EndReason{port.EndDone, port.EndFailed, port.EndStopped, port.EndLeaseExpired, port.EndGangBroken, port.EndGangTimeout} {
 		m.endCounter(reason)
@@ -106,6 +109,9 @@
 	} {
 		m.lossCounter(reason)
 	}
+	for _, end := range dispatch.ReservationEnds {
+		m.reservationEndCounter(end)
+	}
 	for _, state := range []job.State{job.Completed, job.Failed, job.Cancelled} {
 		m.finalCounter(state)
 	}
@@ -120,6 +126,10 @@
 	return metrics.GetOrRegisterCounter("cell.tasks_lost."+string(reason), m.registry)
 }
 
+func (m *instruments) reservationEndCounter(end dispatch.ReservationEnd) metrics.Counter {
+	return metrics.GetOrRegisterCounter("cell.reservations_ended."+string(end), m.registry)
+}
+
 func (m *instruments) finalCounter(state job.State) metrics.Counter {
 	return metrics.GetOrRegisterCounter("cell.jobs_final."+string(state), m.registry)
 }
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -242,6 +242,7 @@
 	t.observeLost(out.Lost)
 	t.observeGivenUp(out.GivenUp)
 	t.observeCopies(out.Copies, out.Races)
+	t.observeReservations(out.Reservations)
 	for _, j := range out.Finished {
 		t.addFinal(j)
 	}
