--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -105,7 +105,7 @@
 	if t.mustAvoid(w, reserved != nil && reserved.count[w] > 0, now) {
 		return false
 	}
-	if t.Step.BestEffort && !(e.toleratesContention(t, w, now) && e.toleratesBestEffort(t, w, now)) {
+	if t.Step.BestEffort && (!e.toleratesContention(t, w, now) || !e.toleratesBestEffort(t, w, now)) {
 		return false
 	}
 	if t.Step.Label != "" && !slices.Contains(w.Entry.Labels, t.Step.Label) {
