Test moves with literal bounds and without data races in the tests

The tests of the bounds used the constants that they guard, so that a changed constant passed, and the tests of lost transactions recognised the transaction by the checks that they guard. The race detector found a map of one test that two goroutines used.

Tests: cellmap/move_test.go, internal/cell/moves_test.go and moved_jobs_test.go, also with the race detector.

--- a/cellmap/move_test.go
+++ b/cellmap/move_test.go
@@ -58,9 +58,9 @@
 		moves  bool
 	}{
 		{"waits for a moment", 2 * time.Second, 120, 20, false},
-		{"clearly less loaded", moveAfter, 120, 80, true},
-		{"a little less loaded", moveAfter, 90, 70, false},
-		{"other full as well", moveAfter, 180, 100, false},
+		{"clearly less loaded", 2500 * time.Millisecond, 120, 80, true},
+		{"a little less loaded", 2500 * time.Millisecond, 90, 70, false},
+		{"other full as well", 2500 * time.Millisecond, 180, 100, false},
 		{"equally loaded", time.Minute, 60, 60, false},
 	}
 	m := moveMap(3)
@@ -70,7 +70,7 @@
 			w := waitingJob(c.waited)
 			_, ok := m.MoveTarget(0, w, Load{100_000, c.own * 1000, 0}, []int{2}, []*Load{{100_000, c.other * 1000, 0}})
 			is.Equal(ok, c.moves)
-			is.Equal(len(Movable([]Waiting{w}, 8)) > 0, c.waited >= moveAfter)
+			is.Equal(len(Movable([]Waiting{w}, 8)) > 0, c.waited >= 2500*time.Millisecond)
 		})
 	}
 }
@@ -81,16 +81,16 @@
 	m := moveMap(2)
 	w := waitingJob(time.Minute)
 	w.CapacityGone, w.Moves, w.From = true, 1, 1
-	w.Present = returnAfter - time.Millisecond
+	w.Present = 5*time.Second - time.Millisecond
 	is.Equal(len(m.MoveCandidates(0, w, first)), 0)
 	free := []*Load{{Capacity: 100_000}}
 	_, ok := m.MoveTarget(0, w, Load{}, []int{1}, free)
 	is.True(!ok)
-	w.Present = returnAfter
+	w.Present = 5 * time.Second
 	is.Equal(m.MoveCandidates(0, w, first), []int{1})
 	_, ok = m.MoveTarget(0, w, Load{}, []int{1}, free)
 	is.True(ok)
-	w.Moves = MaxMoves
+	w.Moves = 2
 	is.Equal(len(Movable([]Waiting{w}, 8)), 0)
 	_, ok = m.MoveTarget(0, w, Load{}, []int{1}, free)
 	is.True(!ok)
@@ -180,7 +180,7 @@
 				moves++
 			}
 		}
-		if moves > MaxMoves*len(jobs) || spread() > before {
+		if moves > 2*len(jobs) || spread() > before {
 			t.Fatalf("%d moves of %d jobs, spread %d before and %d after", moves, len(jobs), before, spread())
 		}
 	})
--- a/internal/cell/divided_histories_test.go
+++ b/internal/cell/divided_histories_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,7 +170,7 @@
 	cl    *cluster
 	rng   *rand.Rand
 	cells map[int]bool
-	moves int // of jobs' rows
+	moves atomic.Int64 // of jobs' rows
 }
 
 func newEmptiedCells(cl *cluster, seed uint64) *emptiedCells {
@@ -178,7 +179,7 @@
 		for _, p := range txn.Puts {
 			record, err := decode[jobRecord](port.Row{Value: p.Value})
 			if err == nil && record.Moves > 0 && len(txn.Checks) == 2 {
-				e.moves++
+				e.moves.Add(1)
 			}
 		}
 	})
@@ -250,7 +251,7 @@
 func (e *emptiedCells) check(accepted []string) {
 	cl := e.cl
 	cl.t.Helper()
-	cl.t.Logf("%d moves", e.moves)
+	cl.t.Logf("%d moves", e.moves.Load())
 	cl.awaitCells()
 	time.Sleep(5 * time.Second)
 	for n := range 4 {
--- a/internal/cell/move_cluster_test.go
+++ b/internal/cell/move_cluster_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log/handlers/memory"
+	"github.com/apex/log"
 
 	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/internal/port"
@@ -34,12 +36,16 @@
 // txnOfMove returns which transaction of the move of a job a transaction is.
 func txnOfMove(txn port.Txn, id string) int {
 	for _, p := range txn.Puts {
+		if p.Key != id {
+			continue
+		}
+		record, err := decode[jobRecord](port.Row{Value: p.Value})
 		switch {
-		case p.Table == tableMoves && p.Key == id:
+		case p.Table == tableMoves:
 			return recordTxn
-		case p.Key == id && len(txn.Checks) == 2 && txn.Checks[1].Table == jobTablesOf(movingFrom).cancels:
+		case err == nil && record.Moves > 0 && record.Cell == movingTo:
 			return rowsTxn
-		case p.Key == id && len(txn.Checks) == 1 && len(txn.Puts) == 1 && txn.Checks[0].Table == p.Table && txn.Checks[0].Version > 0:
+		case err == nil && record.Spec != nil && len(txn.Checks) == 1:
 			return rewriteTxn
 		}
 	}
@@ -49,13 +55,33 @@
 	return notOfMove
 }
 
+// eventLog holds what the daemons have logged. It is safe for concurrent use.
+type eventLog struct {
+	mu     sync.Mutex
+	events []*log.Entry
+}
+
+// HandleLog implements log.Handler.
+func (l *eventLog) HandleLog(e *log.Entry) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.events = append(l.events, e)
+	return nil
+}
+
+func (l *eventLog) all() []*log.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.events)
+}
+
 // moveCluster is a divided cluster of which only the cell movingTo has capacity.
 type moveCluster struct {
 	*cluster
 	m    *cellmap.Map
 	from *daemon // owner of the cell movingFrom
 	to   *daemon // owner of the cell movingTo
-	logs *memory.Handler
+	logs *eventLog
 	spec job.Spec
 }
 
@@ -64,7 +90,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		cl := newDividedCluster(t, seed, 0, work, nil)
-		logs := memory.New()
+		logs := &eventLog{}
 		cl.logTo = logs
 		for i := range 6 {
 			cl.start(fmt.Sprintf("d%d", i))
@@ -133,10 +159,10 @@
 }
 
 // onFirstTxn is like onTxn for the first such transaction.
-func (mc *moveCluster) onFirstTxn(d *daemon, id string, kind int, hook txnHook) *int {
-	calls := new(int)
+func (mc *moveCluster) onFirstTxn(d *daemon, id string, kind int, hook txnHook) *atomic.Int64 {
+	calls := new(atomic.Int64)
 	mc.onTxn(d, id, kind, func(ctx context.Context, txn port.Txn, commit func() (int64, error)) (int64, error) {
-		if *calls++; *calls > 1 {
+		if calls.Add(1) > 1 {
 			return commit()
 		}
 		return hook(ctx, txn, commit)
@@ -206,7 +232,7 @@
 // count returns how often an event was logged for a job.
 func (mc *moveCluster) count(event, id string) int {
 	n := 0
-	for _, e := range mc.logs.Entries {
+	for _, e := range mc.logs.all() {
 		if e.Fields.Get("event") == event && e.Fields.Get("job") == id {
 			n++
 		}
@@ -217,7 +243,7 @@
 // loggedAt returns when an event was last logged for a job.
 func (mc *moveCluster) loggedAt(event, id string) time.Time {
 	mc.t.Helper()
-	for _, e := range slices.Backward(mc.logs.Entries) {
+	for _, e := range slices.Backward(mc.logs.all()) {
 		if e.Fields.Get("event") == event && e.Fields.Get("job") == id {
 			return e.Timestamp
 		}
--- a/internal/cell/moved_jobs_test.go
+++ b/internal/cell/moved_jobs_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,30 +166,38 @@
 	runMove(t, 730, halfSecond, func(mc *moveCluster) {
 		is := is.New(mc.t)
 		mc.spec.Steps[0].Resources = tooLarge // the job never starts
-		movesAt := map[int]time.Time{}
+		var mu sync.Mutex
+		times := map[int]time.Time{} // by the number of the move
+		movesAt := func() map[int]time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			return maps.Clone(times)
+		}
 		mc.store.OnCommit(func(txn port.Txn) {
 			for _, p := range txn.Puts {
 				if p.Key != mc.spec.ID || p.Table == tableIndex {
 					continue
 				}
 				if record, err := decode[jobRecord](port.Row{Value: p.Value}); err == nil && record.Moves > 0 {
-					movesAt[record.Moves] = time.Now()
+					mu.Lock()
+					times[record.Moves] = time.Now()
+					mu.Unlock()
 				}
 			}
 		})
 		mc.submitTo(movingFrom, mc.spec)
 		time.Sleep(time.Second)
-		is.Equal(len(movesAt), 1)
+		is.Equal(len(movesAt()), 1)
 		mc.setUnlisted(movingFrom, false)
 		mc.setUnlisted(movingTo, true)
 		time.Sleep(12 * time.Second)
-		is.Equal(len(movesAt), 2)
-		is.True(movesAt[2].Sub(movesAt[1]) >= 5*time.Second)
+		is.Equal(len(movesAt()), 2)
+		is.True(movesAt()[2].Sub(movesAt()[1]) >= 5*time.Second)
 		is.Equal(mc.cellOf(mc.spec.ID), movingFrom)
 		mc.setUnlisted(movingFrom, true)
 		mc.setUnlisted(movingTo, false)
 		time.Sleep(12 * time.Second)
-		is.Equal(len(movesAt), 2)
+		is.Equal(len(movesAt()), 2)
 		is.Equal(mc.cellOf(mc.spec.ID), movingFrom)
 		mc.checkNoRecords()
 	})
@@ -308,15 +317,23 @@
 		defer cl.stopAll()
 		cl.awaitOwner()
 		time.Sleep(15 * time.Second)
+		var mu sync.Mutex
 		calls := map[string]int{}
 		cl.store.SetFault(func(op string) fake.StoreFault {
+			mu.Lock()
+			defer mu.Unlock()
 			calls[op]++
 			return fake.FaultNone
 		})
 		during := func() map[string]int {
-			before := maps.Clone(calls)
+			count := func() map[string]int {
+				mu.Lock()
+				defer mu.Unlock()
+				return maps.Clone(calls)
+			}
+			before := count()
 			time.Sleep(10 * time.Second)
-			after := maps.Clone(calls)
+			after := count()
 			for op := range after {
 				after[op] -= before[op]
 			}
--- a/internal/cell/moves_test.go
+++ b/internal/cell/moves_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 				})
 				mc.submitTo(movingFrom, mc.spec)
 				time.Sleep(10 * time.Second)
-				is.Equal(*calls, 1)
+				is.Equal(calls.Load(), int64(1))
 				is.True(mc.ownerOf(movingFrom) != mc.from)
 				mc.setUnlisted(movingFrom, false)
 				if kind == recordTxn { // the successor has revoked the move
@@ -85,7 +86,7 @@
 		})
 		mc.submitTo(movingFrom, mc.spec)
 		mc.checkMoved(mc.spec.ID, movingTo)
-		is.Equal(*calls, 1)
+		is.Equal(calls.Load(), int64(1))
 		is.True(mc.ownerOf(movingTo) != mc.to)
 	})
 }
@@ -107,7 +108,7 @@
 					})
 					mc.submitTo(movingFrom, mc.spec)
 					mc.checkMoved(mc.spec.ID, movingTo)
-					is.True(*calls >= 1)
+					is.True(calls.Load() >= 1)
 					is.Equal(mc.ownerOf(movingFrom), mc.from)
 					revoked := 0
 					if kind == rowsTxn && !applied {
@@ -126,13 +127,13 @@
 	for j, applied := range []bool{true, false} {
 		runMove(t, uint64(640+j), halfSecond, func(mc *moveCluster) {
 			is := is.New(mc.t)
-			rewrites := 0
+			var rewrites atomic.Int64
 			h := txnHook(func(ctx context.Context, txn port.Txn, commit func() (int64, error)) (int64, error) {
 				switch kind := txnOfMove(txn, mc.spec.ID); {
-				case kind == rowsTxn && rewrites == 0:
+				case kind == rowsTxn && rewrites.Load() == 0:
 					return lose(ctx)
 				case kind == rewriteTxn:
-					if rewrites++; rewrites == 1 {
+					if rewrites.Add(1) == 1 {
 						if applied {
 							_, _ = commit()
 						}
@@ -144,7 +145,7 @@
 			mc.from.txnHook.Store(&h)
 			mc.submitTo(movingFrom, mc.spec)
 			mc.checkMoved(mc.spec.ID, movingTo)
-			is.Equal(rewrites, 2)
+			is.Equal(rewrites.Load(), int64(2))
 		})
 	}
 }
