Show the load of best-effort tasks and their backlog

Two gauges tell operators whether batch jobs are late because workers are loaded or because services are protected. TestBestEffortBacklogWaitsForProcessors checks the counts.

--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -63,3 +63,38 @@
 func (e *Engine) toleratesContention(t *Task, w *Worker, now time.Time) bool {
 	return contention.Accepts(e.contendedLoad(w), w.cpuShare(t.Step), e.colocationOf(w).bestEffort, t.urgent(now))
 }
+
+// BestEffortState returns the number of best-effort tasks that wait for a worker although
+// their predecessors are done, the number of workers with best-effort tasks, and the sum of
+// the loads of these as shares of their processors.
+func (e *Engine) BestEffortState() (waiting, workers int, load float64) {
+	for _, j := range e.planOrder {
+		if j.State.Final() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for k := range j.Spec.Steps {
+				if step := &j.Spec.Steps[k]; step.BestEffort && !e.now.Before(o.due) && o.ready(step) {
+					waiting += countWaiting(o.tasks[k])
+				}
+			}
+		}
+	}
+	for _, w := range e.workerList {
+		if e.colocationOf(w).bestEffort > 0 {
+			workers++
+			load += e.contendedLoad(w)
+		}
+	}
+	return waiting, workers, load
+}
+
+func countWaiting(tasks []*Task) int {
+	n := 0
+	for _, t := range tasks {
+		if t.waiting() {
+			n++
+		}
+	}
+	return n
+}
--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -83,5 +83,9 @@
 	is.True(alone <= 12)
 	f.confirmStarts(out)
 	f.listEnd(out.Starts[0], 1, port.EndDone)
+	waiting, workers, load := f.BestEffortState()
+	is.Equal(waiting, 80-len(out.Starts)) // operators see the backlog
+	is.Equal(workers, 4)
+	is.True(load <= 4*1.5)
 	is.Equal(len(f.plan(0).Starts), 1) // the place of the one that has ended
 }
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -279,6 +279,7 @@
 // observeOwned records the status of the cells that this daemon owns.
 func (g *Group) observeOwned(now time.Time) {
 	g.observeEvacuations()
+	g.observeBestEffort()
 	for _, c := range g.others() {
 		if c.term != nil {
 			g.recordStatus(c.term.status(now), now)
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -45,6 +45,9 @@
 	// evacuatingWorkers and evacuatingRuns are the workers under evacuation, and the runs on
 	// them, in the cells that this daemon owns.
 	evacuatingWorkers, evacuatingRuns metrics.Gauge
+	// bestEffortWaiting is the number of best-effort tasks that wait for a worker, and
+	// bestEffortLoad the mean load of the workers that run some, in percent.
+	bestEffortWaiting, bestEffortLoad metrics.Gauge
 	// jobsMoved counts the jobs that this owner has moved to another cell, movesRevoked the
 	// moves that were begun and revoked, and movesCancelled those of jobs that were
 	// cancelled meanwhile.
@@ -94,6 +97,8 @@
 
 		evacuatingWorkers: gauge("cell.evacuating_workers"),
 		evacuatingRuns:    gauge("cell.evacuating_runs"),
+		bestEffortWaiting: gauge("cell.best_effort_waiting"),
+		bestEffortLoad:    gauge("cell.best_effort_load_percent"),
 		jobsMoved:         counter("cell.jobs_moved"),
 		movesRevoked:      counter("cell.moves_revoked"),
 		movesCancelled:    counter("cell.moves_cancelled"),
