Keep services in an evacuation until they may start again

After a takeover, moveOut stopped an adopted service task although some worker had not been contacted. mayStart rejects inherited tasks until all are, which takes up to the longest lease, so the task would be away for that time, longer than its place is reserved.

moveOut now applies the condition of mayStart to inherited tasks.

Test: TestNoMoveOutUntilAnInheritedTaskMayStart.

--- a/dispatch/moveout.go
+++ b/dispatch/moveout.go
@@ -41,7 +41,7 @@
 		}
 		e.movedOutFrom = w.Entry.ID
 		for _, r := range w.sortedRuns() {
-			if failed[r.Task.Step] || !mayMoveOut(r) || noRoom.covers(r.Task, now) != fitsUnknown {
+			if failed[r.Task.Step] || !e.mayMoveOut(r, now) || noRoom.covers(r.Task, now) != fitsUnknown {
 				continue
 			}
 			searches++
@@ -77,9 +77,13 @@
 }
 
 // mayMoveOut reports whether a run is one of a service task that serves, and whose step
-// tolerates that it becomes unavailable. A gang would end as a whole.
-func mayMoveOut(r *Run) bool {
+// tolerates that it becomes unavailable. A gang would end as a whole, and a task of a former
+// owner could not be started again while workers are not contacted.
+func (e *Engine) mayMoveOut(r *Run, now time.Time) bool {
 	t := r.Task
+	if t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt)) {
+		return false
+	}
 	if !t.Step.Service || t.Step.Gang || r.State != RunActive || r.stopping || r.Progress != 100 || t.reserved != nil {
 		return false
 	}
--- a/dispatch/moveout_test.go
+++ b/dispatch/moveout_test.go
@@ -222,3 +222,20 @@
 	is.Equal(len(stops), 1)
 	is.Equal(stops[0].Task.ID.Job, "small")
 }
+
+// Guards against LOST: after a takeover, a service is moved out of an evacuation while it
+// may not be started again, because some worker has not been contacted.
+func TestNoMoveOutUntilAnInheritedTaskMayStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000), worker("c", 8000, 64000))
+	run := f.place("service", serviceStep(1, 4000), "a")[0]
+	next, _ := f.takeOver(t, run.Task.Job, f.entries)
+	next.ExpectInheritedRuns([]string{"a", "b", "c"}, next.now)
+	next.setEvacuating("a")
+	next.reportListing("a", port.Listing{Running: []port.RunningTask{{Task: run.Task.name(), Attempt: run.Attempt, Percent: 100, Measurement: 10}}})
+	next.reportListing("b", port.Listing{})
+	is.Equal(next.Uncontacted(), 1)
+	is.Equal(len(next.plan(moveOutInterval).Stops), 0)
+	next.reportListing("c", port.Listing{})
+	is.Equal(len(next.plan(moveOutInterval).Stops), 1)
+}
