Move no service off a worker that does not answer

moveOut stopped services on workers with unanswered calls.

moveOutSources leaves out workers with unanswered calls.

Test: TestNoMoveOutOfASilentWorker.

--- a/dispatch/moveout.go
+++ b/dispatch/moveout.go
@@ -60,11 +60,12 @@
 }
 
 // moveOutSources returns the workers under evacuation with services, from the one after that
-// which was considered last, so that services that fit nowhere do not hold up others.
+// which was considered last, so that services that fit nowhere do not hold up others. Workers
+// that do not answer are left out: the reserved place could expire before the stop is known.
 func (e *Engine) moveOutSources() []*Worker {
 	var sources []*Worker
 	for _, w := range e.workerList {
-		if w.Listed && w.Entry.Evacuating && !w.Entry.Draining && len(e.colocationOf(w).services) > 0 {
+		if w.Listed && w.Entry.Evacuating && !w.Entry.Draining && w.unansweredSince.IsZero() && len(e.colocationOf(w).services) > 0 {
 			sources = append(sources, w)
 		}
 	}
--- a/dispatch/moveout_test.go
+++ b/dispatch/moveout_test.go
@@ -239,3 +239,17 @@
 	next.reportListing("c", port.Listing{})
 	is.Equal(len(next.plan(moveOutInterval).Stops), 1)
 }
+
+// Guards against a service of a silent worker that is stopped: its end may be known only
+// after the reserved place has been given up.
+func TestNoMoveOutOfASilentWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	run := f.place("service", serviceStep(1, 4000), "a")[0]
+	f.setEvacuating("a")
+	f.Worker("a").unansweredSince = f.now
+	out := f.plan(moveOutInterval)
+	is.Equal(len(out.Stops), 0)
+	f.list(run, 100)
+	is.Equal(len(f.plan(moveOutInterval).Stops), 1)
+}
