Request tickets for services in an evacuation

A service task of a queue with an advisor never left a data centre under evacuation: workers without a ticket are not eligible, and tickets were requested only for waiting tasks.

moveOut requests tickets for a task for which it finds no worker.

Test: TestServiceWithAdvisorMovesOut.

--- a/dispatch/moveout.go
+++ b/dispatch/moveout.go
@@ -46,6 +46,9 @@
 			}
 			searches++
 			target := e.chooseWorker(r.Task, r.Task.siblings(), now, nil)
+			if target == nil {
+				e.requestAdvice(r.Task, now)
+			}
 			if target == nil || e.wanted(target, interrupted, now) {
 				failed[r.Task.Step] = true
 				noRoom.add(r.Task, e.lookahead.refused, now)
--- a/dispatch/moveout_test.go
+++ b/dispatch/moveout_test.go
@@ -253,3 +253,17 @@
 	f.list(run, 100)
 	is.Equal(len(f.plan(moveOutInterval).Stops), 1)
 }
+
+// Guards against a service of a queue with an advisor that stays in a data centre under
+// evacuation, because nothing requests tickets for other workers.
+func TestServiceWithAdvisorMovesOut(t *testing.T) {
+	is := is.New(t)
+	f := newAdvisorFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	f.place("service", serviceStep(1, 4000), "a")
+	f.setEvacuating("a")
+	requests := f.plan(moveOutInterval).AdviceRequests
+	is.Equal(len(requests), 1)
+	is.Equal(requests[0].Workers, []string{"b"})
+	f.HandleAdvice(requests[0], map[string]string{"b": "ticket"}, nil, f.now, f.now)
+	is.Equal(len(f.plan(moveOutInterval).Stops), 1)
+}
