Release reservations of a job that is being moved

A job that is held for a move to another cell kept its advance reservation, and got it again when it was overdue. While the store is unavailable, which delays the move, its workers were kept from other tasks for up to 30 s.

reviewAdvance releases the reservations of held jobs.

Test: TestHeldJobReservesNoWorker.

--- a/dispatch/lookahead_test.go
+++ b/dispatch/lookahead_test.go
@@ -403,3 +403,16 @@
 	is.Equal(len(out.Starts), 1) // what the lost start has left, as without reservations
 	is.Equal(next.reservedFor("large"), []string{"a"})
 }
+
+// Guards against workers that stay reserved for a job that is being given to another cell.
+func TestHeldJobReservesNoWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 8000))
+	f.fill(step(8, 1000, 2000))
+	f.Add(spec("large", step(1, 8000, 1000)), f.now, 0)
+	f.plan(100 * time.Millisecond)
+	is.Equal(f.reservedFor("large"), []string{"a"})
+	f.Hold("large")
+	f.plan(100 * time.Millisecond)
+	is.Equal(len(f.reservedFor("large")), 0)
+}
--- a/dispatch/reserve_ahead.go
+++ b/dispatch/reserve_ahead.go
@@ -19,7 +19,7 @@
 	// ReservationNotNeeded means that the task was started on another worker.
 	ReservationNotNeeded ReservationEnd = "not_needed"
 	// ReservationNotWaiting means that the task no longer waits, for instance because its job
-	// was cancelled.
+	// was cancelled or is being given to another cell.
 	ReservationNotWaiting ReservationEnd = "not_waiting"
 	// ReservationWorkerUnavailable means that the worker was lost, drains, or may not run the
 	// task for another reason.
@@ -149,7 +149,7 @@
 	}
 	for _, a := range slices.Clone(l.reserved) {
 		switch {
-		case slices.ContainsFunc(a.tasks, func(t *Task) bool { return !t.waiting() }):
+		case slices.ContainsFunc(a.tasks, func(t *Task) bool { return !t.waiting() || t.Job.held }):
 			e.release(a, ReservationNotWaiting, now)
 		case slices.ContainsFunc(a.parts, func(part *advancePart) bool { return !e.usable(part, now) }):
 			e.release(a, ReservationWorkerUnavailable, now)
