Start no copy on a worker with an advance reservation

chooseCopyWorker did not ask admits, and the pool counts as one in which tasks wait only if the large task was planned. While the large task may not start, for instance because a run of it is unknown, a copy took its worker.

chooseCopyWorker skips reserved workers, as docs/design/lookahead.md says.

Test: TestNoCopyOnAReservedWorker.

--- a/dispatch/copying.go
+++ b/dispatch/copying.go
@@ -197,7 +197,7 @@
 }
 
 // chooseCopyWorker returns the best worker for a copy of a task, or nil: another one than
-// that of its run, if possible in another rack, and none that is slow.
+// that of its run, if possible in another rack, and none that is slow or reserved.
 func (e *Engine) chooseCopyWorker(t *Task, now time.Time) *Worker {
 	var best *Worker
 	lowest := math.Inf(1)
@@ -207,7 +207,7 @@
 	}
 	first := t.Runs[0].Worker
 	for _, w := range e.workerList {
-		if w == first || w.Entry.ID == t.movedFrom || w.Entry.WarmUp > 0 || e.isSlow(w, now) || !e.eligible(t, w, now, nil) {
+		if w == first || w.advance != nil || w.Entry.ID == t.movedFrom || w.Entry.WarmUp > 0 || e.isSlow(w, now) || !e.eligible(t, w, now, nil) {
 			continue
 		}
 		p := e.penalty(t, w, rack, nil)
--- a/dispatch/copying_test.go
+++ b/dispatch/copying_test.go
@@ -447,3 +447,26 @@
 	f.reportListing(f.straggler.Worker.Entry.ID, port.Listing{Ended: []port.EndedTask{{Sequence: 1, Task: second.Task.name(), Attempt: 1, Reason: port.EndFailed, Checkpoint: "nearer"}}})
 	is.Equal(second.Task.Checkpoint, "far")
 }
+
+// Guards against a copy on a worker that is reserved for a large task that may not start yet.
+func TestNoCopyOnAReservedWorker(t *testing.T) {
+	is := is.New(t)
+	f := newRacing(t, speculative(4))
+	f.entries = append(f.entries, worker("big", 3000, 64000))
+	f.SetWorkers(f.entries, f.now)
+	f.reportListing("big", port.Listing{})
+	for i, entry := range f.entries[:7] {
+		if entry.ID != f.straggler.Worker.Entry.ID {
+			f.place(fmt.Sprintf("fill%d", i), timed(time.Hour), entry.ID)
+		}
+	}
+	f.list(f.place("running", timed(5*time.Second), "big")[0], 10)
+	f.Add(spec("large", step(1, 3000, 1000)), f.now, 0)
+	f.plan(copyInterval)
+	is.Equal(f.reservedFor("large"), []string{"big"})
+	f.unknownRunCounts["large.0.0.0"] = 1
+	f.list(f.straggler, 5)
+	is.Equal(startedOn(f.plan(copyInterval)), []string{})
+	f.Cancel("large")
+	is.Equal(startedOn(f.plan(copyInterval)), []string{"big"}) // the copy
+}
