Start no copies while a task waits for a warm worker

A task that waits for room on a warm worker did not count as waiting, so that a copy took part of that room in the same plan.

planStep marks its pool as one in which tasks wait.

Test: TestNoCopyWhileATaskWaitsForAWarmWorker.

--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -172,3 +172,27 @@
 		is.True(!f.hasFasterWorker(run, f.now))
 	}
 }
+
+// Guards against a copy that takes the room on a warm worker for which another task waits.
+func TestNoCopyWhileATaskWaitsForAWarmWorker(t *testing.T) {
+	is := is.New(t)
+	f := newRacing(t, speculative(4))
+	f.options.MaxEvacuation = 5 * time.Second
+	f.entries = append(f.entries, worker("cold", 4000, 64000), worker("warm", 2000, 64000))
+	f.listCold(map[string]time.Duration{"cold": 20 * time.Second})
+	f.reportListing("cold", port.Listing{})
+	f.reportListing("warm", port.Listing{})
+	for i, entry := range f.entries[:7] {
+		if entry.ID != f.straggler.Worker.Entry.ID {
+			f.place(fmt.Sprintf("fill%d", i), timed(time.Hour), entry.ID)
+		}
+	}
+	f.list(f.place("running", timed(300*time.Millisecond), "warm")[0], 10)
+	f.list(f.straggler, 5)
+	waiting := timed(5 * time.Second)
+	waiting.Resources.MilliCPU = 2000
+	f.Add(spec("waiting", waiting), f.now, 0)
+	is.Equal(startedOn(f.plan(copyInterval)), []string{})
+	f.Cancel("waiting")
+	is.Equal(startedOn(f.plan(copyInterval)), []string{"warm"}) // the copy
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -70,6 +70,8 @@
 		if w != nil {
 			if t.interrupted() || !e.awaitsWarmWorker(t, w, now) {
 				e.start(t, w, t.Attempt+1, now)
+			} else {
+				e.waitingPools[t.Job.Queue.Pool] = true
 			}
 			continue
 		}
