Count unresolved runs of a former owner against the budget of copies

A copy needs a budget that also covers runs whose end is not known. The number of such runs was not stored, and runs that a former owner recorded and no worker lists were not counted, so that after a takeover a copy could start after the last allowed failure.

TaskProgress stores the number; a recorded run counts until it is adopted.

Test: TestUnresolvedRunsCountAfterATakeover.

--- a/dispatch/copying_takeover_test.go
+++ b/dispatch/copying_takeover_test.go
@@ -120,3 +120,33 @@
 	task := j.occurrences[0].tasks[0][f.straggler.Task.ID.Index]
 	is.Equal(task.Crashes, []int{1, 2})
 }
+
+// Guards against BUDGET: a copy after a takeover, although the end of an earlier run is not
+// known, which may be the second failure of three.
+func TestUnresolvedRunsCountAfterATakeover(t *testing.T) {
+	t.Run("given up by the former owner", func(t *testing.T) {
+		is := is.New(t)
+		f := newRacing(t, speculative(4))
+		for unresolved, want := range []bool{true, false} {
+			f.straggler.Task.Failures, f.straggler.Task.unresolvedRuns = []int{7}, unresolved
+			next, task := f.takeOverCopy(t, f.job.Progress())
+			next.contactOthers(f.straggler, f.straggler)
+			next.list(f.straggler, 5)
+			is.Equal(len(task.Runs), 1)
+			is.Equal(next.mayCopy(task.Runs[0], false, next.now), want)
+		}
+	})
+	t.Run("not found by the next owner", func(t *testing.T) {
+		is := is.New(t)
+		f := newRacing(t, speculative(4))
+		f.straggler.Task.Failures = []int{7}
+		next, task := f.takeOverCopy(t, f.job.Progress())
+		for _, entry := range f.entries {
+			next.reportListing(entry.ID, port.Listing{})
+		}
+		out := next.plan(time.Second)
+		next.confirmStarts(out)
+		is.Equal(len(task.Runs), 1)
+		is.True(!next.mayCopy(task.Runs[0], false, next.now))
+	})
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -39,8 +39,8 @@
 	// this owner or a former one. copyNotBefore is the earliest time of the next one.
 	copied        bool
 	copyNotBefore time.Time
-	// unresolvedRuns is the number of runs that were given up without a listed end, and
-	// may have failed.
+	// unresolvedRuns is the number of runs that were given up without a listed end, or that
+	// a former owner recorded and no worker has listed; they may have failed.
 	unresolvedRuns int
 	// advance is the advance reservation for the task; nil if there is none.
 	// notReservedBefore is when one may be made again.
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bambooyard/bambooyard/internal/port"
@@ -117,6 +118,9 @@
 	if len(t.Runs) > 0 {
 		r.isCopy, t.copied = true, true
 	}
+	if slices.Contains(t.placedOn, w.Entry.ID) && t.unresolvedRuns > 0 {
+		t.unresolvedRuns--
+	}
 	w.attach(r)
 	t.Attempt = max(t.Attempt, entry.Attempt)
 	e.markStarted(t.Job)
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -29,6 +29,8 @@
 	// the task has been requested.
 	Second *RunProgress `json:"c2,omitempty"`
 	Copied bool         `json:"cp,omitempty"`
+	// Unresolved is the number of runs that were given up without a listed end.
+	Unresolved int `json:"u,omitempty"`
 }
 
 // RunProgress is the stored state of a second run of a task.
@@ -84,7 +86,7 @@
 		}
 		if !t.Done {
 			tp.Checkpoint = t.Checkpoint
-			tp.Copied = t.copied
+			tp.Copied, tp.Unresolved = t.copied, t.unresolvedRuns
 			if len(t.Runs) > 0 {
 				first := progressOf(t.Runs[0])
 				tp.Worker, tp.Boot = first.Worker, first.Boot
@@ -122,6 +124,7 @@
 		t.Failures, t.Crashes = slices.Clone(tp.Failures), slices.Clone(tp.Crashes)
 		t.Checkpoint = tp.Checkpoint
 		t.copied = t.copied || tp.Copied
+		t.unresolvedRuns = tp.Unresolved + len(tp.runs())
 		t.placedOn = nil
 		for _, run := range tp.runs() {
 			t.placedOn = append(t.placedOn, run.Worker)
