Start reserved tasks behind siblings without a reservation

planStep returned at the first task of a step that fitted nowhere and had no advance reservation. Later tasks of the step were not tried, although workers reserved for them were free, and these stayed empty until the reservations were given up.

planStep goes on with the tasks that have a reservation.

Test: TestReservedTaskStartsAfterASiblingWithoutAReservation.

--- a/dispatch/lookahead.go
+++ b/dispatch/lookahead.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bambooyard/bambooyard/job"
@@ -199,3 +200,8 @@
 	}
 	return nil
 }
+
+// hasReservation reports whether workers are reserved for tasks of a step.
+func (e *Engine) hasReservation(step *job.Step) bool {
+	return slices.ContainsFunc(e.lookahead.reserved, func(a *advanceReservation) bool { return a.tasks[0].Step == step })
+}
--- a/dispatch/lookahead_test.go
+++ b/dispatch/lookahead_test.go
@@ -416,3 +416,27 @@
 	f.plan(100 * time.Millisecond)
 	is.Equal(len(f.reservedFor("large")), 0)
 }
+
+// Guards against a reserved worker that stays empty, because an earlier task of the step has
+// lost its reservation and fits nowhere.
+func TestReservedTaskStartsAfterASiblingWithoutAReservation(t *testing.T) {
+	is := is.New(t)
+	var workers []port.WorkerEntry
+	for i := range 16 {
+		workers = append(workers, worker(fmt.Sprintf("w%02d", i), 8000, 8000))
+	}
+	f := newFixture(workers...)
+	f.fill(step(16*8, 1000, 2000))
+	f.Add(spec("large", step(2, 8000, 1000)), f.now, 0)
+	f.plan(100 * time.Millisecond)
+	f.plan(100 * time.Millisecond)
+	tasks := f.Job("large").occurrences[0].tasks[0]
+	is.True(tasks[0].advance != nil && tasks[1].advance != nil)
+	f.release(tasks[0].advance, ReservationExpired, f.now)
+	tasks[0].notReservedBefore = f.now.Add(lookahead.Pause)
+	w := tasks[1].advance.parts[0].worker
+	for _, r := range w.sortedRuns() {
+		f.listWorking(w, r, port.EndDone)
+	}
+	is.Equal(startedOn(f.plan(100*time.Millisecond)), []string{w.Entry.ID})
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -62,8 +62,9 @@
 		}
 		return
 	}
+	onlyReserved := false // the tasks without an advance reservation do not fit
 	for _, t := range tasks {
-		if t.interrupted() != interrupted || !e.mayStart(t, now) {
+		if t.interrupted() != interrupted || (onlyReserved && t.advance == nil) || !e.mayStart(t, now) {
 			continue
 		}
 		w := e.placeTask(t, tasks, now)
@@ -81,6 +82,8 @@
 		case t.interrupted():
 			e.makeRoom(t, now)
 		case t.keepsApart(now) || t.advance != nil:
+		case e.hasReservation(step):
+			onlyReserved = true
 		default:
 			return // the other tasks of the step do not fit either
 		}
