--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -172,3 +172,61 @@
 		is.True(!f.hasFasterWorker(run, f.now))
 	}
 }
+
+// Guards against a copy that takes the room on a warm worker for which another task waits.
+func TestNoCopyWhileATaskWaitsForAWarmWorker(t *testing.T) {
+	is := is.New(t)
+	f := newRacing(t, speculative(4))
+	f.options.MaxEvacuation = 5 * time.Second
+	f.entries = append(f.entries, worker("cold", 4000, 64000), worker("warm", 2000, 64000))
+	f.listCold(map[string]time.Duration{"cold": 20 * time.Second})
+	f.reportListing("cold", port.Listing{})
+	f.reportListing("warm", port.Listing{})
+	for i, entry := range f.entries[:7] {
+		if entry.ID != f.straggler.Worker.Entry.ID {
+			f.place(fmt.Sprintf("fill%d", i), timed(time.Hour), entry.ID)
+		}
+	}
+	f.list(f.place("running", timed(300*time.Millisecond), "warm")[0], 10)
+	f.list(f.straggler, 5)
+	waiting := timed(5 * time.Second)
+	waiting.Resources.MilliCPU = 2000
+	f.Add(spec("waiting", waiting), f.now, 0)
+	is.Equal(startedOn(f.plan(copyInterval)), []string{})
+	f.Cancel("waiting")
+	is.Equal(startedOn(f.plan(copyInterval)), []string{"warm"}) // the copy
+}
+
+// newColdCell returns a cell of which half of the workers are cold and free, and the others
+// warm and full, with a backlog of tasks of as many jobs.
+func newColdCell(workers, backlog int, cold time.Duration) *fixture {
+	var entries []port.WorkerEntry
+	for i := range workers {
+		entries = append(entries, worker(fmt.Sprintf("w%04d", i), 16000, 64000))
+	}
+	f := newColdFixture(entries[:workers/2]...)
+	f.Add(spec("fill", step(workers/2*16, 1000, 1000)), f.now, 0)
+	f.confirmStarts(f.plan(0))
+	f.entries = entries
+	f.SetWorkersReadAt(f.now)
+	f.SetWorkers(entries, f.now)
+	left := map[string]time.Duration{}
+	for _, e := range entries[workers/2:] {
+		f.reportListing(e.ID, port.Listing{})
+		left[e.ID] = cold
+	}
+	f.listCold(left)
+	for i := range backlog / 10 {
+		f.Add(spec(fmt.Sprintf("b%04d", i), step(10, 1000, 4000)), f.now, 0)
+	}
+	return f
+}
+
+// Guards against plans whose cost grows with the backlog: each task that waits for a warm
+// worker is searched for in every plan.
+func TestFewTasksWaitForWarmWorkers(t *testing.T) {
+	is := is.New(t)
+	f := newColdCell(40, 200, 20*time.Second)
+	is.Equal(len(f.plan(0).Starts), 200-maxWarmWaits)
+	is.Equal(len(f.plan(0).Starts), 0)
+}
--- a/dispatch/moveout.go
+++ b/dispatch/moveout.go
@@ -41,11 +41,14 @@
 		}
 		e.movedOutFrom = w.Entry.ID
 		for _, r := range w.sortedRuns() {
-			if failed[r.Task.Step] || !mayMoveOut(r) || noRoom.covers(r.Task, now) != fitsUnknown {
+			if failed[r.Task.Step] || !e.mayMoveOut(r, now) || noRoom.covers(r.Task, now) != fitsUnknown {
 				continue
 			}
 			searches++
 			target := e.chooseWorker(r.Task, r.Task.siblings(), now, nil)
+			if target == nil {
+				e.requestAdvice(r.Task, now)
+			}
 			if target == nil || e.wanted(target, interrupted, now) {
 				failed[r.Task.Step] = true
 				noRoom.add(r.Task, e.lookahead.refused, now)
@@ -60,11 +63,12 @@
 }
 
 // moveOutSources returns the workers under evacuation with services, from the one after that
-// which was considered last, so that services that fit nowhere do not hold up others.
+// which was considered last, so that services that fit nowhere do not hold up others. Workers
+// that do not answer are left out: the reserved place could expire before the stop is known.
 func (e *Engine) moveOutSources() []*Worker {
 	var sources []*Worker
 	for _, w := range e.workerList {
-		if w.Listed && w.Entry.Evacuating && !w.Entry.Draining && len(e.colocationOf(w).services) > 0 {
+		if w.Listed && w.Entry.Evacuating && !w.Entry.Draining && w.unansweredSince.IsZero() && len(e.colocationOf(w).services) > 0 {
 			sources = append(sources, w)
 		}
 	}
@@ -77,9 +81,13 @@
 }
 
 // mayMoveOut reports whether a run is one of a service task that serves, and whose step
-// tolerates that it becomes unavailable. A gang would end as a whole.
-func mayMoveOut(r *Run) bool {
+// tolerates that it becomes unavailable. A gang would end as a whole, and a task of a former
+// owner could not be started again while workers are not contacted.
+func (e *Engine) mayMoveOut(r *Run, now time.Time) bool {
 	t := r.Task
+	if t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt)) {
+		return false
+	}
 	if !t.Step.Service || t.Step.Gang || r.State != RunActive || r.stopping || r.Progress != 100 || t.reserved != nil {
 		return false
 	}
--- a/dispatch/moveout_test.go
+++ b/dispatch/moveout_test.go
@@ -222,3 +222,48 @@
 	is.Equal(len(stops), 1)
 	is.Equal(stops[0].Task.ID.Job, "small")
 }
+
+// Guards against LOST: after a takeover, a service is moved out of an evacuation while it
+// may not be started again, because some worker has not been contacted.
+func TestNoMoveOutUntilAnInheritedTaskMayStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000), worker("c", 8000, 64000))
+	run := f.place("service", serviceStep(1, 4000), "a")[0]
+	next, _ := f.takeOver(t, run.Task.Job, f.entries)
+	next.ExpectInheritedRuns([]string{"a", "b", "c"}, next.now)
+	next.setEvacuating("a")
+	next.reportListing("a", port.Listing{Running: []port.RunningTask{{Task: run.Task.name(), Attempt: run.Attempt, Percent: 100, Measurement: 10}}})
+	next.reportListing("b", port.Listing{})
+	is.Equal(next.Uncontacted(), 1)
+	is.Equal(len(next.plan(moveOutInterval).Stops), 0)
+	next.reportListing("c", port.Listing{})
+	is.Equal(len(next.plan(moveOutInterval).Stops), 1)
+}
+
+// Guards against a service of a silent worker that is stopped: its end may be known only
+// after the reserved place has been given up.
+func TestNoMoveOutOfASilentWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	run := f.place("service", serviceStep(1, 4000), "a")[0]
+	f.setEvacuating("a")
+	f.Worker("a").unansweredSince = f.now
+	out := f.plan(moveOutInterval)
+	is.Equal(len(out.Stops), 0)
+	f.list(run, 100)
+	is.Equal(len(f.plan(moveOutInterval).Stops), 1)
+}
+
+// Guards against a service of a queue with an advisor that stays in a data centre under
+// evacuation, because nothing requests tickets for other workers.
+func TestServiceWithAdvisorMovesOut(t *testing.T) {
+	is := is.New(t)
+	f := newAdvisorFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	f.place("service", serviceStep(1, 4000), "a")
+	f.setEvacuating("a")
+	requests := f.plan(moveOutInterval).AdviceRequests
+	is.Equal(len(requests), 1)
+	is.Equal(requests[0].Workers, []string{"b"})
+	f.HandleAdvice(requests[0], map[string]string{"b": "ticket"}, nil, f.now, f.now)
+	is.Equal(len(f.plan(moveOutInterval).Stops), 1)
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -19,7 +19,7 @@
 	e.consolidate(now)
 	e.unplaceable.reset()
 	clear(e.waitingPools)
-	e.warmRoomsValid = false
+	e.warmRoomsValid, e.warmWaits = false, 0
 	order := e.byUrgency(now)
 	for _, j := range order {
 		if j.interrupted {
@@ -62,14 +62,17 @@
 		}
 		return
 	}
+	onlyReserved := false // the tasks without an advance reservation do not fit
 	for _, t := range tasks {
-		if t.interrupted() != interrupted || !e.mayStart(t, now) {
+		if t.interrupted() != interrupted || (onlyReserved && t.advance == nil) || !e.mayStart(t, now) {
 			continue
 		}
 		w := e.placeTask(t, tasks, now)
 		if w != nil {
 			if t.interrupted() || !e.awaitsWarmWorker(t, w, now) {
 				e.start(t, w, t.Attempt+1, now)
+			} else {
+				e.waitingPools[t.Job.Queue.Pool] = true
 			}
 			continue
 		}
@@ -79,6 +82,8 @@
 		case t.interrupted():
 			e.makeRoom(t, now)
 		case t.keepsApart(now) || t.advance != nil:
+		case e.hasReservation(step):
+			onlyReserved = true
 		default:
 			return // the other tasks of the step do not fit either
 		}
