Bound the wait of best-effort tasks with a large share (proposal)

A task that requests all processors of a worker waited for as long as smaller best-effort tasks kept the load near the limit: 118 s, until the end of the test; 0.1 s before tasks were placed by contention.

After 10 s a worker takes it while its load is within the limit without the task.

Test: TestBestEffortTaskWithALargeShareIsNotStarved (10.1 s).

--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -61,5 +61,20 @@
 // toleratesContention reports whether a worker takes one more best-effort task beside the
 // others.
 func (e *Engine) toleratesContention(t *Task, w *Worker, now time.Time) bool {
-	return contention.Accepts(e.contendedLoad(w), w.cpuShare(t.Step), e.colocationOf(w).bestEffort, t.urgent(now))
+	share := w.cpuShare(t.Step)
+	if t.outwaited(now) {
+		share = 0
+	}
+	return contention.Accepts(e.contendedLoad(w), share, e.colocationOf(w).bestEffort, t.urgent(now))
+}
+
+// maxContentionWait is how long a best-effort task waits for a worker that takes its whole
+// share. Smaller tasks could otherwise take what becomes free for ever. It is chosen, not
+// measured.
+const maxContentionWait = 10 * time.Second
+
+// outwaited reports whether a best-effort task is taken by a worker whose load is within the
+// limit without it.
+func (t *Task) outwaited(now time.Time) bool {
+	return t.Step.BestEffort && !t.readyAt.IsZero() && now.Sub(t.readyAt) >= maxContentionWait
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -116,8 +116,8 @@
 
 // demandClass is what decides, besides its resources, where a task fits.
 type demandClass struct {
-	pool, image, label          string
-	service, bestEffort, urgent bool
+	pool, image, label                     string
+	service, bestEffort, urgent, outwaited bool
 	// suspicion is not zero for a suspect that is kept apart from others.
 	suspicion int
 }
@@ -170,7 +170,7 @@
 	}
 	if k.bestEffort {
 		k.image = t.Step.Image // services tolerate some images and not others
-		k.urgent = t.urgent(now)
+		k.urgent, k.outwaited = t.urgent(now), t.outwaited(now)
 	}
 	return k
 }
