--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -69,9 +69,9 @@
 }
 
 // maxContentionWait is how long a best-effort task waits for a worker that takes its whole
-// share. Smaller tasks could otherwise take what becomes free for ever. It is chosen, not
-// measured.
-const maxContentionWait = 10 * time.Second
+// share: smaller tasks could take what becomes free without end. Objectives of batch jobs
+// leave a few seconds.
+const maxContentionWait = 3 * time.Second
 
 // outwaited reports whether a best-effort task is taken by a worker whose load is within the
 // limit without it.
