--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -8,12 +8,13 @@
 )
 
 // penaltyPerLostRun converts costs of contention, in shares of a task's work, into
-// penalties. A task that loses all its work there weighs as much as one that shares a worker
-// with a service of another image.
+// penalties. It is large beside differences of free capacity and round trips, and small
+// beside the penalties of slow, cold or failing workers.
 const penaltyPerLostRun = bonusServicesTogether
 
 // defaultServiceUse is the share of its request that a service is taken to use before its
-// load is known.
+// load is known. Services used about this share on the days that docs/design/contention.md
+// describes.
 const defaultServiceUse = 0.45
 
 // serviceUseOf returns what a service task is estimated to use, in thousandths of a core.
