Do not keep the state of a submission that the owner has not told

A daemon whose submission the store answered late kept the job as queued, although the job had moved to another cell and was completed there: callers saw it as queued for 90 s.

The state of a daemon's own submission is used for 2 s unless the owner tells it. Later, the owner or the store is asked, which leads to the new cell. TestSubmittedStateIsNotKeptWithoutTheOwner fails without the change.

--- a/internal/cell/jobstates.go
+++ b/internal/cell/jobstates.go
@@ -23,6 +23,10 @@
 type cachedState struct {
 	state job.State
 	at    time.Time
+	// submitted is set while the state is only that of this daemon's own submission. If the
+	// answer of the store was late, the job may have moved to another cell before, whose
+	// changes are not told here.
+	submitted bool
 }
 
 // jobStateCache holds the last known states of jobs. It also holds
@@ -71,9 +75,11 @@
 	defer cache.mu.Unlock()
 	old, known := cache.states[id]
 	if known && (old.state == state || old.state.Final()) {
+		old.submitted = false
+		cache.states[id] = old
 		return
 	}
-	cache.states[id] = cachedState{state, now}
+	cache.states[id] = cachedState{state: state, at: now}
 	cache.sequence++
 	cache.changes = append(cache.changes, &peerpb.JobChange{Id: id, State: string(state)})
 	if len(cache.changes) > 2*maxChanges {
@@ -83,13 +89,21 @@
 	cache.changed = make(chan struct{})
 }
 
-// add records the state of a job that is not known. What the owner has told is kept.
+// add records the state of a job that this daemon has submitted, if it is not known. What
+// the owner has told is kept.
 func (cache *jobStateCache) add(id string, state job.State, now time.Time) {
 	cache.mu.Lock()
 	_, known := cache.states[id]
 	cache.mu.Unlock()
-	if !known {
-		cache.set(id, state, now)
+	if known {
+		return
+	}
+	cache.set(id, state, now)
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	if entry := cache.states[id]; entry.state == state {
+		entry.submitted = true
+		cache.states[id] = entry
 	}
 }
 
@@ -142,6 +156,9 @@
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	entry, ok := cache.states[id]
+	if entry.submitted && now.Sub(entry.at) > submittedTTL {
+		return "", false
+	}
 	return entry.state, ok && entry.state != stateMoved && (entry.state.Final() || now.Sub(cache.confirmedAt) < confirmationTTL)
 }
 
@@ -154,6 +171,9 @@
 }
 
 const (
+	// submittedTTL is how long the state of a daemon's own submission is used before the owner
+	// has told it. By then the owner has been notified, or has found the job in its scan.
+	submittedTTL = 2 * time.Second
 	// confirmationTTL is the maximum age of the owner's confirmation of a state.
 	confirmationTTL = time.Second
 	// depthTTL is the maximum age of a queue's depth, set by the platform.
