State the reasons of a weight and of a sum in the terms of callers

The weight of services over their targets was explained by how the platform counts them; what matters is that their users notice at once. Comments and line breaks only.

--- a/contention/contention.go
+++ b/contention/contention.go
@@ -20,9 +20,8 @@
 	// estimated from rough tail latencies, and change within seconds.
 	loadDeviation = 0.15
 	// overLimitWeight is the cost of one service task that exceeds its target beside the
-	// best-effort task all the time. The users of a service suffer at once, and the platform
-	// counts such a second four times; a service task holds about as many processors as a
-	// best-effort task.
+	// best-effort task all the time. Its users notice each slow response at once, while a
+	// batch job can make up for lost time until its objective.
 	overLimitWeight = 3
 	// strandedWeight is the cost of processors that are free and cannot be used because the
 	// memory beside them is taken. It outweighs the slowdown at maxLoadUrgent of all tasks
--- a/job/job.go
+++ b/job/job.go
@@ -136,9 +136,8 @@
 	return reserved, bestEffort
 }
 
-// MemoryBeside returns the memory that the widest step with a request of reserved
-// thousandths of a core requests, in the unit of Resources.MemoryMB. It is zero if no step
-// that is not best-effort requests that many.
+// MemoryBeside returns the memory, in the unit of Resources.MemoryMB, of the widest step that
+// is not best-effort. reserved is the request of that step, as PeakMilliCPU returns it.
 func (s Spec) MemoryBeside(reserved int64) int64 {
 	memory := int64(0)
 	for _, step := range s.Steps {
