Tell why a service task is starved, and for which workers an owner waits

Cause: service_starved did not say why each worker was left out, and nothing was logged while a new owner waited for workers that may run tasks of a former one. On-call could not tell a full cell from one whose workers are in a backoff, or from an owner that waits.

Change: service_starved counts the workers of the pool by the first obstacle and shows the largest free piece; recovery_waits names the workers; a gauge counts interrupted service tasks, and counters the obstacles. No decision changes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -200,7 +200,7 @@
 	Finished []*Job
 	// Starved are interrupted service tasks that no worker can run, even without its
 	// other tasks. Each is reported again after a while.
-	Starved []*Task
+	Starved []StarvedTask
 	// Reservations are the advance reservations that were made or have ended.
 	Reservations []ReservationEvent
 }
--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -43,6 +43,22 @@
 // run again.
 func (t *Task) interrupted() bool { return t.Step.Service && t.hasRun && t.waiting() }
 
+// Interrupted returns the number of interrupted service tasks.
+func (e *Engine) Interrupted() int {
+	n := 0
+	for _, j := range e.jobs {
+		if !j.service || j.waiting == 0 {
+			continue
+		}
+		for t := range j.allTasks() {
+			if t.interrupted() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // reserve reserves a task's demand on a worker, in place of an earlier reservation.
 func (e *Engine) reserve(t *Task, w *Worker, now time.Time) {
 	e.unreserve(t)
@@ -325,5 +341,5 @@
 		return
 	}
 	t.starvedReportedAt = now
-	e.out.Starved = append(e.out.Starved, t)
+	e.out.Starved = append(e.out.Starved, e.starvation(t, now))
 }
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -212,3 +213,6 @@
 
 // Uncontacted returns the number of workers that may run tasks of a former owner.
 func (e *Engine) Uncontacted() int { return len(e.uncontacted) }
+
+// UncontactedWorkers returns the IDs of those workers, sorted.
+func (e *Engine) UncontactedWorkers() []string { return slices.Sorted(maps.Keys(e.uncontacted)) }
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -57,6 +57,8 @@
 	copiesStarted, copiesWon metrics.Counter
 	// reservationsMade counts the advance reservations for large tasks.
 	reservationsMade metrics.Counter
+	// interrupted is the number of service tasks that ran before and have no run.
+	interrupted metrics.Gauge
 }
 
 func newInstruments(r metrics.Registry) *instruments {
@@ -105,6 +107,7 @@
 		copiesStarted:     counter("cell.copies_started"),
 		copiesWon:         counter("cell.copies_won"),
 		reservationsMade:  counter("cell.reservations_made"),
+		interrupted:       gauge("cell.services_interrupted"),
 	}
 	m.registerByReason()
 	return m
@@ -121,6 +124,9 @@
 	} {
 		m.lossCounter(reason)
 	}
+	for _, o := range dispatch.Obstacles {
+		m.obstacleCounter(o)
+	}
 	for _, end := range dispatch.ReservationEnds {
 		m.reservationEndCounter(end)
 	}
@@ -141,6 +147,10 @@
 	return metrics.GetOrRegisterCounter("cell.reservations_ended."+string(end), m.registry)
 }
 
+func (m *instruments) obstacleCounter(o dispatch.Obstacle) metrics.Counter {
+	return metrics.GetOrRegisterCounter("cell.services_starved."+string(o), m.registry)
+}
+
 func (m *instruments) finalCounter(state job.State) metrics.Counter {
 	return metrics.GetOrRegisterCounter("cell.jobs_final."+string(state), m.registry)
 }
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -111,6 +112,55 @@
 	}
 }
 
+// observeStarved logs and counts the interrupted service tasks that no worker can run, with
+// what keeps them from how many workers.
+func (t *term) observeStarved(tasks []dispatch.StarvedTask, now time.Time) {
+	for _, s := range tasks {
+		reasons := make([]string, 0, len(s.Workers))
+		for _, o := range s.Reasons() {
+			t.c.instruments.obstacleCounter(o).Inc(int64(s.Workers[o]))
+			reasons = append(reasons, fmt.Sprintf("%s:%d", o, s.Workers[o]))
+		}
+		demand := s.Task.Step.Resources
+		t.log.WithFields(log.Fields{"event": "service_starved", "task": s.Task.ID.String(), "waited_ms": now.Sub(s.Task.ReadySince(now)).Milliseconds(),
+			"cpu": demand.MilliCPU, "memory_mb": demand.MemoryMB, "most_free_cpu": s.MostFree.MilliCPU, "most_free_memory_mb": s.MostFree.MemoryMB,
+			"workers": strings.Join(reasons, ",")}).
+			Warn("no worker has capacity for an interrupted service task, even without its other tasks")
+	}
+}
+
+// interruptedInterval is the interval at which the interrupted service tasks are counted.
+const interruptedInterval = time.Second
+
+// observeWaits updates the gauge of the interrupted service tasks.
+func (t *term) observeWaits(now time.Time) {
+	if !t.loaded || now.Sub(t.waitsObservedAt) < interruptedInterval {
+		return
+	}
+	t.waitsObservedAt = now
+	t.c.instruments.interrupted.Update(int64(t.engine.Interrupted()))
+}
+
+// recoveryWaitInterval is the interval at which an owner logs which workers it waits for.
+const recoveryWaitInterval = time.Second
+
+// observeRecoveryWait logs the workers that have not answered this owner and may run tasks of
+// a former one, which are not started elsewhere before.
+func (t *term) observeRecoveryWait(now time.Time) {
+	if now.Sub(t.recoveryWaitLoggedAt) < recoveryWaitInterval || now.Sub(t.startedAt) < recoveryWaitInterval {
+		return
+	}
+	t.recoveryWaitLoggedAt = now
+	workers := t.engine.UncontactedWorkers()
+	named := workers[:min(len(workers), maxNamedWorkers)]
+	t.log.WithFields(log.Fields{"event": "recovery_waits", "workers": strings.Join(named, ","), "count": len(workers),
+		"since_ms": now.Sub(t.startedAt).Milliseconds(), "interrupted": t.engine.Interrupted()}).
+		Warn("workers that may run tasks of a former owner have not answered; its tasks are not started elsewhere")
+}
+
+// maxNamedWorkers bounds the workers that a line of the log names.
+const maxNamedWorkers = 8
+
 // observeReservations logs and counts the advance reservations that were made, used and given
 // up.
 func (t *term) observeReservations(events []dispatch.ReservationEvent) {
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -239,7 +239,11 @@
 // checkRecovered ends the recovery once no attempt of a former owner can run
 // unlisted.
 func (t *term) checkRecovered(now time.Time) {
-	if t.recovered || t.engine.Uncontacted() > 0 {
+	if t.recovered {
+		return
+	}
+	if t.engine.Uncontacted() > 0 {
+		t.observeRecoveryWait(now)
 		return
 	}
 	t.recovered = true
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -69,6 +69,9 @@
 	// jobsReadAt is the start of the last successful read of the stored jobs.
 	jobsReadAt time.Time
 	prunedAt   time.Time
+	// waitsObservedAt is when the interrupted services were last counted, and
+	// recoveryWaitLoggedAt when the workers that the recovery waits for were last logged.
+	waitsObservedAt, recoveryWaitLoggedAt time.Time
 }
 
 func newTerm(c *Cell, record ownerRecord, version int64, now time.Time) *term {
@@ -246,10 +249,8 @@
 	for _, j := range out.Finished {
 		t.addFinal(j)
 	}
-	for _, task := range out.Starved {
-		t.log.WithFields(log.Fields{"event": "service_starved", "task": task.ID.String(), "waited_ms": now.Sub(task.ReadySince(now)).Milliseconds()}).
-			Warn("no worker has capacity for an interrupted service task, even without its other tasks")
-	}
+	t.observeStarved(out.Starved, now)
+	t.observeWaits(now)
 	t.publishStates(out)
 	t.sendRequests(out, now)
 	t.heartbeatAll(now)
