Let services serve on a draining worker until they have a place elsewhere

Cause: leaveDraining stopped every service of a draining worker in the first plan, with no place reserved, although the worker goes on for drainMs (3 s), and although this owner may not have been able to start it at all (after a takeover). Consolidation and evacuation reserve a place before they stop a run; a drain did not. The class: work that is running gives up its place before it has the next one.

Change: the rule by which a service gives up its place is the same as elsewhere. A place is reserved first, free or to be cleared, and the run is stopped when the place is free. What has none is stopped 0.7 s before the worker leaves. The time at which it leaves includes the age of the list, which was ignored: runs were lost with their workers.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -15,7 +15,14 @@
 func (e *Engine) SetWorkersReadAt(at time.Time) { e.workersReadAt = at }
 
 // AgeWorkers makes the list of workers older, by a time in which the clock stood still.
-func (e *Engine) AgeWorkers(by time.Duration) { e.workersReadAt = e.workersReadAt.Add(-by) }
+func (e *Engine) AgeWorkers(by time.Duration) {
+	e.workersReadAt = e.workersReadAt.Add(-by)
+	for _, w := range e.workerList {
+		if w.Entry.Draining {
+			w.leavesAt = w.leavesAt.Add(-by)
+		}
+	}
+}
 
 // startWindow returns how long after now a start request of a task may be executed, on the
 // worker's clock. A request may arrive late, so that it must expire with the capacities and
--- a/dispatch/copying.go
+++ b/dispatch/copying.go
@@ -162,7 +162,7 @@
 	switch {
 	case t.copied, now.Before(t.copyNotBefore), now.Before(t.notBefore), e.unknownRunCounts[t.name()] > 0:
 		return false
-	case t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt)):
+	case e.mayRunElsewhere(t, now):
 		return false // another run may exist
 	case t.suspect():
 		return false // a second run may crash a second worker
--- /dev/null
+++ b/dispatch/draining.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A draining worker goes on for a while. Its services serve there until another worker has
+// capacity that is reserved for them; what is left is stopped just before the worker leaves.
+const (
+	// drainMargin is the time before a draining worker leaves at which its
+	// remaining runs are stopped, so that their checkpoints are saved and their ends
+	// are listed. Stops take up to 200 ms and a round trip.
+	drainMargin = 700 * time.Millisecond
+	// clearMargin is the time before that at which other tasks are stopped to make room for
+	// the services, if they have not ended by themselves. It covers a stop, with two round
+	// trips between regions.
+	clearMargin = 600 * time.Millisecond
+	// maxDrainSearches bounds the searches of a plan, each among all workers.
+	maxDrainSearches = 64
+)
+
+// setLeaving records when a worker may leave, by its entry in a list that was read at a time,
+// zero if that is not known. The entry is some time old, so the earliest result counts.
+func (w *Worker) setLeaving(readAt, now time.Time) {
+	if !w.Entry.Draining {
+		w.leavesAt = time.Time{}
+		return
+	}
+	if readAt.IsZero() {
+		readAt = now
+	}
+	if at := readAt.Add(w.Entry.Remaining); w.leavesAt.IsZero() || at.Before(w.leavesAt) {
+		w.leavesAt = at
+	}
+}
+
+// stopBeforeLeave stops the runs on workers that are about to leave.
+func (e *Engine) stopBeforeLeave(now time.Time) {
+	for _, w := range e.workerList {
+		if !w.Entry.Draining || len(w.runs) == 0 || now.Before(w.leavesAt.Add(-drainMargin)) {
+			continue
+		}
+		for _, r := range w.sortedRuns() {
+			if !r.stopping && r.State == RunActive {
+				e.stop(r, StopDraining)
+			}
+		}
+	}
+}
+
+// leaveDraining moves services off draining workers, those that leave first before others.
+// Interrupted tasks have been planned before.
+func (e *Engine) leaveDraining(now time.Time) {
+	noRoom := unplaceable{}
+	searches := 0
+	for _, w := range e.drainingWorkers() {
+		clearing := !now.Before(w.leavesAt.Add(-drainMargin - clearMargin))
+		for _, r := range w.sortedRuns() {
+			t := r.Task
+			if !e.mayLeave(r, now) {
+				continue
+			}
+			if t.reserved == nil {
+				if searches >= maxDrainSearches || noRoom.covers(t, now) != fitsUnknown {
+					continue
+				}
+				searches++
+				if !e.reserveNextPlace(t, now) {
+					noRoom.add(t, e.lookahead.refused, now)
+					continue
+				}
+			}
+			e.leave(r, clearing)
+		}
+	}
+}
+
+// drainingWorkers returns the draining workers with runs that answer, in the order in which
+// they leave.
+func (e *Engine) drainingWorkers() []*Worker {
+	var draining []*Worker
+	for _, w := range e.workerList {
+		if w.Listed && w.Entry.Draining && len(w.runs) > 0 && w.unansweredSince.IsZero() {
+			draining = append(draining, w)
+		}
+	}
+	slices.SortFunc(draining, func(a, b *Worker) int {
+		return cmp.Or(a.leavesAt.Compare(b.leavesAt), cmp.Compare(a.Entry.ID, b.Entry.ID))
+	})
+	return draining
+}
+
+// mayLeave reports whether a run is one of a service task that could be started elsewhere now.
+func (e *Engine) mayLeave(r *Run, now time.Time) bool {
+	return r.Task.Step.Service && r.State == RunActive && !r.stopping && !e.mayRunElsewhere(r.Task, now)
+}
+
+// reserveNextPlace reserves capacity on another worker for a service task that still runs: free
+// capacity or, if there is none, such that other tasks use. It reports whether there is any.
+func (e *Engine) reserveNextPlace(t *Task, now time.Time) bool {
+	w := e.chooseWorker(t, t.siblings(), now, nil)
+	if w == nil {
+		e.requestAdvice(t, now)
+		w = e.cheapestToClear(t, now)
+	}
+	if w != nil {
+		e.reserve(t, w, now)
+	}
+	return w != nil
+}
+
+// leave stops a run whose task has a place elsewhere, if its step tolerates that. If the
+// place is still in use, the tasks there are stopped when clearing is set.
+func (e *Engine) leave(r *Run, clearing bool) {
+	t := r.Task
+	place := t.reserved.worker
+	switch {
+	case !demand(t.Step).Fits(place.freeFor(t)):
+		if clearing {
+			for _, victim := range victimsOn(place, t) {
+				e.stop(victim, StopForService)
+			}
+		}
+	case e.mayDisrupt(t):
+		e.move(r, StopDraining)
+	}
+}
--- a/dispatch/moveout.go
+++ b/dispatch/moveout.go
@@ -85,7 +85,7 @@
 // owner could not be started again while workers are not contacted.
 func (e *Engine) mayMoveOut(r *Run, now time.Time) bool {
 	t := r.Task
-	if t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt)) {
+	if e.mayRunElsewhere(t, now) {
 		return false
 	}
 	if !t.Step.Service || t.Step.Gang || r.State != RunActive || r.stopping || r.Progress != 100 || t.reserved != nil {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,7 +15,7 @@
 	e.Expire(now)
 	e.expireReservations(now)
 	e.reviewAdvance(now)
-	e.leaveDraining()
+	e.stopBeforeLeave(now)
 	e.consolidate(now)
 	e.unplaceable.reset()
 	clear(e.waitingPools)
@@ -26,6 +26,7 @@
 			e.planJob(j, true, now)
 		}
 	}
+	e.leaveDraining(now)
 	e.moveOut(order, now)
 	for _, j := range order {
 		e.planJob(j, false, now)
@@ -208,9 +209,7 @@
 	if t.Done || len(t.Runs) > 0 || now.Before(t.notBefore) || e.unknownRunCounts[t.name()] > 0 {
 		return false
 	}
-	if t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt)) {
-		// Also if the step allows copies: an uncontacted worker may list the end of a
-		// run that a former owner was told of and did not commit.
+	if e.mayRunElsewhere(t, now) {
 		return false
 	}
 	if t.Step.Service && t.Attempt == 0 && now.Sub(t.Job.arrived) < serviceBatchWindow {
@@ -296,30 +295,6 @@
 // NotAfterMS is the time on the worker's clock after which it rejects the start.
 func (r *Run) NotAfterMS() int64 { return r.notAfterMS }
 
-// drainMargin is the time before a draining worker leaves at which its
-// remaining runs are stopped, so that their checkpoints are saved and their ends
-// are listed. Stops take up to 200 ms and a round trip.
-const drainMargin = 700 * time.Millisecond
-
-// leaveDraining moves services off draining workers, and stops all other runs there
-// shortly before the workers leave.
-func (e *Engine) leaveDraining() {
-	for _, w := range e.workerList {
-		if !w.Entry.Draining || len(w.runs) == 0 {
-			continue
-		}
-		leaving := w.Entry.Remaining <= drainMargin
-		for _, r := range w.sortedRuns() {
-			if r.stopping || r.State != RunActive {
-				continue
-			}
-			if leaving || (r.Task.Step.Service && e.mayDisrupt(r.Task)) {
-				e.stop(r, StopDraining)
-			}
-		}
-	}
-}
-
 // mayDisrupt reports whether the task's step tolerates that one more task of it
 // becomes unavailable.
 func (e *Engine) mayDisrupt(t *Task) bool {
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -197,6 +197,13 @@
 	}
 }
 
+// mayRunElsewhere reports whether a former owner may have started the task on a worker that
+// has not answered this owner, or that the list lacks. An uncontacted worker may also list the
+// end of a run that a former owner was told of and did not commit.
+func (e *Engine) mayRunElsewhere(t *Task, now time.Time) bool {
+	return t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt))
+}
+
 // inheritedRunsDeadline is when the longest lease that a former owner granted has expired
 // on the slowest clock.
 func (e *Engine) inheritedRunsDeadline() time.Time {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -46,6 +46,9 @@
 	// time, an interrupted service task that has no other worker may be started.
 	backoffUntil, barredUntil time.Time
 	latency                   latencyState
+	// leavesAt is the earliest time at which a draining worker may leave; zero if it does not
+	// drain.
+	leavesAt time.Time
 	// coldUntil is the time until which the worker is or was cold.
 	coldUntil time.Time
 	// recentShares are the CPU shares of best-effort images, and serviceLoads the
@@ -208,6 +211,7 @@
 		if entry.Boot >= w.boot {
 			w.Entry = entry
 			w.setCold(entry.WarmUp, e.workersReadAt)
+			w.setLeaving(e.workersReadAt, now)
 		}
 		w.Listed = true
 	}
@@ -239,6 +243,7 @@
 	w.consecutiveFailures = 0
 	w.backoffUntil = time.Time{}
 	w.speedHistory = speedHistory{}
+	w.leavesAt = time.Time{}
 	for _, r := range w.sortedRuns() {
 		if r.listedByBoot {
 			e.markLost(r, LossWorkerRestarted)
