Do not let services that this owner has seen running wait for other workers

Cause: after a takeover a task of a former owner waits until every worker that may run any task of that owner has answered. That a run of this very task has been listed under the new epoch was not used.

Change: a former owner starts a task only when no run of it can be live. If this owner has seen a run, there is no other, unless the step allows copies.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -24,6 +24,9 @@
 	Runs       []*Run
 	// inherited is set if a former owner may have started the task.
 	inherited bool
+	// adopted is set once this owner has seen a run of a former owner, if the step does not
+	// allow copies.
+	adopted bool
 	// placedOn are the workers that a former owner last recorded for the task.
 	placedOn []string
 	// movedFrom is the worker that the task was last moved away from.
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -200,8 +200,14 @@
 // mayRunElsewhere reports whether a former owner may have started the task on a worker that
 // has not answered this owner, or that the list lacks. An uncontacted worker may also list the
 // end of a run that a former owner was told of and did not commit.
+//
+// A former owner starts a task only when no run of it can be live. So if this owner has seen
+// one running, there is no other, unless the step allows copies.
 func (e *Engine) mayRunElsewhere(t *Task, now time.Time) bool {
-	return t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt))
+	if !t.inherited || (len(e.uncontacted) == 0 && !now.Before(e.directoryCompleteAt)) {
+		return false
+	}
+	return !t.adopted || now.Sub(e.takeoverAt) < handoverWindow
 }
 
 // inheritedRunsDeadline is when the longest lease that a former owner granted has expired
