Do not count a task as stalled that was suspended by its owner

Cause: the time without progress went on while a best-effort task was limited to 0% for the services beside it. When the limit was lifted, the next listing showed no progress for more than stallTimeout: the task was stopped and its worker got no work for 3 s.

Evidence: i-8cab8216cc lifts the limit at 32.79 s, stops the task as stalled at 33.64 s, has 54,850 thousandths of a core free from 34.1 s on, and starts the next service at 36.66 s, while 530 service tasks starve in its cell. The test failed before: one stop at the first listing.

Change: progress is awaited from the confirmed end of the limit on.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -74,7 +74,7 @@
 		r.sampledAt = now
 		return
 	}
-	if percent != r.Progress {
+	if percent != r.Progress || r.ConfirmedLimit < 100 { // a limited run may make none
 		r.progressAt = now
 	}
 	r.Progress = percent
--- /dev/null
+++ b/dispatch/stall_test.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// listAt lists the runs of a worker, each at a percentage of its work.
+func (f *fixture) listAt(id string, percent int) {
+	var l port.Listing
+	for _, r := range f.Worker(id).sortedRuns() {
+		l.Running = append(l.Running, port.RunningTask{Task: r.Task.ID.String(), Attempt: r.Attempt, Percent: percent})
+	}
+	f.reportListing(id, l)
+}
+
+// Guards against work that is stopped, and workers that get none, because a task made no
+// progress while this owner had suspended it.
+func TestTaskThatWasSuspendedDoesNotCountAsStalled(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	step := job.Step{Tasks: 1, BestEffort: true, Image: "scan", EstimateMS: 60_000, Resources: job.Resources{MilliCPU: 1000, MemoryMB: 100}}
+	run := f.place("scan", step, "a")[0]
+	f.listAt("a", 10)
+	run.desiredLimit = 0
+	f.HandleThrottleResponse(run, 0, nil, f.now)
+	for range 10 {
+		f.now = f.now.Add(stallTimeout / 2)
+		f.Worker("a").ExtendLease(f.now, testOptions.MaxLease)
+		f.listAt("a", 10)
+	}
+	run.desiredLimit = 100
+	f.HandleThrottleResponse(run, 100, nil, f.now)
+	for range 2 {
+		f.now = f.now.Add(stallTimeout / 2)
+		f.listAt("a", 10)
+		is.Equal(len(f.plan(0).Stops), 0)
+	}
+	is.True(f.Worker("a").schedulable(f.now))
+	f.now = f.now.Add(stallTimeout)
+	f.listAt("a", 10)
+	is.Equal(len(f.TakeOutput().Stops), 1) // now it is
+}
