Let interrupted services use a worker on which another task has stalled

Cause: a stalled task barred its worker from all work for 3 s, interrupted services included. Failures of tasks and lost start requests leave the worker as their last choice after 1.2 s; stalls were left out of that.

Evidence: the test failed before, the service was away for 3 s.

Change: a stall backs off from the worker as a failure does, and does not bar it.

--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -12,7 +12,8 @@
 	// stallTimeout is how long a task may make no progress; listings arrive at
 	// least every second.
 	stallTimeout = 1500 * time.Millisecond
-	// stallBackoff is how long a worker with a stalled task gets no more work.
+	// stallBackoff is how long a worker with a stalled task gets no more work. The task may
+	// be at fault, so the worker is the last choice of interrupted services.
 	stallBackoff = 3 * time.Second
 	// maxSpeedSamples is the number of speed samples kept for a worker, and
 	// minSpeedSamples the number required to rate it.
@@ -158,7 +159,7 @@
 			continue
 		}
 		if now.Sub(r.progressAt) > stallTimeout {
-			w.bar(now.Add(stallBackoff))
+			w.backoffUntil = later(w.backoffUntil, now.Add(stallBackoff))
 			e.move(r, StopStalled)
 			continue
 		}
--- a/dispatch/stall_test.go
+++ b/dispatch/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -45,3 +46,27 @@
 	f.listAt("a", 10)
 	is.Equal(len(f.TakeOutput().Stops), 1) // now it is
 }
+
+// Guards against LOST: a worker got no interrupted service for 3 s because a task of another
+// job had stalled there, while services that had ended left most of it free.
+func TestStalledTaskDoesNotBarInterruptedServices(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	f.place("batch", batchStep(1, 2000, true), "a")
+	task := f.place("service", serviceStep(1, 4000), "b")[0].Task
+	f.listAt("a", 10)
+	f.now = f.now.Add(stallTimeout + time.Millisecond)
+	f.listAt("a", 10)
+	out := f.TakeOutput()
+	is.Equal(len(out.Stops), 1)
+	is.Equal(out.Stops[0].StopReason(), StopStalled)
+	f.endStops(out)
+	f.lose()
+	lost := f.now
+	for len(task.Runs) == 0 && f.now.Sub(lost) < stallBackoff {
+		f.confirmStarts(f.plan(50 * time.Millisecond))
+	}
+	if away := f.now.Sub(lost); away > evictAfter+100*time.Millisecond {
+		t.Fatalf("the service was away for %v", away)
+	}
+}
