Tell the successor after a release where all tasks may be running

Cause: progress rows are written up to 250 ms after a start, so a successor must assume that any task may run on any worker that does not answer. That holds after a failure of the owner. After a release it does not: the last commit can hold everything.

Change: the row of a released cell says whether the commit holds all changes and the owner knew of all runs. Then a task waits only for the workers that are recorded for it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,6 +130,8 @@
 	// directoryCompleteAt is the time until which the list of workers may lack workers
 	// that run tasks of a former owner.
 	directoryCompleteAt time.Time
+	// runsRecorded is set if the former owner has recorded where all its runs may be.
+	runsRecorded bool
 	// takeoverAt is when ExpectInheritedRuns was called.
 	takeoverAt   time.Time
 	interference interference
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -197,6 +197,16 @@
 	}
 }
 
+// ExpectRecordedRuns records that the former owner has recorded where all its runs may be,
+// after it had stopped starting tasks.
+func (e *Engine) ExpectRecordedRuns() { e.runsRecorded = true }
+
+// KnowsAllRuns reports whether the progress of the jobs shows all workers that may run their
+// tasks: those of former owners have answered or are gone, and no unknown run is listed.
+func (e *Engine) KnowsAllRuns(now time.Time) bool {
+	return len(e.uncontacted) == 0 && !now.Before(e.directoryCompleteAt) && len(e.unknownRunCounts) == 0
+}
+
 // mayRunElsewhere reports whether a former owner may have started the task on a worker that
 // has not answered this owner, or that the list lacks. An uncontacted worker may also list the
 // end of a run that a former owner was told of and did not commit.
@@ -204,12 +214,24 @@
 // A former owner starts a task only when no run of it can be live. So if this owner has seen
 // one running, there is no other, unless the step allows copies.
 func (e *Engine) mayRunElsewhere(t *Task, now time.Time) bool {
-	if !t.inherited || (len(e.uncontacted) == 0 && !now.Before(e.directoryCompleteAt)) {
+	switch {
+	case !t.inherited || (len(e.uncontacted) == 0 && !now.Before(e.directoryCompleteAt)):
 		return false
+	case e.runsRecorded:
+		return e.recordedOnUncontacted(t)
 	}
 	return !t.adopted || now.Sub(e.takeoverAt) < handoverWindow
 }
 
+// recordedOnUncontacted reports whether a former owner has recorded a run of the task on a
+// worker that has not answered this owner.
+func (e *Engine) recordedOnUncontacted(t *Task) bool {
+	return slices.ContainsFunc(t.placedOn, func(id string) bool {
+		_, waiting := e.uncontacted[id]
+		return waiting
+	})
+}
+
 // inheritedRunsDeadline is when the longest lease that a former owner granted has expired
 // on the slowest clock.
 func (e *Engine) inheritedRunsDeadline() time.Time {
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -20,3 +20,23 @@
 	f.HandleReplacement("gone", f.now)
 	is.Equal(len(f.plan(0).Starts), 1)
 }
+
+// Guards against LOST after an orderly hand-over: services that ran nowhere, as the former
+// owner had recorded, waited for all workers that may run any of its tasks.
+func TestTasksWaitOnlyForRecordedWorkersAfterACompleteRelease(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	stopped, running := f.Add(spec("stopped", serviceStep(1, 1000)), f.now, 0), f.Add(spec("running", serviceStep(1, 1000)), f.now, 0)
+	is.NoErr(f.Restore(stopped, Progress{Tasks: []TaskProgress{{Attempt: 1}}}))
+	is.NoErr(f.Restore(running, Progress{Tasks: []TaskProgress{{Attempt: 1, Worker: "silent"}}}))
+	f.ExpectInheritedRuns([]string{"a"}, f.now)
+	f.ExpectRecordedRuns()
+	out := f.plan(0)
+	is.Equal(len(out.Starts), 1)
+	is.Equal(out.Starts[0].Task.ID.Job, "stopped")
+	f.confirmStarts(out)
+	f.listAllRunning()
+	is.Equal(len(f.plan(time.Second).Starts), 0)
+	f.HandleReplacement("silent", f.now)
+	is.Equal(len(f.plan(0).Starts), 1)
+}
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -200,6 +200,7 @@
 	b.record = t.record
 	b.record.Sequence++
 	b.record.Released = release
+	b.record.Recorded = release && len(t.changedSince) == 0 && t.loaded && t.engine.KnowsAllRuns(t.c.Now())
 	if t.stable(t.c.Now()) {
 		b.record.Backoff = 0
 	}
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -181,6 +181,9 @@
 		ids = append(ids, w.ID)
 	}
 	t.engine.ExpectInheritedRuns(ids, now)
+	if t.runsRecorded {
+		t.engine.ExpectRecordedRuns()
+	}
 	if failedAt := t.c.storeFailedAt; !failedAt.IsZero() {
 		t.engine.ExpectUnlistedWorkers(failedAt.Add(directorySettleTime))
 	}
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -24,6 +24,9 @@
 	Sequence int64 `json:"beat"`
 	// Released is set when the owner has released the cell.
 	Released bool `json:"released,omitempty"`
+	// Recorded is set with Released if the progress rows show all runs of the cell, as of a
+	// time from which the owner starts none.
+	Recorded bool `json:"recorded,omitempty"`
 	// Backoff is the number of times that the takeover timeouts are doubled, because
 	// owners were replaced before their terms were stable.
 	Backoff int `json:"backoff,omitempty"`
@@ -248,7 +251,7 @@
 	if c.owner.Address != "" && c.owner.Address != c.Self.Address {
 		c.notifyFormerOwner(c.owner.Address, record.Epoch)
 	}
-	afterRelease := c.owner.Released
+	afterRelease, runsRecorded := c.owner.Released, c.owner.Released && c.owner.Recorded
 	c.owner, c.ownerVersion, c.ownerVersionSeenAt = record, version, now
 	if c.stopping {
 		return
@@ -258,7 +261,7 @@
 	c.link.reset()
 	c.term = newTerm(c, record, version, now)
 	c.term.commitSentAt, c.term.unconfirmed = sent, sent.IsZero()
-	c.term.afterRelease = afterRelease
+	c.term.afterRelease, c.term.runsRecorded = afterRelease, runsRecorded
 	c.term.recover()
 	c.publish()
 }
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -40,6 +40,8 @@
 
 	// afterRelease is set if the previous owner released the cell.
 	afterRelease bool
+	// runsRecorded is set if the previous owner has recorded all runs when it released the cell.
+	runsRecorded bool
 	candidates   candidates
 	claims       loadClaims
 	mapKeeper    mapKeeper
