--- a/internal/cell/release_test.go
+++ b/internal/cell/release_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,3 +51,68 @@
 
 // drainForTest is the time for which the worker of the test drains.
 const drainForTest = 800 * time.Millisecond
+
+// TestReleaseHistories runs histories in which owners shut down, beside the faults of
+// TestTakeoverHistories. Guards against TWICE after a release: the successor relies on the
+// recorded runs and starts tasks that a worker still runs, or has ended without an
+// acknowledgement.
+func TestReleaseHistories(t *testing.T) {
+	for seed := *firstHistory; seed < *firstHistory+uint64(*histories); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runReleaseHistory(t, seed) })
+		})
+	}
+}
+
+func runReleaseHistory(t *testing.T, seed uint64) {
+	work := func(task string) time.Duration {
+		return time.Duration(100+200*(len(task)+int(task[len(task)-1]))%2900) * time.Millisecond
+	}
+	cl := newCluster(t, seed, 3, 5, work, func(_ string, attempt int) bool { return attempt%7 == 3 })
+	defer cl.stopAll()
+	cl.awaitOwner()
+	rng := rand.New(rand.NewPCG(seed, 11))
+	var accepted []string
+	for range 14 {
+		for range 1 + rng.IntN(3) {
+			spec := cl.historySpec(1 + rng.IntN(5))
+			if cl.trySubmit(fmt.Sprintf("d%d", rng.IntN(3)), spec) == nil {
+				accepted = append(accepted, spec.ID)
+			}
+		}
+		if rng.IntN(4) == 0 {
+			cl.slowDaemons(rng)
+		}
+		if rng.IntN(3) > 0 {
+			cl.shutDown(cl.owner(), time.Duration(rng.IntN(1500))*time.Millisecond)
+		}
+		if rng.IntN(2) == 0 {
+			cl.injectFault(rng)
+		}
+		time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+		cl.restartSome(rng)
+	}
+	cl.clearFaults()
+	for _, name := range cl.names() {
+		cl.daemons[name].clearDelays()
+		cl.daemons[name].workersUnreachable.Store(false)
+	}
+	for _, id := range accepted {
+		cl.awaitFinal(id, 90*time.Second)
+	}
+	cl.check()
+}
+
+// shutDown lets a daemon release its cell for at most a time, and stops it.
+func (cl *cluster) shutDown(name string, grace time.Duration) {
+	d := cl.daemons[name]
+	if d == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	if err := d.cell.Release(ctx); err != nil {
+		cl.t.Logf("%s is stopped before it has released the cell: %v", name, err)
+	}
+	cl.kill(name)
+}
