Keep room for services that may not start before all workers have answered

Cause: while the tasks of a former owner wait for workers that have not answered, new jobs start at once and take the room. The services then have to wait 1.2 s more and stop that work.

The new test failed before: the batch task is started.

Change: free capacity is reserved for an interrupted service task that must wait, unless its recorded worker is one of those that have not answered.

--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -98,6 +98,20 @@
 	return free
 }
 
+// holdPlace reserves free capacity for an interrupted service task of a former owner that must
+// wait until other workers have answered, so that new work does not take it. A task that
+// probably runs on one of these needs none.
+func (e *Engine) holdPlace(t *Task, now time.Time) {
+	if t.reserved != nil || !e.mayRunElsewhere(t, now) || e.recordedOnUncontacted(t) || e.unplaceable.covers(t, now) != fitsUnknown {
+		return
+	}
+	if w := e.chooseWorker(t, t.siblings(), now, nil); w != nil {
+		e.reserve(t, w, now)
+		return
+	}
+	e.unplaceable.add(t, e.lookahead.refused, now)
+}
+
 // makeRoom reserves capacity for an interrupted service task that fits on no worker, and
 // stops other tasks there if these do not end soon.
 func (e *Engine) makeRoom(t *Task, now time.Time) {
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -119,6 +119,7 @@
 		r.isCopy, t.copied = true, true
 	}
 	t.adopted = t.adopted || !allowsCopies(t.Step)
+	e.unreserve(t)
 	if slices.Contains(t.placedOn, w.Entry.ID) && t.unresolvedRuns > 0 {
 		t.unresolvedRuns--
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -65,7 +65,13 @@
 	}
 	onlyReserved := false // the tasks without an advance reservation do not fit
 	for _, t := range tasks {
-		if t.interrupted() != interrupted || (onlyReserved && t.advance == nil) || !e.mayStart(t, now) {
+		if t.interrupted() != interrupted || (onlyReserved && t.advance == nil) {
+			continue
+		}
+		if !e.mayStart(t, now) {
+			if interrupted {
+				e.holdPlace(t, now)
+			}
 			continue
 		}
 		w := e.placeTask(t, tasks, now)
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -40,3 +40,22 @@
 	f.HandleReplacement("silent", f.now)
 	is.Equal(len(f.plan(0).Starts), 1)
 }
+
+// Guards against LOST after a takeover: new work took the room of an interrupted service that
+// had to wait until all workers had answered, and was stopped for it 1.2 s after that.
+func TestNewWorkLeavesTheRoomOfAServiceThatMayNotStartYet(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 4000, 64000))
+	j := f.Add(spec("service", serviceStep(1, 4000)), f.now, 0)
+	is.NoErr(f.Restore(j, Progress{Tasks: []TaskProgress{{Attempt: 1}}}))
+	other := f.Add(spec("other", serviceStep(1, 4000)), f.now, 0)
+	is.NoErr(f.Restore(other, Progress{Tasks: []TaskProgress{{Attempt: 1, Worker: "silent"}}}))
+	f.ExpectInheritedRuns([]string{"a"}, f.now)
+	f.now = f.now.Add(handoverWindow)
+	f.Add(spec("batch", batchStep(1, 4000, false)), f.now, 0)
+	is.Equal(len(f.plan(0).Starts), 0)
+	f.HandleReplacement("silent", f.now)
+	out := f.plan(0)
+	is.Equal(len(out.Starts), 1)
+	is.Equal(out.Starts[0].Task.ID.Job, "service")
+}
