--- a/internal/cell/moved_jobs_test.go
+++ b/internal/cell/moved_jobs_test.go
@@ -352,3 +352,29 @@
 		is.True(cl.daemons["d0"].cellMap() == nil)
 	})
 }
+
+// Guards against LOST: the workers of a cell leave, its services wait there, and other cells
+// have room for them: tasks of a job that has begun do not run in another cell.
+func TestInterruptedServiceRunsInAnotherCell(t *testing.T) {
+	hours := func(string) time.Duration { return time.Hour }
+	runMove(t, 730, hours, func(mc *moveCluster) {
+		is := is.New(t)
+		step := job.Step{Tasks: 2, Service: true, Image: "desk", MaxUnavailable: -1, Resources: job.Resources{MilliCPU: 2000, MemoryMB: 1000}}
+		mc.submit("d0", job.Spec{ID: "service", Queue: "batch", Steps: []job.Step{step}})
+		time.Sleep(settleDelay)
+		is.Equal(mc.fleet.RunningTasksOf("service"), 2)
+		mc.setUnlisted(movingFrom, false)
+		time.Sleep(settleDelay)
+		mc.eachWorker(movingTo, func(id string) { mc.fleet.Drain(id, time.Second) })
+		const mostAway = 6 * time.Second // the rule counts from then on
+		interrupted := time.Now()
+		for began := time.Now(); time.Since(began) < 10*time.Second; time.Sleep(100 * time.Millisecond) {
+			if mc.fleet.RunningTasksOf("service") == 2 {
+				interrupted = time.Now()
+			}
+			if away := time.Since(interrupted); away > mostAway {
+				mc.t.Fatalf("a task of the service was away for %v", away)
+			}
+		}
+	})
+}
