Restart services whose start was not committed before a takeover

Cause: placements are committed after up to 250 ms, so that a new owner may find no record of the last starts. Restore took a service task without one as new: it waited behind all other work, 20 s in the test, although others of its step had run.

Change: if one task of a service step is known to have run under a former owner, all of them are taken as interrupted. A step without any known start still waits like a new service, also after a takeover: its callers have been told only that it is accepted, and owners may change every few seconds, each time displacing running work for all services that wait for capacity. The cost is that tasks of a step that never fitted beside others of it displace batch work after a takeover, too: the record cannot tell them apart.

--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -129,13 +129,14 @@
 		for _, run := range tp.runs() {
 			t.placedOn = append(t.placedOn, run.Worker)
 		}
-		t.hasRun = tp.Attempt > 0
+		t.hasRun = t.hasRun || tp.Attempt > 0
 		if tp.Done && !t.Done {
 			t.setDone()
 			o := j.occurrences[tp.Occurrence]
 			o.pending[tp.Step]--
 		}
 	}
+	j.presumeRuns()
 	if len(p.Tasks) > 0 {
 		j.requested, j.State = true, job.Running
 	}
@@ -152,6 +153,29 @@
 	return nil
 }
 
+// presumeRuns marks the tasks of each step of a former owner that presumably have run.
+func (j *Job) presumeRuns() {
+	for _, o := range j.occurrences {
+		for _, tasks := range o.tasks {
+			presumeStepHasRun(tasks)
+		}
+	}
+}
+
+// presumeStepHasRun marks all tasks of a former owner's service step as having run if any of them
+// has: the last starts before a takeover may not have been committed. A step without any known
+// start waits like a new one, because callers have been told only that it is accepted;
+// otherwise each takeover of a full cell would let all services that wait for capacity displace
+// running tasks.
+func presumeStepHasRun(tasks []*Task) {
+	if !tasks[0].Step.Service || !slices.ContainsFunc(tasks, func(t *Task) bool { return t.hasRun }) {
+		return
+	}
+	for _, t := range tasks {
+		t.hasRun = true
+	}
+}
+
 // restoreBoot counts a crash for each worker on which a former owner last started a task and
 // that has restarted since, or expects the worker to show that.
 func (e *Engine) restoreBoot(j *Job, tp TaskProgress) {
