Take runs that workers list after a takeover as evidence of former starts

Cause: where a former owner did not commit any start of a service step, the new owner learns from the workers that it ran: they list its runs, and the ends of those that have ended. An end was not taken as a sign that the task had run, and a run was none for the other tasks of its step, so that these waited behind all other work.

Change: the first listed run or end of a task that may be a former owner's, and that this owner has not started, marks its service step as Restore does.

Result: TestListedEndShowsThatAServiceOfAFormerOwnerHasRun and TestListedRunShowsThatAServiceStepOfAFormerOwnerHasRun were away for 20 s before and pass; TestOwnRunSaysNothingAboutOtherTasks passes before and after.

--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -28,6 +28,7 @@
 	if end.Checkpoint != "" && (r == nil || r.leads()) {
 		t.Checkpoint = end.Checkpoint
 	}
+	t.noteFormerRun()
 	t.Attempt = max(t.Attempt, end.Attempt)
 	e.markChanged(t.Job, true)
 	e.markStarted(t.Job)
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -121,6 +121,7 @@
 	if slices.Contains(t.placedOn, w.Entry.ID) && t.unresolvedRuns > 0 {
 		t.unresolvedRuns--
 	}
+	t.noteFormerRun()
 	w.attach(r)
 	t.Attempt = max(t.Attempt, entry.Attempt)
 	e.markStarted(t.Job)
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -236,3 +236,13 @@
 
 // Uncontacted returns the number of workers that may run tasks of a former owner.
 func (e *Engine) Uncontacted() int { return len(e.uncontacted) }
+
+// noteFormerRun records that a worker has listed a run of a task, or the end of one. If this
+// owner has requested none, a former one has.
+func (t *Task) noteFormerRun() {
+	if t.hasRun || !t.inherited {
+		return
+	}
+	t.hasRun = true
+	presumeStepHasRun(t.siblings())
+}
--- a/dispatch/restored_services_test.go
+++ b/dispatch/restored_services_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/port"
 )
 
 // newFullTakeover returns a fixture whose only worker is full of batch tasks, and a service
@@ -39,3 +41,32 @@
 		})
 	}
 }
+
+// Guards against LOST after a takeover: a worker lists the end of a run that the former owner
+// did not record, and the task waits behind all other work as if it had never run.
+func TestListedEndShowsThatAServiceOfAFormerOwnerHasRun(t *testing.T) {
+	f, task := newFullTakeover(t, Progress{})
+	f.listWorking(f.Worker("a"), &Run{Task: task, Worker: f.Worker("a"), Attempt: 1}, port.EndStopped)
+	f.returnsInTime(t, task)
+}
+
+// Guards against LOST after a takeover: no start of a step was recorded, a worker lists a run
+// of one task, and another whose worker was lost waits as if the step had never run.
+func TestListedRunShowsThatAServiceStepOfAFormerOwnerHasRun(t *testing.T) {
+	f, task := newFullTakeover(t, Progress{})
+	f.entries = append(f.entries, worker("b", 4000, 64000))
+	f.SetWorkers(f.entries, f.now)
+	f.reportListing("b", port.Listing{Running: []port.RunningTask{{Task: "service.0.1.1", Attempt: 1, Percent: 100}}})
+	f.returnsInTime(t, task)
+}
+
+// A task that this owner has started says nothing about the others of its step.
+func TestOwnRunSaysNothingAboutOtherTasks(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	f.place("batch", batchStep(1, 4000, true), "a")
+	runs := f.place("service", serviceStep(2, 4000), "a")
+	f.listWorking(f.Worker("a"), runs[0], port.EndFailed)
+	is.True(runs[0].Task.interrupted())
+	is.True(!runs[0].Task.siblings()[1].interrupted())
+}
