Move several services off a worker for an interrupted one

Cause: the search for services to move looked for a single one. Where the free capacity is in pieces so small that two have to move, an interrupted service task stayed away, although services move in half a second.

Change: the search covers up to four moves off one worker, in a file of its own. It prefers the fewest moves, and then the workers that lack the least. The room of the targets shrinks by each move, and all places are reserved before any task is stopped. Two tasks of a step move only if it tolerates two that are away. A moved task goes to the target with the least room that suffices, so that larger pieces remain. Several moves are searched on 64 workers only, with 64 tries each, and a search follows the last one by 100 ms at least, as before.

New tests cover maxUnavailable, limits per worker, places that are taken twice and needless moves; the first three fail if the code for each is taken out.

--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -20,11 +20,6 @@
 	evictAfter = 1200 * time.Millisecond
 	// reservationTTL bounds how long capacity is reserved for a task that is not started.
 	reservationTTL = 4 * time.Second
-	// relocateInterval is the least time between two searches for a service task to move.
-	relocateInterval = 100 * time.Millisecond
-	// maxRelocateTargets is the number of workers that a task may be moved to, those with
-	// the most free processors.
-	maxRelocateTargets = 16
 	// starvedReportInterval is the interval at which a task that no worker can run is
 	// reported.
 	starvedReportInterval = 5 * time.Second
@@ -90,7 +85,7 @@
 		switch {
 		case w != nil:
 			e.reserve(t, w, now)
-		case e.relocateService(t, now) || e.startInBackoff(t, now):
+		case e.relocateServices(t, now) || e.startInBackoff(t, now):
 			return
 		default:
 			e.reportStarved(t, now)
@@ -241,80 +236,6 @@
 	return step.Resources.MilliCPU * int64(lossOfUncheckpointed*(100+r.Progress)) / 100
 }
 
-// relocateService moves a service task from a worker, on which an interrupted one fits
-// then, to one with less free capacity. It reports whether there is such a move. The free
-// capacity of a pool that is full of services is in pieces that are too small for some.
-// If the interrupted task has waited for long, other tasks are stopped at the target.
-func (e *Engine) relocateService(t *Task, now time.Time) bool {
-	if now.Sub(e.relocatedAt) < relocateInterval {
-		return false
-	}
-	e.relocatedAt = now
-	r, target := e.findRelocation(t, e.mostRoom((*Worker).unreserved), now)
-	if r == nil && now.Sub(t.readyAt) >= evictAfter {
-		r, target = e.findRelocation(t, e.mostRoom(func(w *Worker) job.Resources { return w.unreserved().Add(w.clearable()) }), now)
-	}
-	if r == nil {
-		return false
-	}
-	e.reserve(t, r.Worker, now)
-	e.reserve(r.Task, target, now)
-	for _, victim := range victimsOn(target, r.Task) {
-		e.stop(victim, StopForService)
-	}
-	e.move(r, StopForService)
-	return true
-}
-
-// findRelocation returns a run of a service task whose worker has room for an interrupted
-// one without it, and a target with room for the run; nil if there is none.
-func (e *Engine) findRelocation(t *Task, targets []roomyWorker, now time.Time) (*Run, *Worker) {
-	for _, w := range e.workerList {
-		if !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
-			continue
-		}
-		for _, r := range w.sortedRuns() {
-			if !demand(t.Step).Fits(w.freeFor(t).Add(demand(r.Task.Step))) || !e.relocatable(r) {
-				continue
-			}
-			for _, target := range targets {
-				if target.worker != w && demand(r.Task.Step).Fits(target.room) && e.suits(r.Task, target.worker, now, nil) && e.advisorAllows(r.Task, target.worker, now) {
-					return r, target.worker
-				}
-			}
-		}
-	}
-	return nil, nil
-}
-
-// relocatable reports whether a service task may be moved while all others of its step
-// serve.
-func (e *Engine) relocatable(r *Run) bool {
-	t := r.Task
-	return t.Step.Service && !t.Step.Gang && r.State == RunActive && !r.stopping && t.reserved == nil &&
-		t.Step.MaxUnavailable != 0 && t.unavailableSiblings() == 0
-}
-
-// roomyWorker is a worker with the room that a task may be moved to.
-type roomyWorker struct {
-	worker *Worker
-	room   job.Resources
-}
-
-// mostRoom returns the workers with the most processors by a measure of room.
-func (e *Engine) mostRoom(room func(*Worker) job.Resources) []roomyWorker {
-	sorted := make([]roomyWorker, 0, len(e.workerList))
-	for _, w := range e.workerList {
-		if !w.Entry.Evacuating { // a data centre that empties would take all places
-			sorted = append(sorted, roomyWorker{w, room(w)})
-		}
-	}
-	slices.SortFunc(sorted, func(a, b roomyWorker) int {
-		return cmp.Or(cmp.Compare(b.room.MilliCPU, a.room.MilliCPU), cmp.Compare(a.worker.Entry.ID, b.worker.Entry.ID))
-	})
-	return sorted[:min(len(sorted), maxRelocateTargets)]
-}
-
 // unreserved returns the resources of a worker that no run uses and no task has reserved.
 func (w *Worker) unreserved() job.Resources { return w.free().Sub(w.reservedUse) }
 
