Move services only towards workers that accept runs

Cause: services that make way for an interrupted one may move to the 16 workers with the most free processors. Workers under evacuation were left out, but not those that drain, are silent, have left the list or belong to another pool. Workers that empty have the most room, so that while 16 of them leave, no service makes way.

Change: the targets are workers of the task's pool on which runs may be started now.

Result: TestRelocationConsidersWorkersThatMayRunTheTask fails in all three cases on the code before and passes.

--- a/dispatch/relocate.go
+++ b/dispatch/relocate.go
@@ -46,9 +46,10 @@
 		return false
 	}
 	e.relocatedAt = now
-	moves, from := e.findRelocations(t, e.mostRoom((*Worker).unreserved), now)
+	moves, from := e.findRelocations(t, e.mostRoom(t, (*Worker).unreserved, now), now)
 	if from == nil && now.Sub(t.readyAt) >= evictAfter {
-		moves, from = e.findRelocations(t, e.mostRoom(func(w *Worker) job.Resources { return w.unreserved().Add(w.clearable()) }), now)
+		cleared := func(w *Worker) job.Resources { return w.unreserved().Add(w.clearable()) }
+		moves, from = e.findRelocations(t, e.mostRoom(t, cleared, now), now)
 	}
 	if from == nil {
 		return false
@@ -263,11 +264,12 @@
 	return best
 }
 
-// mostRoom returns the workers with the most processors by a measure of room.
-func (e *Engine) mostRoom(room func(*Worker) job.Resources) []roomyWorker {
-	sorted := make([]roomyWorker, 0, len(e.workerList))
+// mostRoom returns the workers of a task's pool with the most processors by a measure of room.
+// Workers that accept no runs are left out: those that empty would take all places.
+func (e *Engine) mostRoom(t *Task, room func(*Worker) job.Resources, now time.Time) []roomyWorker {
+	var sorted []roomyWorker
 	for _, w := range e.workerList {
-		if !w.Entry.Evacuating { // a data centre that empties would take all places
+		if w.Entry.Pool == t.Job.Queue.Pool && w.schedulable(now) {
 			sorted = append(sorted, roomyWorker{w, room(w)})
 		}
 	}
--- a/dispatch/relocate_test.go
+++ b/dispatch/relocate_test.go
@@ -106,6 +106,35 @@
 	f.returnsInTime(t, task)
 }
 
+// Guards against LOST: workers that accept no runs, which have the most free capacity, were the
+// only ones considered for a service that makes way for an interrupted one.
+func TestRelocationConsidersWorkersThatMayRunTheTask(t *testing.T) {
+	for name, change := range map[string]func(f *fixture, w *port.WorkerEntry){
+		"draining":     func(_ *fixture, w *port.WorkerEntry) { w.Draining, w.Remaining = true, 20*time.Second },
+		"another pool": func(_ *fixture, w *port.WorkerEntry) { w.Pool = "other" },
+		"silent":       func(f *fixture, w *port.WorkerEntry) { f.HandleNoResponse(w.ID, f.now.Add(time.Millisecond)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			entries := []port.WorkerEntry{worker("a", 10000, 64000), worker("b", 10000, 64000)}
+			for i := range maxRelocateTargets {
+				entries = append(entries, worker(fmt.Sprintf("r%02d", i), 16000, 64000))
+			}
+			f := newFixture(append(entries, worker("lost", 10000, 64000))...)
+			f.place("small", serviceStep(2, 4000), "a", "b")
+			f.place("other", serviceStep(2, 2000), "a", "b")
+			task := f.place("large", serviceStep(1, 8000), "lost")[0].Task
+			for i := range maxRelocateTargets {
+				change(f, &f.entries[2+i])
+			}
+			f.lose()
+			out := f.plan(relocateInterval)
+			is.Equal(len(out.Stops), 1)
+			is.True(task.reserved != nil)
+		})
+	}
+}
+
 // BenchmarkRelocateServices measures a search in a cell that is full of services, in which no
 // or few moves are possible.
 func BenchmarkRelocateServices(b *testing.B) {
@@ -143,7 +172,7 @@
 			now := f.now.Add(time.Second)
 			moves := 0
 			for b.Loop() {
-				found, _ := f.findRelocations(task, f.mostRoom((*Worker).unreserved), now)
+				found, _ := f.findRelocations(task, f.mostRoom(task, (*Worker).unreserved, now), now)
 				moves = len(found)
 			}
 			b.ReportMetric(float64(moves), "moves")
