Keep services of a former owner in place until they may start again

Cause: services that make way for an interrupted one may be tasks of a former owner. These are not started while a worker that may run them has not answered, up to the longest lease and a second, so that after a move one is away for that long. Moves out of an evacuation and consolidation have such a check.

Change: a task that may have an unlisted run of a former owner does not make way.

Result: TestNoRelocationOfATaskThatMayNotStartAgain fails on the code before and passes.

--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -220,6 +220,12 @@
 	}
 }
 
+// mayRunUnlisted reports whether a former owner may have started the task on a worker that has
+// not listed its runs yet. The task is not started until all have.
+func (e *Engine) mayRunUnlisted(t *Task, now time.Time) bool {
+	return t.inherited && (len(e.uncontacted) > 0 || now.Before(e.directoryCompleteAt))
+}
+
 // inheritedRunsDeadline is when the longest lease that a former owner granted has expired
 // on the slowest clock.
 func (e *Engine) inheritedRunsDeadline() time.Time {
--- a/dispatch/relocate.go
+++ b/dispatch/relocate.go
@@ -150,7 +150,7 @@
 	source.listed = true
 	for _, r := range source.worker.sortedRuns() {
 		d := demand(r.Task.Step)
-		if d.Fits(s.mostRoom) && r.relocatable() && s.othersServe(r.Task) {
+		if d.Fits(s.mostRoom) && r.relocatable() && !s.engine.mayRunUnlisted(r.Task, s.now) && s.othersServe(r.Task) {
 			source.movable = append(source.movable, r)
 			source.largest = atLeast(source.largest, d)
 		}
--- a/dispatch/relocate_test.go
+++ b/dispatch/relocate_test.go
@@ -135,6 +135,27 @@
 	}
 }
 
+// Guards against LOST: a task of a former owner was stopped to make way, although it could not be
+// started again until all workers had listed their runs.
+func TestNoRelocationOfATaskThatMayNotStartAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 10000, 64000), worker("b", 10000, 64000), worker("lost", 6000, 64000))
+	small := f.Add(spec("small", serviceStep(2, 4000)), f.now, 0)
+	is.NoErr(f.Restore(small, Progress{Tasks: []TaskProgress{{Index: 0, Attempt: 1, Worker: "gone"}, {Index: 1, Attempt: 1}}}))
+	f.ExpectInheritedRuns(nil, f.now)
+	f.reportListing("a", port.Listing{Running: []port.RunningTask{
+		{Task: "small.0.0.0", Attempt: 1, Percent: 100}, {Task: "small.0.0.1", Attempt: 1, Percent: 100},
+	}})
+	f.now = f.now.Add(2 * handoverWindow)
+	task := f.place("large", serviceStep(2, 6000), "b", "lost")[1].Task
+	f.lose()
+	is.Equal(len(f.plan(relocateInterval).Stops), 0)
+	f.HandleReplacement("gone", f.now)
+	out := f.plan(relocateInterval)
+	is.Equal(len(out.Stops), 1)
+	is.True(task.reserved != nil)
+}
+
 // BenchmarkRelocateServices measures a search in a cell that is full of services, in which no
 // or few moves are possible.
 func BenchmarkRelocateServices(b *testing.B) {
