Let interrupted services take turns in the search for services to move

Cause: one search is made in 100 ms, always for the first task in the order of the plan. If nothing can move for that one, the others are not searched for as long as it waits.

Change: the tasks that wait take turns; none has a second one before all have had theirs.

Result: TestInterruptedTasksTakeTurnsInTheSearch, in which no service can move for 20 other tasks, was away for 20 s before and passes. With more than some 50 such tasks a turn still takes longer than a service may be away.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -165,7 +165,7 @@
 	// bestEffortStarted is set once a best-effort task has been started.
 	bestEffortStarted bool
 	consolidatedAt    time.Time
-	relocatedAt       time.Time // when relocateServices last searched
+	relocations       relocationTurns
 	movedOutAt        time.Time // when moveOut last searched
 	// movedOutFrom is the last worker that moveOut considered.
 	movedOutFrom   string
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -48,6 +48,9 @@
 	notReservedBefore time.Time
 	// starvedReportedAt is when the task was last reported as starved.
 	starvedReportedAt time.Time
+	// relocationRound is the last round in which services were searched that make way for the
+	// task.
+	relocationRound int
 }
 
 // ReadySince returns when a task that has just been started became ready.
--- a/dispatch/relocate.go
+++ b/dispatch/relocate.go
@@ -38,14 +38,41 @@
 	room   job.Resources
 }
 
+// relocationTurns lets interrupted tasks take turns in searches. A round gives each that waits
+// one turn.
+type relocationTurns struct {
+	searchedAt time.Time // when the last search was made
+	planAt     time.Time // the time of the plan that left refers to
+	left       int       // tasks that have waited for their turn in the plan
+	round      int
+}
+
+// turnOf reports whether services may be searched now that make way for a task.
+func (turns *relocationTurns) turnOf(t *Task, now time.Time) bool {
+	if !turns.planAt.Equal(now) {
+		if turns.left == 0 {
+			turns.round++
+		}
+		turns.planAt, turns.left = now, 0
+	}
+	if t.relocationRound == turns.round {
+		return false
+	}
+	if now.Sub(turns.searchedAt) < relocateInterval {
+		turns.left++
+		return false
+	}
+	turns.searchedAt, t.relocationRound = now, turns.round
+	return true
+}
+
 // relocateServices moves service tasks off a worker, on which an interrupted one fits then, to
 // others. It reports whether there are such moves. If the interrupted task has waited for long,
 // other tasks are stopped at the targets.
 func (e *Engine) relocateServices(t *Task, now time.Time) bool {
-	if now.Sub(e.relocatedAt) < relocateInterval {
+	if !e.relocations.turnOf(t, now) {
 		return false
 	}
-	e.relocatedAt = now
 	moves, from := e.findRelocations(t, e.mostRoom(t, (*Worker).unreserved, now), now)
 	if from == nil && now.Sub(t.readyAt) >= evictAfter {
 		cleared := func(w *Worker) job.Resources { return w.unreserved().Add(w.clearable()) }
--- a/dispatch/relocate_test.go
+++ b/dispatch/relocate_test.go
@@ -156,6 +156,20 @@
 	is.True(task.reserved != nil)
 }
 
+// Guards against LOST: only the first of several interrupted tasks was searched for, again and
+// again without a result, while services could move for another.
+func TestInterruptedTasksTakeTurnsInTheSearch(t *testing.T) {
+	f := newFixture(worker("a", 10000, 64000), worker("b", 10000, 64000), worker("lost", 64000, 64000))
+	f.place("small", serviceStep(2, 4000), "a", "a")
+	f.place("stays", serviceStep(1, 6000), "b")
+	for i := range 20 {
+		f.place(fmt.Sprintf("huge-%02d", i), serviceStep(1, 10000), "lost")
+	}
+	task := f.place("large", serviceStep(1, 6000), "lost")[0].Task
+	f.lose()
+	f.returnsInTime(t, task)
+}
+
 // BenchmarkRelocateServices measures a search in a cell that is full of services, in which no
 // or few moves are possible.
 func BenchmarkRelocateServices(b *testing.B) {
