Do not let services that this owner has started wait for other workers

Cause: a task that arrives within a second of a takeover counts as one that a former owner may have started. Since this owner started it itself, there is no other run; after its end it waited for workers of the former owner all the same.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -24,9 +24,9 @@
 	Runs       []*Run
 	// inherited is set if a former owner may have started the task.
 	inherited bool
-	// adopted is set once this owner has seen a run of a former owner, if the step does not
-	// allow copies.
-	adopted bool
+	// runSeen is set once this owner has started a run or has seen one of a former owner, if
+	// the step does not allow copies.
+	runSeen bool
 	// placedOn are the workers that a former owner last recorded for the task.
 	placedOn []string
 	// movedFrom is the worker that the task was last moved away from.
@@ -86,6 +86,7 @@
 	}
 	t.Runs = append(t.Runs, r)
 	t.hasRun = true
+	t.runSeen = t.runSeen || !allowsCopies(t.Step)
 }
 
 // removeRun removes one of the task's runs.
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -118,7 +118,6 @@
 	if len(t.Runs) > 0 {
 		r.isCopy, t.copied = true, true
 	}
-	t.adopted = t.adopted || !allowsCopies(t.Step)
 	e.unreserve(t)
 	if slices.Contains(t.placedOn, w.Entry.ID) && t.unresolvedRuns > 0 {
 		t.unresolvedRuns--
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -235,8 +235,8 @@
 // has not answered this owner, or that the list lacks. An uncontacted worker may also list the
 // end of a run that a former owner was told of and did not commit.
 //
-// A former owner starts a task only when no run of it can be live. So if this owner has seen
-// one running, there is no other, unless the step allows copies.
+// A former owner starts a task only when no run of it can be live. So if this owner has started
+// one, or has seen one running, there is no other, unless the step allows copies.
 func (e *Engine) mayRunElsewhere(t *Task, now time.Time) bool {
 	switch {
 	case !t.inherited || (len(e.uncontacted) == 0 && !now.Before(e.directoryCompleteAt)):
@@ -244,7 +244,7 @@
 	case e.runsRecorded:
 		return e.recordedOnUncontacted(t)
 	}
-	return !t.adopted || now.Sub(e.takeoverAt) < handoverWindow
+	return !t.runSeen || now.Sub(e.takeoverAt) < handoverWindow
 }
 
 // recordedOnUncontacted reports whether a former owner has recorded a run of the task on a
