Bound the cost of a plan while many services starve

Cause: each plan searches all workers for each starved task, twice, and looks up the tasks of its step on each worker first.

Change: a search is left out if the plan has found no worker for a task that requests as much or less, as for other tasks; and workers whose services alone leave too little are left out before anything else is looked at.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -144,7 +144,9 @@
 	lookahead lookaheadState
 	// toldModes are the most likely coefficients that TakeLearned has returned.
 	toldModes   map[imagePair]int
-	unplaceable unplaceable
+	// unplaceable are the demands for which the present plan has found no worker, and
+	// unclearable those for which no worker has room without its other tasks.
+	unplaceable, unclearable unplaceable
 	// warmRooms is the room that becomes free on warm workers, computed once in a plan when it
 	// is needed.
 	warmRooms      []*warmRoom
@@ -238,6 +240,7 @@
 		meanWork:         map[string]*mean{},
 		toldModes:        map[imagePair]int{},
 		unplaceable:      unplaceable{},
+		unclearable:      unplaceable{},
 		reservations:     map[*Task]bool{},
 		unknownRunCounts: map[string]int{},
 		silentRuns:       map[string][]silentRun{},
--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -199,9 +199,16 @@
 // cheapestToClear returns the worker on which stopping tasks that are no services makes
 // room for a task at the lowest cost, or nil if there is none.
 func (e *Engine) cheapestToClear(t *Task, now time.Time) *Worker {
+	if t.reserved == nil && e.unclearable.covers(t, now) != fitsUnknown {
+		return nil
+	}
 	var best *Worker
 	lowest := int64(0)
 	for _, w := range e.workerList {
+		// In a cell that is full of services, this leaves out almost all workers at once.
+		if w.Entry.Capacity.MilliCPU-e.colocationOf(w).serviceCPU < demand(t.Step).MilliCPU {
+			continue
+		}
 		if !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
 			continue
 		}
@@ -216,6 +223,9 @@
 			best, lowest = w, cost
 		}
 	}
+	if best == nil {
+		e.unclearable.add(t, false, now)
+	}
 	return best
 }
 
--- a/dispatch/obstacles_test.go
+++ b/dispatch/obstacles_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -31,3 +33,30 @@
 	is.Equal(out.Starved[0].Reasons()[0], ObstacleCapacity)
 	is.Equal(f.Interrupted(), 1)
 }
+
+// BenchmarkPlanWhileManyStarve measures a plan in a cell that has lost half of its workers and
+// is full of services, while the services of the others wait.
+func BenchmarkPlanWhileManyStarve(b *testing.B) {
+	const workers, perWorker = 350, 4
+	var entries []port.WorkerEntry
+	for i := range workers {
+		entries = append(entries, worker(fmt.Sprintf("w%03d", i), 64000, 256000))
+	}
+	f := newFixture(entries...)
+	for i := range workers * perWorker {
+		step := serviceStep(1, int64(14000+100*(i%20)))
+		step.MaxPerWorker = i % 2
+		f.place(fmt.Sprintf("service-%04d", i), step, fmt.Sprintf("w%03d", i/perWorker))
+	}
+	for range workers / 2 {
+		f.lose()
+	}
+	for range 4 {
+		f.listAllRunning()
+		f.plan(time.Second)
+	}
+	b.ReportMetric(float64(f.Interrupted()), "starved")
+	for b.Loop() {
+		f.plan(10 * time.Millisecond)
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -18,6 +18,7 @@
 	e.stopBeforeLeave(now)
 	e.consolidate(now)
 	e.unplaceable.reset()
+	e.unclearable.reset()
 	clear(e.waitingPools)
 	e.warmRoomsValid, e.warmWaits = false, 0
 	order := e.byUrgency(now)
@@ -101,7 +102,7 @@
 // task is known to fit nowhere.
 func (e *Engine) placeTask(t *Task, siblings []*Task, now time.Time) *Worker {
 	known := fitsUnknown
-	if !t.interrupted() {
+	if t.reserved == nil { // otherwise it may fit where others of its size do not
 		known = e.unplaceable.covers(t, now)
 	}
 	switch {
