Report responses to other daemons that cannot be encoded

The error of encoding a response was dropped: the caller saw "EOF", closed the session with all calls on it and asked again, and neither side logged why. A response of more than 4 MB was sent in full and refused by the caller.

A response is now encoded before anything is sent. If that fails, the server logs an error (response_not_sent, at most one line in 10 s) and the caller gets ErrResponseNotSent with the reason. It is no RefusedError, because a refusal of the owner makes followers take a cell over sooner. The session stays open.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,7 +54,7 @@
 			if err != nil {
 				return err
 			}
-			peers = peer.NewServer(listener, p.Controller.handlePeer)
+			peers = peer.NewServer(listener, p.Controller.handlePeer, p.Log)
 			go peers.Serve()
 			go p.Loop.Run()
 			p.Controller.start()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	d.peers = peer.NewServer(listener, d.cells.Handle)
+	d.peers = peer.NewServer(listener, d.cells.Handle, d.log)
 	go d.peers.Serve()
 	go d.loop.Run()
 	d.cells.Start()
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 )
@@ -47,7 +50,7 @@
 		b.Fatal(err)
 	}
 	bytes := &atomic.Int64{}
-	server := peer.NewServer(countingListener{l, bytes}, respond)
+	server := peer.NewServer(countingListener{l, bytes}, respond, &log.Logger{Handler: discard.Default})
 	go server.Serve()
 	defer server.Close()
 	pool := peer.NewPool()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -3,7 +3,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -12,8 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/hashicorp/yamux"
-	"google.golang.org/protobuf/encoding/protodelim"
 
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 )
@@ -21,9 +20,8 @@
 // Limits of the protocol between daemons.
 const (
 	// callTimeout bounds a call on an open session, on both sides.
-	callTimeout     = time.Second
-	dialTimeout     = 500 * time.Millisecond
-	maxMessageBytes = 4 << 20
+	callTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
 )
 
 // Handler handles a request of another daemon. It is called on a goroutine for
@@ -52,13 +50,19 @@
 	handler  Handler
 	ctx      context.Context
 	cancel   context.CancelFunc
+	log      log.Interface
 	wg       sync.WaitGroup
+
+	mu sync.Mutex
+	// unsent counts the responses that could not be encoded.
+	unsent           int
+	unsentReportedAt time.Time
 }
 
 // NewServer returns a server; Serve starts it.
-func NewServer(listener net.Listener, handler Handler) *Server {
+func NewServer(listener net.Listener, handler Handler, logger log.Interface) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{listener: listener, handler: handler, ctx: ctx, cancel: cancel}
+	return &Server{listener: listener, handler: handler, ctx: ctx, cancel: cancel, log: logger}
 }
 
 // Serve accepts connections until Close is called.
@@ -102,14 +106,10 @@
 	defer stream.Close() //nolint:errcheck // the response was written or has failed
 	_ = stream.SetDeadline(time.Now().Add(callTimeout))
 	req := &peerpb.Request{}
-	if err := readMessage(stream, req); err != nil {
+	if err := decode(stream, req); err != nil {
 		return
 	}
-	_, _ = protodelim.MarshalTo(stream, s.handler(s.ctx, req))
-}
-
-func readMessage(r io.Reader, m *peerpb.Request) error {
-	return protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}.UnmarshalFrom(bufio.NewReader(r), m)
+	_, _ = stream.Write(s.encodeResponse(s.handler(s.ctx, req)))
 }
 
 // Pool holds one yamux session for each peer address. It is safe for concurrent
@@ -155,7 +155,7 @@
 		return nil, &CallError{address, err}
 	}
 	if refusal := resp.GetRefusal(); refusal != nil {
-		return nil, &CallError{address, &RefusedError{refusal.GetReason()}}
+		return nil, &CallError{address, refusalError(refusal)}
 	}
 	return resp, nil
 }
@@ -175,12 +175,15 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if _, err := protodelim.MarshalTo(stream, req); err != nil {
+	request, err := encode(req)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := stream.Write(request); err != nil {
 		return nil, err
 	}
 	resp := &peerpb.Response{}
-	opts := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	return resp, opts.UnmarshalFrom(bufio.NewReader(stream), resp)
+	return resp, decode(stream, resp)
 }
 
 func (p *Pool) session(ctx context.Context, address string) (*yamux.Session, error) {
--- a/internal/peer/session_test.go
+++ b/internal/peer/session_test.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/google/go-cmp/cmp"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -80,11 +82,16 @@
 }
 
 func serve(t *testing.T, h peer.Handler) string {
+	return serveLogged(t, h, &log.Logger{Handler: memory.New()})
+}
+
+func serveLogged(t *testing.T, h peer.Handler, logger log.Interface) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := peer.NewServer(l, h)
+	s := peer.NewServer(l, h, logger)
 	go s.Serve()
 	t.Cleanup(func() { _ = s.Close() })
 	return l.Addr().String()
