Keep the session to a peer if a request cannot be encoded

The caller closed the session, so that other calls in flight to the same daemon failed. The request is now encoded before a session is used, and one of more than 4 MB is an error of the caller, too.

TestRequestThatCannotBeEncodedKeepsTheSession failed on the code before: the other call returned "EOF".

--- a/internal/peer/encode_test.go
+++ b/internal/peer/encode_test.go
@@ -51,3 +51,26 @@
 	is.Equal(handler.Entries[0].Fields["event"], "response_not_sent")
 	is.True(strings.Contains(handler.Entries[0].Fields["error"].(string), "invalid UTF-8"))
 }
+
+// Guards against a request that cannot be encoded and closes the session, with the calls of
+// others that are in flight on it.
+func TestRequestThatCannotBeEncodedKeepsTheSession(t *testing.T) {
+	is := is.New(t)
+	reached, unblock := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(ctx context.Context, req *peerpb.Request) *peerpb.Response {
+		reached <- struct{}{}
+		<-unblock
+		return respond(ctx, req)
+	})
+	pool := newPool(t)
+	done := make(chan error)
+	go func() { _, err := pool.Call(context.Background(), address, requests()[0]); done <- err }()
+	<-reached
+	for _, session := range []string{"\xff", strings.Repeat("s", 4<<20)} {
+		_, err := pool.Call(t.Context(), address, load(&peerpb.LoadReport{Session: session}))
+		var call *peer.CallError
+		is.True(errors.As(err, &call))
+	}
+	close(unblock)
+	is.NoErr(<-done)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -145,11 +145,15 @@
 // is a *CallError. A call that gets no response closes the session, so that the
 // next call opens a new connection.
 func (p *Pool) Call(ctx context.Context, address string, req *peerpb.Request) (*peerpb.Response, error) {
+	data, err := encode(req)
+	if err != nil {
+		return nil, &CallError{address, err} // the session stays open for other calls
+	}
 	session, err := p.session(ctx, address)
 	if err != nil {
 		return nil, &CallError{address, err}
 	}
-	resp, err := exchange(ctx, session, req)
+	resp, err := exchange(ctx, session, data)
 	if err != nil {
 		p.drop(address, session)
 		return nil, &CallError{address, err}
@@ -160,7 +164,7 @@
 	return resp, nil
 }
 
-func exchange(ctx context.Context, session *yamux.Session, req *peerpb.Request) (*peerpb.Response, error) {
+func exchange(ctx context.Context, session *yamux.Session, request []byte) (*peerpb.Response, error) {
 	stream, err := session.OpenStream()
 	if err != nil {
 		return nil, err
@@ -175,10 +179,6 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	request, err := encode(req)
-	if err != nil {
-		return nil, err
-	}
 	if _, err := stream.Write(request); err != nil {
 		return nil, err
 	}
