--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -15,6 +15,7 @@
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/entry"
 	"github.com/bambooyard/bambooyard/internal/process"
+	"github.com/bambooyard/bambooyard/platform"
 )
 
 // The metrics in docs/METRICS.md must be exactly those that a daemon registers.
@@ -26,6 +27,7 @@
 	entry.NewMetrics(registry)
 	batch.NewManager(batch.Options{Metrics: registry})
 	cell.New(cell.Options{Metrics: registry})
+	platform.NewDirectory(nil, nil).RegisterMetrics(registry)
 	is.NoErr(registerControlMetrics(control.NewLoop(), registry))
 	is.NoErr(process.Register(registry))
 	page, err := os.ReadFile("../../docs/METRICS.md")
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -19,6 +19,7 @@
 	"github.com/bambooyard/bambooyard/internal/cell"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/settings"
+	"github.com/bambooyard/bambooyard/platform"
 )
 
 func TestMetricsAsText(t *testing.T) {
@@ -101,6 +102,8 @@
 	r := metrics.NewRegistry()
 	is.NoErr(registerProcessMetrics(r, control.NewLoop()))
 	cell.New(cell.Options{Metrics: r, Now: time.Now})
+	platform.NewDirectory(nil, nil).RegisterMetrics(r)
+	is.True(r.Get("directory.unreadable_entries") != nil)
 	_, platformPart, found := strings.Cut(string(page), "## On the users' platform")
 	is.True(found)
 	r.Each(func(name string, _ any) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 		Loop:      loop,
 		Store:     store,
 		Workers:   platform.NewWorkers(client),
-		Directory: newDirectory(s, store, logger),
+		Directory: newDirectory(s, store, logger, registry),
 		Machines:  machines,
 		Advisor:   advisor,
 		Configs:   platform.NewConfigSource(store),
@@ -140,11 +140,15 @@
 
 // newDirectory returns the directory of workers, with the evacuations where these are in
 // force.
-func newDirectory(s settings.Node, store port.Store, logger log.Interface) port.Directory {
+func newDirectory(s settings.Node, store port.Store, logger log.Interface, registry metrics.Registry) port.Directory {
 	if s.MaxEvacuation <= 0 {
-		return platform.NewDirectory(store, logger)
+		d := platform.NewDirectory(store, logger)
+		d.RegisterMetrics(registry)
+		return d
 	}
-	return platform.NewEvacuatingDirectory(store, slices.Collect(maps.Keys(s.Regions)), logger)
+	d := platform.NewEvacuatingDirectory(store, slices.Collect(maps.Keys(s.Regions)), logger)
+	d.RegisterMetrics(registry)
+	return d
 }
 
 // timeSinceBoot returns the time since the machine started, with suspensions, or
