--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -143,7 +143,7 @@
 	meanChain mean
 	lookahead lookaheadState
 	// toldModes are the most likely coefficients that TakeLearned has returned.
-	toldModes   map[imagePair]int
+	toldModes map[imagePair]int
 	// unplaceable are the demands for which the present plan has found no worker, and
 	// unclearable those for which no worker has room without its other tasks.
 	unplaceable, unclearable unplaceable
