--- a/dispatch/draining_test.go
+++ b/dispatch/draining_test.go
@@ -11,15 +11,18 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
-// drain marks workers as draining, which leave after a time.
-func (f *fixture) drain(remaining time.Duration, ids ...string) {
+// drainTime is how long workers drain in the tests.
+const drainTime = 3 * time.Second
+
+// drain marks workers as draining, which leave after drainTime.
+func (f *fixture) drain(ids ...string) {
 	draining := map[string]bool{}
 	for _, id := range ids {
 		draining[id] = true
 	}
 	for i := range f.entries {
 		if draining[f.entries[i].ID] {
-			f.entries[i].Draining, f.entries[i].Remaining = true, remaining
+			f.entries[i].Draining, f.entries[i].Remaining = true, drainTime
 		}
 	}
 	f.SetWorkersReadAt(f.now)
@@ -29,8 +32,8 @@
 // leave plays the time in which workers drain, and ends their runs when they leave. Each plan
 // takes 50 ms, in which stops end and starts succeed. It returns the longest time for which any
 // task of the runs had no run up to the end of the time to watch.
-func (f *fixture) leave(runs []*Run, remaining, watch time.Duration) (away time.Duration) {
-	left := f.now.Add(remaining)
+func (f *fixture) leave(runs []*Run, watch time.Duration) (away time.Duration) {
+	left := f.now.Add(drainTime)
 	since := map[*Task]time.Time{}
 	for _, r := range runs {
 		since[r.Task] = f.now
@@ -82,7 +85,7 @@
 	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
 	service := f.place("service", serviceStep(1, 4000), "a")[0]
 	other := f.place("other", serviceStep(2, 4000), "b", "b")
-	f.drain(3*time.Second, "a")
+	f.drain("a")
 	for range 20 {
 		f.listAllRunning()
 		is.Equal(len(f.plan(50*time.Millisecond).Stops), 0) // it would wait
@@ -106,9 +109,9 @@
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 64000), worker("b", 2000, 64000))
 	f.place("service", serviceStep(1, 4000), "a")
-	f.drain(3*time.Second, "a")
+	f.drain("a")
 	f.listAllRunning()
-	is.Equal(len(f.plan(3*time.Second-drainMargin-50*time.Millisecond).Stops), 0)
+	is.Equal(len(f.plan(drainTime-drainMargin-50*time.Millisecond).Stops), 0)
 	f.listAllRunning()
 	is.Equal(len(f.plan(50*time.Millisecond).Stops), 1)
 }
@@ -123,9 +126,8 @@
 		services = append(services, f.place(fmt.Sprintf("service-%d", i), serviceStep(1, 4000), string(rune('a'+i/4)))...)
 	}
 	f.place("batch", batchStep(8, 4000, true), "c", "c", "c", "c", "d", "d", "d", "d")
-	const remaining = 3 * time.Second
-	f.drain(remaining, "a", "b")
-	if away := f.leave(services, remaining, 10*time.Second); away > time.Second {
+	f.drain("a", "b")
+	if away := f.leave(services, 10*time.Second); away > time.Second {
 		t.Fatalf("a service was away for %v", away)
 	}
 	is.Equal(f.servicesOn("c")+f.servicesOn("d"), 8)
@@ -152,8 +154,8 @@
 	f.reportListing("b", port.Listing{})
 	is.Equal(f.Uncontacted(), 1)
 	adopted := f.Worker("a").sortedRuns()[0]
-	f.drain(3*time.Second, "a")
-	away := f.leave([]*Run{adopted}, 3*time.Second, 6*time.Second)
+	f.drain("a")
+	away := f.leave([]*Run{adopted}, 6*time.Second)
 	is.Equal(f.Uncontacted(), 1)
 	if away > time.Second {
 		t.Fatalf("the service was away for %v", away)
@@ -169,7 +171,7 @@
 	run := f.place("service", serviceStep(1, 4000), "a")[0]
 	run.Task.inherited = true
 	f.ExpectInheritedRuns([]string{"unlisted"}, f.now)
-	f.drain(3*time.Second, "a")
+	f.drain("a")
 	for f.now.Sub(f.takeoverAt) < handoverWindow-50*time.Millisecond {
 		f.listAllRunning()
 		is.Equal(len(f.plan(50*time.Millisecond).Stops), 0)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -66,13 +66,7 @@
 	}
 	onlyReserved := false // the tasks without an advance reservation do not fit
 	for _, t := range tasks {
-		if t.interrupted() != interrupted || (onlyReserved && t.advance == nil) {
-			continue
-		}
-		if !e.mayStart(t, now) {
-			if interrupted {
-				e.holdPlace(t, now)
-			}
+		if t.interrupted() != interrupted || (onlyReserved && t.advance == nil) || !e.mayStartOrHolds(t, now) {
 			continue
 		}
 		w := e.placeTask(t, tasks, now)
@@ -228,6 +222,17 @@
 	return true
 }
 
+// mayStartOrHolds is like mayStart. It keeps room for an interrupted task that has to wait.
+func (e *Engine) mayStartOrHolds(t *Task, now time.Time) bool {
+	if e.mayStart(t, now) {
+		return true
+	}
+	if t.interrupted() {
+		e.holdPlace(t, now)
+	}
+	return false
+}
+
 // planGang starts all tasks of a gang, or none.
 func (e *Engine) planGang(step *job.Step, tasks []*Task, now time.Time) {
 	attempt := 0
--- a/dispatch/stall_test.go
+++ b/dispatch/stall_test.go
@@ -10,8 +10,9 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
-// listAt lists the runs of a worker, each at a percentage of its work.
-func (f *fixture) listAt(id string, percent int) {
+// listStill lists the runs of the worker a, which make no progress from one call to the next.
+func (f *fixture) listStill() {
+	const id, percent = "a", 10
 	var l port.Listing
 	for _, r := range f.Worker(id).sortedRuns() {
 		l.Running = append(l.Running, port.RunningTask{Task: r.Task.ID.String(), Attempt: r.Attempt, Percent: percent})
@@ -26,24 +27,24 @@
 	f := newFixture(worker("a", 8000, 64000))
 	step := job.Step{Tasks: 1, BestEffort: true, Image: "scan", EstimateMS: 60_000, Resources: job.Resources{MilliCPU: 1000, MemoryMB: 100}}
 	run := f.place("scan", step, "a")[0]
-	f.listAt("a", 10)
+	f.listStill()
 	run.desiredLimit = 0
 	f.HandleThrottleResponse(run, 0, nil, f.now)
 	for range 10 {
 		f.now = f.now.Add(stallTimeout / 2)
 		f.Worker("a").ExtendLease(f.now, testOptions.MaxLease)
-		f.listAt("a", 10)
+		f.listStill()
 	}
 	run.desiredLimit = 100
 	f.HandleThrottleResponse(run, 100, nil, f.now)
 	for range 2 {
 		f.now = f.now.Add(stallTimeout / 2)
-		f.listAt("a", 10)
+		f.listStill()
 		is.Equal(len(f.plan(0).Stops), 0)
 	}
 	is.True(f.Worker("a").schedulable(f.now))
 	f.now = f.now.Add(stallTimeout)
-	f.listAt("a", 10)
+	f.listStill()
 	is.Equal(len(f.TakeOutput().Stops), 1) // now it is
 }
 
@@ -54,9 +55,9 @@
 	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
 	f.place("batch", batchStep(1, 2000, true), "a")
 	task := f.place("service", serviceStep(1, 4000), "b")[0].Task
-	f.listAt("a", 10)
+	f.listStill()
 	f.now = f.now.Add(stallTimeout + time.Millisecond)
-	f.listAt("a", 10)
+	f.listStill()
 	out := f.TakeOutput()
 	is.Equal(len(out.Stops), 1)
 	is.Equal(out.Stops[0].StopReason(), StopStalled)
