Detect starts after an end that is acknowledged later

The fleet of the tests recorded a violation only for a start after the acknowledgement of an end. A successor that starts a task whose end a worker lists, and acknowledges the end then, went unnoticed, although TestReleaseHistories says that it guards against that. The fleet now remembers ends that are done until they are acknowledged, except where the lease has expired between the two.

--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -64,10 +64,12 @@
 	ended          []port.EndedTask // not yet acknowledged
 	lastSequence   int64            // of the last ended task
 	highestAttempt map[string]int   // highest attempt that ended or was stopped, by task
-	dead           bool
-	crashed        bool // dead, and to be restarted
-	unreachable    bool
-	unlisted       bool
+	// doneEnds are the ends of tasks that are done and not yet acknowledged, by sequence.
+	doneEnds    map[int64]*doneEnd
+	dead        bool
+	crashed     bool // dead, and to be restarted
+	unreachable bool
+	unlisted    bool
 	// startDelay, if not zero, delays start requests and leaves them unanswered.
 	startDelay time.Duration
 	// capacities are the capacities that the worker has had, in order; empty if it has had
@@ -111,7 +113,7 @@
 }
 
 func (f *Fleet) newWorker(entry port.WorkerEntry) *fleetWorker {
-	return &fleetWorker{entry: entry, fleet: f, startedAt: f.now(), runs: map[string]*fleetRun{}, highestAttempt: map[string]int{}}
+	return &fleetWorker{entry: entry, fleet: f, startedAt: f.now(), runs: map[string]*fleetRun{}, highestAttempt: map[string]int{}, doneEnds: map[int64]*doneEnd{}}
 }
 
 // Kill ends a worker and its tasks, and removes it from the lists.
@@ -267,6 +269,7 @@
 		return
 	}
 	clock := w.clock()
+	defer w.lapseEnds(clock)
 	for task, r := range w.runs {
 		switch {
 		case r.endsAt <= clock && r.endsAt <= w.leaseEnd:
@@ -288,6 +291,38 @@
 	w.highestAttempt[task] = max(w.highestAttempt[task], r.attempt)
 	w.lastSequence++
 	w.ended = append(w.ended, port.EndedTask{Sequence: w.lastSequence, Task: task, Attempt: r.attempt, Reason: reason})
+	if reason == port.EndDone {
+		w.doneEnds[w.lastSequence] = &doneEnd{task: task, at: w.startedAt.Add(r.endsAt - time.Second)}
+	}
+}
+
+// doneEnd is the end of a task that is done. A task must not be started after such an end that
+// is acknowledged later, unless the worker's lease has expired between the two.
+type doneEnd struct {
+	task         string
+	at           time.Time
+	lapsed       bool
+	startedAfter string // where and when the task was started after the end; empty if it was not
+}
+
+// lapseEnds records that the lease has expired after the ends that are not acknowledged.
+func (w *fleetWorker) lapseEnds(clock time.Duration) {
+	if w.leaseEnd < clock {
+		for _, end := range w.doneEnds {
+			end.lapsed = true
+		}
+	}
+}
+
+// recordStartAfterEnd records a start for the ends of the task that are not acknowledged.
+func (f *Fleet) recordStartAfterEnd(task, on string, attempt int) {
+	for _, w := range f.workers {
+		for _, end := range w.doneEnds {
+			if end.task == task && !w.dead && !end.lapsed && end.startedAfter == "" {
+				end.startedAfter = fmt.Sprintf("attempt %d on %s, %s after its end on %s", attempt, on, f.now().Sub(end.at), w.entry.ID)
+			}
+		}
+	}
 }
 
 // lockWorker locks the fleet and returns the worker at to.Address, advanced to
@@ -365,6 +400,9 @@
 	f.starts[req.Task]++
 	f.running[req.Task]++
 	w.checkStart(req)
+	if !f.speculation.Speculative(req.Task) {
+		f.recordStartAfterEnd(req.Task, w.entry.ID, req.Attempt)
+	}
 	f.checkEvacuation(w, req.Task)
 	w.runs[req.Task] = &fleetRun{attempt: req.Attempt, startedAt: f.now(), endsAt: clock + f.speculation.slowed(w.entry.ID, f.taskDuration(req.Task))}
 	w.checkCapacity(req.Task)
@@ -455,6 +493,10 @@
 			return false
 		}
 		w.fleet.speculation.recordListed(e, acknowledgedFailure)
+		if end := w.doneEnds[e.Sequence]; end != nil && end.startedAfter != "" && !end.lapsed {
+			w.fleet.recordViolation("task %s started as %s, which was acknowledged later", e.Task, end.startedAfter)
+		}
+		delete(w.doneEnds, e.Sequence)
 		if e.Reason == port.EndDone {
 			if _, done := w.fleet.done[e.Task]; !done {
 				w.fleet.done[e.Task] = w.fleet.now()
