Let interrupted services use places of tasks that may wait longer

Places are reserved for services that still serve on draining workers, and for services that may not start before other workers have answered. An interrupted service that may start found no worker because of them: for up to 4 s beside a draining worker, and for up to the longest lease after a takeover. If it fits nowhere else, it now takes such a place over.

--- a/dispatch/draining_test.go
+++ b/dispatch/draining_test.go
@@ -188,3 +188,38 @@
 	}
 	return queues
 }
+
+// anyAway returns a service step without a limit of unavailable tasks.
+func anyAway(tasks int, milliCPU int64) job.Step {
+	s := serviceStep(tasks, milliCPU)
+	s.MaxUnavailable = -1
+	return s
+}
+
+// Guards against LOST: an interrupted service waited, because capacity was reserved for one
+// that still served on a draining worker.
+func TestInterruptedServiceGoesBeforeOneThatStillServes(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 4000, 64000), worker("b", 4000, 64000), worker("c", 4000, 64000))
+	serving := f.place("serving", anyAway(1, 4000), "a")[0]
+	f.place("batch", batchStep(1, 4000, true), "b")
+	interrupted := f.place("interrupted", anyAway(1, 4000), "c")[0]
+	f.drain(20*time.Second, "a")
+	f.listAllRunning()
+	is.Equal(len(f.plan(50*time.Millisecond).Stops), 0)
+	is.True(serving.Task.reserved != nil)
+	f.entries = f.entries[:2]
+	f.SetWorkers(f.entries, f.now)
+	f.HandleReplacement("c", f.now)
+	since := f.now
+	for len(interrupted.Task.Runs) == 0 && f.now.Sub(since) < 10*time.Second {
+		for _, id := range []string{"a", "b"} {
+			f.listWorking(f.Worker(id), nil, "")
+			f.Worker(id).ExtendLease(f.now, testOptions.MaxLease)
+		}
+		f.endStops(f.plan(50 * time.Millisecond))
+	}
+	if away := f.now.Sub(since); away > evictAfter+200*time.Millisecond {
+		t.Fatalf("the service was away for %v", away)
+	}
+}
--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -115,6 +115,7 @@
 		switch {
 		case w != nil:
 			e.reserve(t, w, now)
+		case e.takeReservation(t, now):
 		case e.relocateServices(t, now) || e.startInBackoff(t, now):
 			return
 		default:
@@ -130,6 +131,43 @@
 	}
 }
 
+// takeReservation gives an interrupted task the capacity that is reserved for one that still
+// runs, or that may not start yet. It reports whether there is such a reservation.
+func (e *Engine) takeReservation(t *Task, now time.Time) bool {
+	var holder *Task
+	for u := range e.reservations {
+		w := u.reserved.worker
+		if w.Entry.Capacity.MilliCPU-e.colocationOf(w).serviceCPU < demand(t.Step).MilliCPU { // most, if the cell is full
+			continue
+		}
+		if !e.mayWaitLonger(u, now) || !demand(t.Step).Fits(w.freeFor(t).Add(demand(u.Step)).Add(w.clearable())) || !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
+			continue
+		}
+		if holder == nil || cmp.Or(
+			cmp.Compare(u.Step.Resources.MilliCPU, holder.Step.Resources.MilliCPU),
+			cmp.Compare(u.name(), holder.name()),
+		) < 0 {
+			holder = u
+		}
+	}
+	if holder == nil {
+		return false
+	}
+	w := holder.reserved.worker
+	e.unreserve(holder)
+	e.reserve(t, w, now)
+	return true
+}
+
+// mayWaitLonger reports whether a task with a reservation can do without it for now: it serves
+// on a draining worker, or may not start before other workers have answered.
+func (e *Engine) mayWaitLonger(t *Task, now time.Time) bool {
+	if len(t.Runs) > 0 {
+		return !slices.ContainsFunc(t.Runs, func(r *Run) bool { return r.stopping })
+	}
+	return e.mayRunElsewhere(t, now)
+}
+
 // makeRoomForGang reserves capacity for all tasks of an interrupted gang, or for none, and
 // stops other tasks there if these do not end soon.
 func (e *Engine) makeRoomForGang(tasks []*Task, now time.Time) {
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/port"
 )
 
 // Guards against LOST after a takeover: tasks of a former owner waited for the longest
@@ -59,3 +61,33 @@
 	is.Equal(len(out.Starts), 1)
 	is.Equal(out.Starts[0].Task.ID.Job, "service")
 }
+
+// Guards against LOST after a takeover: an interrupted service that may start found no worker,
+// because capacity was held for one that may not start for the longest lease.
+func TestHeldPlaceIsLeftToAServiceThatMayStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 4000, 64000), worker("b", 4000, 64000))
+	waits := f.Add(spec("a-waits", anyAway(1, 4000)), f.now, 0)
+	is.NoErr(f.Restore(waits, Progress{Tasks: []TaskProgress{{Attempt: 1}}}))
+	other := f.Add(spec("other", anyAway(1, 4000)), f.now, 0)
+	is.NoErr(f.Restore(other, Progress{Tasks: []TaskProgress{{Attempt: 1, Worker: "silent"}}}))
+	service := f.Add(spec("service", anyAway(1, 4000)), f.now, 0)
+	is.NoErr(f.Restore(service, Progress{Tasks: []TaskProgress{{Attempt: 1, Worker: "b"}}}))
+	f.ExpectInheritedRuns([]string{"a", "b"}, f.now)
+	f.reportListing("b", port.Listing{Running: []port.RunningTask{{Task: "service.0.0.0", Attempt: 1, Percent: 100, Measurement: 10}}})
+	run := f.Worker("b").sortedRuns()[0]
+	f.listAllRunning()
+	f.plan(handoverWindow) // holds a place on worker a
+	f.drain(100*time.Millisecond, "b")
+	f.listAllRunning()
+	f.endStops(f.plan(50 * time.Millisecond))
+	f.removeDrained()
+	since := f.now
+	for len(run.Task.Runs) == 0 && f.now.Sub(since) < 5*time.Second {
+		f.listAllRunning()
+		f.plan(50 * time.Millisecond)
+	}
+	if away := f.now.Sub(since); away > 500*time.Millisecond {
+		t.Fatalf("the service was away for %v beside %v of free capacity", away, f.Worker("a").free())
+	}
+}
