Keep the place of a service that leaves its worker until its run has ended

If a place became free just before, the reservation ended while the service was being stopped, and new work took the place. The reservation now begins again with the stop.

--- a/dispatch/draining.go
+++ b/dispatch/draining.go
@@ -72,7 +72,7 @@
 					continue
 				}
 			}
-			e.leave(r, clearing)
+			e.leave(r, clearing, now)
 		}
 	}
 }
@@ -113,7 +113,7 @@
 
 // leave stops a run whose task has a place elsewhere, if its step tolerates that. If the
 // place is still in use, the tasks there are stopped when clearing is set.
-func (e *Engine) leave(r *Run, clearing bool) {
+func (e *Engine) leave(r *Run, clearing bool, now time.Time) {
 	t := r.Task
 	place := t.reserved.worker
 	switch {
@@ -124,6 +124,7 @@
 			}
 		}
 	case e.mayDisrupt(t):
+		e.reserve(t, place, now) // the earlier reservation may expire before the run has ended
 		e.move(r, StopDraining)
 	}
 }
--- a/dispatch/draining_test.go
+++ b/dispatch/draining_test.go
@@ -223,3 +223,34 @@
 		t.Fatalf("the service was away for %v", away)
 	}
 }
+
+// Guards against LOST: the place of a service was given to new work while the service was
+// being stopped, because it had been reserved for long.
+func TestPlaceOfALeavingServiceIsKeptUntilItHasStopped(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	service := f.place("service", anyAway(1, 4000), "a")[0]
+	batch := f.place("batch", batchStep(1, 8000, true), "b")[0]
+	f.drain(20*time.Second, "a")
+	step := func(d time.Duration) Output {
+		for _, id := range []string{"a", "b"} {
+			f.listWorking(f.Worker(id), nil, "")
+			f.Worker(id).ExtendLease(f.now, testOptions.MaxLease)
+		}
+		return f.plan(d)
+	}
+	step(50 * time.Millisecond)
+	is.True(service.Task.reserved != nil)
+	step(reservationTTL - 50*time.Millisecond)
+	f.listWorking(f.Worker("b"), batch, port.EndDone)
+	out := f.plan(0) // the batch task has ended; the service is stopped
+	is.Equal(len(out.Stops), 1)
+	f.Add(spec("backlog", batchStep(4, 4000, false)), f.now, 0)
+	started := step(100 * time.Millisecond).Starts // while the service stops
+	is.Equal(len(started), 1)                      // beside the place
+	f.confirmStarts(Output{Starts: started})
+	f.endStops(out)
+	starts := step(50 * time.Millisecond).Starts
+	is.True(len(starts) > 0)
+	is.Equal(starts[0].Task, service.Task)
+}
