Search places for all services that leave, over several plans

A plan searches for 64 services on draining workers. Services with a limit per worker or an advisor, and those beyond eight sizes, are searched for again in each plan, so that 64 that fit nowhere kept all others from being searched for until their workers left. The next plan now goes on where the last one stopped.

Measured: in 20 plans, the service that fits elsewhere is moved (before, it is not).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -171,6 +171,9 @@
 	consolidatedAt    time.Time
 	relocations       relocationTurns
 	movedOutAt        time.Time // when moveOut last searched
+	// drainSearchFrom is the number of services on draining workers without a reserved place
+	// for which the next plan does not search, because the last one has.
+	drainSearchFrom int
 	// movedOutFrom is the last worker that moveOut considered.
 	movedOutFrom   string
 	adviceInFlight int
--- a/dispatch/draining.go
+++ b/dispatch/draining.go
@@ -51,10 +51,13 @@
 }
 
 // leaveDraining moves services off draining workers, those that leave first before others.
-// Interrupted tasks have been planned before.
+// Interrupted tasks have been planned before. If a plan has used up its searches, the next one
+// goes on from there, so that services that fit nowhere do not hold up others.
 func (e *Engine) leaveDraining(now time.Time) {
 	noRoom := unplaceable{}
-	searches := 0
+	searches, unplaced := 0, 0
+	from := e.drainSearchFrom
+	e.drainSearchFrom = 0
 	for _, w := range e.drainingWorkers() {
 		clearing := !now.Before(w.leavesAt.Add(-drainMargin - clearMargin))
 		for _, r := range w.sortedRuns() {
@@ -63,7 +66,13 @@
 				continue
 			}
 			if t.reserved == nil {
-				if searches >= maxDrainSearches || noRoom.covers(t, now) != fitsUnknown {
+				if unplaced++; unplaced <= from || noRoom.covers(t, now) != fitsUnknown {
+					continue
+				}
+				if searches >= maxDrainSearches {
+					if e.drainSearchFrom == 0 {
+						e.drainSearchFrom = unplaced - 1
+					}
 					continue
 				}
 				searches++
--- a/dispatch/draining_test.go
+++ b/dispatch/draining_test.go
@@ -254,3 +254,25 @@
 	is.True(len(starts) > 0)
 	is.Equal(starts[0].Task, service.Task)
 }
+
+// Guards against LOST: services of a draining worker that fit nowhere used up the searches of
+// each plan, and those of another worker, which would have fitted, were not moved.
+func TestServicesThatFitNowhereDoNotHoldUpOthersThatLeave(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 64000, 640000), worker("b", 8000, 64000), worker("c", 500, 64000))
+	apart := anyAway(maxDrainSearches, 1000) // no result of a search is kept for such a step
+	apart.MaxPerWorker = maxDrainSearches
+	on := make([]string, maxDrainSearches)
+	for i := range on {
+		on[i] = "a"
+	}
+	f.place("apart", apart, on...)
+	f.place("service", anyAway(1, 400), "b")
+	f.drain(20*time.Second, "a", "b")
+	stops := 0
+	for range 20 {
+		f.listAllRunning()
+		stops += len(f.plan(50 * time.Millisecond).Stops)
+	}
+	is.Equal(stops, 1)
+}
