Do not stop a gang for a drain before all its tasks may start

A member of a gang that this owner had seen running was stopped when its worker drained, although another member waited for a worker that had not answered. The gang ended as a whole, and could not start for up to the longest lease.

--- a/dispatch/draining.go
+++ b/dispatch/draining.go
@@ -102,8 +102,16 @@
 }
 
 // mayLeave reports whether a run is one of a service task that could be started elsewhere now.
+// The tasks of a gang end and start together.
 func (e *Engine) mayLeave(r *Run, now time.Time) bool {
-	return r.Task.Step.Service && r.State == RunActive && !r.stopping && !e.mayRunElsewhere(r.Task, now)
+	t := r.Task
+	if !t.Step.Service || r.State != RunActive || r.stopping {
+		return false
+	}
+	if t.Step.Gang {
+		return !slices.ContainsFunc(t.siblings(), func(member *Task) bool { return e.mayRunElsewhere(member, now) })
+	}
+	return !e.mayRunElsewhere(t, now)
 }
 
 // reserveNextPlace reserves capacity on another worker for a service task that still runs: free
--- a/dispatch/draining_test.go
+++ b/dispatch/draining_test.go
@@ -276,3 +276,22 @@
 	}
 	is.Equal(stops, 1)
 }
+
+// Guards against LOST after a takeover: a member of a gang was stopped for a drain, and the
+// gang could not start again until the worker of another member had answered.
+func TestGangThatMayNotStartIsNotStoppedForADrain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	gang := anyAway(2, 4000)
+	gang.Gang = true
+	j := f.Add(spec("gang", gang), f.now, 0)
+	is.NoErr(f.Restore(j, Progress{Tasks: []TaskProgress{{Attempt: 1, Worker: "a"}, {Index: 1, Attempt: 1, Worker: "silent"}}}))
+	f.ExpectInheritedRuns([]string{"a", "b", "silent"}, f.now)
+	f.reportListing("a", port.Listing{Running: []port.RunningTask{{Task: "gang.0.0.0", Attempt: 1, Percent: 100, Measurement: 10}}})
+	f.now = f.now.Add(handoverWindow)
+	f.drain(5*time.Second, "a")
+	for range 40 {
+		f.listAllRunning()
+		is.Equal(len(f.plan(50*time.Millisecond).Stops), 0)
+	}
+}
