Do not record all runs as known while an end is unmatched

An owner that has listed the end of a job that it does not know yet cannot record it. If it released the cell then, its successor would know the job, and start the task before the worker had answered. Unknown runs were excluded already; ends are now, too. Found by reading; no history has shown it.

--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -226,8 +226,14 @@
 func (e *Engine) ExpectRecordedRuns() { e.runsRecorded = true }
 
 // KnowsAllRuns reports whether the progress of the jobs shows all workers that may run their
-// tasks: those of former owners have answered or are gone, and no unknown run is listed.
+// tasks: those of former owners have answered or are gone, and no run or end of an unknown job
+// is listed.
 func (e *Engine) KnowsAllRuns(now time.Time) bool {
+	for _, w := range e.workerList {
+		if len(w.unmatchedEnds) > 0 {
+			return false // the job may be read later
+		}
+	}
 	return len(e.uncontacted) == 0 && !now.Before(e.directoryCompleteAt) && len(e.unknownRunCounts) == 0
 }
 
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -91,3 +91,14 @@
 		t.Fatalf("the service was away for %v beside %v of free capacity", away, f.Worker("a").free())
 	}
 }
+
+// Guards against TWICE: a successor relies on the recorded runs although the owner has listed
+// an end, which it has not committed, of a job that it does not know yet.
+func TestRunsAreNotKnownWhileAnEndIsUnmatched(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	is.True(f.KnowsAllRuns(f.now))
+	f.reportListing("a", port.Listing{Ended: []port.EndedTask{{Sequence: 1, Task: "job.0.0.0", Attempt: 1, Reason: port.EndDone}}})
+	is.True(f.Worker("a").HasUnmatchedEnds())
+	is.True(!f.KnowsAllRuns(f.now))
+}
