Keep recorded runs on silent workers until these have answered

A new owner that adopted a task of a job rewrote the job's progress without the recorded runs of its other tasks, as if these ran nowhere. The progress now keeps a recorded run until its worker has answered or is gone.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,6 +130,8 @@
 	// directoryCompleteAt is the time until which the list of workers may lack workers
 	// that run tasks of a former owner.
 	directoryCompleteAt time.Time
+	// recordedOn are the tasks by the workers that a former owner last recorded for them.
+	recordedOn map[string][]*Task
 	// runsRecorded is set if the former owner has recorded where all its runs may be.
 	runsRecorded bool
 	// takeoverAt is when ExpectInheritedRuns was called.
@@ -237,6 +239,7 @@
 		unstarted:   map[string]int{},
 		queues:      map[string]job.Queue{},
 		uncontacted: map[string]time.Time{},
+		recordedOn:  map[string][]*Task{},
 
 		interference:     newInterference(),
 		model:            forecast.NewModel(),
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -29,6 +29,9 @@
 	runSeen bool
 	// placedOn are the workers that a former owner last recorded for the task.
 	placedOn []string
+	// recordedRuns are the runs that a former owner last recorded, on workers that have not
+	// answered this owner.
+	recordedRuns []RunProgress
 	// movedFrom is the worker that the task was last moved away from.
 	movedFrom     string
 	failedWorkers map[string]bool // workers on which the task has failed
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -60,7 +60,7 @@
 	e.protectServices(w, sent, now)
 	e.moveStalledAndSlow(w, now)
 	w.colocation.valid = false
-	delete(e.uncontacted, id)
+	e.resolveRecorded(id)
 	return true
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -282,6 +282,7 @@
 // start creates a run of a task and requests its start.
 func (e *Engine) start(t *Task, w *Worker, attempt int, now time.Time) {
 	t.Attempt = attempt
+	t.recordedRuns = nil // none of them can be live
 	window := e.startWindow(t, now)
 	if len(t.Runs) > 0 {
 		window = min(window, copyStartWindow)
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -87,17 +87,22 @@
 		}
 		if !t.Done {
 			tp.Checkpoint = t.Checkpoint
-			tp.Copied, tp.Unresolved = t.copied, t.unresolvedRuns
-			if len(t.Runs) > 0 {
-				first := progressOf(t.Runs[0])
-				tp.Worker, tp.Boot = first.Worker, first.Boot
-				if first.Attempt != t.Attempt {
-					tp.RunAttempt = first.Attempt
+			var runs []RunProgress
+			for _, r := range t.Runs {
+				runs = append(runs, progressOf(r))
+			}
+			// A next owner must look for these, too.
+			inherited := t.recordedRuns[:min(len(t.recordedRuns), max(0, maxRuns-len(runs)))]
+			runs = append(runs, inherited...)
+			tp.Copied, tp.Unresolved = t.copied, max(0, t.unresolvedRuns-len(inherited))
+			if len(runs) > 0 {
+				tp.Worker, tp.Boot = runs[0].Worker, runs[0].Boot
+				if runs[0].Attempt != t.Attempt {
+					tp.RunAttempt = runs[0].Attempt
 				}
 			}
-			if len(t.Runs) > 1 {
-				second := progressOf(t.Runs[1])
-				tp.Second = &second
+			if len(runs) > 1 {
+				tp.Second = &runs[1]
 			}
 		}
 		p.Tasks = append(p.Tasks, tp)
@@ -126,9 +131,10 @@
 		t.Checkpoint = tp.Checkpoint
 		t.copied = t.copied || tp.Copied
 		t.unresolvedRuns = tp.Unresolved + len(tp.runs())
-		t.placedOn = nil
-		for _, run := range tp.runs() {
+		t.placedOn, t.recordedRuns = nil, tp.runs()
+		for _, run := range t.recordedRuns {
 			t.placedOn = append(t.placedOn, run.Worker)
+			e.recordedOn[run.Worker] = append(e.recordedOn[run.Worker], t)
 		}
 		t.hasRun = t.hasRun || tp.Attempt > 0
 		if tp.Done && !t.Done {
@@ -253,6 +259,16 @@
 	return !t.runSeen || now.Sub(e.takeoverAt) < handoverWindow
 }
 
+// resolveRecorded records that a worker lists all that runs there of former owners, or can no
+// longer run it.
+func (e *Engine) resolveRecorded(id string) {
+	delete(e.uncontacted, id)
+	for _, t := range e.recordedOn[id] {
+		t.recordedRuns = slices.DeleteFunc(t.recordedRuns, func(r RunProgress) bool { return r.Worker == id })
+	}
+	delete(e.recordedOn, id)
+}
+
 // recordedOnUncontacted reports whether a former owner has recorded a run of the task on a
 // worker that has not answered this owner.
 func (e *Engine) recordedOnUncontacted(t *Task) bool {
--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -159,7 +159,7 @@
 // HandleReplacement records that the known boot of a worker has ended: another boot
 // answered at its address, or its VM is not up.
 func (e *Engine) HandleReplacement(id string, now time.Time) {
-	delete(e.uncontacted, id)
+	e.resolveRecorded(id)
 	if w := e.workers[id]; w != nil {
 		e.markReplaced(w, now)
 		return
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -310,7 +310,7 @@
 	e.forgetFinalJobs(now)
 	for id, until := range e.uncontacted {
 		if now.After(until) {
-			delete(e.uncontacted, id)
+			e.resolveRecorded(id)
 		}
 	}
 	for _, w := range e.workerList {
