--- a/dispatch/draining_test.go
+++ b/dispatch/draining_test.go
@@ -14,15 +14,15 @@
 // drainTime is how long workers drain in the tests.
 const drainTime = 3 * time.Second
 
-// drain marks workers as draining, which leave after drainTime.
-func (f *fixture) drain(ids ...string) {
+// drain marks workers as draining, which leave after a time.
+func (f *fixture) drain(remaining time.Duration, ids ...string) {
 	draining := map[string]bool{}
 	for _, id := range ids {
 		draining[id] = true
 	}
 	for i := range f.entries {
 		if draining[f.entries[i].ID] {
-			f.entries[i].Draining, f.entries[i].Remaining = true, drainTime
+			f.entries[i].Draining, f.entries[i].Remaining = true, remaining
 		}
 	}
 	f.SetWorkersReadAt(f.now)
@@ -85,7 +85,7 @@
 	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
 	service := f.place("service", serviceStep(1, 4000), "a")[0]
 	other := f.place("other", serviceStep(2, 4000), "b", "b")
-	f.drain("a")
+	f.drain(drainTime, "a")
 	for range 20 {
 		f.listAllRunning()
 		is.Equal(len(f.plan(50*time.Millisecond).Stops), 0) // it would wait
@@ -109,7 +109,7 @@
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 64000), worker("b", 2000, 64000))
 	f.place("service", serviceStep(1, 4000), "a")
-	f.drain("a")
+	f.drain(drainTime, "a")
 	f.listAllRunning()
 	is.Equal(len(f.plan(drainTime-drainMargin-50*time.Millisecond).Stops), 0)
 	f.listAllRunning()
@@ -126,7 +126,7 @@
 		services = append(services, f.place(fmt.Sprintf("service-%d", i), serviceStep(1, 4000), string(rune('a'+i/4)))...)
 	}
 	f.place("batch", batchStep(8, 4000, true), "c", "c", "c", "c", "d", "d", "d", "d")
-	f.drain("a", "b")
+	f.drain(drainTime, "a", "b")
 	if away := f.leave(services, 10*time.Second); away > time.Second {
 		t.Fatalf("a service was away for %v", away)
 	}
@@ -154,7 +154,7 @@
 	f.reportListing("b", port.Listing{})
 	is.Equal(f.Uncontacted(), 1)
 	adopted := f.Worker("a").sortedRuns()[0]
-	f.drain("a")
+	f.drain(drainTime, "a")
 	away := f.leave([]*Run{adopted}, 6*time.Second)
 	is.Equal(f.Uncontacted(), 1)
 	if away > time.Second {
@@ -171,7 +171,7 @@
 	run := f.place("service", serviceStep(1, 4000), "a")[0]
 	run.Task.inherited = true
 	f.ExpectInheritedRuns([]string{"unlisted"}, f.now)
-	f.drain("a")
+	f.drain(drainTime, "a")
 	for f.now.Sub(f.takeoverAt) < handoverWindow-50*time.Millisecond {
 		f.listAllRunning()
 		is.Equal(len(f.plan(50*time.Millisecond).Stops), 0)
