Do not rely on recorded runs beside a progress row that cannot be read

Cause: after a complete release, a job whose progress row is unreadable or does not match would have no recorded runs, and its tasks would start at once.

Change: the successor then waits for all workers, as after a failure. The test also covers the guard that was in no test: a release whose commit does not hold all changes is not complete. Each of its two parts fails if its guard is taken out.

--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -232,10 +232,12 @@
 		t.progressRows[j.Spec.ID] = true
 		if err := json.Unmarshal(row.Value, &p); err != nil {
 			t.log.WithFields(log.Fields{"event": "progress_unreadable", "job": j.Spec.ID}).WithError(err).Error("cannot decode the job's progress row; restoring only what was decoded")
+			t.runsRecorded = false
 		}
 	}
 	if err := t.engine.Restore(j, p); err != nil {
 		t.log.WithFields(log.Fields{"event": "progress_invalid", "job": j.Spec.ID}).WithError(err).Error("progress row does not match the job; restoring the job only in part")
+		t.runsRecorded = false
 	}
 }
 
--- a/internal/cell/release_test.go
+++ b/internal/cell/release_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -116,3 +117,32 @@
 	}
 	cl.kill(name)
 }
+
+// Guards against TWICE after a release: more changes than fit into the last commit are left to
+// the successor, or a progress row cannot be read, and the successor relies on the records.
+func TestReleaseIsCompleteOnlyWithAllChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 321, 1, 1, halfSecond, nil)
+		defer cl.stopAll()
+		c := cl.daemons[cl.awaitOwner()].cell
+		time.Sleep(2 * time.Second)
+		is.NoErr(c.Loop.Do(context.Background(), func() {
+			owner := c.term
+			is.True(owner.buildBatch(true).record.Recorded)
+			is.True(!owner.buildBatch(false).record.Recorded)
+			for i := range 2 * maxCommitEntries {
+				spec := job.Spec{ID: fmt.Sprintf("changed-%03d", i), Queue: "batch", Steps: []job.Step{{Tasks: 1}}}
+				owner.markDirty(owner.engine.Add(spec, c.Now(), 0), false)
+			}
+			is.True(!owner.buildBatch(true).record.Recorded)
+			is.True(owner.buildBatch(true).record.Recorded) // the second half
+
+			next := newTerm(c, ownerRecord{Epoch: 9}, 1, c.Now())
+			next.runsRecorded = true
+			j := next.engine.Add(job.Spec{ID: "unreadable", Queue: "batch", Steps: []job.Step{{Tasks: 1}}}, c.Now(), 0)
+			next.restoreJob(j, port.Row{Version: 1, Value: []byte("{")})
+			is.True(!next.runsRecorded)
+		}))
+	})
+}
