--- a/internal/cell/histories_test.go
+++ b/internal/cell/histories_test.go
@@ -186,6 +186,12 @@
 		cl.injectFault(rng)
 		time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
 	}
+	cl.endHistory(accepted)
+}
+
+// endHistory undoes all faults and delays, and checks that the accepted jobs end and that no
+// invariant was violated.
+func (cl *cluster) endHistory(accepted []string) {
 	cl.clearFaults()
 	for _, name := range cl.names() {
 		cl.daemons[name].clearDelays()
--- a/internal/cell/release_more_test.go
+++ b/internal/cell/release_histories_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -12,13 +11,14 @@
 	"github.com/bambooyard/bambooyard/job"
 )
 
-var reviewHistories = flag.Int("review-histories", 5, "number of histories of the review to play")
+// longHistories is the number of histories that take several times as long as others.
+func longHistories() uint64 { return uint64(max(1, *histories/15)) }
 
 // TestReleaseHistoriesWithDrains adds to TestReleaseHistories what these lack: workers that
 // drain, leave and are added, workers that are unlisted, cancellations, services, gangs, and
 // daemons that are suspended while they release the cell.
 func TestReleaseHistoriesWithDrains(t *testing.T) {
-	for seed := *firstHistory; seed < *firstHistory+uint64(*reviewHistories); seed++ {
+	for seed := *firstHistory; seed < *firstHistory+longHistories(); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { runDrainHistory(t, seed) })
 		})
@@ -112,7 +112,7 @@
 // TestDividedReleaseHistories releases cells of a divided cluster beside the faults of
 // TestDividedHistories.
 func TestDividedReleaseHistories(t *testing.T) {
-	for seed := *firstHistory; seed < *firstHistory+uint64(*reviewHistories); seed++ {
+	for seed := *firstHistory; seed < *firstHistory+longHistories(); seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { runDividedReleaseHistory(t, seed) })
 		})
--- a/internal/cell/release_test.go
+++ b/internal/cell/release_test.go
@@ -93,15 +93,7 @@
 		time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
 		cl.restartSome(rng)
 	}
-	cl.clearFaults()
-	for _, name := range cl.names() {
-		cl.daemons[name].clearDelays()
-		cl.daemons[name].workersUnreachable.Store(false)
-	}
-	for _, id := range accepted {
-		cl.awaitFinal(id, 90*time.Second)
-	}
-	cl.check()
+	cl.endHistory(accepted)
 }
 
 // shutDown lets a daemon release its cell for at most a time, and stops it.
