Commit what the engine holds with the release of a cell

What callers would see: after a release, a task whose end the former owner had just read is started again (TWICE).

Cause: the release says that its commit holds all changes, but an end that was listed since the last plan is still in the output of the engine, and not in the commit. The owner knew the worker, so that its successor did not wait for it.

Change: the owner takes over the changes that the engine holds before it builds the commit.

--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -380,6 +380,7 @@
 func (t *term) release(now time.Time) {
 	t.releasing = true
 	if !t.committing {
+		t.plan() // starts nothing, and takes over the changes that the engine holds
 		t.commit(now, true)
 	}
 }
--- a/internal/cell/release_test.go
+++ b/internal/cell/release_test.go
@@ -130,6 +130,10 @@
 			is.True(!owner.buildBatch(true).record.Recorded)
 			is.True(owner.buildBatch(true).record.Recorded) // the second half
 
+			owner.engine.Cancel("changed-000")
+			owner.release(c.Now())
+			is.Equal(len(owner.engine.TakeOutput().Changed), 0) // the end of the job is in the commit
+
 			next := newTerm(c, ownerRecord{Epoch: 9}, 1, c.Now())
 			next.runsRecorded = true
 			j := next.engine.Add(job.Spec{ID: "unreadable", Queue: "batch", Steps: []job.Step{{Tasks: 1}}}, c.Now(), 0)
