--- /dev/null
+++ b/review/stand/main.go
@@ -0,0 +1,62 @@
+// Command stand plays the scripts of the review: it starts the daemons as separate
+// processes, stands in for the platform, the runners and the requesters, and judges the
+// rule of the case.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// Exit codes of a script.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+var cases = map[string]func(s *site, trouble bool) error{
+	"ends":      playEnds,
+	"large-job": playLargeJob,
+	"route":     playRoute,
+	"crashes":   playCrashes,
+	"schedule":  playSchedule,
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
+		return exitNotRun
+	}
+	folder, err := filepath.Abs(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	rec, err := newRecord(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	s, err := newSite(rec, filepath.Join(folder, "../.."))
+	if err == nil {
+		defer s.close()
+		rec.logf("case %s, disruption %v", os.Args[1], trouble)
+		err = cases[os.Args[1]](s, trouble)
+	}
+	if err != nil {
+		rec.logf("the case cannot run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	if n := rec.breaches(); n > 0 {
+		rec.logf("the rule was broken, %d times", n)
+		return exitBroken
+	}
+	rec.logf("the rule held")
+	return exitHeld
+}
