Show that a restart after an outage of the store runs tasks twice

Case 2 of the review: a process that starts after the outage takes the list of runners for complete.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"syscall"
 	"time"
 )
@@ -305,75 +304,3 @@
 	}
 	return nil
 }
-
-// playSchedule hands in a job that runs twice a minute for a year.
-func playSchedule(s *site, trouble bool) error {
-	if err := s.open(3, 3); err != nil {
-		return err
-	}
-	stop := make(chan struct{})
-	defer close(stop)
-	go s.guardMemory(stop)
-	times := 8
-	if trouble {
-		times = 2 * 365 * 24 * 60
-	}
-	one := []step{{Count: 1, CPU: 1000, MemMB: 512, EstimateMS: 500, run: 500 * time.Millisecond}}
-	if err := s.submitAll("q", []string{jobID(0x60)}, one, schedule{times: times, intervalMS: 30_000}); err != nil {
-		return err
-	}
-	var ids []string
-	chain := []step{one[0], one[0], one[0]}
-	chain[1].After, chain[2].After = []int{0}, []int{1}
-	for n := range 12 {
-		if id := jobID(0x70 + n); s.submit("q", id, chain, schedule{}) {
-			ids = append(ids, id)
-		}
-		time.Sleep(time.Second)
-	}
-	s.judgeLost("q", ids, 30*time.Second)
-	return nil
-}
-
-// restartDelay is how long after its end the platform starts a process again.
-const restartDelay = 500 * time.Millisecond
-
-// guardMemory does what the platform does with a process that exceeds its memory.
-func (s *site) guardMemory(stop chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(100 * time.Millisecond):
-		}
-		for _, nd := range s.nodes {
-			select {
-			case <-nd.exited:
-				time.Sleep(restartDelay)
-				if err := s.start(nd); err != nil {
-					s.rec.logf("%s cannot be started: %v", nd.name, err)
-				}
-				continue
-			default:
-			}
-			if used := residentMB(nd.cmd.Process.Pid); used > memoryMB {
-				s.rec.logf("%s uses %d MB and is killed, %d MB are its limit", nd.name, used, memoryMB)
-				_ = nd.cmd.Process.Kill()
-				<-nd.exited
-			}
-		}
-	}
-}
-
-// residentMB returns the memory that a process uses.
-func residentMB(pid int) int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	if err != nil {
-		return 0
-	}
-	var size, resident int
-	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
-		return 0
-	}
-	return resident * os.Getpagesize() >> 20
-}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,7 +21,7 @@
 	"large-job": playLargeJob,
 	"route":     playRoute,
 	"crashes":   playCrashes,
-	"schedule":  playSchedule,
+	"unlisted":  playUnlisted,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/runners.go
+++ b/review/stand/runners.go
@@ -120,6 +120,8 @@
 	highest map[string]int
 	wake    chan struct{}
 	seq     int
+	// backAfter is how long after the return of the store the runner reports there again.
+	backAfter time.Duration
 }
 
 func newFleet(rec *record, s *store, service string) *fleet {
@@ -222,8 +224,8 @@
 			entry, next = r.entry(), time.Now().Add(heartbeat)
 		}
 		r.f.mu.Unlock()
-		if entry != nil {
-			r.f.store.put("servers", "", id, entry)
+		if entry != nil && !r.f.store.report(id, entry, r.backAfter) {
+			next = time.Now().Add(50 * time.Millisecond)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -45,6 +45,7 @@
 	// tooLarge counts the transactions that were refused for their size.
 	tooLarge int
 	down     bool
+	upSince  time.Time // when the store last returned
 	rec      *record
 }
 
@@ -78,10 +79,48 @@
 	return s.rows[rowKey{table, part, key}].value
 }
 
+// setDown begins or ends an outage. Entries of runners lapse in an outage of three intervals
+// of their reports.
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.down = down
+	s.down, s.upSince = down, time.Now()
+	if down {
+		time.AfterFunc(3*heartbeat, s.lapse)
+	}
+	s.rec.logf("store is down: %v", down)
+}
+
+func (s *store) lapse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.down {
+		return
+	}
+	s.version++
+	for k := range s.rows {
+		if k.table == "servers" {
+			s.apply(wireRow{Table: k.table, Part: k.part, Key: k.key, Version: s.version, Deleted: true})
+		}
+	}
+	s.rec.logf("the entries of the runners lapse")
+}
+
+// report writes what a runner says of itself. It fails while the store is down, and for a
+// time after that.
+func (s *store) report(id string, entry map[string]any, after time.Duration) bool {
+	s.mu.Lock()
+	reachable := !s.down && time.Since(s.upSince) >= after
+	known := s.rows[rowKey{"servers", "", id}].version > 0
+	s.mu.Unlock()
+	if !reachable {
+		return false
+	}
+	s.put("servers", "", id, entry)
+	if !known {
+		s.rec.logf("runner %s is listed", id)
+	}
+	return true
 }
 
 func (s *store) apply(r wireRow) {
