Show that services do not run in another cell with room

Case 4 of the review, from an entry of the known failures: after the loss of a rack, tasks of services stay away while the other cell has room. The queue that the config has dropped is case 5 now.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,8 +20,8 @@
 	"ends":      playEnds,
 	"large-job": playLargeJob,
 	"route":     playRoute,
-	"crashes":   playCrashes,
 	"unlisted":  playUnlisted,
+	"cells":     playCells,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/runners.go
+++ b/review/stand/runners.go
@@ -38,6 +38,7 @@
 	rec     *record
 	store   *store
 	service string
+	perRack int
 	runners []*runner
 	jobs    map[string]*submitted
 	tasks   map[string]*taskHistory
@@ -57,8 +58,6 @@
 	doneAt   time.Time // when the last of them did so first
 	doneRuns int       // runs that have ended done
 	failed   int       // runs that have ended failed
-	// lastRunning is when a task of the job last ran.
-	lastRunning time.Time
 }
 
 func (j *submitted) tasks() int {
@@ -71,6 +70,7 @@
 
 type taskHistory struct {
 	running  map[string]bool // by runner and attempt
+	lastRun  time.Time       // when the task last ran
 	doneEnds []*end
 }
 
@@ -125,7 +125,7 @@
 }
 
 func newFleet(rec *record, s *store, service string) *fleet {
-	return &fleet{rec: rec, store: s, service: service, jobs: map[string]*submitted{}, tasks: map[string]*taskHistory{}}
+	return &fleet{rec: rec, store: s, service: service, perRack: 8, jobs: map[string]*submitted{}, tasks: map[string]*taskHistory{}}
 }
 
 // add starts a runner of a size in a rack.
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	r := &runner{f: f, number: n, host: fmt.Sprintf("m-%04x", 0xa0+n), address: address, cpu: cpu, mem: mem, zone: zone, labels: []string{"a", fmt.Sprintf("r1-%d", n/8)}}
+	r := &runner{f: f, number: n, host: fmt.Sprintf("m-%04x", 0xa0+n), address: address, cpu: cpu, mem: mem, zone: zone, labels: []string{"a", fmt.Sprintf("r1-%d", n/f.perRack)}}
 	f.runners = append(f.runners, r)
 	return r.boot()
 }
@@ -245,7 +245,7 @@
 		}
 	}
 	for task, run := range r.runs {
-		run.job.lastRunning = now
+		r.f.tasks[task].lastRun = now
 		worked := run.work + now.Sub(run.began)
 		if run.step.Checkpointing {
 			run.checkpoint = fmt.Sprintf("%016x", worked.Milliseconds()/checkpointing.Milliseconds()*checkpointing.Milliseconds())
@@ -393,7 +393,7 @@
 	}
 	r.runs[q.Task] = run
 	j.running++
-	j.lastRunning = time.Now()
+	h.lastRun = time.Now()
 	f.starts++
 	if !f.quiet {
 		f.rec.logf("start %s attempt %d on %s, epoch %d", q.Task, q.Attempt, r.id, q.Epoch)
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -38,6 +38,8 @@
 	version int
 	nodes   []*node
 	client  *http.Client
+	// cpuShare is the share of a core that each daemon has.
+	cpuShare float64
 }
 
 // node is a machine that runs a daemon.
@@ -62,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{rec: rec, dir: dir, root: root, store: newStore(rec), client: &http.Client{Timeout: requesterBudget}}
+	s := &site{rec: rec, dir: dir, root: root, store: newStore(rec), client: &http.Client{Timeout: requesterBudget}, cpuShare: 0.4}
 	s.fleet = newFleet(rec, s.store, "huvo11a")
 	return s, nil
 }
@@ -129,7 +131,7 @@
 ready = "%s:%d"
 control = "%s:%d"
 [limits]
-cpuShare = 0.4
+cpuShare = %g
 cores = 1
 memoryMb = %d
 maxFds = 4100
@@ -174,7 +176,7 @@
 		}
 		nd := &node{name: fmt.Sprintf("edge-a-%d", i+1), settings: filepath.Join(s.dir, fmt.Sprintf("edge-a-%d.toml", i+1))}
 		nd.front, nd.ready = fmt.Sprintf("%s:%d", ip, base+16), fmt.Sprintf("%s:%d", ip, base+17)
-		text := fmt.Sprintf(settingsFormat, nd.name, ip, base, base+15, ip, base+16, ip, base+17, ip, base+18, memoryMB, holdMaxMS, storeAddress, rowBytes, cloud)
+		text := fmt.Sprintf(settingsFormat, nd.name, ip, base, base+15, ip, base+16, ip, base+17, ip, base+18, s.cpuShare, memoryMB, holdMaxMS, storeAddress, rowBytes, cloud)
 		if err := os.WriteFile(nd.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
