--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -6,9 +6,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// timeLimit is how long a script may run.
+const timeLimit = 115 * time.Second
+
 // Exit codes of a script.
 const (
 	exitHeld   = 0
@@ -45,6 +51,7 @@
 	s, err := newSite(rec, filepath.Join(folder, "../.."))
 	if err == nil {
 		defer s.close()
+		go s.endEarly()
 		rec.logf("case %s, disruption %v", os.Args[1], trouble)
 		err = cases[os.Args[1]](s, trouble)
 	}
@@ -60,3 +67,17 @@
 	rec.logf("the rule held")
 	return exitHeld
 }
+
+// endEarly ends all processes when the script is told to end or takes too long.
+func (s *site) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case got := <-signals:
+		s.rec.logf("the case ends early: %v", got)
+	case <-time.After(timeLimit):
+		s.rec.logf("the case takes too long")
+	}
+	s.close()
+	os.Exit(exitNotRun)
+}
--- a/review/stand/runners.go
+++ b/review/stand/runners.go
@@ -42,22 +42,17 @@
 	runners []*runner
 	jobs    map[string]*submitted
 	tasks   map[string]*taskHistory
-	quiet   bool // does not write each start and end
-	starts  int
 }
 
 // submitted is a job that a requester has sent.
 type submitted struct {
-	spec  string
-	steps []step
-	times int
-	// accepted is set once an attempt was answered with 2xx.
-	accepted bool
+	spec     string
+	steps    []step
+	times    int
 	running  int
 	done     int       // tasks that have ended done
 	doneAt   time.Time // when the last of them did so first
 	doneRuns int       // runs that have ended done
-	failed   int       // runs that have ended failed
 }
 
 func (j *submitted) tasks() int {
@@ -272,20 +267,15 @@
 	h := r.f.tasks[task]
 	h.forget(r, run.attempt)
 	run.job.running--
-	switch how {
-	case "done":
+	if how == "done" {
 		if len(h.doneEnds) == 0 {
 			run.job.done++
 			run.job.doneAt = time.Now()
 		}
 		h.doneEnds = append(h.doneEnds, e)
 		run.job.doneRuns++
-	case "failed":
-		run.job.failed++
-	}
-	if !r.f.quiet {
-		r.f.rec.logf("run %s attempt %d on %s ends %s", task, run.attempt, r.id, how)
 	}
+	r.f.rec.logf("run %s attempt %d on %s ends %s", task, run.attempt, r.id, how)
 	close(r.wake)
 	r.wake = make(chan struct{})
 }
@@ -394,10 +384,7 @@
 	r.runs[q.Task] = run
 	j.running++
 	h.lastRun = time.Now()
-	f.starts++
-	if !f.quiet {
-		f.rec.logf("start %s attempt %d on %s, epoch %d", q.Task, q.Attempt, r.id, q.Epoch)
-	}
+	f.rec.logf("start %s attempt %d on %s, epoch %d", q.Task, q.Attempt, r.id, q.Epoch)
 	return http.StatusOK, map[string]any{}
 }
 
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -21,7 +21,6 @@
 	holdMaxMS       = 6000
 	configApply     = 3 * time.Second
 	finish          = 14 * time.Second
-	startBeforeLoad = 10 * time.Second
 	requesterBudget = 3 * time.Second
 	memoryMB        = 284
 	host            = "desk.example"
@@ -326,9 +325,6 @@
 		status, answer := s.call(nd, http.MethodPost, "/"+queue+"/"+id, body)
 		s.rec.logf("requester: POST %s to queue %s at %s, %d tasks -> %d %s", id, queue, nd.name, j.tasks(), status, answer)
 		if status/100 == 2 {
-			s.fleet.mu.Lock()
-			j.accepted = true
-			s.fleet.mu.Unlock()
 			return true
 		}
 		time.Sleep(300 * time.Millisecond)
