Keep the large job within the limits of its kind of request

Case 3 mixed the limits of two kinds of request and came three times as often as the site file says.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -136,7 +136,7 @@
 // ackTime is how long the ends that runners list may not be taken note of.
 const ackTime = 5 * time.Second
 
-// playLargeJob hands in a job of the largest size that the site files describe.
+// playLargeJob hands in a job of the largest size of ledger-recon in large/tagsa-yard-large.toml.
 func playLargeJob(s *site, trouble bool) error {
 	if err := s.open(3, 12); err != nil {
 		return err
@@ -161,7 +161,7 @@
 	if !waitFor(10*time.Second, func() bool { return s.completed(before) }) {
 		return fmt.Errorf("the first jobs are not done")
 	}
-	if err := s.submitAll("q", []string{jobID(0x20)}, steps, schedule{times: 8, intervalMS: 1500}); err != nil {
+	if err := s.submitAll("q", []string{jobID(0x20)}, steps, schedule{times: 6, intervalMS: 4500}); err != nil {
 		return err
 	}
 	time.Sleep(16 * time.Second)
