Record which workers may run tasks of a cell

Cause: a new owner took the directory for the whole, unless a call of its own process had failed before. Placements of the last moments are never complete in the store, so only the set of workers tells where a task may run.

The owner now records this set in its partition, starts tasks only on workers that a committed row names, and removes a worker once nothing can run there. Its successor expects all of them, listed or not, as it expects recorded runs.

Evidence: TestUnlistedWorkerIsExpectedByDaemonsThatHaveJustStarted failed before (2 starts) and passes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,6 +31,8 @@
 	// any worker, whose data centre may be under evacuation since. Zero means that the list
 	// does not show evacuations.
 	MaxEvacuation time.Duration
+	// RecordedWorkersOnly is set if tasks start only on workers that MarkRecorded names.
+	RecordedWorkersOnly bool
 }
 
 // clockRate is the lowest rate of a worker's clock relative to the owner's; the
--- a/dispatch/obstacles.go
+++ b/dispatch/obstacles.go
@@ -19,6 +19,7 @@
 	ObstacleDraining    Obstacle = "draining"
 	ObstacleEvacuating  Obstacle = "evacuating"
 	ObstacleUncontacted Obstacle = "uncontacted" // it has not answered this owner
+	ObstacleUnrecorded  Obstacle = "unrecorded"  // the record for the next owner does not name it yet
 	ObstacleUnanswered  Obstacle = "unanswered"  // its last call got no response
 	ObstacleRestarted   Obstacle = "restarted"   // the list does not show its boot yet
 	ObstacleUnknownRuns Obstacle = "unknown_runs"
@@ -34,7 +35,7 @@
 
 // Obstacles lists all obstacles.
 var Obstacles = []Obstacle{
-	ObstacleUnlisted, ObstacleDraining, ObstacleEvacuating, ObstacleUncontacted, ObstacleUnanswered, ObstacleRestarted,
+	ObstacleUnlisted, ObstacleDraining, ObstacleEvacuating, ObstacleUncontacted, ObstacleUnrecorded, ObstacleUnanswered, ObstacleRestarted,
 	ObstacleUnknownRuns, ObstacleBackoff, ObstacleLabel, ObstacleSpread, ObstacleAdvice, ObstacleCapacity, ObstacleOther,
 }
 
@@ -84,6 +85,8 @@
 		return ObstacleEvacuating
 	case !w.contacted:
 		return ObstacleUncontacted
+	case !w.recorded:
+		return ObstacleUnrecorded
 	case !w.unansweredSince.IsZero():
 		return ObstacleUnanswered
 	case w.Entry.Boot != w.boot:
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -125,7 +125,7 @@
 
 // responsive reports whether a worker accepts runs, as far as is known.
 func (w *Worker) responsive() bool {
-	reachable := w.Listed && w.contacted && w.acceptsWork() && !w.clockAt.IsZero()
+	reachable := w.Listed && w.recorded && w.contacted && w.acceptsWork() && !w.clockAt.IsZero()
 	// Until the list shows the worker's boot, the capacity is that of a former boot.
 	described := w.Entry.Boot == w.boot
 	// Unknown runs use an unknown amount of resources until they have ended.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -16,6 +16,7 @@
 	// Listed is set while the worker is in the platform's list.
 	Listed bool
 
+	recorded  bool // the next owner knows of the worker though the platform may not list it
 	boot      int64
 	contacted bool      // a listing has been received under this epoch
 	clockMS   int64     // lower bound of its clock at clockAt
@@ -77,6 +78,17 @@
 	return len(w.runs)+len(w.unknownRuns)+len(w.unmatchedEnds) > 0 || w.lastEnd > 0
 }
 
+// Recorded reports whether tasks may start on the worker as far as the record for the next owner
+// is concerned.
+func (w *Worker) Recorded() bool { return w.recorded }
+
+// MarkRecorded allows starts on a worker that the record for the next owner names.
+func (e *Engine) MarkRecorded(id string) {
+	if w := e.workers[id]; w != nil {
+		w.recorded = true
+	}
+}
+
 // Contacted reports whether the worker has answered a listing under this epoch.
 func (w *Worker) Contacted() bool { return w.contacted }
 
@@ -198,7 +210,7 @@
 	for _, entry := range list {
 		w := e.workers[entry.ID]
 		if w == nil {
-			w = &Worker{runs: map[runKey]*Run{}, unknownRuns: map[runKey]trackedUnknownRun{}, serviceLoads: map[string]serviceLoad{}, boot: entry.Boot}
+			w = &Worker{runs: map[runKey]*Run{}, unknownRuns: map[runKey]trackedUnknownRun{}, serviceLoads: map[string]serviceLoad{}, boot: entry.Boot, recorded: !e.options.RecordedWorkersOnly}
 			e.workers[entry.ID] = w
 			e.handleNewWorker(entry)
 			if now.Before(e.directoryCompleteAt) {
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -58,6 +58,9 @@
 	own := t.ownWorkers(list)
 	t.engine.SetWorkersReadAt(list.readAt)
 	t.engine.SetWorkers(own, t.c.Now())
+	if t.loaded {
+		t.markRecorded()
+	}
 	t.logEvacuations()
 	return own
 }
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -133,6 +133,8 @@
 	cellMap *cellmap.Map
 	// moves are those whose records are in the batch.
 	moves []batchMove
+	// roster are the rows of the roster in the batch.
+	roster []rosterChange
 	// outcomesDeleted is the number of outcomes that the commit deletes.
 	outcomesDeleted int
 	// suspensions is the number of suspensions of the VM before the commit was sent. A
@@ -152,14 +154,15 @@
 // commit commits the changes, on condition that the owner's row is unchanged.
 func (t *term) commit(now time.Time, release bool) {
 	b := t.buildBatch(release)
+	t.urgent = false
 	t.putLearned(&b, now)
 	t.mapKeeper.put(&b)
+	t.putRoster(&b)
 	t.putMoves(&b)
 	t.committing, t.triedAt = true, now
 	if release && t.releaseSentAt.IsZero() {
 		t.releaseSentAt = now
 	}
-	t.urgent = false
 	runAsync(t, commitTimeout, func(ctx context.Context) (int64, error) {
 		return t.c.Store.Commit(ctx, b.txn)
 	}, func(version int64, err error) {
@@ -335,6 +338,7 @@
 	t.compactor.expiredOutcomes = t.compactor.expiredOutcomes[b.outcomesDeleted:]
 	t.mapCommitted(b.cellMap)
 	t.movesCommitted(b.moves)
+	t.rosterCommitted(b.roster)
 	t.unacknowledged = append(t.unacknowledged, b.ends)
 	for len(t.unacknowledged) > 0 && t.unacknowledged[0].number <= b.committed {
 		t.recordCommittedEnds(t.unacknowledged[0])
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -16,8 +16,8 @@
 
 // recoveryData is the state of former owners in the store, and the workers.
 type recoveryData struct {
-	jobs, cancels, progress, outcomes, learned, cellMap, moves port.Page
-	workers                                                    workerList
+	jobs, cancels, progress, outcomes, learned, cellMap, moves, roster port.Page
+	workers                                                            workerList
 }
 
 // Timeouts and delays of the recovery.
@@ -89,6 +89,7 @@
 		readInto(ctx, t, tableOutcomes, &data.outcomes, scan(tableOutcomes)),
 		readInto(ctx, t, tableLearned, &data.learned, scan(tableLearned)),
 		readInto(ctx, t, tableMoves, &data.moves, t.readMoves),
+		readInto(ctx, t, tableRoster, &data.roster, scan(tableRoster)),
 		t.readWorkers(ctx, &data),
 	}
 	errs := make([]error, len(reads))
@@ -176,7 +177,7 @@
 		t.cancel(row.Key)
 	}
 	t.restoreMoves(data.moves, data.jobs)
-	ids := make([]string, 0, len(workers))
+	ids := t.restoreRoster(data.roster)
 	for _, w := range workers {
 		ids = append(ids, w.ID)
 	}
@@ -190,6 +191,7 @@
 	t.changes[t.c.tables.jobs].version = data.jobs.Version
 	t.changes[t.c.tables.cancels].version = data.cancels.Version
 	t.loaded = true
+	t.markRecorded()
 }
 
 // directorySettleTime is how long after an outage of the store the directory may lack
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -25,6 +25,7 @@
 	tableOutcomes = "outcomes"
 	tableLearned  = "learned"
 	tableMap      = "cellmap"
+	tableRoster   = "roster"
 	// tableMoves holds the moves of jobs to other cells that are not completed.
 	tableMoves = "moves"
 	ownerKey   = "owner"
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -55,6 +55,7 @@
 	inherited inheritedLeases
 
 	committer
+	roster    roster
 	compactor compactor
 	liveness  livenessCheck
 
@@ -79,7 +80,7 @@
 func newTerm(c *Cell, record ownerRecord, version int64, now time.Time) *term {
 	t := &term{
 		c: c, epoch: record.Epoch, record: record, version: version,
-		engine:     dispatch.NewEngine(c.Engine),
+		engine:     dispatch.NewEngine(engineOptions(c.Engine)),
 		log:        c.Log.WithFields(log.Fields{"cell": c.Number, "epoch": record.Epoch}),
 		startedAt:  now,
 		candidates: candidates{},
@@ -95,12 +96,19 @@
 		},
 	}
 	t.committer = newCommitter(now)
+	t.roster = newRoster()
 	t.compactor = newCompactor(c)
 	t.liveness.absences = map[string]int{}
 	t.engine.SetQueues(c.queues())
 	return t
 }
 
+// engineOptions returns the options of an owner's engine.
+func engineOptions(o dispatch.Options) dispatch.Options {
+	o.RecordedWorkersOnly = true
+	return o
+}
+
 // runAsync runs work on another goroutine with a timeout, and then done on the
 // control loop. done is not called if the term has ended.
 func runAsync[T any](t *term, timeout time.Duration, work func(ctx context.Context) (T, error), done func(T, error)) {
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -219,6 +219,15 @@
 	return n
 }
 
+// RunningOn returns the number of tasks that run on a worker.
+func (f *Fleet) RunningOn(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.advance()
+	return len(w.runs)
+}
+
 func (f *Fleet) recordViolation(format string, args ...any) {
 	f.violations = append(f.violations, fmt.Sprintf(format, args...))
 }
