Shorten leases in the stand-in for workers

The stand-in was wrong: a listing request that was meant for the boot before a restart reached the new boot, whose clock starts anew, and granted a lease of 15 s. The platform shortens a lease to the longest one.

--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -272,6 +272,16 @@
 	w.runs = map[string]*fleetRun{}
 }
 
+// maxLease is the longest lease that a worker grants. A request that was meant for an earlier
+// boot, whose clock was ahead, gets no longer one.
+const maxLease = 6 * time.Second
+
+// extendLease grants a lease until a time on the worker's clock in milliseconds.
+func (w *fleetWorker) extendLease(untilMS int64) {
+	until := min(time.Duration(untilMS)*time.Millisecond, w.clock()+maxLease)
+	w.leaseEnd = max(w.leaseEnd, until)
+}
+
 // advance ends the tasks that have finished or whose lease has expired by now.
 func (w *fleetWorker) advance() {
 	if w.dead {
@@ -369,7 +379,7 @@
 		return w.refuse("start", port.RefusedStale)
 	}
 	w.epoch = req.Epoch
-	w.leaseEnd = max(w.leaseEnd, time.Duration(req.NotAfterMS)*time.Millisecond)
+	w.extendLease(req.NotAfterMS)
 	if r := w.runs[req.Task]; r != nil && r.attempt == req.Attempt {
 		return nil
 	}
@@ -441,7 +451,7 @@
 		return port.Listing{}, false, w.refuse("list", port.RefusedEpoch)
 	}
 	w.epoch = req.Epoch
-	w.leaseEnd = max(w.leaseEnd, time.Duration(req.LeaseUntilMS)*time.Millisecond)
+	w.extendLease(req.LeaseUntilMS)
 	if boot == 0 { // on the first call only, not while the response waits
 		w.acknowledge(req.Acknowledge)
 	}
