Transfer service tasks that find no worker to another cell

Cause: only jobs without any start moved between cells; a job that had begun was tied to its cell.

A service task that this owner could start itself, so that it runs nowhere for certain, and that has found no worker for 1 s, is handed to the cell with the most room. Its job's row, which is in the same partition as the row of the host, changes in the same transaction; a record with the version of that row fences former owners, as for moves of jobs.

--- a/cellmap/move.go
+++ b/cellmap/move.go
@@ -88,6 +88,22 @@
 	})
 }
 
+// TransferCandidates returns the other cells to ask for room for a task of a cell. intN returns a
+// random number in [0, n).
+func (m *Map) TransferCandidates(cell int, needs Needs, intN func(n int) int) []int {
+	var local, remote []int
+	for n, c := range m.Cells {
+		switch {
+		case n == cell || !c.satisfies(needs):
+		case c.Region == m.Cells[cell].Region:
+			local = append(local, n)
+		default:
+			remote = append(remote, n)
+		}
+	}
+	return append(sample(local, localCandidates, intN), sample(remote, remoteCandidates, intN)...)
+}
+
 // MoveTarget returns the candidate that a job should move to from a cell with a load, which
 // includes the job. The loads are those that the owners of the candidates have reported, nil
 // if they have not. It reports false if the job should stay.
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -55,7 +55,7 @@
 	}
 	t.Crashes = append(t.Crashes, attempt)
 	e.markChanged(t.Job, true)
-	if len(t.Crashes) >= maxCrashes {
+	if len(t.Crashes) >= maxCrashes && !t.Job.hosted { // otherwise the home cell gives it up
 		e.out.GivenUp = append(e.out.GivenUp, t)
 		e.finish(t.Job, job.Failed)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -57,6 +57,8 @@
 	// relocationRound is the last round in which services were searched that make way for the
 	// task.
 	relocationRound int
+	// elsewhere is set while another cell runs the task, and held while it is being transferred.
+	elsewhere, held bool
 }
 
 // ReadySince returns when a task that has just been started became ready.
@@ -70,9 +72,9 @@
 // Arrived returns when this owner received the job.
 func (j *Job) Arrived() time.Time { return j.arrived }
 
-// waiting reports whether the task is neither done nor has a run. After a change,
+// waiting reports whether the task is neither done nor elsewhere and has no run. After a change,
 // the job's count must be updated.
-func (t *Task) waiting() bool { return !t.Done && len(t.Runs) == 0 }
+func (t *Task) waiting() bool { return !t.Done && !t.elsewhere && len(t.Runs) == 0 }
 
 // setDone marks the task as done.
 func (t *Task) setDone() {
@@ -122,6 +124,8 @@
 	service     bool // a step is a service, which runs until the job is cancelled
 	// held is set while the job is being given to another cell; none of its tasks starts.
 	held bool
+	// hosted is set if the job is one of another cell, for which this one runs some tasks.
+	hosted bool
 	// interrupted is set during a plan if a service task of the job is interrupted.
 	interrupted bool
 	// profile holds what the job's rank follows from, as of profiledAt; class and rank are
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -111,7 +111,7 @@
 // must not continue.
 func (e *Engine) adopt(w *Worker, entry port.RunningTask, now time.Time) *Run {
 	t := e.tasks[entry.Task]
-	if t == nil || t.Done || len(t.Runs) >= t.maxRunsOf() {
+	if t == nil || t.Done || t.elsewhere || len(t.Runs) >= t.maxRunsOf() {
 		return nil
 	}
 	r := &Run{Task: t, Worker: w, Attempt: entry.Attempt, State: RunActive, confirmedAt: now, requestedAt: now, ConfirmedLimit: 100, desiredLimit: 100, Progress: entry.Percent, boot: w.boot, adopted: true}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -207,7 +207,7 @@
 
 // mayStart reports whether a task waits only for capacity.
 func (e *Engine) mayStart(t *Task, now time.Time) bool {
-	if t.Done || len(t.Runs) > 0 || now.Before(t.notBefore) || e.unknownRunCounts[t.name()] > 0 {
+	if t.Done || t.elsewhere || t.held || t.givenUp() || len(t.Runs) > 0 || now.Before(t.notBefore) || e.unknownRunCounts[t.name()] > 0 {
 		return false
 	}
 	if e.mayRunElsewhere(t, now) {
@@ -318,8 +318,12 @@
 	return t.unavailableSiblings() < max(limit, 1)
 }
 
-// serving reports whether a service task serves requests.
+// serving reports whether a service task serves requests. One that another cell runs is
+// presumed to serve.
 func (t *Task) serving() bool {
+	if t.elsewhere {
+		return true
+	}
 	for _, r := range t.Runs {
 		if r.State == RunActive && !r.stopping && r.Progress == 100 {
 			return true
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -78,7 +78,7 @@
 func (j *Job) Progress() Progress {
 	p := Progress{Started: j.Started}
 	for t := range j.allTasks() {
-		if t.Attempt == 0 && !t.Done {
+		if t.Attempt == 0 && !t.Done || j.hosted && t.elsewhere {
 			continue
 		}
 		tp := TaskProgress{
--- /dev/null
+++ b/dispatch/transfer.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// A service task that finds no worker in its job's cell, the home cell, can be run by
+// another one, the host cell. Each task is run by one cell at a time; for the others it is
+// elsewhere. See docs/design/task-transfers.md.
+const (
+	// transferAfter is how long an interrupted service task must have found no worker before
+	// it may be transferred. By then, tasks that could make way have been stopped for it.
+	transferAfter = time.Second
+	// transferNewAfter replaces transferAfter for a service task that has not run yet.
+	transferNewAfter = 2500 * time.Millisecond
+)
+
+// TransferredTask is the state of a task that goes with it to another cell.
+type TransferredTask struct {
+	Occurrence int `json:"k,omitempty"`
+	Step       int `json:"s,omitempty"`
+	Index      int `json:"i,omitempty"`
+	// Attempt is the highest attempt so far.
+	Attempt int   `json:"a"`
+	Crashes []int `json:"x,omitempty"`
+}
+
+// ID returns the ID of the task of a job.
+func (s TransferredTask) ID(jobID string) job.TaskID {
+	return job.TaskID{Job: jobID, Occurrence: s.Occurrence, Step: s.Step, Index: s.Index}
+}
+
+// transferState returns the state of a task to transfer.
+func (t *Task) transferState() TransferredTask {
+	return TransferredTask{t.ID.Occurrence, t.ID.Step, t.ID.Index, t.Attempt, slices.Clone(t.Crashes)}
+}
+
+// AddHosted adds a job of another cell, none of whose tasks this cell runs yet. It returns the
+// existing job if the ID is known, and nil if the job has ended.
+func (e *Engine) AddHosted(spec job.Spec, now time.Time, wallMS int64) *Job {
+	if j := e.jobs[spec.ID]; j != nil {
+		return j
+	}
+	j := e.Add(spec, now, wallMS)
+	if j == nil {
+		return nil
+	}
+	e.addLoad(j, -1)
+	j.hosted, j.requested, j.State = true, true, job.Running
+	for t := range j.allTasks() {
+		t.setElsewhere(true)
+	}
+	e.addLoad(j, 1)
+	if !j.Started {
+		e.countStarted(j) // the home cell counts it
+		j.Started = true
+	}
+	return j
+}
+
+// Hosted reports whether the job is one of another cell.
+func (j *Job) Hosted() bool { return j.hosted }
+
+// setElsewhere records whether another cell runs the task.
+func (t *Task) setElsewhere(elsewhere bool) {
+	if t.waiting() {
+		t.Job.waiting--
+	}
+	t.elsewhere = elsewhere
+	if t.waiting() {
+		t.Job.waiting++
+	}
+}
+
+// TakeIn makes this cell run a task that another one has run. The task must run nowhere.
+func (e *Engine) TakeIn(j *Job, s TransferredTask, now time.Time) {
+	t := e.tasks[s.ID(j.Spec.ID).String()]
+	switch {
+	case t == nil:
+		return
+	case !t.elsewhere: // a former owner has taken it in
+		if t.inherited {
+			t.Attempt = max(t.Attempt, s.Attempt+attemptGap)
+		}
+		return
+	}
+	e.addLoad(j, -1)
+	t.setElsewhere(false)
+	e.addLoad(j, 1)
+	t.held, t.readyAt = false, time.Time{}
+	t.Attempt = max(t.Attempt, s.Attempt)
+	t.hasRun = t.hasRun || s.Attempt > 0
+	e.markChanged(j, true)
+	crashes := slices.Clone(s.Crashes)
+	t.Crashes = nil
+	for _, attempt := range crashes {
+		e.recordCrash(t, attempt)
+	}
+}
+
+// GiveAway records that another cell runs a task.
+func (e *Engine) GiveAway(id job.TaskID) {
+	t := e.tasks[id.String()]
+	if t == nil || t.elsewhere {
+		return
+	}
+	e.unreserve(t)
+	if t.advance != nil {
+		e.release(t.advance, ReservationNotWaiting, e.now)
+	}
+	for _, r := range t.Runs {
+		e.stop(r, StopEnded)
+	}
+	e.addLoad(t.Job, -1)
+	t.setElsewhere(true)
+	e.addLoad(t.Job, 1)
+	t.held = false
+	e.markChanged(t.Job, false)
+}
+
+// HoldTask keeps a task from being started until ReleaseTask, TakeIn or GiveAway.
+func (e *Engine) HoldTask(id job.TaskID) {
+	if t := e.tasks[id.String()]; t != nil {
+		e.unreserve(t)
+		t.held = true
+	}
+}
+
+// ReleaseTask ends a HoldTask.
+func (e *Engine) ReleaseTask(id job.TaskID) {
+	if t := e.tasks[id.String()]; t != nil {
+		t.held = false
+	}
+}
+
+// Elsewhere reports whether another cell runs any task of the job, and whether this one runs
+// any.
+func (j *Job) Elsewhere() (some, all bool) {
+	all = true
+	for t := range j.allTasks() {
+		some, all = some || t.elsewhere, all && t.elsewhere
+	}
+	return some, all
+}
+
+// TasksHere returns the IDs of the tasks of a job that this cell runs.
+func (e *Engine) TasksHere(j *Job) []job.TaskID {
+	var here []job.TaskID
+	for t := range j.allTasks() {
+		if !t.elsewhere {
+			here = append(here, t.ID)
+		}
+	}
+	return here
+}
+
+// TransferableStep are tasks of one step that another cell could run.
+type TransferableStep struct {
+	Step  *job.Step
+	Tasks []TransferredTask
+	// Interrupted is set if the tasks have run before.
+	Interrupted bool
+	// GivenUp is set if workers have crashed under the tasks so often that only the home cell
+	// handles them.
+	GivenUp bool
+}
+
+// Transferable returns the tasks of a job that run nowhere for certain and find no worker in this
+// cell, of the first step that has such tasks.
+func (e *Engine) Transferable(j *Job, now time.Time) (TransferableStep, bool) {
+	if !j.service || !j.requested || j.held || j.waiting == 0 || j.State.Final() {
+		return TransferableStep{}, false
+	}
+	for _, o := range j.occurrences {
+		for s := range j.Spec.Steps {
+			step := &j.Spec.Steps[s]
+			if !step.Service || step.Gang || step.SameRack || o.pending[s] == 0 || now.Before(o.due) || !o.ready(step) {
+				continue
+			}
+			found := TransferableStep{Step: step}
+			for _, t := range o.tasks[s] {
+				if !t.waiting() || t.held || len(found.Tasks) > 0 && (t.hasRun != found.Interrupted || t.givenUp() != found.GivenUp) {
+					continue
+				}
+				if t.givenUp() || e.starved(t, now) {
+					found.Interrupted, found.GivenUp = t.hasRun, t.givenUp()
+					found.Tasks = append(found.Tasks, t.transferState())
+				}
+			}
+			if len(found.Tasks) > 0 {
+				return found, true
+			}
+		}
+	}
+	return TransferableStep{}, false
+}
+
+// givenUp reports whether a hosted task is not started any more because of crashes.
+func (t *Task) givenUp() bool { return t.Job.hosted && len(t.Crashes) >= maxCrashes }
+
+// starved reports whether a service task that may start has found no worker for a while.
+func (e *Engine) starved(t *Task, now time.Time) bool {
+	wait := transferNewAfter
+	if t.hasRun {
+		wait = transferAfter
+	}
+	return t.reserved == nil && e.mayStart(t, now) && now.Sub(t.readyAt) >= wait
+}
+
+// RoomRequest describes tasks of a service that another cell asks room for.
+type RoomRequest struct {
+	Pool, Label  string
+	Resources    job.Resources
+	MaxPerWorker int // zero means no limit
+	Tasks        int
+	// Displacing is set if other tasks that are no services may be stopped for these.
+	Displacing bool
+}
+
+// RoomFor returns for how many of the requested tasks there is room beside the interrupted
+// services of this cell.
+func (e *Engine) RoomFor(r RoomRequest, now time.Time) int {
+	room := -e.Interrupted()
+	for _, w := range e.workerList {
+		if w.Entry.Pool != r.Pool || !w.schedulable(now) || r.Label != "" && !slices.Contains(w.Entry.Labels, r.Label) {
+			continue
+		}
+		free := w.unreserved()
+		if r.Displacing {
+			free = free.Add(w.clearable())
+		}
+		for n := 0; r.Resources.Fits(free) && (r.MaxPerWorker == 0 || n < r.MaxPerWorker); n++ {
+			free = free.Sub(r.Resources)
+			if room++; room >= r.Tasks {
+				return room
+			}
+		}
+	}
+	return max(0, room)
+}
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -71,15 +71,29 @@
 	inFlight bool
 	polledAt time.Time
 	rescan   bool
+	// requested is set if the next read is due at once.
+	requested bool
+}
+
+// due reports whether the changes of a table are to be read.
+func (cursor *changeCursor) due(t *term, table string, now time.Time) bool {
+	interval := changesPoll
+	if table == tableHosted {
+		if !t.mayMoveJobs() {
+			return false
+		}
+		interval = hostedPoll
+	}
+	return !cursor.inFlight && (cursor.requested || now.Sub(cursor.polledAt) >= interval)
 }
 
 // pollChanges reads jobs and cancellations whose notification did not arrive.
 func (t *term) pollChanges(now time.Time) {
 	for table, cursor := range t.changes {
-		if cursor.inFlight || now.Sub(cursor.polledAt) < changesPoll {
+		if !cursor.due(t, table, now) {
 			continue
 		}
-		cursor.inFlight, cursor.polledAt = true, now
+		cursor.inFlight, cursor.polledAt, cursor.requested = true, now, false
 		version, committedAt := t.version, t.commitSentAt
 		if cursor.rescan {
 			t.rescan(table, cursor, now)
@@ -142,20 +156,34 @@
 func (t *term) applyRows(table string, rows []port.Row) {
 	now := t.c.Now()
 	for _, row := range rows {
-		if row.Version == 0 || row.Partition != t.c.jobPartition(row.Key) || table == t.c.tables.jobs && t.rowIsOutdated(row) {
+		if row.Version == 0 || row.Partition != t.c.jobPartition(jobOfRow(table, row.Key)) || table == t.c.tables.jobs && t.rowIsOutdated(row) {
 			continue
 		}
-		if table == t.c.tables.cancels {
+		switch table {
+		case t.c.tables.cancels:
 			t.cancel(row.Key)
 			continue
+		case tableHosted:
+			t.applyHostedRow(row)
+			continue
 		}
 		if spec, ok := t.decodeSpec(row); ok {
 			t.add(spec, now)
+			t.applyHomeRow(row)
 		}
 	}
 	t.schedulePlan()
 }
 
+// jobOfRow returns the ID of the job that a row belongs to.
+func jobOfRow(table, key string) string {
+	if table == tableHosted {
+		id, _, _ := splitHostedKey(key)
+		return id
+	}
+	return key
+}
+
 // decodeSpec decodes a job's row. It reports false if the job has ended or the row
 // cannot be decoded.
 func (t *term) decodeSpec(row port.Row) (job.Spec, bool) {
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -96,6 +96,9 @@
 	t.uncommittedFinal[j.Spec.ID] = j
 	t.noteChange(j.Spec.ID, t.batches+1)
 	t.urgent = true
+	if some, _ := j.Elsewhere(); some {
+		t.transfers.ending[j.Spec.ID] = time.Time{}
+	}
 }
 
 // commitIfDue commits the changes, or renews the ownership, if that is due. Before
@@ -132,7 +135,10 @@
 	// cellMap is the cell map in the batch; nil if there is none.
 	cellMap *cellmap.Map
 	// moves are those whose records are in the batch.
-	moves []batchMove
+	moves     []batchMove
+	transfers []batchTransfer
+	// staleProgress holds the jobs whose progress rows the batch deletes.
+	staleProgress []string
 	// roster are the rows of the roster in the batch.
 	roster []rosterChange
 	// outcomesDeleted is the number of outcomes that the commit deletes.
@@ -159,6 +165,7 @@
 	t.mapKeeper.put(&b)
 	t.putRoster(&b)
 	t.putMoves(&b)
+	t.putTransfers(&b)
 	t.committing, t.triedAt = true, now
 	if release && t.releaseSentAt.IsZero() {
 		t.releaseSentAt = now
@@ -302,12 +309,12 @@
 		t.noteChange(id, since)
 	}
 	for _, j := range b.jobs {
-		t.progressRows[j.Spec.ID] = true
-		if !j.State.Final() {
+		t.noteProgressRow(j)
+		if !j.State.Final() && t.engine.Job(j.Spec.ID) == j {
 			t.dirty[j.Spec.ID] = j
 		}
 	}
-	t.urgent = t.urgent || len(b.outcomes) > 0 || len(b.jobs) > 0 || len(b.moves) > 0
+	t.urgent = t.urgent || len(b.outcomes) > 0 || len(b.jobs) > 0 || len(b.moves)+len(b.transfers) > 0
 }
 
 func (t *term) commitApplied(b batch, version int64, now time.Time) {
@@ -323,8 +330,11 @@
 		t.unconfirmed, t.suspended = false, false
 		t.checkOwnershipConfirmed(now)
 	}
+	for _, id := range b.staleProgress {
+		delete(t.transfers.staleProgress, id)
+	}
 	for _, j := range b.jobs {
-		t.progressRows[j.Spec.ID] = true
+		t.noteProgressRow(j)
 	}
 	for _, j := range b.outcomes {
 		delete(t.uncommittedFinal, j.Spec.ID)
@@ -338,6 +348,7 @@
 	t.compactor.expiredOutcomes = t.compactor.expiredOutcomes[b.outcomesDeleted:]
 	t.mapCommitted(b.cellMap)
 	t.movesCommitted(b.moves)
+	t.transfersCommitted(b.transfers)
 	t.rosterCommitted(b.roster)
 	t.unacknowledged = append(t.unacknowledged, b.ends)
 	for len(t.unacknowledged) > 0 && t.unacknowledged[0].number <= b.committed {
--- a/internal/cell/compactor.go
+++ b/internal/cell/compactor.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -70,7 +72,15 @@
 	if len(jobs) == 0 {
 		return
 	}
+	// Jobs with tasks in other cells come last, as their cells may not know of the end yet.
+	slices.SortStableFunc(jobs, func(a, b endedJob) int { return cmp.Compare(t.endingOrder(a.id), t.endingOrder(b.id)) })
 	jobs = jobs[:min(len(jobs), maxCompacted)]
+	if n := slices.IndexFunc(jobs, func(j endedJob) bool { return t.endingOrder(j.id) > 0 }); n >= 0 {
+		jobs = jobs[:n]
+	}
+	if len(jobs) == 0 {
+		return
+	}
 	txn := port.Txn{Partition: partition}
 	for _, j := range jobs {
 		txn.Puts = append(txn.Puts, port.Put{Table: t.c.indexTable(), Key: j.id, Value: encode(jobRecord{Ended: j.state, Cell: t.c.Number})})
@@ -95,6 +105,14 @@
 	})
 }
 
+// endingOrder returns 1 for a job whose end other cells may not know yet, and else zero.
+func (t *term) endingOrder(id string) int {
+	if _, ok := t.transfers.ending[id]; ok {
+		return 1
+	}
+	return 0
+}
+
 // deleteExpired deletes the rows of ended jobs after the retention time. A failed
 // deletion is not retried.
 func (t *term) deleteExpired(now time.Time) {
--- a/internal/cell/departures.go
+++ b/internal/cell/departures.go
@@ -123,12 +123,23 @@
 
 // restoreMoves resolves the moves that a former owner has recorded and not completed. Their
 // jobs do not start before that.
-func (t *term) restoreMoves(records, jobs port.Page) {
-	rows := map[string]port.Row{}
+func (t *term) restoreMoves(records, jobs, hosted port.Page) {
+	rows, hostedRows := map[string]port.Row{}, map[string]port.Row{}
 	for _, row := range jobs.Rows {
 		rows[row.Key] = row
 	}
+	for _, row := range hosted.Rows {
+		hostedRows[row.Key] = row
+	}
 	for _, row := range records.Rows {
+		if record, err := decode[moveRecord](row); err == nil && len(record.Tasks) > 0 {
+			fence := rows[row.Key]
+			if j := t.engine.Job(row.Key); j != nil && j.Hosted() {
+				fence = hostedRows[hostedKey(row.Key, t.c.Number)]
+			}
+			t.restoreTransfer(row.Key, record, fence)
+			continue
+		}
 		m := &move{id: row.Key, row: rows[row.Key], step: moveRevoking}
 		t.mover.moves[m.id] = m
 		record, err := decode[moveRecord](row)
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -257,6 +257,9 @@
 		}
 		owner = true
 		c.term.acceptStored(jobs, news.GetCancelled())
+		if news.GetTransferred() {
+			c.term.readTransferred()
+		}
 	})
 	if err != nil || !owner {
 		return peer.Refuse("not the owner")
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -162,6 +162,9 @@
 		c.Loop.Post(func() {
 			if c.term != nil {
 				c.term.acceptStored(jobs, cancelled)
+				if news.GetTransferred() {
+					c.term.readTransferred()
+				}
 			}
 		})
 		return
@@ -195,11 +198,11 @@
 	if state, ok := c.askOwner(ctx, id); ok {
 		return state, nil
 	}
-	state, _, err := c.storedState(ctx, id)
-	if err == nil && state.Final() {
-		c.jobStates.set(id, state, c.Now())
+	stored, err := c.storedState(ctx, id)
+	if err == nil && stored.state.Final() {
+		c.jobStates.set(id, stored.state, c.Now())
 	}
-	return state, err
+	return stored.state, err
 }
 
 // askOwner asks the owner of the cell for a job's state, if this daemon does not follow
@@ -222,32 +225,41 @@
 	return state, true
 }
 
-// storedState reads a job's state and the version of its row from the store.
-func (c *Cell) storedState(ctx context.Context, id string) (job.State, int64, error) {
+// storedJobState is what the store tells of a job in its cell.
+type storedJobState struct {
+	state  job.State
+	record jobRecord
+	// version is that of the job's row.
+	version int64
+}
+
+// storedState reads a job's state from the store.
+func (c *Cell) storedState(ctx context.Context, id string) (storedJobState, error) {
 	row, err := c.readRow(ctx, c.tables.jobs, c.jobPartition(id), id)
 	here := err == nil && row.Version > 0
 	if err == nil && !here && c.group != nil {
 		row, err = c.findElsewhere(ctx, id)
 	}
 	if err != nil {
-		return "", 0, err
+		return storedJobState{}, err
 	}
 	if row.Version == 0 {
-		return "", 0, ErrNoJob
+		return storedJobState{}, ErrNoJob
 	}
 	record, err := decode[jobRecord](row)
 	if err != nil {
 		c.Log.WithField("event", "job_row_unreadable").WithError(err).Error("cannot decode the job row; failing the request")
-		return "", 0, storeError(err, true)
+		return storedJobState{}, storeError(err, true)
 	}
+	stored := storedJobState{state: record.Ended, record: record, version: row.Version}
 	if record.Ended != "" {
-		return record.Ended, row.Version, nil
+		return stored, nil
 	}
 	if !here || record.Cell != c.Number {
-		return "", 0, &OtherCellError{record.Cell}
+		return storedJobState{}, &OtherCellError{record.Cell}
 	}
-	state, err := c.openState(ctx, id)
-	return state, row.Version, err
+	stored.state, err = c.openState(ctx, id)
+	return stored, err
 }
 
 // openState determines the state of a job whose row does not record an end.
@@ -300,18 +312,15 @@
 		return nil
 	}
 	for range maxStoreAttempts {
-		state, version, err := c.storedState(ctx, id)
+		stored, err := c.storedState(ctx, id)
 		if err != nil {
 			return err
 		}
-		if state.Final() {
+		if stored.state.Final() {
 			return nil
 		}
-		_, err = c.write(ctx, port.Txn{
-			Partition: c.jobPartition(id),
-			Checks:    []port.Check{{Table: c.tables.jobs, Key: id, Version: version}},
-			Puts:      []port.Put{{Table: c.tables.cancels, Key: id, Value: []byte("{}")}},
-		})
+		hosts := stored.record.hosts()
+		_, err = c.write(ctx, c.cancellation(id, stored))
 		var conflict *port.ConflictError
 		if errors.As(err, &conflict) {
 			continue // the job has ended or moved in the meantime
@@ -320,12 +329,29 @@
 			c.jobStates.set(id, job.Cancelled, c.Now())
 			c.Log.WithFields(log.Fields{"event": "cancel_stored", "job": id}).Info("cancellation stored")
 			c.notifyOwner(&peerpb.NewsRequest{Cell: uint32(c.Number), Cancelled: []string{id}}, nil, []string{id})
+			for _, n := range hosts {
+				c.group.notifyTransferred(n)
+			}
 		}
 		return err
 	}
 	return storeError(errors.New("the job changes too fast"), true)
 }
 
+// cancellation returns the transaction that cancels a job in all cells that run tasks of it.
+func (c *Cell) cancellation(id string, stored storedJobState) port.Txn {
+	txn := port.Txn{
+		Partition: c.jobPartition(id),
+		Checks:    []port.Check{{Table: c.tables.jobs, Key: id, Version: stored.version}},
+		Puts:      []port.Put{{Table: c.tables.cancels, Key: id, Value: []byte("{}")}},
+	}
+	for _, n := range stored.record.hosts() {
+		ended := hostedRecord{Cell: n, Home: c.Number, Ended: true}
+		txn.Puts = append(txn.Puts, port.Put{Table: tableHosted, Key: hostedKey(id, n), Value: encode(ended)})
+	}
+	return txn
+}
+
 // Pending returns the number of jobs of a queue that have not started. It returns
 // a *verdict.RequestError if the owner has not confirmed the number recently.
 func (c *Cell) Pending(queue string) (int, error) {
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -54,6 +54,10 @@
 			return
 		}
 		load = c.term.load(c.Now())
+		if tasks := req.GetTasks(); tasks != nil {
+			load.TaskRoom = uint32(c.term.taskRoom(req.GetJob(), tasks))
+			return
+		}
 		if c.term.engine.Job(req.GetJob()) == nil {
 			c.term.claims[req.GetJob()] = loadClaim{req.GetReservedMilliCpu(), req.GetBestEffortMilliCpu(), c.Now()}
 		}
@@ -127,29 +131,42 @@
 
 // askLoad asks the owner of a cell for its load, and to count a demand that may follow, or returns nil if it does not answer.
 func (g *Group) askLoad(ctx context.Context, n int, id string, demand cellmap.Demand) *cellmap.Load {
-	c := g.cell(n)
+	reported := g.requestLoad(ctx, &peerpb.LoadRequest{
+		Cell: uint32(n), Job: id, ReservedMilliCpu: demand.Reserved, BestEffortMilliCpu: demand.BestEffort,
+	})
+	if reported == nil {
+		return nil
+	}
+	load := loadOf(reported)
+	return &load
+}
+
+// askRoom asks the owner of a cell for how many tasks it has room. It returns zero if the owner
+// does not answer or is a daemon of an earlier version.
+func (g *Group) askRoom(ctx context.Context, n int, id string, tasks *peerpb.TaskRequest) int {
+	return int(g.requestLoad(ctx, &peerpb.LoadRequest{Cell: uint32(n), Job: id, Tasks: tasks}).GetTaskRoom())
+}
+
+// requestLoad sends a request for the load of a cell to its owner, and returns nil if it does
+// not answer.
+func (g *Group) requestLoad(ctx context.Context, load *peerpb.LoadRequest) *peerpb.CellLoad {
+	c := g.cell(int(load.GetCell()))
 	view := c.View()
 	if view.Owner == "" {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	req := &peerpb.Request{Kind: &peerpb.Request_CellLoad{CellLoad: &peerpb.LoadRequest{
-		Cell: uint32(n), Job: id, ReservedMilliCpu: demand.Reserved, BestEffortMilliCpu: demand.BestEffort,
-	}}}
+	req := &peerpb.Request{Kind: &peerpb.Request_CellLoad{CellLoad: load}}
 	var resp *peerpb.Response
 	if view.IsOwner {
 		resp = c.Handle(ctx, req)
 	} else {
 		var err error
 		if resp, err = g.lead.Peers.Call(ctx, view.Owner, req); err != nil {
-			g.lead.Log.WithFields(log.Fields{"event": "load_unknown", "cell": n, "owner": view.Owner}).WithError(err).Debug("the owner of the cell does not tell its load")
+			g.lead.Log.WithFields(log.Fields{"event": "load_unknown", "cell": load.GetCell(), "owner": view.Owner}).WithError(err).Debug("the owner of the cell does not tell its load")
 			return nil
 		}
 	}
-	if resp.GetCellLoad() == nil {
-		return nil
-	}
-	load := loadOf(resp.GetCellLoad())
-	return &load
+	return resp.GetCellLoad()
 }
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -52,6 +52,8 @@
 	// moves that were begun and revoked, and movesCancelled those of jobs that were
 	// cancelled meanwhile.
 	jobsMoved, movesRevoked, movesCancelled metrics.Counter
+	// tasksTransferred counts the tasks that this owner has transferred to another cell.
+	tasksTransferred metrics.Counter
 	// copiesStarted counts the copies whose start was requested, and copiesWon those that
 	// were done before the first run.
 	copiesStarted, copiesWon metrics.Counter
@@ -102,6 +104,7 @@
 		bestEffortWaiting: gauge("cell.best_effort_waiting"),
 		bestEffortLoad:    gauge("cell.best_effort_load_percent"),
 		jobsMoved:         counter("cell.jobs_moved"),
+		tasksTransferred:  counter("cell.tasks_transferred"),
 		movesRevoked:      counter("cell.moves_revoked"),
 		movesCancelled:    counter("cell.moves_cancelled"),
 		copiesStarted:     counter("cell.copies_started"),
--- a/internal/cell/moves.go
+++ b/internal/cell/moves.go
@@ -92,6 +92,8 @@
 	// Version is that of the job's row. The transaction that moves the job is conditional
 	// on it.
 	Version int64 `json:"version"`
+	// Tasks is set for a transfer of tasks. Version is that of its fence then.
+	Tasks []dispatch.TransferredTask `json:"tasks,omitempty"`
 }
 
 // mayMoveJobs reports whether jobs of this cell could move at all.
@@ -227,7 +229,7 @@
 			if b.record.Released {
 				continue
 			}
-			b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableMoves, Key: id, Value: encode(moveRecord{m.to, m.row.Version})})
+			b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableMoves, Key: id, Value: encode(moveRecord{To: m.to, Version: m.row.Version})})
 		case moveRemoving:
 			b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableMoves, Key: id})
 		default:
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,8 +17,8 @@
 
 // recoveryData is the state of former owners in the store, and the workers.
 type recoveryData struct {
-	jobs, cancels, progress, outcomes, learned, cellMap, moves, roster port.Page
-	workers                                                            workerList
+	jobs, cancels, progress, outcomes, learned, cellMap, moves, roster, hosted port.Page
+	workers                                                                    workerList
 }
 
 // Timeouts and delays of the recovery.
@@ -98,6 +99,9 @@
 		wg.Go(func() { errs[i] = read() })
 	}
 	wg.Wait()
+	if t.c.group != nil && (!t.c.isLead() || len(data.cellMap.Rows) > 0) {
+		errs = append(errs, readInto(ctx, t, tableHosted, &data.hosted, scanJobs(tableHosted))())
+	}
 	return data, errors.Join(errs...)
 }
 
@@ -171,12 +175,23 @@
 			if j := t.add(spec, now); j != nil {
 				t.restoreJob(j, progress[row.Key])
 			}
+			t.applyHomeRow(row)
+		}
+		delete(progress, row.Key)
+	}
+	for _, row := range data.hosted.Rows {
+		if j := t.applyHostedRow(row); j != nil {
+			t.restoreJob(j, progress[j.Spec.ID])
+			delete(progress, j.Spec.ID)
 		}
 	}
+	for id := range progress {
+		t.transfers.staleProgress[id] = true
+	}
 	for _, row := range data.cancels.Rows {
 		t.cancel(row.Key)
 	}
-	t.restoreMoves(data.moves, data.jobs)
+	t.restoreMoves(data.moves, data.jobs, data.hosted)
 	ids := t.restoreRoster(data.roster)
 	for _, w := range workers {
 		ids = append(ids, w.ID)
@@ -190,6 +205,9 @@
 	}
 	t.changes[t.c.tables.jobs].version = data.jobs.Version
 	t.changes[t.c.tables.cancels].version = data.cancels.Version
+	if cursor := t.changes[tableHosted]; cursor != nil {
+		cursor.version = cmp.Or(data.hosted.Version, data.jobs.Version)
+	}
 	t.loaded = true
 	t.markRecorded()
 }
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -28,9 +28,12 @@
 	tableRoster   = "roster"
 	// tableMoves holds the moves of jobs to other cells that are not completed.
 	tableMoves = "moves"
-	ownerKey   = "owner"
-	learnedKey = "images"
-	mapKey     = "map"
+	// tableHosted holds the tasks that another cell than their job's runs. Its rows are in the
+	// partitions of the jobs.
+	tableHosted = "hosted"
+	ownerKey    = "owner"
+	learnedKey  = "images"
+	mapKey      = "map"
 
 	tableJobs    = "jobs"
 	tableCancels = "cancels"
@@ -93,8 +96,13 @@
 	// from last.
 	Moves int `json:"moves,omitempty"`
 	From  int `json:"from,omitempty"`
+	// Transferred are the tasks that other cells run or have run.
+	Transferred []transferredTask `json:"transferred,omitempty"`
 }
 
+// maxRowBytes bounds a row that may grow. It is below the store's limit of 64 KB.
+const maxRowBytes = 60_000
+
 // outcomeRecord is the value of a final job's row in tableOutcomes.
 type outcomeRecord struct {
 	State job.State `json:"state"`
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -46,6 +46,7 @@
 	claims       loadClaims
 	mapKeeper    mapKeeper
 	mover        mover
+	transfers    transferrer
 
 	planScheduled bool // a call of plan is posted or delayed
 	// planNotBefore is the earliest time of the next plan between ticks.
@@ -86,6 +87,7 @@
 		candidates: candidates{},
 		claims:     loadClaims{},
 		mover:      newMover(),
+		transfers:  newTransferrer(),
 		heartbeats: map[string]*workerHeartbeat{},
 		inherited:  inheritedLeases{},
 
@@ -95,6 +97,9 @@
 			c.tables.jobs: {}, c.tables.cancels: {},
 		},
 	}
+	if c.group != nil {
+		t.changes[tableHosted] = &changeCursor{}
+	}
 	t.committer = newCommitter(now)
 	t.roster = newRoster()
 	t.compactor = newCompactor(c)
@@ -180,6 +185,7 @@
 		t.compactRows(now)
 		t.updateMap(now)
 		t.moveJobs(now)
+		t.transferTasks(now)
 	}
 	if t.loaded && now.Sub(t.prunedAt) > time.Minute {
 		t.prunedAt = now
@@ -257,6 +263,10 @@
 	t.observeCopies(out.Copies, out.Races)
 	t.observeReservations(out.Reservations)
 	for _, j := range out.Finished {
+		if j.Hosted() {
+			t.finishHosted(j)
+			continue
+		}
 		t.addFinal(j)
 	}
 	t.observeStarved(out.Starved, now)
@@ -269,6 +279,9 @@
 
 func (t *term) publishStates(out dispatch.Output) {
 	for j := range out.Changed {
+		if j.Hosted() {
+			continue // its home cell does
+		}
 		t.c.jobStates.set(j.Spec.ID, j.State, t.c.Now())
 	}
 }
--- /dev/null
+++ b/internal/cell/transfers.go
@@ -0,0 +1,399 @@
+package cell
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooyard/bambooyard/cellmap"
+	"github.com/bambooyard/bambooyard/dispatch"
+	"github.com/bambooyard/bambooyard/internal/port"
+)
+
+const (
+	// maxTransfers bounds the transfers of a cell in progress, so that their records fit into
+	// a commit of the owner.
+	maxTransfers = 8
+	// maxTransferTasks bounds the tasks of one transfer, and with them the sizes of rows.
+	maxTransferTasks = 50
+	// transferBackoff is how long the tasks of a job that found no other cell are not
+	// considered again.
+	transferBackoff = 500 * time.Millisecond
+	// roomClaimTTL is how long a cell's owner keeps the room that it has reported. By then the
+	// tasks have arrived, unless they went to another cell.
+	roomClaimTTL = 600 * time.Millisecond
+)
+
+// transferrer hands service tasks that find no worker over to other cells. It belongs to the
+// control loop. See docs/design/task-transfers.md.
+type transferrer struct {
+	active    map[string]*transfer // by job ID
+	notBefore map[string]time.Time
+	checkedAt time.Time
+	// claims are the tasks that other cells have asked room for, by job ID.
+	claims map[string]roomClaim
+	// homes are the home cells of the hosted jobs.
+	homes map[string]int
+	// versions are those of the last rows applied, by job ID.
+	versions map[string]appliedVersion
+	// ended are hosted jobs that have ended, whose rows are to be deleted, and ending own jobs
+	// that have ended, whose tasks in other cells are to be told. The values are the last
+	// attempts.
+	ended, ending map[string]time.Time
+	// staleProgress holds the IDs of jobs whose progress rows are to be deleted.
+	staleProgress map[string]bool
+	prunedAt      time.Time
+}
+
+type roomClaim struct {
+	tasks int
+	at    time.Time
+}
+
+type appliedVersion struct {
+	version int64
+	at      time.Time
+}
+
+func newTransferrer() transferrer {
+	return transferrer{
+		active: map[string]*transfer{}, notBefore: map[string]time.Time{}, claims: map[string]roomClaim{},
+		homes: map[string]int{}, versions: map[string]appliedVersion{},
+		ended: map[string]time.Time{}, ending: map[string]time.Time{}, staleProgress: map[string]bool{},
+	}
+}
+
+// transfer is a transfer of tasks of one job to another cell. Its steps are those of a move.
+type transfer struct {
+	id    string
+	home  int // cell of the job's row
+	to    int
+	tasks []dispatch.TransferredTask
+	step  moveStep
+	rows  transferRows
+	// fence is the row of this cell that the transfer changes: the job's row in the home
+	// cell, and else that of the hosted tasks. While it is unchanged, the transfer may still
+	// be applied.
+	fence    port.Row
+	inFlight bool
+	triedAt  time.Time
+}
+
+// transferRows are the rows of a job that transfers change.
+type transferRows struct {
+	home       port.Row
+	homeRecord jobRecord
+	// hosted are the rows of the hosted tasks by cell. A cell without one is not in it.
+	hosted        map[int]port.Row
+	hostedRecords map[int]hostedRecord
+}
+
+// batchTransfer is a transfer whose record is in a batch, and its step at that time.
+type batchTransfer struct {
+	*transfer
+	step moveStep
+}
+
+// transferTasks considers the tasks that find no worker, and continues what is in progress.
+func (t *term) transferTasks(now time.Time) {
+	t.continueTransfers(now)
+	t.continueEnds(now)
+	if !t.mayMoveJobs() || now.Sub(t.transfers.checkedAt) < cellmap.MoveInterval || t.unconfirmed || t.failing {
+		return
+	}
+	t.transfers.checkedAt = now
+	t.transfers.prune(t.engine, now)
+	for _, interrupted := range []bool{true, false} {
+		for id, j := range t.engine.Jobs() {
+			if len(t.transfers.active) >= maxTransfers {
+				return
+			}
+			if t.transfers.active[id] != nil || t.mover.moves[id] != nil || now.Before(t.transfers.notBefore[id]) {
+				continue
+			}
+			if found, ok := t.engine.Transferable(j, now); ok && found.Interrupted == interrupted {
+				t.prepareTransfer(j, found)
+			}
+		}
+	}
+}
+
+// homeOf returns the home cell of a job.
+func (t *term) homeOf(j *dispatch.Job) int {
+	if j.Hosted() {
+		return t.transfers.homes[j.Spec.ID]
+	}
+	return t.c.Number
+}
+
+// transferCandidates returns the cells to ask for room. Tasks that are given up go home.
+func (t *term) transferCandidates(j *dispatch.Job, found dispatch.TransferableStep) []int {
+	home := t.homeOf(j)
+	if found.GivenUp {
+		return []int{home}
+	}
+	m, needs := t.c.group.cellMap, cellmap.Needs{Pool: j.Queue.Pool}
+	if found.Step.Label != "" {
+		needs.Labels = []string{found.Step.Label}
+	}
+	candidates := m.TransferCandidates(t.c.Number, needs, rand.IntN)
+	if home != t.c.Number && !slices.Contains(candidates, home) {
+		candidates = append(candidates, home)
+	}
+	return candidates
+}
+
+// preparedTransfer is what is read before a transfer.
+type preparedTransfer struct {
+	rows       transferRows
+	candidates []int
+	room       []int
+}
+
+// prepareTransfer reads the rows of a job and asks other cells for room.
+func (t *term) prepareTransfer(j *dispatch.Job, found dispatch.TransferableStep) {
+	id, g, now := j.Spec.ID, t.c.group, t.c.Now()
+	t.transfers.notBefore[id] = now.Add(transferBackoff)
+	candidates := t.transferCandidates(j, found)
+	if len(candidates) == 0 {
+		return
+	}
+	tr := &transfer{id: id, home: t.homeOf(j), step: movePreparing}
+	t.transfers.active[id] = tr
+	request := taskRequest(j, found)
+	runAsync(t, prepareTimeout, func(ctx context.Context) (preparedTransfer, error) {
+		p := preparedTransfer{candidates: candidates, room: make([]int, len(candidates))}
+		var wg sync.WaitGroup
+		for i, n := range candidates {
+			wg.Go(func() {
+				if found.GivenUp {
+					p.room[i] = len(found.Tasks)
+				} else {
+					p.room[i] = g.askRoom(ctx, n, id, request)
+				}
+			})
+		}
+		rows, err := t.c.readTransferRows(ctx, id, tr.home)
+		wg.Wait()
+		p.rows = rows
+		return p, err
+	}, func(p preparedTransfer, err error) {
+		if err != nil || !t.decideTransfer(tr, p) {
+			delete(t.transfers.active, id)
+		}
+	})
+}
+
+// decideTransfer decides which tasks are transferred, and to which cell. From then on they are
+// held, so that none of them starts before the transfer is completed or revoked.
+func (t *term) decideTransfer(tr *transfer, p preparedTransfer) bool {
+	j := t.engine.Job(tr.id)
+	if j == nil || t.homeOf(j) != tr.home || t.releasing || t.unconfirmed || p.rows.homeRecord.Spec == nil {
+		return false
+	}
+	found, ok := t.engine.Transferable(j, t.c.Now())
+	to, room := bestRoom(p, tr.home)
+	if !ok || room == 0 {
+		return false
+	}
+	tr.rows, tr.fence = p.rows, p.rows.home
+	if j.Hosted() {
+		tr.fence = p.rows.hosted[t.c.Number]
+	}
+	tr.to, tr.tasks = to, found.Tasks[:min(len(found.Tasks), room, maxTransferTasks)]
+	if tr.fence.Version == 0 || tr.rows.hostedRecords[t.c.Number].Ended || tr.rows.hostedRecords[to].Ended {
+		return false
+	}
+	for _, put := range t.c.transferTxn(tr).Puts {
+		if len(put.Value) > maxRowBytes {
+			t.log.WithFields(log.Fields{"event": "transfer_too_large", "job": tr.id, "bytes": len(put.Value)}).Warn("the rows of the job have no room for a transfer of its tasks")
+			t.transfers.notBefore[tr.id] = t.c.Now().Add(time.Minute)
+			return false
+		}
+	}
+	for _, s := range tr.tasks {
+		t.engine.HoldTask(s.ID(tr.id))
+	}
+	tr.step = moveRecording
+	t.urgent = true
+	return true
+}
+
+// bestRoom returns the candidate with the most room, the home cell first among equals.
+func bestRoom(p preparedTransfer, home int) (cell, room int) {
+	for i, n := range p.candidates {
+		if p.room[i] > room || p.room[i] == room && room > 0 && n == home {
+			cell, room = n, p.room[i]
+		}
+	}
+	return cell, room
+}
+
+// putTransfers adds the records of transfers to a batch, and deletes those of completed ones.
+func (t *term) putTransfers(b *batch) {
+	for id, tr := range t.transfers.active {
+		switch tr.step {
+		case moveRecording:
+			if b.record.Released {
+				continue
+			}
+			b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableMoves, Key: id, Value: encode(moveRecord{tr.to, tr.fence.Version, tr.tasks})})
+		case moveRemoving:
+			b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableMoves, Key: id})
+		default:
+			continue
+		}
+		b.transfers = append(b.transfers, batchTransfer{tr, tr.step})
+	}
+	t.putStaleProgress(b)
+}
+
+// transfersCommitted continues the transfers of a committed batch.
+func (t *term) transfersCommitted(transfers []batchTransfer) {
+	for _, bt := range transfers {
+		if bt.transfer.step != bt.step {
+			continue
+		}
+		switch bt.step {
+		case moveRecording:
+			if t.engine.Job(bt.id) == nil { // it has ended
+				bt.transfer.step = moveRemoving
+				continue
+			}
+			t.writeTransfer(bt.transfer)
+		case moveRemoving:
+			delete(t.transfers.active, bt.id)
+		}
+	}
+}
+
+// writeTransfer changes the rows of a job.
+func (t *term) writeTransfer(tr *transfer) {
+	tr.step = moveWriting
+	txn := t.c.transferTxn(tr)
+	runAsync(t, writeTimeout, func(ctx context.Context) (int64, error) {
+		return t.c.Store.Commit(ctx, txn)
+	}, func(version int64, err error) {
+		t.c.recordStoreResult(ignoreConflict(err), t.c.Now())
+		if err == nil {
+			t.finishTransfer(tr, version)
+			return
+		}
+		t.log.WithFields(log.Fields{"event": "transfer_uncertain", "job": tr.id, "to": tr.to}).WithError(err).Info("it is not known whether the tasks were transferred; revoking the transfer")
+		tr.step = moveRevoking
+		t.revokeTransfer(tr)
+	})
+}
+
+// finishTransfer leaves the tasks to the other cell and notifies its owner.
+func (t *term) finishTransfer(tr *transfer, version int64) {
+	tr.step, t.urgent = moveRemoving, true
+	now := t.c.Now()
+	t.transfers.versions[tr.id] = appliedVersion{version, now}
+	j := t.engine.Job(tr.id)
+	if j == nil {
+		return // ended meanwhile; its other rows are changed or deleted by that
+	}
+	for _, s := range tr.tasks {
+		t.engine.GiveAway(s.ID(tr.id))
+	}
+	t.dropIfEmpty(j)
+	t.c.instruments.tasksTransferred.Inc(int64(len(tr.tasks)))
+	t.log.WithFields(log.Fields{"event": "tasks_transferred", "job": tr.id, "to": tr.to, "home": tr.home, "tasks": len(tr.tasks),
+		"first": tr.tasks[0].ID(tr.id).String()}).Info("another cell runs the tasks from now on")
+	for _, n := range []int{tr.to, tr.home} {
+		if n != t.c.Number {
+			t.c.group.notifyTransferred(n)
+		}
+	}
+}
+
+// continueTransfers repeats the revocations without a response.
+func (t *term) continueTransfers(now time.Time) {
+	for _, tr := range t.transfers.active {
+		if tr.step == moveRevoking && !tr.inFlight && now.Sub(tr.triedAt) >= commitRetryDelay {
+			t.revokeTransfer(tr)
+		}
+	}
+}
+
+// revokeTransfer rewrites the fence of a transfer, so that a transaction of it that is in
+// flight fails. If that was applied before, the row tells what has become of the tasks.
+func (t *term) revokeTransfer(tr *transfer) {
+	tr.inFlight, tr.triedAt = true, t.c.Now()
+	txn := port.Txn{
+		Partition: t.c.jobPartition(tr.id),
+		Checks:    []port.Check{{Table: tr.fence.Table, Key: tr.fence.Key, Version: tr.fence.Version}},
+		Puts:      []port.Put{{Table: tr.fence.Table, Key: tr.fence.Key, Value: tr.fence.Value}},
+	}
+	runAsync(t, writeTimeout, func(ctx context.Context) (int64, error) {
+		return t.c.Store.Commit(ctx, txn)
+	}, func(_ int64, err error) {
+		tr.inFlight = false
+		t.c.recordStoreResult(ignoreConflict(err), t.c.Now())
+		conflict, conflicted := err.(*port.ConflictError)
+		if err != nil && !conflicted {
+			return
+		}
+		if conflicted {
+			t.applyFence(tr, findRow(conflict.Rows, tr.fence.Table, tr.fence.Key))
+		}
+		for _, s := range tr.tasks {
+			t.engine.ReleaseTask(s.ID(tr.id))
+		}
+		tr.step, t.urgent = moveRemoving, true
+		t.log.WithFields(log.Fields{"event": "transfer_resolved", "job": tr.id, "to": tr.to, "rewritten": err == nil}).Info("the row of the job tells which cell runs the tasks")
+		t.schedulePlan()
+	})
+}
+
+// applyFence applies the present row of a transfer's fence.
+func (t *term) applyFence(tr *transfer, row port.Row) {
+	j := t.engine.Job(tr.id)
+	switch {
+	case j == nil:
+	case !j.Hosted():
+		t.applyHomeRow(row)
+	case row.Version == 0: // all hosted tasks have gone
+		t.dropHosted(j)
+	default:
+		t.applyHostedRow(row)
+	}
+}
+
+// restoreTransfer resolves a transfer that a former owner has recorded and not completed. Its
+// tasks do not start before that.
+func (t *term) restoreTransfer(id string, record moveRecord, fence port.Row) {
+	tr := &transfer{id: id, home: t.c.Number, to: record.To, tasks: record.Tasks, fence: fence, step: moveRemoving}
+	t.transfers.active[id] = tr
+	if fence.Version != record.Version || t.engine.Job(id) == nil {
+		return // the rows have changed since, and tell which cell runs the tasks
+	}
+	tr.step = moveRevoking
+	for _, s := range tr.tasks {
+		t.engine.HoldTask(s.ID(id))
+	}
+	t.log.WithFields(log.Fields{"event": "transfer_resumed", "job": id, "to": tr.to}).Info("revoking the transfer that a former owner has begun")
+}
+
+// prune forgets what concerns jobs that are not open any more.
+func (tf *transferrer) prune(e *dispatch.Engine, now time.Time) {
+	if now.Sub(tf.prunedAt) < time.Minute {
+		return
+	}
+	tf.prunedAt = now
+	for id := range tf.notBefore {
+		if e.Job(id) == nil {
+			delete(tf.notBefore, id)
+		}
+	}
+	for id, applied := range tf.versions {
+		if e.Job(id) == nil && now.Sub(applied.at) > departureRetention {
+			delete(tf.versions, id)
+		}
+	}
+}
