Take a listing that is cut at 500 ends for a part

Cause: a worker lists 500 ends at a time. The engine took each listing for complete: it counted the worker as contacted, resolved recorded runs and gave up runs that were in no list.

The adapter now tells whether a listing may lack ends. Such a listing ends only the runs that it lists as ended, and the worker stays uncontacted, so that tasks that may have run there wait until all ends are listed.

--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -34,7 +34,7 @@
 	w.setClock(l.ClockMS, now)
 	w.markContact(now)
 	if !w.contacted {
-		w.contacted = true
+		w.contacted = !l.MoreEnds
 		// A former owner may have granted a lease up to this time, but not a longer one.
 		w.leaseUntilMS = max(w.leaseUntilMS, l.ClockMS+e.options.MaxLease.Milliseconds())
 	}
@@ -44,6 +44,10 @@
 			e.handleEnd(w, end, now)
 		}
 	}
+	if l.MoreEnds {
+		e.handlePartialListing(w, l, now)
+		return true
+	}
 	listed := map[runKey]bool{}
 	for _, entry := range l.Running {
 		listed[runKey{entry.Task, entry.Attempt}] = true
@@ -64,6 +68,19 @@
 	return true
 }
 
+// handlePartialListing handles a listing that lacks ends. A run that it does not show may have
+// ended, so that nothing is given up, and the worker counts as uncontacted if it did before.
+func (e *Engine) handlePartialListing(w *Worker, l port.Listing, now time.Time) {
+	for _, entry := range l.Running {
+		e.handleRunning(w, entry, now)
+	}
+	w.colocation.valid = false
+	if _, expected := e.uncontacted[w.Entry.ID]; expected {
+		// Its ends count however long it takes to list them.
+		e.uncontacted[w.Entry.ID] = now.Add(e.inheritedRunsWait())
+	}
+}
+
 // handleRunning handles a run that a worker lists as running.
 func (e *Engine) handleRunning(w *Worker, entry port.RunningTask, now time.Time) {
 	r := w.runs[runKey{entry.Task, entry.Attempt}]
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -280,8 +280,11 @@
 
 // inheritedRunsDeadline is when the longest lease that a former owner granted has expired
 // on the slowest clock.
-func (e *Engine) inheritedRunsDeadline() time.Time {
-	return e.takeoverAt.Add(time.Duration(float64(e.options.MaxLease)/clockRate) + leaseSlack)
+func (e *Engine) inheritedRunsDeadline() time.Time { return e.takeoverAt.Add(e.inheritedRunsWait()) }
+
+// inheritedRunsWait is the longest lease on the slowest clock.
+func (e *Engine) inheritedRunsWait() time.Duration {
+	return time.Duration(float64(e.options.MaxLease)/clockRate) + leaseSlack
 }
 
 // ExpectUnlistedWorkers records that the list of workers may be incomplete until a time.
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -33,6 +34,8 @@
 	serves      func(task string) bool
 	crashing    crashing
 	speculation speculation
+	// endsPerListing is the number of ends that a worker lists at a time.
+	endsPerListing int
 	// evacuations are those in force, by data centre.
 	evacuations map[string]evacuation
 	running     map[string]int       // current runs of a task on live workers
@@ -42,13 +45,16 @@
 }
 
 // FleetOptions describe the tasks that a fleet runs; Fails, Crashes and Serves may be nil. If
-// Demand is nil, the capacities of workers are not checked.
+// Demand is nil, the capacities of workers are not checked. EndsPerListing is the number of ends
+// that a worker lists at a time, 500 if it is zero.
 type FleetOptions struct {
 	Now          func() time.Time
 	TaskDuration func(task string) time.Duration
 	Fails        func(task string, attempt int) bool
 	Demand       func(task string) job.Resources
 	Serves       func(task string) bool
+
+	EndsPerListing int
 	CrashOptions
 	SpeculationOptions
 }
@@ -92,10 +98,13 @@
 		now: o.Now, taskDuration: o.TaskDuration, fails: o.Fails, demand: o.Demand, serves: o.Serves, workers: map[string]*fleetWorker{},
 		running: map[string]int{}, done: map[string]time.Time{}, starts: map[string]int{},
 		crashing: newCrashing(o.CrashOptions), speculation: newSpeculation(o.SpeculationOptions),
-		evacuations: map[string]evacuation{},
+		evacuations:    map[string]evacuation{},
+		endsPerListing: cmp.Or(o.EndsPerListing, defaultEndsPerListing),
 	}
 }
 
+const defaultEndsPerListing = 500
+
 // Add adds a worker, whose ID is also its address.
 func (f *Fleet) Add(id, pool string, capacity job.Resources) {
 	f.mu.Lock()
@@ -455,8 +464,9 @@
 	if boot == 0 { // on the first call only, not while the response waits
 		w.acknowledge(req.Acknowledge)
 	}
-	l := port.Listing{ClockMS: w.clock().Milliseconds(), Boot: w.entry.Boot, Ended: slices.Clone(w.ended)}
-	for _, end := range w.ended {
+	l := port.Listing{ClockMS: w.clock().Milliseconds(), Boot: w.entry.Boot, Ended: slices.Clone(w.ended[:min(len(w.ended), f.endsPerListing)])}
+	l.MoreEnds = len(l.Ended) == f.endsPerListing
+	for _, end := range l.Ended {
 		f.speculation.recordListed(end, req.Epoch)
 	}
 	for task, r := range w.runs {
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -187,6 +187,9 @@
 	Boot    int64
 	Running []RunningTask
 	Ended   []EndedTask
+	// MoreEnds is set if the worker may have further ends, which it lists once these are
+	// acknowledged.
+	MoreEnds bool
 }
 
 // ListRequest asks a worker for a listing, renews its lease and acknowledges
