Split the progress of large jobs, and set a job aside whose rows are refused

Cause: its progress was one row, which exceeds the store's limit, and a batch that is refused was repeated as it is, by each owner in turn.

A progress above half the limit is split into rows of 100 tasks, of which changed ones are written; tasks that are done take ranges in the job's row. A refused batch is halved until one job is alone, which is set aside if the others are accepted without it. Learned data, the cell map and transfers that would not fit are not written, and a job whose specification does not fit is refused at once with 413.

Evidence: the stand-in for the store has the platform's limits now.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,8 +55,10 @@
 	Self          Identity
 	Loop          Loop
 	Store         port.Store
-	Workers       port.Workers
-	Directory     port.Directory
+	// RowBytes is the store's limit of a row's value; zero means defaultRowBytes.
+	RowBytes  int
+	Workers   port.Workers
+	Directory port.Directory
 	// Machines may be nil; then an unresponsive worker is considered gone only
 	// when its lease has expired.
 	Machines port.Machines
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -178,7 +178,7 @@
 // jobOfRow returns the ID of the job that a row belongs to.
 func jobOfRow(table, key string) string {
 	if table == tableHosted {
-		id, _, _ := splitHostedKey(key)
+		id, _, _ := splitNumberedKey(key)
 		return id
 	}
 	return key
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"strings"
 	"time"
@@ -29,7 +30,12 @@
 	// maxCommitEntries is below the store's limit of 100 entries in a transaction,
 	// which leaves room for the entries of the last job and for deleted outcomes.
 	maxCommitEntries = 50
-	// maxCommitBytes is below the store's limit of 1 MB for an encoded transaction.
+	// maxTxnEntries is just below the store's limit.
+	maxTxnEntries = 98
+	// maxDeletedOutcomes bounds the outcomes that a commit deletes.
+	maxDeletedOutcomes = 10
+	// maxCommitBytes is below the store's limit of 1 MB for an encoded transaction, which is a
+	// third larger than its values, and leaves room for the rows of the last job.
 	maxCommitBytes = 500 << 10
 	// learnedInterval is the interval at which the learned data of images is
 	// stored. What is not stored is lost at a takeover, and takes seconds to learn
@@ -65,6 +71,10 @@
 	failing    bool
 	// progressRows holds the IDs of jobs that may have a progress row.
 	progressRows map[string]bool
+	// parts are the rows of split progress by job, and staleParts the keys of those to delete.
+	parts      map[string]*progressParts
+	staleParts []string
+	refused    refusedJobs
 }
 
 func newCommitter(now time.Time) committer {
@@ -72,6 +82,8 @@
 		dirty: map[string]*dispatch.Job{}, uncommittedFinal: map[string]*dispatch.Job{},
 		changedSince: map[string]int64{},
 		progressRows: map[string]bool{},
+		parts:        map[string]*progressParts{},
+		refused:      refusedJobs{until: map[string]time.Time{}},
 		committedAt:  now,
 	}
 }
@@ -122,7 +134,9 @@
 
 // batch is one commit of the owner.
 type batch struct {
-	txn      port.Txn
+	txn port.Txn
+	// bytes is the size of the values in txn.
+	bytes    int
 	record   ownerRecord
 	jobs     []*dispatch.Job
 	outcomes []*dispatch.Job
@@ -139,6 +153,14 @@
 	transfers []batchTransfer
 	// staleProgress holds the jobs whose progress rows the batch deletes.
 	staleProgress []string
+	// parts are the rows of split progress in the batch, and split the jobs whose row tells that
+	// their progress is split.
+	parts []partRef
+	split []string
+	// incomplete is set if parts of a job's progress remain for the next batch.
+	incomplete bool
+	// stalePartsDeleted is the number of stale parts that the batch handles.
+	stalePartsDeleted int
 	// roster are the rows of the roster in the batch.
 	roster []rosterChange
 	// outcomesDeleted is the number of outcomes that the commit deletes.
@@ -155,17 +177,34 @@
 	ends   map[string]endPosition
 }
 
+// put adds a row to the batch.
+func (b *batch) put(table, key string, value []byte) {
+	b.txn.Puts = append(b.txn.Puts, port.Put{Table: table, Key: key, Value: value})
+	b.bytes += len(value)
+}
+
+// isFull reports whether no further part of a job's progress is to be added.
+func (b *batch) isFull() bool {
+	return len(b.txn.Puts)+len(b.txn.Deletes) >= maxPartEntries || b.bytes > maxCommitBytes
+}
+
+// room returns how many entries fit into the batch.
+func (b *batch) room() int {
+	return max(0, maxTxnEntries-len(b.txn.Puts)-len(b.txn.Deletes)-len(b.txn.Checks))
+}
+
 type endPosition struct{ sequence, boot int64 }
 
 // commit commits the changes, on condition that the owner's row is unchanged.
 func (t *term) commit(now time.Time, release bool) {
 	b := t.buildBatch(release)
-	t.urgent = false
+	t.urgent = b.incomplete
 	t.putLearned(&b, now)
-	t.mapKeeper.put(&b)
-	t.putRoster(&b)
+	t.putMap(&b)
 	t.putMoves(&b)
 	t.putTransfers(&b)
+	t.putRoster(&b)
+	t.putStaleParts(&b)
 	t.committing, t.triedAt = true, now
 	if release && t.releaseSentAt.IsZero() {
 		t.releaseSentAt = now
@@ -184,28 +223,32 @@
 func (t *term) buildBatch(release bool) batch {
 	t.batches++
 	b := batch{changedSince: map[string]int64{}, ends: committedEnds{t.batches, map[string]endPosition{}}}
-	bytes := 0
+	now := t.c.Now()
 	for _, id := range t.changedJobs() {
-		if len(b.txn.Puts)+len(b.txn.Deletes) >= maxCommitEntries || bytes > maxCommitBytes {
+		if len(b.txn.Puts)+len(b.txn.Deletes) >= maxCommitEntries || b.bytes > maxCommitBytes || t.refused.limit > 0 && len(b.changedSince) >= t.refused.limit {
 			break
 		}
+		b.changedSince[id] = t.changedSince[id]
 		if j := t.uncommittedFinal[id]; j != nil {
 			t.putOutcome(&b, j)
-		} else {
-			bytes += t.putProgress(&b, t.dirty[id])
+		} else if t.putProgress(&b, t.dirty[id]) {
 			delete(t.dirty, id)
+		} else {
+			b.incomplete = true
+			continue // the ends of the job are acknowledged with its last part
 		}
-		b.changedSince[id] = t.changedSince[id]
 		delete(t.changedSince, id)
 	}
 	b.committed = t.batches
-	for _, since := range t.changedSince {
-		b.committed = min(b.committed, since-1)
+	for id, since := range t.changedSince {
+		if !now.Before(t.refused.until[id]) { // ends of jobs that are set aside hold up no others
+			b.committed = min(b.committed, since-1)
+		}
 	}
-	for _, id := range t.compactor.expiredOutcomes {
+	b.outcomesDeleted = min(len(t.compactor.expiredOutcomes), maxDeletedOutcomes)
+	for _, id := range t.compactor.expiredOutcomes[:b.outcomesDeleted] {
 		b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableOutcomes, Key: id})
 	}
-	b.outcomesDeleted = len(t.compactor.expiredOutcomes)
 	b.suspensions = t.c.suspensions
 	b.record = t.record
 	b.record.Sequence++
@@ -227,9 +270,9 @@
 // changedJobs returns the IDs of the jobs with changes that are in no batch, in the order
 // of their oldest change. Final jobs come first among those of the same batch.
 func (t *term) changedJobs() []string {
-	ids := make([]string, 0, len(t.changedSince))
+	ids, now := make([]string, 0, len(t.changedSince)), t.c.Now()
 	for id := range t.changedSince {
-		if t.uncommittedFinal[id] != nil || t.dirty[id] != nil {
+		if (t.uncommittedFinal[id] != nil || t.dirty[id] != nil) && !t.refused.skips(id, now) {
 			ids = append(ids, id)
 		}
 	}
@@ -269,14 +312,11 @@
 		return
 	}
 	t.learned = value
-	b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableLearned, Key: learnedKey, Value: value})
-}
-
-func (t *term) putProgress(b *batch, j *dispatch.Job) int {
-	value := encode(j.Progress())
-	b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableProgress, Key: j.Spec.ID, Value: value})
-	b.jobs = append(b.jobs, j)
-	return len(value)
+	if len(value) > t.c.rowBytes() {
+		t.log.WithFields(log.Fields{"event": "learned_too_large", "bytes": len(value)}).Warn("the learned data of images is too large to be stored; a next owner learns it again")
+		return
+	}
+	b.put(tableLearned, learnedKey, value)
 }
 
 // handleCommitResult handles the result of a commit. A commit without a response
@@ -294,6 +334,10 @@
 	default:
 		t.c.recordStoreResult(err, now)
 		t.requeueBatch(b)
+		var refused *port.RefusedError
+		if errors.As(err, &refused) && refused.Reason == port.RefusedInvalid {
+			t.batchRefused(b)
+		}
 		if !t.failing {
 			t.log.WithFields(log.Fields{"event": "commit_failed", "jobs": len(b.jobs), "outcomes": len(b.outcomes)}).WithError(err).Warn("commit failed; the next commit retries its changes")
 		}
@@ -308,6 +352,7 @@
 	for id, since := range b.changedSince {
 		t.noteChange(id, since)
 	}
+	t.partsUncertain(b)
 	for _, j := range b.jobs {
 		t.noteProgressRow(j)
 		if !j.State.Final() && t.engine.Job(j.Spec.ID) == j {
@@ -330,6 +375,8 @@
 		t.unconfirmed, t.suspended = false, false
 		t.checkOwnershipConfirmed(now)
 	}
+	t.batchAccepted(now)
+	t.partsCommitted(b)
 	for _, id := range b.staleProgress {
 		delete(t.transfers.staleProgress, id)
 	}
@@ -339,6 +386,7 @@
 	for _, j := range b.outcomes {
 		delete(t.uncommittedFinal, j.Spec.ID)
 		delete(t.progressRows, j.Spec.ID)
+		t.forgetParts(j.Spec.ID)
 		t.compactor.add(endedJob{j.Spec.ID, j.State, now})
 		t.c.instruments.countFinal(j.State)
 		t.log.WithFields(log.Fields{"event": "job_final", "job": j.Spec.ID, "state": j.State, "queue": j.Spec.Queue,
--- a/internal/cell/hosted.go
+++ b/internal/cell/hosted.go
@@ -48,14 +48,15 @@
 // hostedKey returns the key of the row of the tasks of a job in a cell.
 func hostedKey(id string, cell int) string { return fmt.Sprintf("%s/%d", id, cell) }
 
-// splitHostedKey returns the job and the cell of a row in tableHosted.
-func splitHostedKey(key string) (id string, cell int, ok bool) {
+// splitNumberedKey returns the job and the number in the key of a row in tableHosted, whose number
+// is that of the cell, or in tableProgressParts.
+func splitNumberedKey(key string) (id string, number int, ok bool) {
 	n := strings.LastIndexByte(key, '/')
 	if n < 0 {
 		return "", 0, false
 	}
-	cell, err := strconv.Atoi(key[n+1:])
-	return key[:n], cell, err == nil
+	number, err := strconv.Atoi(key[n+1:])
+	return key[:n], number, err == nil
 }
 
 // hosts returns the cells other than the job's own that run tasks of it, sorted.
@@ -134,7 +135,7 @@
 	}
 	hosted, err := c.readHosted(ctx, id)
 	for _, row := range hosted.Rows {
-		_, cell, ok := splitHostedKey(row.Key)
+		_, cell, ok := splitNumberedKey(row.Key)
 		record, decodeErr := decode[hostedRecord](row)
 		if !ok || decodeErr != nil {
 			return rows, &RowError{tableHosted, row.Key, decodeErr}
@@ -188,7 +189,7 @@
 
 // applyHostedRow applies the row of the tasks of another cell's job.
 func (t *term) applyHostedRow(row port.Row) *dispatch.Job {
-	id, cell, ok := splitHostedKey(row.Key)
+	id, cell, ok := splitNumberedKey(row.Key)
 	if !ok || cell != t.c.Number {
 		return nil
 	}
@@ -260,6 +261,7 @@
 	id := j.Spec.ID
 	t.forgetJob(id)
 	delete(t.transfers.homes, id)
+	t.forgetParts(id)
 	if t.progressRows[id] {
 		delete(t.progressRows, id)
 		t.transfers.staleProgress[id] = true
@@ -283,7 +285,7 @@
 			delete(t.transfers.staleProgress, id)
 			continue
 		}
-		if len(b.staleProgress) >= maxStaleProgress {
+		if len(b.staleProgress) >= maxStaleProgress || b.room() == 0 {
 			return
 		}
 		b.staleProgress = append(b.staleProgress, id)
@@ -354,7 +356,7 @@
 	txn := port.Txn{Partition: partition}
 	var cells []int
 	for _, row := range hosted.Rows {
-		_, cell, ok := splitHostedKey(row.Key)
+		_, cell, ok := splitNumberedKey(row.Key)
 		record, err := decode[hostedRecord](row)
 		if !ok || err == nil && record.Ended {
 			continue
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -43,7 +43,11 @@
 	if err := c.checkStore(); err != nil {
 		return err
 	}
-	version, err := c.write(ctx, c.submission(spec))
+	txn := c.submission(spec)
+	if bytes := len(txn.Puts[0].Value); bytes > c.rowBytes() {
+		return verdict.Refuse(verdict.CodeTooLarge, http.StatusRequestEntityTooLarge, 0, "the job takes %d bytes and the store holds %d", bytes, c.rowBytes())
+	}
+	version, err := c.write(ctx, txn)
 	var conflict *port.ConflictError
 	if errors.As(err, &conflict) {
 		c.Log.WithFields(log.Fields{"event": "job_resubmitted", "job": spec.ID}).Info("the job is already stored")
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -52,13 +52,20 @@
 	checkedAt time.Time
 }
 
-// put adds the pending map to a batch.
-func (k *mapKeeper) put(b *batch) {
+// putMap adds the pending map to a batch.
+func (t *term) putMap(b *batch) {
+	k := &t.mapKeeper
 	if k.pending == nil {
 		return
 	}
+	value := k.pending.Encode()
+	if len(value) > t.c.rowBytes() {
+		t.log.WithFields(log.Fields{"event": "cell_map_too_large", "bytes": len(value), "racks": len(k.pending.Racks)}).Error("the cell map is too large to be stored; keeping the one in force")
+		k.pending = nil
+		return
+	}
 	b.cellMap = k.pending
-	b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableMap, Key: mapKey, Value: k.pending.Encode()})
+	b.put(tableMap, mapKey, value)
 }
 
 // mapCommitted puts the map of a committed batch in force.
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -52,6 +52,8 @@
 	// moves that were begun and revoked, and movesCancelled those of jobs that were
 	// cancelled meanwhile.
 	jobsMoved, movesRevoked, movesCancelled metrics.Counter
+	// jobsNotCommitted counts the jobs that were set aside because the store refuses their rows.
+	jobsNotCommitted metrics.Counter
 	// tasksTransferred counts the tasks that this owner has transferred to another cell.
 	tasksTransferred metrics.Counter
 	// copiesStarted counts the copies whose start was requested, and copiesWon those that
@@ -104,6 +106,7 @@
 		bestEffortWaiting: gauge("cell.best_effort_waiting"),
 		bestEffortLoad:    gauge("cell.best_effort_load_percent"),
 		jobsMoved:         counter("cell.jobs_moved"),
+		jobsNotCommitted:  counter("cell.jobs_not_committed"),
 		tasksTransferred:  counter("cell.tasks_transferred"),
 		movesRevoked:      counter("cell.moves_revoked"),
 		movesCancelled:    counter("cell.moves_cancelled"),
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -17,8 +16,8 @@
 
 // recoveryData is the state of former owners in the store, and the workers.
 type recoveryData struct {
-	jobs, cancels, progress, outcomes, learned, cellMap, moves, roster, hosted port.Page
-	workers                                                                    workerList
+	jobs, cancels, progress, outcomes, learned, cellMap, moves, roster, hosted, parts port.Page
+	workers                                                                           workerList
 }
 
 // Timeouts and delays of the recovery.
@@ -87,6 +86,7 @@
 		readInto(ctx, t, t.c.tables.jobs, &data.jobs, scanJobs(t.c.tables.jobs)),
 		readInto(ctx, t, t.c.tables.cancels, &data.cancels, scanJobs(t.c.tables.cancels)),
 		readInto(ctx, t, tableProgress, &data.progress, scan(tableProgress)),
+		readInto(ctx, t, tableProgressParts, &data.parts, scan(tableProgressParts)),
 		readInto(ctx, t, tableOutcomes, &data.outcomes, scan(tableOutcomes)),
 		readInto(ctx, t, tableLearned, &data.learned, scan(tableLearned)),
 		readInto(ctx, t, tableMoves, &data.moves, t.readMoves),
@@ -170,10 +170,11 @@
 	for _, row := range data.progress.Rows {
 		progress[row.Key] = row
 	}
+	parts := restoreParts(data.parts)
 	for _, row := range data.jobs.Rows {
 		if spec, ok := t.decodeSpec(row); ok {
 			if j := t.add(spec, now); j != nil {
-				t.restoreJob(j, progress[row.Key])
+				t.restoreJob(j, progress[row.Key], parts[row.Key])
 			}
 			t.applyHomeRow(row)
 		}
@@ -181,13 +182,18 @@
 	}
 	for _, row := range data.hosted.Rows {
 		if j := t.applyHostedRow(row); j != nil {
-			t.restoreJob(j, progress[j.Spec.ID])
+			t.restoreJob(j, progress[j.Spec.ID], parts[j.Spec.ID])
 			delete(progress, j.Spec.ID)
 		}
 	}
 	for id := range progress {
 		t.transfers.staleProgress[id] = true
 	}
+	for _, row := range data.parts.Rows {
+		if id, _, _ := splitNumberedKey(row.Key); t.engine.Job(id) == nil {
+			t.staleParts = append(t.staleParts, row.Key)
+		}
+	}
 	for _, row := range data.cancels.Rows {
 		t.cancel(row.Key)
 	}
@@ -246,14 +252,14 @@
 	}
 }
 
-func (t *term) restoreJob(j *dispatch.Job, row port.Row) {
-	var p dispatch.Progress
+func (t *term) restoreJob(j *dispatch.Job, row port.Row, parts []port.Row) {
 	if row.Version > 0 {
 		t.progressRows[j.Spec.ID] = true
-		if err := json.Unmarshal(row.Value, &p); err != nil {
-			t.log.WithFields(log.Fields{"event": "progress_unreadable", "job": j.Spec.ID}).WithError(err).Error("cannot decode the job's progress row; restoring only what was decoded")
-			t.runsRecorded = false
-		}
+	}
+	p, err := t.decodeProgress(j, row, parts)
+	if err != nil {
+		t.log.WithFields(log.Fields{"event": "progress_unreadable", "job": j.Spec.ID}).WithError(err).Error("cannot decode the job's progress; restoring only what was decoded")
+		t.runsRecorded = false
 	}
 	if err := t.engine.Restore(j, p); err != nil {
 		t.log.WithFields(log.Fields{"event": "progress_invalid", "job": j.Spec.ID}).WithError(err).Error("progress row does not match the job; restoring the job only in part")
--- a/internal/cell/release_test.go
+++ b/internal/cell/release_test.go
@@ -137,7 +137,7 @@
 			next := newTerm(c, ownerRecord{Epoch: 9}, 1, c.Now())
 			next.runsRecorded = true
 			j := next.engine.Add(job.Spec{ID: "unreadable", Queue: "batch", Steps: []job.Step{{Tasks: 1}}}, c.Now(), 0)
-			next.restoreJob(j, port.Row{Version: 1, Value: []byte("{")})
+			next.restoreJob(j, port.Row{Version: 1, Value: []byte("{")}, nil)
 			is.True(!next.runsRecorded)
 		}))
 	})
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -131,12 +131,12 @@
 		if row.changes == row.stored {
 			continue
 		}
-		if len(b.roster) == rosterRowsPerCommit {
+		if len(b.roster) == rosterRowsPerCommit || b.room() == 0 || b.bytes > maxCommitBytes {
 			t.urgent = true
 			return
 		}
 		ids := slices.Sorted(maps.Keys(row.workers))
-		b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableRoster, Key: strconv.Itoa(n), Value: encode(rosterRecord{Workers: ids})})
+		b.put(tableRoster, strconv.Itoa(n), encode(rosterRecord{Workers: ids}))
 		b.roster = append(b.roster, rosterChange{n, row.changes, ids})
 	}
 }
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,6 +27,8 @@
 	tableLearned  = "learned"
 	tableMap      = "cellmap"
 	tableRoster   = "roster"
+	// tableProgressParts holds the progress of large jobs, with the job's row in tableProgress.
+	tableProgressParts = "progress-parts"
 	// tableMoves holds the moves of jobs to other cells that are not completed.
 	tableMoves = "moves"
 	// tableHosted holds the tasks that another cell than their job's runs. Its rows are in the
@@ -100,8 +103,11 @@
 	Transferred []transferredTask `json:"transferred,omitempty"`
 }
 
-// maxRowBytes bounds a row that may grow. It is below the store's limit of 64 KB.
-const maxRowBytes = 60_000
+// defaultRowBytes is the store's limit of a row's value if it is not configured.
+const defaultRowBytes = 65536
+
+// rowBytes returns the size up to which rows are written, below the store's limit.
+func (c *Cell) rowBytes() int { return cmp.Or(c.RowBytes, defaultRowBytes) * 15 / 16 }
 
 // outcomeRecord is the value of a final job's row in tableOutcomes.
 type outcomeRecord struct {
--- a/internal/cell/transfers.go
+++ b/internal/cell/transfers.go
@@ -209,7 +209,7 @@
 		return false
 	}
 	for _, put := range t.c.transferTxn(tr).Puts {
-		if len(put.Value) > maxRowBytes {
+		if len(put.Value) > t.c.rowBytes() {
 			t.log.WithFields(log.Fields{"event": "transfer_too_large", "job": tr.id, "bytes": len(put.Value)}).Warn("the rows of the job have no room for a transfer of its tasks")
 			t.transfers.notBefore[tr.id] = t.c.Now().Add(time.Minute)
 			return false
@@ -238,11 +238,14 @@
 	for id, tr := range t.transfers.active {
 		switch tr.step {
 		case moveRecording:
-			if b.record.Released {
+			if b.record.Released || b.room() == 0 {
 				continue
 			}
 			b.txn.Puts = append(b.txn.Puts, port.Put{Table: tableMoves, Key: id, Value: encode(moveRecord{tr.to, tr.fence.Version, tr.tasks})})
 		case moveRemoving:
+			if b.room() == 0 {
+				continue
+			}
 			b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableMoves, Key: id})
 		default:
 			continue
--- a/internal/fake/rowstore.go
+++ b/internal/fake/rowstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"slices"
 	"strings"
@@ -138,7 +139,30 @@
 	return version, err
 }
 
+// Limits of a transaction, as on the platform.
+const (
+	maxTxnEntries = 100
+	maxTxnBytes   = 1 << 20 // encoded as base64
+	maxRowBytes   = 65536
+)
+
+// checkLimits returns a *port.RefusedError if a transaction is too large.
+func checkLimits(txn port.Txn) error {
+	bytes, tooLarge := 0, len(txn.Checks)+len(txn.Puts)+len(txn.Deletes) > maxTxnEntries
+	for _, p := range txn.Puts {
+		tooLarge = tooLarge || len(p.Value) > maxRowBytes
+		bytes += base64.StdEncoding.EncodedLen(len(p.Value))
+	}
+	if tooLarge || bytes > maxTxnBytes {
+		return &port.RefusedError{Op: "commit", Reason: port.RefusedInvalid}
+	}
+	return nil
+}
+
 func (s *RowStore) commit(txn port.Txn) (int64, error) {
+	if err := checkLimits(txn); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conflict := false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,6 +122,7 @@
 		Workers:   platform.NewWorkers(client),
 		Directory: newDirectory(s, store, logger, registry),
 		Machines:  machines,
+		RowBytes:  s.RowBytes,
 		Advisor:   advisor,
 		Configs:   platform.NewConfigSource(store),
 		Peers:     pool,
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -43,6 +43,8 @@
 	// StatusRetention is how long the state of an ended job stays available to
 	// callers.
 	StatusRetention time.Duration
+	// RowBytes is the store's limit of a row's value; zero if it is not known.
+	RowBytes int
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
 	// MaxViolation is how long a service may exceed its latency target because of
