Start no task whose job may have been cancelled without the owner's knowledge

Changes of cancellations are read from all partitions at once, so that the read fails while one is unavailable, although commits succeed and other daemons store cancellations; nothing bounded the age of what the owner knew.

Logs tell how it has learned of a cancellation.

Evidence: TestNoTaskStartsWhileCancellationsCannotBeRead started the next step before and does not now.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -184,6 +184,8 @@
 	// reservedLoad and bestEffortLoad are what the open jobs request, in thousandths of a
 	// core. reservedMemory is the memory that goes with reservedLoad.
 	reservedLoad, bestEffortLoad, reservedMemory int64
+	// unverified reports whether a job may have been cancelled; nil if none may.
+	unverified func(id string, hosted bool) bool
 	// now is the time of the last call of Plan.
 	now time.Time
 	out Output
@@ -354,6 +356,12 @@
 // MarkEnded records that a job has ended under a former owner.
 func (e *Engine) MarkEnded(id string, now time.Time) { e.finalJobs[id] = now }
 
+// SetUnverified sets the function that reports whether a job may have been cancelled without the
+// owner's knowledge, so that no task of it is started; nil if there is none.
+func (e *Engine) SetUnverified(unverified func(id string, hosted bool) bool) {
+	e.unverified = unverified
+}
+
 // Cancel cancels a job: no further task of it starts and its runs are stopped.
 // It returns false if the job is not open.
 func (e *Engine) Cancel(id string) bool {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -210,7 +210,7 @@
 	if t.Done || t.elsewhere || t.held || t.givenUp() || len(t.Runs) > 0 || now.Before(t.notBefore) || e.unknownRunCounts[t.name()] > 0 {
 		return false
 	}
-	if e.mayRunElsewhere(t, now) {
+	if e.mayRunElsewhere(t, now) || e.unverified != nil && e.unverified(t.Job.Spec.ID, t.Job.hosted) {
 		return false
 	}
 	if t.Step.Service && t.Attempt == 0 && now.Sub(t.Job.arrived) < serviceBatchWindow {
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -146,6 +146,9 @@
 func (t *term) applyChanges(table string, cursor *changeCursor, page port.Page, began time.Time, complete bool) {
 	cursor.version = max(cursor.version, page.Version)
 	t.applyRows(table, page.Rows)
+	if complete {
+		t.noteCancelRead(table, began)
+	}
 	if table == t.c.tables.jobs && complete && began.After(t.jobsReadAt) {
 		t.jobsReadAt = began
 		t.engine.HandleJobsRead(began)
@@ -161,7 +164,7 @@
 		}
 		switch table {
 		case t.c.tables.cancels:
-			t.cancel(row.Key)
+			t.cancel(row.Key, "store")
 			continue
 		case tableHosted:
 			t.applyHostedRow(row)
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -71,6 +71,9 @@
 	// unreachableWorkers holds the IDs of workers, and unreachablePeers the names of
 	// daemons, to which calls time out.
 	unreachableWorkers, unreachablePeers sync.Map
+	// unreadable reports whether reads of a table in a partition fail; the partition is empty
+	// for reads of changes. It may be nil.
+	unreadable atomic.Pointer[func(table, partition string) bool]
 	// scanDelay is the duration of each read of a table other than the owner's row, in
 	// nanoseconds.
 	scanDelay atomic.Int64
@@ -441,6 +444,9 @@
 	if err := s.blockIfUnreachable(ctx, "range"); err != nil {
 		return port.Page{}, err
 	}
+	if fails := s.d.unreadable.Load(); fails != nil && (*fails)(table, partition) {
+		return port.Page{}, &port.RefusedError{Op: "range", Reason: port.RefusedBusy}
+	}
 	delay := 4 * time.Millisecond
 	if table != tableOwners {
 		delay += time.Duration(s.d.scanDelay.Load())
@@ -455,6 +461,9 @@
 	if err := s.blockIfUnreachable(ctx, "changes"); err != nil {
 		return port.Page{}, err
 	}
+	if fails := s.d.unreadable.Load(); fails != nil && (*fails)(table, "") {
+		return port.Page{}, &port.RefusedError{Op: "changes", Reason: port.RefusedBusy}
+	}
 	return s.Store.Changes(ctx, table, after, wait)
 }
 
--- a/internal/cell/hosted.go
+++ b/internal/cell/hosted.go
@@ -18,7 +18,7 @@
 
 const (
 	// hostedPoll is the interval of the reads of hosted tasks whose notification was lost.
-	hostedPoll = 2 * time.Second
+	hostedPoll = time.Second
 	// endRetryDelay is the delay before what follows from a job's end is tried again.
 	endRetryDelay = 500 * time.Millisecond
 	// maxStaleProgress bounds the deletions of progress rows in a batch.
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -30,6 +30,10 @@
 	// notifyTimeout is the timeout of a notification to the owner, which also reads
 	// the stored rows.
 	notifyTimeout = 500 * time.Millisecond
+	// maxNotifyAttempts is how often the owner is notified until it answers, each time after
+	// twice the delay, which is notifyRetryDelay at first: an owner may just have been replaced.
+	maxNotifyAttempts = 4
+	notifyRetryDelay  = 200 * time.Millisecond
 )
 
 // Submit stores a job. The error is a *verdict.RequestError with the verdict
@@ -173,13 +177,16 @@
 		})
 		return
 	}
-	if view.Owner == "" {
-		return
-	}
 	c.Loop.Go(func(ctx context.Context) func() {
-		ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
-		defer cancel()
-		_, err := c.Peers.Call(ctx, view.Owner, &peerpb.Request{Kind: &peerpb.Request_News{News: news}})
+		var err error
+		for attempt := range maxNotifyAttempts {
+			if attempt > 0 && sleep(ctx, notifyRetryDelay<<(attempt-1)) != nil {
+				break
+			}
+			if err = c.callOwner(ctx, news); err == nil {
+				break
+			}
+		}
 		return func() {
 			if err != nil {
 				c.Log.WithFields(log.Fields{"event": "owner_not_told", "jobs": len(news.GetJobs()), "cancelled": len(news.GetCancelled())}).WithError(err).Info("cannot notify the owner; it will read the rows from the store")
@@ -188,6 +195,20 @@
 	})
 }
 
+// callOwner sends a notification to the present owner.
+func (c *Cell) callOwner(ctx context.Context, news *peerpb.NewsRequest) error {
+	view := c.View()
+	if view.Owner == "" {
+		return errNoOwner
+	}
+	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	_, err := c.Peers.Call(ctx, view.Owner, &peerpb.Request{Kind: &peerpb.Request_News{News: news}})
+	return err
+}
+
+var errNoOwner = errors.New("the cell has no owner")
+
 // ErrNoJob reports a job that does not exist in the store.
 var ErrNoJob = &verdict.RequestError{
 	Code: verdict.CodeNotFound, Message: "no such job", Verdict: verdict.NotRun, Status: http.StatusGone,
--- a/internal/cell/moves.go
+++ b/internal/cell/moves.go
@@ -281,7 +281,7 @@
 			t.finishMove(m, version)
 		case conflicted && findRow(conflict.Rows, t.c.tables.jobs, m.id).Version == m.row.Version:
 			t.c.instruments.movesCancelled.Inc(1)
-			t.cancel(m.id)
+			t.cancel(m.id, "move")
 			m.step = moveRemoving
 		default:
 			t.log.WithFields(log.Fields{"event": "job_move_uncertain", "job": m.id, "to": m.to}).WithError(err).Info("it is not known whether the job has moved; revoking the move")
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -50,6 +50,7 @@
 			return
 		}
 		t.jobsReadAt = began
+		t.cancelReads.all, t.cancelReads.hosted = began, began
 		data.workers.readAt = data.workers.readAt.Add(-t.c.suspendedSince(suspended))
 		t.restore(data, now)
 		observe(t.c.instruments.recoveryReadLatency, now.Sub(began))
@@ -195,7 +196,7 @@
 		}
 	}
 	for _, row := range data.cancels.Rows {
-		t.cancel(row.Key)
+		t.cancel(row.Key, "recovery")
 	}
 	t.restoreMoves(data.moves, data.jobs, data.hosted)
 	ids := t.restoreRoster(data.roster)
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -146,6 +146,11 @@
 	return record, nil
 }
 
+// scanPartition returns a function that reads a table in one partition.
+func (c *Cell) scanPartition(table, partition string) func(context.Context) (port.Page, error) {
+	return func(ctx context.Context) (port.Page, error) { return port.ScanAll(ctx, c.Store, table, partition) }
+}
+
 // scanJobs reads a table from all job partitions in parallel. The version is the
 // lowest of the partitions; the changes after it must be read as well.
 func (c *Cell) scanJobs(ctx context.Context, table string) (port.Page, error) {
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -70,6 +70,11 @@
 	directoryPolledAt     time.Time
 	directoryReadInFlight bool
 	changes               map[string]*changeCursor
+	cancelReads           cancelReads
+	// cancelScan is set while cancellations are read by partition, which last began at
+	// cancelScannedAt.
+	cancelScan      bool
+	cancelScannedAt time.Time
 	// jobsReadAt is the start of the last successful read of the stored jobs.
 	jobsReadAt time.Time
 	prunedAt   time.Time
@@ -102,6 +107,7 @@
 	}
 	t.committer = newCommitter(now)
 	t.roster = newRoster()
+	t.cancelReads.partitions = map[string]time.Time{}
 	t.compactor = newCompactor(c)
 	t.liveness.absences = map[string]int{}
 	t.engine.SetQueues(c.queues())
@@ -180,6 +186,7 @@
 	if t.loaded && !t.releasing {
 		t.pollDirectory(now)
 		t.pollChanges(now)
+		t.scanCancels(now)
 		t.checkRecovered(now)
 		t.pollLiveness(now)
 		t.compactRows(now)
@@ -252,6 +259,7 @@
 		t.planNotBefore = done.Add(planPause(done.Sub(now), t.c.loopDelay.overloaded))
 	}()
 	if t.loaded && !t.releasing && !t.unconfirmed {
+		t.limitStarts(now)
 		t.engine.Plan(now)
 	}
 	out := t.engine.TakeOutput()
@@ -306,7 +314,7 @@
 		}
 	}
 	for _, id := range cancelled {
-		t.cancel(id)
+		t.cancel(id, "notification")
 	}
 	t.schedulePlan()
 }
@@ -329,7 +337,7 @@
 	t.c.jobStates.set(spec.ID, j.State, now)
 	if t.cancelled[spec.ID] {
 		delete(t.cancelled, spec.ID)
-		t.cancel(spec.ID)
+		t.cancel(spec.ID, "earlier")
 		return nil
 	}
 	return j
@@ -342,13 +350,13 @@
 	return ok && state.Final() && state != job.Cancelled
 }
 
-// cancel applies a stored cancellation.
-func (t *term) cancel(id string) {
+// cancel applies a stored cancellation. source tells how the owner has learned of it.
+func (t *term) cancel(id, source string) {
 	if t.engine.Job(id) == nil {
 		t.cancelled[id] = true // the job's row may be read later
 		return
 	}
 	if t.engine.Cancel(id) {
-		t.log.WithFields(log.Fields{"event": "job_cancel", "job": id}).Info("cancelled by the caller")
+		t.log.WithFields(log.Fields{"event": "job_cancel", "job": id, "source": source}).Info("cancelled by the caller")
 	}
 }
