Keep the settings of removed queues in the store

Cause: only the memory of the former owner had the settings of the queue; the next one assigned the zero value, whose pool matches no worker.

The owner stores the settings of the queues that it knows, and those of a removed one as long as it has open jobs.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,7 +7,9 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bambooyard/bambooyard/forecast"
@@ -297,6 +299,21 @@
 	}
 }
 
+// Queues returns the known settings of all queues, sorted by name.
+func (e *Engine) Queues() []job.Queue {
+	return slices.SortedFunc(maps.Values(e.queues), func(a, b job.Queue) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// UsesQueue reports whether an open job is in a queue.
+func (e *Engine) UsesQueue(name string) bool {
+	for _, j := range e.jobs {
+		if j.Spec.Queue == name {
+			return true
+		}
+	}
+	return false
+}
+
 // endedRetention is how long an ended job is remembered. Late messages about a
 // job arrive within seconds of its end, and the store's rows are deleted by then.
 const endedRetention = 5 * time.Minute
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -42,6 +42,9 @@
 	jobs    int
 	// configChanges is the number of changes of the configuration.
 	configChanges atomic.Int64
+	// queueRemovedIn is the version of the configuration from which the queue is missing; zero
+	// if there is none.
+	queueRemovedIn atomic.Int64
 	// milliCPU is the capacity of each daemon; nil if capacities are not known.
 	milliCPU func(name string) int64
 	// divided is set if the daemons divide the workers into cells.
@@ -343,13 +346,17 @@
 	return c.Decode([]byte(strconv.FormatInt(1+c.cl.configChanges.Load(), 10)))
 }
 
-func (clusterConfig) Decode(body []byte) (*port.Config, error) {
+func (c clusterConfig) Decode(body []byte) (*port.Config, error) {
 	version, err := strconv.ParseInt(string(body), 10, 64)
 	if err != nil {
 		return nil, err
 	}
 	queue := job.Queue{Name: "batch", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}
-	return &port.Config{Version: version, Body: body, Routes: []port.Route{{Queue: queue}}}, nil
+	config := &port.Config{Version: version, Body: body, Routes: []port.Route{{Queue: queue}}}
+	if removed := c.cl.queueRemovedIn.Load(); removed > 0 && version >= removed {
+		config.Routes = nil
+	}
+	return config, nil
 }
 
 // clusterPeers calls the handlers of other daemons directly.
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -146,6 +146,8 @@
 	// ones, are committed with this batch.
 	committed int64
 	ends      committedEnds
+	// queues are the settings of queues in the batch; nil if there are none.
+	queues []byte
 	// cellMap is the cell map in the batch; nil if there is none.
 	cellMap *cellmap.Map
 	// moves are those whose records are in the batch.
@@ -201,6 +203,7 @@
 	t.urgent = b.incomplete
 	t.putLearned(&b, now)
 	t.putMap(&b)
+	t.putQueues(&b, now)
 	t.putMoves(&b)
 	t.putTransfers(&b)
 	t.putRoster(&b)
@@ -376,6 +379,9 @@
 		t.checkOwnershipConfirmed(now)
 	}
 	t.batchAccepted(now)
+	if b.queues != nil {
+		t.queueKeeper.stored = b.queues
+	}
 	t.partsCommitted(b)
 	for _, id := range b.staleProgress {
 		delete(t.transfers.staleProgress, id)
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -16,8 +16,8 @@
 
 // recoveryData is the state of former owners in the store, and the workers.
 type recoveryData struct {
-	jobs, cancels, progress, outcomes, learned, cellMap, moves, roster, hosted, parts port.Page
-	workers                                                                           workerList
+	jobs, cancels, progress, outcomes, learned, cellMap, moves, roster, hosted, parts, queues port.Page
+	workers                                                                                   workerList
 }
 
 // Timeouts and delays of the recovery.
@@ -91,6 +91,7 @@
 		readInto(ctx, t, tableOutcomes, &data.outcomes, scan(tableOutcomes)),
 		readInto(ctx, t, tableLearned, &data.learned, scan(tableLearned)),
 		readInto(ctx, t, tableMoves, &data.moves, t.readMoves),
+		readInto(ctx, t, tableQueues, &data.queues, scan(tableQueues)),
 		readInto(ctx, t, tableRoster, &data.roster, scan(tableRoster)),
 		t.readWorkers(ctx, &data),
 	}
@@ -164,6 +165,7 @@
 // restore initialises the engine from the state of former owners.
 func (t *term) restore(data recoveryData, now time.Time) {
 	t.restoreMap(data.cellMap)
+	t.restoreQueues(data.queues)
 	workers := t.setWorkers(data.workers)
 	t.restoreOutcomes(data.outcomes, now)
 	t.restoreLearned(data.learned)
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -34,6 +34,9 @@
 	// tableHosted holds the tasks that another cell than their job's runs. Its rows are in the
 	// partitions of the jobs.
 	tableHosted = "hosted"
+	// tableQueues holds the settings of queues as the owner last knew them.
+	tableQueues = "queues"
+	queuesKey   = "queues"
 	ownerKey    = "owner"
 	learnedKey  = "images"
 	mapKey      = "map"
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -47,6 +47,7 @@
 	mapKeeper    mapKeeper
 	mover        mover
 	transfers    transferrer
+	queueKeeper  queueKeeper
 
 	planScheduled bool // a call of plan is posted or delayed
 	// planNotBefore is the earliest time of the next plan between ticks.
@@ -107,6 +108,7 @@
 	}
 	t.committer = newCommitter(now)
 	t.roster = newRoster()
+	t.queueKeeper.removedAt = map[string]time.Time{}
 	t.cancelReads.partitions = map[string]time.Time{}
 	t.compactor = newCompactor(c)
 	t.liveness.absences = map[string]int{}
@@ -142,6 +144,7 @@
 
 func (t *term) setQueues() {
 	t.engine.SetQueues(t.c.queues())
+	t.queueKeeper.checkedAt, t.urgent = time.Time{}, true
 	t.schedulePlan()
 }
 
