--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -333,7 +333,7 @@
 	for k := range spec.Occurrences() {
 		o := &occurrence{number: k, due: now}
 		if due := spec.DueUnixMS(k); due > 0 {
-			o.due = now.Add(time.Duration(due-wallMS) * time.Millisecond)
+			o.due = now.Add(time.Duration(min(due-wallMS, maxDelayMS)) * time.Millisecond)
 		}
 		for s := range spec.Steps {
 			step := &j.Spec.Steps[s]
@@ -365,6 +365,10 @@
 	return j
 }
 
+// maxDelayMS bounds the delay of an occurrence, in milliseconds, to a hundred years: more than
+// three hundred overflow a time.Duration.
+const maxDelayMS = 100 * 365 * 24 * 3600 * 1000
+
 // handoverWindow is how long after a takeover a former owner may still send
 // requests: it calls workers many times a second, and workers that have been
 // called under the new epoch reject it.
--- a/job/job.go
+++ b/job/job.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 )
@@ -202,7 +203,11 @@
 	if s.Schedule.Times == 0 {
 		return 0
 	}
-	return s.Schedule.FirstUnixMS + int64(occurrence)*s.Schedule.IntervalMS
+	first, interval := s.Schedule.FirstUnixMS, s.Schedule.IntervalMS
+	if interval > 0 && int64(occurrence) > (math.MaxInt64-max(0, first))/interval {
+		return math.MaxInt64
+	}
+	return first + int64(occurrence)*interval
 }
 
 // Queue is the configuration of a queue.
