Transfer services that have not begun and cannot move as a whole

Cause: a job that a former owner may have known does not move, and transfers were limited to jobs of which a start was requested.

Transfers are open to all services whose job cannot move as a whole; their tasks start nowhere before all workers have answered, so that the same rule holds. The other tasks of the step go along, as a plan tries only the first.

--- a/dispatch/obstacles.go
+++ b/dispatch/obstacles.go
@@ -76,6 +76,24 @@
 // obstacle returns why a worker of the task's pool, on which the task does not fit, cannot
 // run it.
 func (e *Engine) obstacle(t *Task, w *Worker, now time.Time) Obstacle {
+	if obstacle := w.obstacle(now); obstacle != "" {
+		return obstacle
+	}
+	switch {
+	case t.Step.Label != "" && !slices.Contains(w.Entry.Labels, t.Step.Label):
+		return ObstacleLabel
+	case t.Step.MaxPerWorker != 0 && e.stepTasksOn(t, w, nil) >= t.Step.MaxPerWorker:
+		return ObstacleSpread
+	case !e.suits(t, w, now, nil):
+		return ObstacleOther
+	case !e.advisorAllows(t, w, now):
+		return ObstacleAdvice
+	}
+	return ObstacleCapacity
+}
+
+// obstacle returns why the worker cannot run any task now; empty if it can.
+func (w *Worker) obstacle(now time.Time) Obstacle {
 	switch {
 	case !w.Listed:
 		return ObstacleUnlisted
@@ -95,14 +113,6 @@
 		return ObstacleUnknownRuns
 	case now.Before(w.backoffUntil):
 		return ObstacleBackoff
-	case t.Step.Label != "" && !slices.Contains(w.Entry.Labels, t.Step.Label):
-		return ObstacleLabel
-	case t.Step.MaxPerWorker != 0 && e.stepTasksOn(t, w, nil) >= t.Step.MaxPerWorker:
-		return ObstacleSpread
-	case !e.suits(t, w, now, nil):
-		return ObstacleOther
-	case !e.advisorAllows(t, w, now):
-		return ObstacleAdvice
 	}
-	return ObstacleCapacity
+	return ""
 }
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -118,6 +118,9 @@
 	t.setElsewhere(true)
 	e.addLoad(t.Job, 1)
 	t.held = false
+	if !t.Job.hosted {
+		e.markStarted(t.Job)
+	}
 	e.markChanged(t.Job, false)
 }
 
@@ -169,9 +172,9 @@
 }
 
 // Transferable returns the tasks of a job that run nowhere for certain and find no worker in this
-// cell, of the first step that has such tasks.
+// cell, of the first step that has such tasks. A job that can move as a whole has none.
 func (e *Engine) Transferable(j *Job, now time.Time) (TransferableStep, bool) {
-	if !j.service || !j.requested || j.held || j.waiting == 0 || j.State.Final() {
+	if !j.service || j.held || j.waiting == 0 || j.State.Final() || e.MayMove(j) {
 		return TransferableStep{}, false
 	}
 	for _, o := range j.occurrences {
@@ -180,17 +183,7 @@
 			if !step.Service || step.Gang || step.SameRack || o.pending[s] == 0 || now.Before(o.due) || !o.ready(step) {
 				continue
 			}
-			found := TransferableStep{Step: step}
-			for _, t := range o.tasks[s] {
-				if !t.waiting() || t.held || len(found.Tasks) > 0 && (t.hasRun != found.Interrupted || t.givenUp() != found.GivenUp) {
-					continue
-				}
-				if t.givenUp() || e.starved(t, now) {
-					found.Interrupted, found.GivenUp = t.hasRun, t.givenUp()
-					found.Tasks = append(found.Tasks, t.transferState())
-				}
-			}
-			if len(found.Tasks) > 0 {
+			if found := e.transferableOf(step, o.tasks[s], now); len(found.Tasks) > 0 {
 				return found, true
 			}
 		}
@@ -198,6 +191,29 @@
 	return TransferableStep{}, false
 }
 
+// transferableOf returns the tasks of a step that can be transferred together: either those that have
+// run before, or the others, and either those that are given up, or the others.
+func (e *Engine) transferableOf(step *job.Step, tasks []*Task, now time.Time) TransferableStep {
+	found := TransferableStep{Step: step}
+	for _, t := range tasks {
+		if !t.waiting() || t.held {
+			continue
+		}
+		// A plan does not try the other new tasks of a step once one of them fits nowhere.
+		beside := len(found.Tasks) > 0 && !found.Interrupted && t.reserved == nil && e.mayStart(t, now)
+		if !t.givenUp() && !beside && !e.starved(t, now) {
+			continue
+		}
+		if len(found.Tasks) == 0 {
+			found.Interrupted, found.GivenUp = t.hasRun, t.givenUp()
+		}
+		if t.hasRun == found.Interrupted && t.givenUp() == found.GivenUp {
+			found.Tasks = append(found.Tasks, t.transferState())
+		}
+	}
+	return found
+}
+
 // givenUp reports whether a hosted task is not started any more because of crashes.
 func (t *Task) givenUp() bool { return t.Job.hosted && len(t.Crashes) >= maxCrashes }
 
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -226,28 +226,7 @@
 func (t *term) buildBatch(release bool) batch {
 	t.batches++
 	b := batch{changedSince: map[string]int64{}, ends: committedEnds{t.batches, map[string]endPosition{}}}
-	now := t.c.Now()
-	for _, id := range t.changedJobs() {
-		if len(b.txn.Puts)+len(b.txn.Deletes) >= maxCommitEntries || b.bytes > maxCommitBytes || t.refused.limit > 0 && len(b.changedSince) >= t.refused.limit {
-			break
-		}
-		b.changedSince[id] = t.changedSince[id]
-		if j := t.uncommittedFinal[id]; j != nil {
-			t.putOutcome(&b, j)
-		} else if t.putProgress(&b, t.dirty[id]) {
-			delete(t.dirty, id)
-		} else {
-			b.incomplete = true
-			continue // the ends of the job are acknowledged with its last part
-		}
-		delete(t.changedSince, id)
-	}
-	b.committed = t.batches
-	for id, since := range t.changedSince {
-		if !now.Before(t.refused.until[id]) { // ends of jobs that are set aside hold up no others
-			b.committed = min(b.committed, since-1)
-		}
-	}
+	t.putChanges(&b)
 	b.outcomesDeleted = min(len(t.compactor.expiredOutcomes), maxDeletedOutcomes)
 	for _, id := range t.compactor.expiredOutcomes[:b.outcomesDeleted] {
 		b.txn.Deletes = append(b.txn.Deletes, port.Ref{Table: tableOutcomes, Key: id})
@@ -270,6 +249,32 @@
 	return b
 }
 
+// putChanges adds the changes of jobs to a batch.
+func (t *term) putChanges(b *batch) {
+	now := t.c.Now()
+	for _, id := range t.changedJobs() {
+		if len(b.txn.Puts)+len(b.txn.Deletes) >= maxCommitEntries || b.bytes > maxCommitBytes || t.refused.limit > 0 && len(b.changedSince) >= t.refused.limit {
+			break
+		}
+		b.changedSince[id] = t.changedSince[id]
+		if j := t.uncommittedFinal[id]; j != nil {
+			t.putOutcome(b, j)
+		} else if t.putProgress(b, t.dirty[id]) {
+			delete(t.dirty, id)
+		} else {
+			b.incomplete = true
+			continue // the ends of the job are acknowledged with its last part
+		}
+		delete(t.changedSince, id)
+	}
+	b.committed = t.batches
+	for id, since := range t.changedSince {
+		if !now.Before(t.refused.until[id]) { // ends of jobs that are set aside hold up no others
+			b.committed = min(b.committed, since-1)
+		}
+	}
+}
+
 // changedJobs returns the IDs of the jobs with changes that are in no batch, in the order
 // of their oldest change. Final jobs come first among those of the same batch.
 func (t *term) changedJobs() []string {
