--- a/internal/fake/ends.go
+++ b/internal/fake/ends.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
+
+	"github.com/bambooyard/bambooyard/internal/port"
 )
 
 // doneEnd is the end of a task that is done. A task must not be started after such an end that
@@ -33,3 +36,23 @@
 		}
 	}
 }
+
+// acknowledge forgets the ends up to a sequence number, and records a start after one of them.
+func (w *fleetWorker) acknowledge(sequence int64) {
+	w.ended = slices.DeleteFunc(w.ended, func(e port.EndedTask) bool {
+		if e.Sequence > sequence {
+			return false
+		}
+		w.fleet.speculation.recordListed(e, acknowledgedFailure)
+		if end := w.doneEnds[e.Sequence]; end != nil && end.startedAfter != "" && !end.lapsed {
+			w.fleet.recordViolation("task %s started as %s, which was acknowledged later", e.Task, end.startedAfter)
+		}
+		delete(w.doneEnds, e.Sequence)
+		if e.Reason == port.EndDone {
+			if _, done := w.fleet.done[e.Task]; !done {
+				w.fleet.done[e.Task] = w.fleet.now()
+			}
+		}
+		return true
+	})
+}
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -474,25 +474,6 @@
 	return int(min(100, 100*w.fleet.now().Sub(r.startedAt)/total))
 }
 
-func (w *fleetWorker) acknowledge(sequence int64) {
-	w.ended = slices.DeleteFunc(w.ended, func(e port.EndedTask) bool {
-		if e.Sequence > sequence {
-			return false
-		}
-		w.fleet.speculation.recordListed(e, acknowledgedFailure)
-		if end := w.doneEnds[e.Sequence]; end != nil && end.startedAfter != "" && !end.lapsed {
-			w.fleet.recordViolation("task %s started as %s, which was acknowledged later", e.Task, end.startedAfter)
-		}
-		delete(w.doneEnds, e.Sequence)
-		if e.Reason == port.EndDone {
-			if _, done := w.fleet.done[e.Task]; !done {
-				w.fleet.done[e.Task] = w.fleet.now()
-			}
-		}
-		return true
-	})
-}
-
 // FleetWorkers implements port.Workers on a Fleet. Fleet itself implements
 // port.Directory, whose List method differs, and port.Machines.
 type FleetWorkers struct{ *Fleet }
