Store only queues in use, and keep ended hosted rows for a while

Only queues with open jobs are stored, and removed ones for a minute as far as they fit.

A host deleted the row of an ended job at once. A successor that took over before the stops had arrived did not know the job, and stopped its runs only after 2.5 s. The row stays for 20 s now.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -304,14 +304,13 @@
 	return slices.SortedFunc(maps.Values(e.queues), func(a, b job.Queue) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// UsesQueue reports whether an open job is in a queue.
-func (e *Engine) UsesQueue(name string) bool {
+// UsedQueues returns the queues that open jobs are in.
+func (e *Engine) UsedQueues() map[string]bool {
+	used := map[string]bool{}
 	for _, j := range e.jobs {
-		if j.Spec.Queue == name {
-			return true
-		}
+		used[j.Spec.Queue] = true
 	}
-	return false
+	return used
 }
 
 // endedRetention is how long an ended job is remembered. Late messages about a
--- a/internal/cell/hosted.go
+++ b/internal/cell/hosted.go
@@ -21,6 +21,9 @@
 	hostedPoll = time.Second
 	// endRetryDelay is the delay before what follows from a job's end is tried again.
 	endRetryDelay = 500 * time.Millisecond
+	// endedHostedRetention is how long the row of a hosted job that has ended is kept: a next
+	// owner stops its runs at once, while those of an unknown job run on for seconds.
+	endedHostedRetention = 20 * time.Second
 	// maxStaleProgress bounds the deletions of progress rows in a batch.
 	maxStaleProgress = 10
 )
@@ -229,7 +232,7 @@
 
 // endHosted stops the tasks of another cell's job that has ended.
 func (t *term) endHosted(id string) {
-	t.transfers.ended[id] = time.Time{}
+	t.keepEnded(id)
 	if t.engine.Job(id) == nil {
 		t.engine.MarkEnded(id, t.c.Now()) // its runs that workers list are stopped at once
 		return
@@ -240,10 +243,17 @@
 
 // finishHosted forgets a hosted job that has ended.
 func (t *term) finishHosted(j *dispatch.Job) {
-	t.transfers.ended[j.Spec.ID] = time.Time{}
+	t.keepEnded(j.Spec.ID)
 	t.forgetHosted(j)
 }
 
+// keepEnded has the row of a hosted job that has ended deleted after endedHostedRetention.
+func (t *term) keepEnded(id string) {
+	if _, known := t.transfers.ended[id]; !known {
+		t.transfers.ended[id] = t.c.Now().Add(endedHostedRetention)
+	}
+}
+
 // dropIfEmpty drops a hosted job of which this cell runs no task any more.
 func (t *term) dropIfEmpty(j *dispatch.Job) {
 	if _, all := j.Elsewhere(); j.Hosted() && all {
--- a/internal/cell/queue_rows.go
+++ b/internal/cell/queue_rows.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -21,8 +23,7 @@
 
 // queuesRecord is the value of the row with the settings of queues.
 type queuesRecord struct {
-	// Queues are those in the configuration and those that have been removed and may have
-	// open jobs, sorted by name.
+	// Queues are those that may have open jobs, sorted by name.
 	Queues []job.Queue `json:"queues"`
 }
 
@@ -59,35 +60,44 @@
 	if bytes.Equal(value, k.stored) {
 		return
 	}
-	if len(value) > t.c.rowBytes() {
-		t.log.WithFields(log.Fields{"event": "queues_too_large", "bytes": len(value)}).Error("the settings of queues are too large to be stored; a next owner lacks those of removed queues")
-		return
-	}
 	b.put(tableQueues, queuesKey, value)
 	b.queues = value
 }
 
-// queuesToKeep returns the queues of the configuration, and those that have been removed and have
-// open jobs.
+// queuesToKeep returns the queues that open jobs are in and, as far as they fit into the row,
+// those that have been removed from the configuration a short time ago.
 func (t *term) queuesToKeep(now time.Time) []job.Queue {
-	configured := map[string]bool{}
+	k, configured, used := &t.queueKeeper, map[string]bool{}, t.engine.UsedQueues()
 	for _, q := range t.c.queues() {
 		configured[q.Name] = true
-		delete(t.queueKeeper.removedAt, q.Name)
+		delete(k.removedAt, q.Name)
+	}
+	keep, bytes := []job.Queue{}, 0
+	add := func(q job.Queue) {
+		if n := len(encode(q)) + 1; bytes+n < t.c.rowBytes() {
+			keep, bytes = append(keep, q), bytes+n
+		} else if used[q.Name] {
+			t.log.WithFields(log.Fields{"event": "queue_not_stored", "queue": q.Name}).Error("the settings of the queue do not fit into the row; its jobs do not go on after its removal and a takeover")
+		}
+	}
+	all := t.engine.Queues()
+	for _, q := range all {
+		if used[q.Name] {
+			add(q)
+		}
 	}
-	var keep []job.Queue
-	for _, q := range t.engine.Queues() {
-		if configured[q.Name] {
-			keep = append(keep, q)
+	for _, q := range all {
+		if configured[q.Name] || used[q.Name] || t.c.config == nil {
 			continue
 		}
-		since, known := t.queueKeeper.removedAt[q.Name]
+		since, known := k.removedAt[q.Name]
 		if !known {
-			since, t.queueKeeper.removedAt[q.Name] = now, now
+			since, k.removedAt[q.Name] = now, now
 		}
-		if t.c.config == nil || now.Sub(since) < removedQueueRetention || t.engine.UsesQueue(q.Name) {
-			keep = append(keep, q)
+		if now.Sub(since) < removedQueueRetention {
+			add(q)
 		}
 	}
+	slices.SortFunc(keep, func(a, b job.Queue) int { return strings.Compare(a.Name, b.Name) })
 	return keep
 }
--- a/internal/cell/transfers.go
+++ b/internal/cell/transfers.go
@@ -42,7 +42,7 @@
 	versions map[string]appliedVersion
 	// ended are hosted jobs that have ended, whose rows are to be deleted, and ending own jobs
 	// that have ended, whose tasks in other cells are to be told. The values are the last
-	// attempts.
+	// attempts, or the time before which none is made.
 	ended, ending map[string]time.Time
 	// staleProgress holds the IDs of jobs whose progress rows are to be deleted.
 	staleProgress map[string]bool
