Send large configurations from daemon to daemon, compressed

Cause: all daemons of a region read the new configuration, some 570 KB, from the store in the other region at once. That fills the link for more than a second. Reads of these daemons time out, so that they take the store for unavailable and ask the owner for the body as well, in polls that end after 0.7 s; each transfer that is given up is repeated. The owner of each cell was asked, although only the lead cell's reply is used. A body from another daemon had no version of its row, so that its owner read all of it twice a second.

Change: bodies of 64 KB and more are sent between daemons in gzip. The owner sends them with a quarter of its link at most, and names a daemon that has one to the other followers, which read the store only after 1.2 s. Followers wait for the owner's next reply before they take a confirmation for old.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -139,6 +139,9 @@
 	configConfirmedAt  time.Time // when config was last known to be the newest
 	configPolledAt     time.Time
 	configReadInFlight bool
+	// configFetchInFlight is set while a configuration is read from another daemon.
+	configFetchInFlight bool
+	bodyBudget          bodyBudget
 
 	storeLastContact time.Time // time of the last successful call to the store
 	// storeFailing is set if the last call to the store failed, and storeFailedAt is when a
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,6 +20,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/apex/log/handlers/logfmt"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/control"
@@ -42,6 +44,8 @@
 	jobs    int
 	// configChanges is the number of changes of the configuration.
 	configChanges atomic.Int64
+	// configBytes is the size to which the configuration is padded, if it is not zero.
+	configBytes atomic.Int64
 	// queueRemovedIn is the version of the configuration from which the queue is missing; zero
 	// if there is none.
 	queueRemovedIn atomic.Int64
@@ -80,6 +84,8 @@
 	// scanDelay is the duration of each read of a table other than the owner's row, in
 	// nanoseconds.
 	scanDelay atomic.Int64
+	// link, if set, is between the daemon's region and that of the store.
+	link atomic.Pointer[regionLink]
 	// commitDelay is the duration of each commit of the owner, in nanoseconds.
 	commitDelay atomic.Int64
 	// commitHook, if set, is called in place of each commit of the owner.
@@ -339,15 +345,25 @@
 	d  *daemon
 }
 
-func (c clusterConfig) Read(ctx context.Context, _ *port.Config) (*port.Config, error) {
+func (c clusterConfig) Read(ctx context.Context, known *port.Config) (*port.Config, error) {
 	if err := (daemonStore{c.cl.store, c.d}).blockIfUnreachable(ctx, "range"); err != nil {
 		return nil, err
 	}
-	return c.Decode([]byte(strconv.FormatInt(1+c.cl.configChanges.Load(), 10)))
+	body := []byte(strconv.FormatInt(1+c.cl.configChanges.Load(), 10))
+	if size := c.cl.configBytes.Load(); size > 0 {
+		if known != nil && known.Version == 1+c.cl.configChanges.Load() {
+			return known, nil // large bodies are not read again
+		}
+		body = padConfig(body, int(size))
+		if err := c.d.transfer(ctx, len(body)*4/3); err != nil { // in base64
+			return nil, &port.UnansweredError{Op: "range", Err: err}
+		}
+	}
+	return c.Decode(body)
 }
 
 func (c clusterConfig) Decode(body []byte) (*port.Config, error) {
-	version, err := strconv.ParseInt(string(body), 10, 64)
+	version, err := strconv.ParseInt(string(body[bytes.LastIndexByte(body, '\n')+1:]), 10, 64)
 	if err != nil {
 		return nil, err
 	}
@@ -384,6 +400,9 @@
 		handle = to.group.Handle
 	}
 	resp := handle(ctx, req)
+	if err := transferBetween(ctx, p.from, to, proto.Size(resp)); err != nil {
+		return nil, err
+	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err() // the response arrives too late
 	}
@@ -401,6 +420,9 @@
 
 func (s daemonStore) blockIfUnreachable(ctx context.Context, op string) error {
 	if !s.d.storeUnreachable.Load() && !s.d.isolated.Load() {
+		if err := s.d.transfer(ctx, 500); err != nil {
+			return &port.UnansweredError{Op: op, Err: err}
+		}
 		return nil
 	}
 	<-ctx.Done()
--- /dev/null
+++ b/internal/cell/config_body_test.go
@@ -0,0 +1,65 @@
+package cell
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
+	"github.com/bambooyard/bambooyard/internal/port"
+)
+
+func TestBodyBudgetLeavesRoomOnTheLink(t *testing.T) {
+	is := is.New(t)
+	var b bodyBudget
+	now := time.Unix(100, 0)
+	const mbps, body = 10, 100_000 // a quarter of the link is 312,500 bytes per second
+	for n := range 4 {
+		is.Equal(b.allows(body, mbps, now), n < 3)
+	}
+	is.True(!b.allows(body, mbps, now.Add(900*time.Millisecond)))
+	is.True(b.allows(10*body, mbps, now.Add(time.Second))) // the first one, whatever its size
+	is.True(!b.allows(1, mbps, now.Add(time.Second)))
+}
+
+// A daemon of an earlier version does not read compressed bodies, and one whose configuration is
+// not older gets none.
+func TestConfigurationIsCompressedForThoseThatReadIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 206, 2, 2, halfSecond, nil)
+		defer cl.stopAll()
+		d := cl.daemons[cl.awaitOwner()]
+		time.Sleep(time.Second)
+		cl.configBytes.Store(300 << 10)
+		version := 1 + cl.configChanges.Add(1)
+		time.Sleep(2 * time.Second)
+
+		is.Equal(len(cl.follow(d.name, false).GetConfig().GetGzipBody()), 0)
+		raw := cl.follow(d.name, true).GetConfig()
+		is.Equal(len(raw.GetGzipBody()), 0)
+		ask := func(known int64) *peerpb.Response {
+			return d.cell.Handle(context.Background(), &peerpb.Request{Kind: &peerpb.Request_Config{Config: &peerpb.ConfigRequest{KnownVersion: known}}})
+		}
+		state := ask(version - 1).GetConfig()
+		is.True(len(state.GetGzipBody()) > 0 && len(state.GetGzipBody()) < len(raw.GetBody())/4)
+		config, err := d.cell.decodeConfig(state)
+		is.NoErr(err)
+		is.True(bytes.Equal(config.Body, raw.GetBody()))
+		is.True(ask(version).GetRefusal() != nil)
+
+		_, err = d.cell.decodeConfig(&peerpb.ConfigState{GzipBody: []byte("no gzip")})
+		is.True(err != nil)
+	})
+}
+
+func TestSmallConfigurationsAreNotCompressed(t *testing.T) {
+	is := is.New(t)
+	small := &port.Config{Body: make([]byte, largeConfigBytes-1)}
+	is.NoErr(compressConfig(small))
+	is.True(small.GzipBody == nil)
+}
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -43,6 +43,11 @@
 	// ownerConfigVersion is the version of the owner's configuration at its last
 	// reply.
 	ownerConfigVersion int64
+	ownerAcceptsGzip   bool
+	// configBodyLarge is set if the owner's configuration is newer and large, and behindSince is
+	// when its version was first seen.
+	configBodyLarge bool
+	behindSince     time.Time
 	// refused is set if the last poll was refused: the daemon at the owner's address
 	// does not own the cell, or no daemon listens there.
 	refused bool
@@ -67,9 +72,9 @@
 	generation, address, suspended := l.generation, c.owner.Address, c.suspendedFor
 	follow := &peerpb.FollowRequest{
 		Cell: uint32(c.Number), Epoch: l.epoch, After: l.sequence, WaitMs: uint32(followWait.Milliseconds()),
-		Config:     c.configState(l.ownerConfigVersion, l.ownerCommitStale),
-		WantConfig: c.storeFailing,
-		Sender:     c.Self.Name, CandidateMilliCpu: uint64(c.candidateCapacity(now)),
+		Config:     c.configToOwner(),
+		WantConfig: c.storeFailing && c.isLead(), AcceptsGzip: true,
+		Sender: c.Self.Name, CandidateMilliCpu: uint64(c.candidateCapacity(now)),
 	}
 	if c.group != nil && c.isLead() {
 		c.group.describe(follow, now)
@@ -106,9 +111,14 @@
 	}
 	l.repliedAt = now
 	l.lastReply, l.epoch, l.sequence, l.refused = now, reply.GetEpoch(), reply.GetSequence(), false
+	l.ownerAcceptsGzip = reply.GetAcceptsGzip()
 	c.largestCandidate = int64(reply.GetLargestCandidateMilliCpu())
 	l.ownerCommitStale = reply.GetCommitAgeMs() > uint64(staleCommitAfter.Milliseconds())
-	if l.ownerConfigVersion = reply.GetConfig().GetVersion(); l.ownerConfigVersion > c.configVersion() {
+	l.configBodyLarge = reply.GetConfig().GetGzipBytes() > 0
+	if version := reply.GetConfig().GetVersion(); version != l.ownerConfigVersion {
+		l.ownerConfigVersion, l.behindSince = version, now
+	}
+	if l.ownerConfigVersion > c.configVersion() {
 		// Reading the small row shows sooner than reading a configuration whether
 		// the store is available.
 		c.ownerReadTriedAt = time.Time{}
@@ -125,6 +135,9 @@
 	if c.isLead() {
 		c.reportedEvacuations = decodeEvacuations(reply.GetEvacuations())
 		c.receiveConfig(reply.GetConfig(), l.sentAt.Add(-milliseconds(reply.GetConfig().GetAgeMs())))
+		if holder := reply.GetConfig().GetHolder(); holder != "" {
+			c.fetchConfig(holder)
+		}
 		if c.group != nil {
 			c.group.receive(reply, l.sentAt)
 		}
@@ -161,6 +174,8 @@
 		return c.handleState(ctx, kind.State)
 	case *peerpb.Request_CellLoad:
 		return c.handleLoad(ctx, kind.CellLoad)
+	case *peerpb.Request_Config:
+		return c.handleConfig(ctx, kind.Config)
 	default:
 		return peer.Refuse("request is not known")
 	}
@@ -213,7 +228,7 @@
 			return
 		}
 		owner = true
-		reply.Config = c.configState(req.GetConfig().GetVersion(), req.GetWantConfig())
+		reply.Config, reply.AcceptsGzip = c.configReply(req), true
 		now := c.Now()
 		reply.CommitAgeMs = uint64(max(0, now.Sub(t.committedAt).Milliseconds()))
 		reply.LargestCandidateMilliCpu = uint64(t.candidates.largest(now))
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -38,6 +38,9 @@
 type followingDaemon struct {
 	cellmap.Daemon
 	seenAt time.Time
+	// configVersion is the version of the configuration that it can send to other daemons; zero
+	// if it is of a version that does not.
+	configVersion int64
 }
 
 // cellStatus is what the owner of a cell has told, as of a time.
@@ -184,11 +187,15 @@
 	if req.GetAddress() == "" {
 		return
 	}
+	configVersion := int64(0)
+	if req.GetAcceptsGzip() {
+		configVersion = req.GetConfig().GetVersion()
+	}
 	g.daemons[req.GetSender()] = followingDaemon{cellmap.Daemon{
 		Name: req.GetSender(), Address: req.GetAddress(), Region: g.options.RegionOf(req.GetDataCentre()),
 		MilliCPU: int64(req.GetMilliCpu()), LinkMbps: int64(req.GetLinkMbps()), Stopping: req.GetStopping(),
 		StoreFailing: req.GetMilliCpu() > 0 && req.GetCandidateMilliCpu() == 0,
-	}, now}
+	}, now, configVersion}
 	for _, s := range req.GetOwned() {
 		g.recordStatus(s, now)
 	}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -331,8 +331,10 @@
 	Limits  Limits
 	// Body is the encoded configuration, as stored.
 	Body []byte
+	// GzipBody is the body in gzip; nil if it is small.
+	GzipBody []byte
 	// StoredVersion is the version of the row that the configuration was read
-	// from; zero if another daemon sent it.
+	// from; zero if it is not known.
 	StoredVersion int64
 }
 
