--- a/internal/cell/config_body_test.go
+++ b/internal/cell/config_body_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 	"github.com/bambooyard/bambooyard/internal/port"
 )
@@ -63,3 +64,23 @@
 	is.NoErr(compressConfig(small))
 	is.True(small.GzipBody == nil)
 }
+
+func TestConfigHolderIsPreferablyInTheRegion(t *testing.T) {
+	is := is.New(t)
+	g := &Group{options: GroupOptions{RegionOf: func(dataCentre string) string { return dataCentre }}, daemons: map[string]followingDaemon{}}
+	now := time.Unix(100, 0)
+	add := func(name, region string, version int64, seenAt time.Time) {
+		g.daemons[name] = followingDaemon{cellmap.Daemon{Name: name, Address: name, Region: region}, seenAt, version}
+	}
+	ask := func() string {
+		return g.configHolder(&peerpb.FollowRequest{Sender: "asks", DataCentre: "west"}, 7, now)
+	}
+	add("asks", "west", 7, now)
+	add("behind", "west", 6, now)
+	add("silent", "west", 7, now.Add(-linkTimeout-1))
+	is.Equal(ask(), "")
+	add("far", "east", 7, now)
+	is.Equal(ask(), "far")
+	add("near", "west", 7, now)
+	is.Equal(ask(), "near")
+}
--- a/internal/cell/transfer_histories_test.go
+++ b/internal/cell/transfer_histories_test.go
@@ -52,12 +52,11 @@
 	}
 	time.Sleep(5 * time.Second)
 	lost := map[string]bool{}
-	cancelled, unacknowledged := map[string]bool{}, map[string]bool{}
+	cancelled := map[string]bool{} // whether that was acknowledged
 	for range 10 {
 		if id := fmt.Sprintf("service%04d", 1+rng.IntN(cl.jobs)); !cancelled[id] {
 			if d := cl.daemons[fmt.Sprintf("d%d", rng.IntN(6))]; d != nil {
 				cancelled[id] = cl.tryCancel(d, id)
-				unacknowledged[id] = !cancelled[id]
 			}
 		}
 		for id := range lost {
@@ -102,7 +101,8 @@
 		// Jobs under whose tasks workers were lost repeatedly have failed. A cancellation
 		// that was not acknowledged may have been stored.
 		state := cl.state(id)
-		mayHaveEnded := state == job.Failed || state == job.Cancelled && unacknowledged[id]
+		_, tried := cancelled[id]
+		mayHaveEnded := state == job.Failed || state == job.Cancelled && tried
 		if running != 0 || !mayHaveEnded {
 			t.Errorf("%d of the %d tasks of job %s run, which is %q", running, n, id, state)
 		}
