Decode configurations of other daemons off the control loop

A configuration from a holder also did not subtract the time for which the VM was suspended from its age, as the owner's does.

Change: bodies are decoded where the reply is received, before the loop. The age of a holder's body includes suspensions.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -158,23 +158,14 @@
 	return c.group.options.LinkMbps
 }
 
-// receiveConfig applies another daemon's configuration state, which was the newest
-// at a time.
-func (c *Cell) receiveConfig(s *peerpb.ConfigState, at time.Time) {
-	if s == nil {
-		return
-	}
-	if c.config != nil && s.GetVersion() == c.config.Version {
+// receiveConfig applies another daemon's configuration state, which was the newest at a time.
+// The decoded body is nil if the state has none.
+func (c *Cell) receiveConfig(s *peerpb.ConfigState, body *port.Config, at time.Time) {
+	switch {
+	case s == nil:
+	case c.config != nil && s.GetVersion() == c.config.Version:
 		c.adopt(c.config, at)
-		return
-	}
-	if len(s.GetBody()) == 0 && len(s.GetGzipBody()) == 0 {
-		return
-	}
-	config, err := c.decodeConfig(s)
-	if err != nil {
-		c.Log.WithFields(log.Fields{"event": "config_unreadable", "version": s.GetVersion()}).WithError(err).Warn("cannot decode the configuration from another daemon")
-		return
+	case body != nil:
+		c.adopt(body, at)
 	}
-	c.adopt(config, at)
 }
--- a/internal/cell/config_body.go
+++ b/internal/cell/config_body.go
@@ -8,6 +8,8 @@
 	"io"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
@@ -53,8 +55,22 @@
 	return nil
 }
 
-// decodeConfig decodes a configuration that another daemon has sent.
-func (c *Cell) decodeConfig(s *peerpb.ConfigState) (*port.Config, error) {
+// decodeConfig decodes the body that another daemon has sent, and returns nil if there is none or it
+// is not valid. It takes several milliseconds, and must not be called on the control loop.
+func (c *Cell) decodeConfig(s *peerpb.ConfigState) *port.Config {
+	if len(s.GetBody()) == 0 && len(s.GetGzipBody()) == 0 {
+		return nil
+	}
+	config, err := c.decodeBody(s)
+	if err != nil {
+		c.Log.WithFields(log.Fields{"event": "config_unreadable", "version": s.GetVersion()}).WithError(err).Warn("cannot decode the configuration from another daemon")
+		return nil
+	}
+	config.GzipBody, config.StoredVersion = s.GetGzipBody(), s.GetStoredVersion()
+	return config
+}
+
+func (c *Cell) decodeBody(s *peerpb.ConfigState) (*port.Config, error) {
 	body := s.GetBody()
 	if len(s.GetGzipBody()) > 0 {
 		r, err := gzip.NewReader(bytes.NewReader(s.GetGzipBody()))
@@ -65,12 +81,7 @@
 			return nil, fmt.Errorf("cannot decompress the configuration: %w", err)
 		}
 	}
-	config, err := c.Configs.Decode(body)
-	if err != nil {
-		return nil, err
-	}
-	config.GzipBody, config.StoredVersion = s.GetGzipBody(), s.GetStoredVersion()
-	return config, nil
+	return c.Configs.Decode(body)
 }
 
 // bodyExpected reports whether other daemons are expected to send a large newer configuration.
@@ -86,17 +97,22 @@
 		return
 	}
 	c.configFetchInFlight = true
-	sentAt := c.Now()
+	sentAt, suspended := c.Now(), c.suspendedFor
 	req := &peerpb.Request{Kind: &peerpb.Request_Config{Config: &peerpb.ConfigRequest{KnownVersion: c.configVersion()}}}
-	control.Async(c.Loop, func(ctx context.Context) (*peerpb.ConfigState, error) {
+	type fetched struct {
+		state *peerpb.ConfigState
+		body  *port.Config
+	}
+	control.Async(c.Loop, func(ctx context.Context) (fetched, error) {
 		ctx, cancel := context.WithTimeout(ctx, followTimeout)
 		defer cancel()
 		resp, err := c.Peers.Call(ctx, holder, req)
-		return resp.GetConfig(), err
-	}, func(s *peerpb.ConfigState, err error) {
+		return fetched{resp.GetConfig(), c.decodeConfig(resp.GetConfig())}, err
+	}, func(f fetched, err error) {
 		c.configFetchInFlight = false
 		if err == nil {
-			c.receiveConfig(s, sentAt.Add(-milliseconds(s.GetAgeMs())))
+			confirmedAt := sentAt.Add(-c.suspendedSince(suspended)).Add(-milliseconds(f.state.GetAgeMs()))
+			c.receiveConfig(f.state, f.body, confirmedAt)
 			c.publish()
 		}
 	})
--- a/internal/cell/config_body_test.go
+++ b/internal/cell/config_body_test.go
@@ -48,13 +48,11 @@
 		}
 		state := ask(version - 1).GetConfig()
 		is.True(len(state.GetGzipBody()) > 0 && len(state.GetGzipBody()) < len(raw.GetBody())/4)
-		config, err := d.cell.decodeConfig(state)
-		is.NoErr(err)
+		config := d.cell.decodeConfig(state)
 		is.True(bytes.Equal(config.Body, raw.GetBody()))
 		is.True(ask(version).GetRefusal() != nil)
 
-		_, err = d.cell.decodeConfig(&peerpb.ConfigState{GzipBody: []byte("no gzip")})
-		is.True(err != nil)
+		is.True(d.cell.decodeConfig(&peerpb.ConfigState{GzipBody: []byte("no gzip")}) == nil)
 	})
 }
 
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -12,6 +12,7 @@
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -80,22 +81,29 @@
 		c.group.describe(follow, now)
 	}
 	req := &peerpb.Request{Kind: &peerpb.Request_Follow{Follow: follow}}
-	control.Async(c.Loop, func(ctx context.Context) (*peerpb.FollowReply, error) {
+	control.Async(c.Loop, func(ctx context.Context) (followed, error) {
 		ctx, cancel := context.WithTimeout(ctx, followTimeout)
 		defer cancel()
 		resp, err := c.Peers.Call(ctx, address, req)
-		return resp.GetFollow(), err
-	}, func(reply *peerpb.FollowReply, err error) {
+		reply := resp.GetFollow()
+		return followed{reply, c.decodeConfig(reply.GetConfig())}, err
+	}, func(f followed, err error) {
 		if c.link.generation == generation {
 			c.link.sentAt = c.link.sentAt.Add(-c.suspendedSince(suspended))
-			c.handleFollowReply(reply, err)
+			c.handleFollowReply(f, err)
 		}
 	})
 }
 
+// followed is the reply to a poll, and the configuration in it, if any.
+type followed struct {
+	reply  *peerpb.FollowReply
+	config *port.Config
+}
+
 // handleFollowReply handles the owner's reply, or the failure of the poll.
-func (c *Cell) handleFollowReply(reply *peerpb.FollowReply, err error) {
-	l := &c.link
+func (c *Cell) handleFollowReply(f followed, err error) {
+	l, reply := &c.link, f.reply
 	now := c.Now()
 	l.inFlight = false
 	if err != nil || reply == nil {
@@ -134,7 +142,7 @@
 	}
 	if c.isLead() {
 		c.reportedEvacuations = decodeEvacuations(reply.GetEvacuations())
-		c.receiveConfig(reply.GetConfig(), l.sentAt.Add(-milliseconds(reply.GetConfig().GetAgeMs())))
+		c.receiveConfig(reply.GetConfig(), f.config, l.sentAt.Add(-milliseconds(reply.GetConfig().GetAgeMs())))
 		if holder := reply.GetConfig().GetHolder(); holder != "" {
 			c.fetchConfig(holder)
 		}
@@ -187,9 +195,10 @@
 func (c *Cell) handleFollow(ctx context.Context, req *peerpb.FollowRequest) *peerpb.Response {
 	after, epoch := req.GetAfter(), int64(0)
 	known := int64(0)
+	config := c.decodeConfig(req.GetConfig())
 	err := c.Loop.Do(ctx, func() {
 		if c.isLead() {
-			c.receiveConfig(req.GetConfig(), c.configConfirmedAt)
+			c.receiveConfig(req.GetConfig(), config, c.configConfirmedAt)
 		}
 		if c.term != nil {
 			epoch = c.term.record.Epoch
