--- a/internal/cell/config_link_test.go
+++ b/internal/cell/config_link_test.go
@@ -70,9 +70,8 @@
 	return append(append(b.Bytes(), '\n'), version...)
 }
 
-// Guards against UNASKED of issue 38, inc1: after 1,400 routes were added, the daemons of a region
-// transferred the configuration again and again, the link was saturated until the routes were removed,
-// and cancellations at these daemons failed.
+// Guards against a region that stays unready because its daemons repeat transfers of a large
+// configuration, which saturate the link between regions (issue 38, inc1).
 func TestLargeConfigurationReachesARegionOverANarrowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newDividedCluster(t, 205, 16, halfSecond, nil)
@@ -87,7 +86,6 @@
 			}
 		}
 		// 20 daemons share 60 Mbit/s in the case reported; here there are eight.
-		// 20 daemons share 60 Mbit/s in the case reported; here there are eight.
 		link := &regionLink{bytesPerSecond: 3 << 20}
 		for _, name := range far {
 			cl.daemons[name].link.Store(link)
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -44,7 +44,8 @@
 	// ownerConfigVersion is the version of the owner's configuration at its last
 	// reply.
 	ownerConfigVersion int64
-	ownerAcceptsGzip   bool
+	// ownerAcceptsGzip is set if the owner reads compressed configurations.
+	ownerAcceptsGzip bool
 	// configBodyLarge is set if the owner's configuration is newer and large, and behindSince is
 	// when its version was first seen.
 	configBodyLarge bool
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -38,8 +38,8 @@
 type followingDaemon struct {
 	cellmap.Daemon
 	seenAt time.Time
-	// configVersion is the version of the configuration that it can send to other daemons; zero
-	// if it is of a version that does not.
+	// configVersion is the version of the configuration that the daemon can send to others; zero
+	// if it cannot.
 	configVersion int64
 }
 
