Log what other cells have answered for a starved service

A service task that finds no worker is logged as service_starved.

The line now has the state of the transfer and the last answers, an owner that does not answer is told apart from one without room, and two counters show how many searches there were and how many failed.

No decision is changed.

--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -141,10 +141,14 @@
 	return &load
 }
 
-// askRoom asks the owner of a cell for how many tasks it has room. It returns zero if the owner
-// does not answer or is a daemon of an earlier version.
+// askRoom asks the owner of a cell for how many tasks it has room. It returns noAnswer if the
+// owner does not answer, and zero if it is a daemon of an earlier version.
 func (g *Group) askRoom(ctx context.Context, n int, id string, tasks *peerpb.TaskRequest) int {
-	return int(g.requestLoad(ctx, &peerpb.LoadRequest{Cell: uint32(n), Job: id, Tasks: tasks}).GetTaskRoom())
+	load := g.requestLoad(ctx, &peerpb.LoadRequest{Cell: uint32(n), Job: id, Tasks: tasks})
+	if load == nil {
+		return noAnswer
+	}
+	return int(load.GetTaskRoom())
 }
 
 // requestLoad sends a request for the load of a cell to its owner, and returns nil if it does
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -56,6 +56,9 @@
 	jobsNotCommitted metrics.Counter
 	// tasksTransferred counts the tasks that this owner has transferred to another cell.
 	tasksTransferred metrics.Counter
+	// roomSearches counts the requests for room in other cells for tasks of a job, and
+	// roomSearchesFailed those after which no transfer was begun.
+	roomSearches, roomSearchesFailed metrics.Counter
 	// copiesStarted counts the copies whose start was requested, and copiesWon those that
 	// were done before the first run.
 	copiesStarted, copiesWon metrics.Counter
@@ -101,19 +104,21 @@
 		depthsRefused:  counter("cell.depths_refused"),
 		tasksGivenUp:   counter("cell.tasks_given_up"),
 
-		evacuatingWorkers: gauge("cell.evacuating_workers"),
-		evacuatingRuns:    gauge("cell.evacuating_runs"),
-		bestEffortWaiting: gauge("cell.best_effort_waiting"),
-		bestEffortLoad:    gauge("cell.best_effort_load_percent"),
-		jobsMoved:         counter("cell.jobs_moved"),
-		jobsNotCommitted:  counter("cell.jobs_not_committed"),
-		tasksTransferred:  counter("cell.tasks_transferred"),
-		movesRevoked:      counter("cell.moves_revoked"),
-		movesCancelled:    counter("cell.moves_cancelled"),
-		copiesStarted:     counter("cell.copies_started"),
-		copiesWon:         counter("cell.copies_won"),
-		reservationsMade:  counter("cell.reservations_made"),
-		interrupted:       gauge("cell.services_interrupted"),
+		evacuatingWorkers:  gauge("cell.evacuating_workers"),
+		evacuatingRuns:     gauge("cell.evacuating_runs"),
+		bestEffortWaiting:  gauge("cell.best_effort_waiting"),
+		bestEffortLoad:     gauge("cell.best_effort_load_percent"),
+		jobsMoved:          counter("cell.jobs_moved"),
+		jobsNotCommitted:   counter("cell.jobs_not_committed"),
+		tasksTransferred:   counter("cell.tasks_transferred"),
+		roomSearches:       counter("cell.room_searches"),
+		roomSearchesFailed: counter("cell.room_searches_failed"),
+		movesRevoked:       counter("cell.moves_revoked"),
+		movesCancelled:     counter("cell.moves_cancelled"),
+		copiesStarted:      counter("cell.copies_started"),
+		copiesWon:          counter("cell.copies_won"),
+		reservationsMade:   counter("cell.reservations_made"),
+		interrupted:        gauge("cell.services_interrupted"),
 	}
 	m.registerByReason()
 	return m
--- a/internal/cell/observe.go
+++ b/internal/cell/observe.go
@@ -124,7 +124,7 @@
 		demand := s.Task.Step.Resources
 		t.log.WithFields(log.Fields{"event": "service_starved", "task": s.Task.ID.String(), "waited_ms": now.Sub(s.Task.ReadySince(now)).Milliseconds(),
 			"cpu": demand.MilliCPU, "memory_mb": demand.MemoryMB, "most_free_cpu": s.MostFree.MilliCPU, "most_free_memory_mb": s.MostFree.MemoryMB,
-			"workers": strings.Join(reasons, ",")}).
+			"workers": strings.Join(reasons, ",")}).WithFields(t.transferFields(s.Task, now)).
 			Warn("no worker has capacity for an interrupted service task, even without its other tasks")
 	}
 }
--- a/internal/cell/transfers.go
+++ b/internal/cell/transfers.go
@@ -36,6 +36,8 @@
 	checkedAt time.Time
 	// claims are the tasks that other cells have asked room for, by job ID.
 	claims map[string]roomClaim
+	// searches are the last requests for room, by job ID.
+	searches map[string]transferSearch
 	// homes are the home cells of the hosted jobs.
 	homes map[string]int
 	// versions are those of the last rows applied, by job ID.
@@ -62,7 +64,8 @@
 func newTransferrer() transferrer {
 	return transferrer{
 		active: map[string]*transfer{}, notBefore: map[string]time.Time{}, claims: map[string]roomClaim{},
-		homes: map[string]int{}, versions: map[string]appliedVersion{},
+		searches: map[string]transferSearch{},
+		homes:    map[string]int{}, versions: map[string]appliedVersion{},
 		ended: map[string]time.Time{}, ending: map[string]time.Time{}, staleProgress: map[string]bool{},
 	}
 }
@@ -149,9 +152,12 @@
 
 // preparedTransfer is what is read before a transfer.
 type preparedTransfer struct {
-	rows       transferRows
+	rows transferRows
+	// candidates are the cells that were asked at askedAt, and room the number of tasks that each
+	// has room for, or noAnswer.
 	candidates []int
 	room       []int
+	askedAt    time.Time
 }
 
 // prepareTransfer reads the rows of a job and asks other cells for room.
@@ -166,7 +172,7 @@
 	t.transfers.active[id] = tr
 	request := taskRequest(j, found)
 	runAsync(t, prepareTimeout, func(ctx context.Context) (preparedTransfer, error) {
-		p := preparedTransfer{candidates: candidates, room: make([]int, len(candidates))}
+		p := preparedTransfer{candidates: candidates, room: make([]int, len(candidates)), askedAt: now}
 		var wg sync.WaitGroup
 		for i, n := range candidates {
 			wg.Go(func() {
@@ -182,7 +188,9 @@
 		p.rows = rows
 		return p, err
 	}, func(p preparedTransfer, err error) {
-		if err != nil || !t.decideTransfer(tr, p) {
+		chosen := err == nil && t.decideTransfer(tr, p)
+		t.searched(id, p, chosen)
+		if !chosen {
 			delete(t.transfers.active, id)
 		}
 	})
@@ -197,7 +205,7 @@
 	}
 	found, ok := t.engine.Transferable(j, t.c.Now())
 	to, room := bestRoom(p, tr.home)
-	if !ok || room == 0 {
+	if !ok || room <= 0 {
 		return false
 	}
 	tr.rows, tr.fence = p.rows, p.rows.home
@@ -394,6 +402,11 @@
 			delete(tf.notBefore, id)
 		}
 	}
+	for id := range tf.searches {
+		if e.Job(id) == nil {
+			delete(tf.searches, id)
+		}
+	}
 	for id, applied := range tf.versions {
 		if e.Job(id) == nil && now.Sub(applied.at) > departureRetention {
 			delete(tf.versions, id)
