--- a/internal/cell/transfer_room_test.go
+++ b/internal/cell/transfer_room_test.go
@@ -57,3 +57,29 @@
 
 // starvedLogInterval is the interval at which a starved task is logged.
 const starvedLogInterval = 5 * time.Second
+
+// Guards against LOST: a service stays away although another cell has room for it, because that
+// cell has interrupted services of its own that fit on none of its workers.
+func TestServiceIsTransferredToACellWhoseOwnServicesFitNowhere(t *testing.T) {
+	runTransfer(t, 810, func(mc *moveCluster) {
+		workers := 0
+		mc.eachWorker(movingFrom, func(string) { workers++ })
+		// Two workers keep room for one task of the service each, and the others for none.
+		mc.submitTo(movingFrom, lasting("narrow", 2, 5000))
+		time.Sleep(settleDelay)
+		roomy := map[string]bool{}
+		mc.eachWorker(movingFrom, func(id string) { roomy[id] = mc.fleet.RunningOn(id) > 0 })
+		mc.submitTo(movingFrom, lasting("wide", workers-2, 7000))
+		time.Sleep(settleDelay)
+		left := 0
+		mc.eachWorker(movingFrom, func(id string) {
+			if !roomy[id] && left < 3 {
+				mc.drainSoon(id)
+				left++
+			}
+		})
+	}, func(mc *moveCluster) {
+		time.Sleep(2 * settleDelay)
+		mc.awaitRunning(time.Second)
+	})
+}
