Count interrupted services in the room of a cell only where they fit

Callers saw LOST: a service task stays away for good although another cell has a worker with room for it.

RoomFor began at minus the number of interrupted services of the host cell, so that a service that is too large for each worker, of another pool, or of a gang that cannot run took the place of one that fits. After half of the workers have left, each cell has hundreds of these, and each answers 0 to everything.

An interrupted service without a reservation now takes room only where it could run itself, a gang only as a whole, and earlier requests of other cells take what they asked for rather than a place of any size. The property test bounds its plans and extends leases as other tests do.

--- /dev/null
+++ b/dispatch/room.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bambooyard/bambooyard/job"
+)
+
+// RoomRequest describes tasks of a service that another cell asks room for.
+type RoomRequest struct {
+	Pool, Label  string
+	Resources    job.Resources
+	MaxPerWorker int // zero means no limit
+	Tasks        int
+	// Displacing is set if other tasks that are no services may be stopped for these.
+	Displacing bool
+}
+
+// RoomFor returns for how many of the requested tasks there is room beside the interrupted
+// services of this cell and the tasks of earlier requests. An interrupted service takes room
+// only where it could run itself.
+func (e *Engine) RoomFor(r RoomRequest, earlier []RoomRequest, now time.Time) int {
+	room := e.freeRoom(r.Pool, r.Displacing, now)
+	if room.placesFor(r) == 0 {
+		return 0
+	}
+	for _, tasks := range e.unplacedOf(r.Pool) {
+		e.takeRoom(room, tasks, now)
+	}
+	for _, other := range earlier {
+		if other.Pool == r.Pool {
+			room.take(other)
+		}
+	}
+	return room.placesFor(r)
+}
+
+// workerRoom is what further tasks may use of a worker.
+type workerRoom struct {
+	worker *Worker
+	free   job.Resources
+}
+
+// poolRoom is what further tasks may use of the workers of a pool, those with the fewest free
+// processors first, so that small tasks leave the large pieces to others.
+type poolRoom []*workerRoom
+
+// freeRoom returns the capacity of a pool's workers that no run uses and no task has reserved;
+// with displacing, also that of tasks that are no services.
+func (e *Engine) freeRoom(pool string, displacing bool, now time.Time) poolRoom {
+	var room poolRoom
+	for _, w := range e.workerList {
+		if w.Entry.Pool != pool || !w.schedulable(now) {
+			continue
+		}
+		free := w.unreserved()
+		if displacing {
+			free = free.Add(w.clearable())
+		}
+		room = append(room, &workerRoom{w, free})
+	}
+	slices.SortStableFunc(room, func(a, b *workerRoom) int { return cmp.Compare(a.free.MilliCPU, b.free.MilliCPU) })
+	return room
+}
+
+// places returns how many of n tasks of a request fit on the worker.
+func (w *workerRoom) places(r RoomRequest, n int) int {
+	if r.Label != "" && !slices.Contains(w.worker.Entry.Labels, r.Label) {
+		return 0
+	}
+	if r.MaxPerWorker > 0 {
+		n = min(n, r.MaxPerWorker)
+	}
+	fit := 0
+	for free := w.free; fit < n && r.Resources.Fits(free); fit++ {
+		free = free.Sub(r.Resources)
+	}
+	return fit
+}
+
+// placesFor returns for how many tasks of a request there is room, up to all of them.
+func (room poolRoom) placesFor(r RoomRequest) int {
+	n := 0
+	for _, w := range room {
+		n += w.places(r, r.Tasks-n)
+	}
+	return n
+}
+
+// take takes the room of as many tasks of a request as fit.
+func (room poolRoom) take(r RoomRequest) {
+	left := r.Tasks
+	for _, w := range room {
+		fit := w.places(r, left)
+		w.free = w.free.Sub(times(r.Resources, int64(fit)))
+		left -= fit
+	}
+}
+
+// unplacedOf returns the interrupted service tasks of a pool that no capacity is reserved for,
+// the largest first. A gang's tasks are returned together, and others alone.
+func (e *Engine) unplacedOf(pool string) [][]*Task {
+	var unplaced [][]*Task
+	for _, j := range e.jobs {
+		if !j.service || j.waiting == 0 || j.held || j.Queue.Pool != pool {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for s := range j.Spec.Steps {
+				var tasks []*Task
+				for _, t := range o.tasks[s] {
+					if t.interrupted() && t.reserved == nil && !t.held && !t.givenUp() {
+						tasks = append(tasks, t)
+					}
+				}
+				if j.Spec.Steps[s].Gang && len(tasks) > 0 {
+					unplaced = append(unplaced, tasks)
+					continue
+				}
+				for _, t := range tasks {
+					unplaced = append(unplaced, []*Task{t})
+				}
+			}
+		}
+	}
+	slices.SortFunc(unplaced, func(a, b []*Task) int {
+		return cmp.Or(cmp.Compare(b[0].Step.Resources.MilliCPU, a[0].Step.Resources.MilliCPU), cmp.Compare(a[0].name(), b[0].name()))
+	})
+	return unplaced
+}
+
+// takeRoom takes the room of tasks if all of them fit.
+func (e *Engine) takeRoom(room poolRoom, tasks []*Task, now time.Time) {
+	var taken []*workerRoom
+	for _, t := range tasks {
+		need := demand(t.Step)
+		i := slices.IndexFunc(room, func(w *workerRoom) bool {
+			return need.Fits(w.free) && e.suits(t, w.worker, now, nil) && e.advisorAllows(t, w.worker, now)
+		})
+		if i < 0 {
+			for _, w := range taken {
+				w.free = w.free.Add(need)
+			}
+			return
+		}
+		room[i].free = room[i].free.Sub(need)
+		taken = append(taken, room[i])
+	}
+}
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -30,8 +30,8 @@
 		f.plan(time.Second)
 	}
 	is.Equal(f.Interrupted(), 1)
-	is.Equal(f.RoomFor(roomRequest(1, 7000), f.now), 1)
-	is.Equal(f.RoomFor(roomRequest(1, 9000), f.now), 0)
+	is.Equal(f.RoomFor(roomRequest(1, 7000), nil, f.now), 1)
+	is.Equal(f.RoomFor(roomRequest(1, 9000), nil, f.now), 0)
 }
 
 // Guards against LOST: interrupted services of another pool, of which a cell cannot run any more,
@@ -53,7 +53,7 @@
 	f.listAllRunning()
 	f.plan(time.Second)
 	is.Equal(f.Interrupted(), 4)
-	is.Equal(f.RoomFor(roomRequest(1, 7000), f.now), 1)
+	is.Equal(f.RoomFor(roomRequest(1, 7000), nil, f.now), 1)
 }
 
 // Guards against services that lose their place to those of another cell: the room that a cell
@@ -62,12 +62,12 @@
 	is := is.New(t)
 	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
 	runs := f.place("service", serviceStep(1, 5000), "b")
-	is.Equal(f.RoomFor(roomRequest(2, 7000), f.now), 1)
+	is.Equal(f.RoomFor(roomRequest(2, 7000), nil, f.now), 1)
 	f.lose()
 	is.Equal(f.Interrupted(), 1)
 	is.Equal(len(runs[0].Task.Runs), 0)
-	is.Equal(f.RoomFor(roomRequest(2, 7000), f.now), 0)
-	is.Equal(f.RoomFor(roomRequest(2, 3000), f.now), 1)
+	is.Equal(f.RoomFor(roomRequest(2, 7000), nil, f.now), 0)
+	is.Equal(f.RoomFor(roomRequest(2, 3000), nil, f.now), 1)
 }
 
 // Guards against a gang that cannot run, of which single tasks take room that others could use.
@@ -82,7 +82,7 @@
 	f.listEnd(gang[0].Runs[0], 1, port.EndGangBroken)
 	f.plan(time.Second)
 	is.Equal(f.Interrupted(), 2)
-	is.Equal(f.RoomFor(roomRequest(1, 7000), f.now), 1)
+	is.Equal(f.RoomFor(roomRequest(1, 7000), nil, f.now), 1)
 }
 
 // Guards against room that is reported but not there, and against a refusal although there is
@@ -109,12 +109,12 @@
 			for range lost {
 				f.lose()
 			}
-			f.settle()
+			f.settle(t)
 			return f
 		}
 		r := roomRequest(rapid.IntRange(1, 4).Draw(t, "tasks"), int64(1000*rapid.IntRange(1, 12).Draw(t, "size")))
 		host := play()
-		room := host.RoomFor(r, host.now)
+		room := host.RoomFor(r, nil, host.now)
 		if free := host.places(r); room != min(free, r.Tasks) {
 			t.Fatalf("room for %d tasks, but %d fit beside the services", room, free)
 		}
@@ -134,9 +134,15 @@
 }
 
 // settle plans until no run starts or stops any more.
-func (f *fixture) settle() {
-	for quiet := 0; quiet < 3; {
+func (f *fixture) settle(t *rapid.T) {
+	for quiet, plans := 0, 0; quiet < 3; plans++ {
+		if plans == 100 {
+			t.Fatalf("runs start and stop after %d plans", plans)
+		}
 		f.listAllRunning()
+		for _, w := range f.Workers() {
+			w.ExtendLease(f.now, testOptions.MaxLease)
+		}
 		out := f.plan(time.Second)
 		f.confirmStarts(out)
 		f.endStops(out)
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -225,35 +225,3 @@
 	}
 	return t.reserved == nil && e.mayStart(t, now) && now.Sub(t.readyAt) >= wait
 }
-
-// RoomRequest describes tasks of a service that another cell asks room for.
-type RoomRequest struct {
-	Pool, Label  string
-	Resources    job.Resources
-	MaxPerWorker int // zero means no limit
-	Tasks        int
-	// Displacing is set if other tasks that are no services may be stopped for these.
-	Displacing bool
-}
-
-// RoomFor returns for how many of the requested tasks there is room beside the interrupted
-// services of this cell.
-func (e *Engine) RoomFor(r RoomRequest, now time.Time) int {
-	room := -e.Interrupted()
-	for _, w := range e.workerList {
-		if w.Entry.Pool != r.Pool || !w.schedulable(now) || r.Label != "" && !slices.Contains(w.Entry.Labels, r.Label) {
-			continue
-		}
-		free := w.unreserved()
-		if r.Displacing {
-			free = free.Add(w.clearable())
-		}
-		for n := 0; r.Resources.Fits(free) && (r.MaxPerWorker == 0 || n < r.MaxPerWorker); n++ {
-			free = free.Sub(r.Resources)
-			if room++; room >= r.Tasks {
-				return room
-			}
-		}
-	}
-	return max(0, room)
-}
--- a/internal/cell/hosted.go
+++ b/internal/cell/hosted.go
@@ -406,25 +406,25 @@
 // taskRoom returns for how many tasks of another cell's job there is room, and keeps it for a
 // moment.
 func (t *term) taskRoom(id string, req *peerpb.TaskRequest) int {
-	now, claimed := t.c.Now(), 0
+	now := t.c.Now()
+	var claimed []dispatch.RoomRequest
 	for other, claim := range t.transfers.claims {
 		switch {
 		case now.Sub(claim.at) > roomClaimTTL || t.engine.Job(other) != nil:
 			delete(t.transfers.claims, other)
 		case other != id:
-			claimed += claim.tasks
+			claimed = append(claimed, claim.request)
 		}
 	}
 	r := dispatch.RoomRequest{
 		Pool: req.GetPool(), Label: req.GetLabel(), MaxPerWorker: int(req.GetMaxPerWorker()),
-		Resources:  job.Resources{MilliCPU: req.GetMilliCpu(), MemoryMB: req.GetMemoryMb(), GPU: req.GetGpu()},
-		Displacing: req.GetDisplacing(),
+		Resources: job.Resources{MilliCPU: req.GetMilliCpu(), MemoryMB: req.GetMemoryMb(), GPU: req.GetGpu()},
+		Tasks:     min(int(req.GetTasks()), maxTransferTasks), Displacing: req.GetDisplacing(),
 	}
-	tasks := min(int(req.GetTasks()), maxTransferTasks)
-	r.Tasks = tasks + claimed
-	room := max(0, t.engine.RoomFor(r, now)-claimed)
+	room := t.engine.RoomFor(r, claimed, now)
 	if room > 0 {
-		t.transfers.claims[id] = roomClaim{min(room, tasks), now}
+		r.Tasks = room
+		t.transfers.claims[id] = roomClaim{r, now}
 	}
 	return room
 }
--- a/internal/cell/transfers.go
+++ b/internal/cell/transfers.go
@@ -52,8 +52,8 @@
 }
 
 type roomClaim struct {
-	tasks int
-	at    time.Time
+	request dispatch.RoomRequest
+	at      time.Time
 }
 
 type appliedVersion struct {
