Keep the room for further tasks of a job that the cell knows

The request was dropped as soon as the engine knew the job, which it always does if the cell is the job's home or runs other tasks of it, so that two cells could be given the same room, and one of the services waited again in its new cell.

It is kept until the rows with the tasks are read, from when on these count by themselves. TestRoomIsKeptForFurtherTasksOfAKnownJob fails before (5 tasks in place of 0) and passes.

--- a/internal/cell/hosted.go
+++ b/internal/cell/hosted.go
@@ -188,6 +188,7 @@
 			t.engine.TakeIn(j, s.TransferredTask, now)
 		}
 	}
+	delete(t.transfers.claims, row.Key)
 }
 
 // applyHostedRow applies the row of the tasks of another cell's job.
@@ -227,6 +228,7 @@
 			t.engine.GiveAway(s)
 		}
 	}
+	delete(t.transfers.claims, id) // the tasks that are here now count by themselves
 	return j
 }
 
@@ -410,7 +412,7 @@
 	var claimed []dispatch.RoomRequest
 	for other, claim := range t.transfers.claims {
 		switch {
-		case now.Sub(claim.at) > roomClaimTTL || t.engine.Job(other) != nil:
+		case now.Sub(claim.at) > roomClaimTTL:
 			delete(t.transfers.claims, other)
 		case other != id:
 			claimed = append(claimed, claim.request)
--- a/internal/cell/transfer_room_test.go
+++ b/internal/cell/transfer_room_test.go
@@ -139,3 +139,22 @@
 	refused.request.Label, refused.request.Displacing = "", false
 	is.True(!refused.covers(request(func(*peerpb.TaskRequest) {})))
 }
+
+// Guards against room that two cells are promised at once: a request for tasks of a job that the
+// cell knows already, because it runs others of its tasks, did not count until they arrived.
+func TestRoomIsKeptForFurtherTasksOfAKnownJob(t *testing.T) {
+	runTransfer(t, 830, nil, func(mc *moveCluster) {
+		is := is.New(mc.t)
+		time.Sleep(settleDelay)
+		is.Equal(len(mc.hostedRows()), 1)
+		room := &peerpb.TaskRequest{Pool: "pool", MilliCpu: 8000, MemoryMb: 1000, Tasks: 2 * workersPerRack, Displacing: true}
+		mc.onLoop(mc.from, func() {
+			term := mc.from.group.cell(movingFrom).term
+			is.True(term.engine.Job(hostedService) != nil)
+			first := term.taskRoom(hostedService, room)
+			is.True(first > 0)
+			is.Equal(term.taskRoom(hostedService, room), first) // asked again
+			is.Equal(term.taskRoom("other", room), 0)
+		})
+	})
+}
