Search no moves for services that need as much as one that found none

Callers saw LOST: a service for which others on a worker could make way stays away while many others wait that fit nowhere. Each interrupted service took a turn of 100 ms in each round of searches, so that with 60 hopeless ones the search came after 6 s, and with 500 after 50 s.

A search that found no moves, also by stopping other tasks, now holds for the rest of the round for all that need as much.

--- a/dispatch/relocate.go
+++ b/dispatch/relocate.go
@@ -45,6 +45,9 @@
 	planAt     time.Time // the time of the plan that left refers to
 	left       int       // tasks that have waited for their turn in the plan
 	round      int
+	// failed are the demands for which a search of the round has found no moves. Tasks that
+	// need as much would find none either, and take no turn.
+	failed unplaceable
 }
 
 // turnOf reports whether services may be searched now that make way for a task.
@@ -52,10 +55,11 @@
 	if !turns.planAt.Equal(now) {
 		if turns.left == 0 {
 			turns.round++
+			turns.failed = unplaceable{}
 		}
 		turns.planAt, turns.left = now, 0
 	}
-	if t.relocationRound == turns.round {
+	if t.relocationRound == turns.round || turns.failed.covers(t, now) != fitsUnknown {
 		return false
 	}
 	if now.Sub(turns.searchedAt) < relocateInterval {
@@ -76,7 +80,9 @@
 	moves, from := e.findRelocations(t, e.mostRoom(t, (*Worker).unreserved, now), now)
 	if from == nil && now.Sub(t.readyAt) >= evictAfter {
 		cleared := func(w *Worker) job.Resources { return w.unreserved().Add(w.clearable()) }
-		moves, from = e.findRelocations(t, e.mostRoom(t, cleared, now), now)
+		if moves, from = e.findRelocations(t, e.mostRoom(t, cleared, now), now); from == nil {
+			e.relocations.failed.add(t, false, now)
+		}
 	}
 	if from == nil {
 		return false
