Transfer each step of a job by itself

Callers saw LOST: of a job with two service steps, one of which fits nowhere, only that one was ever asked for, and a task that has not run yet kept an interrupted one of its step from being asked for.

Transferable returns the tasks by step, the interrupted ones first, and a transfer decides on the tasks that room was asked for. After refusals by all cells the job's other steps are asked for without a pause.

TestEachStepIsTransferableBesideOneThatFitsNowhere is new; the other tests check as much as before through the new result.

--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -173,32 +173,42 @@
 	Since time.Time
 }
 
+// SameKind reports whether the other tasks are of the same step, and transferred for the same
+// reason.
+func (s TransferableStep) SameKind(other TransferableStep) bool {
+	return s.Step == other.Step && s.Interrupted == other.Interrupted && s.GivenUp == other.GivenUp
+}
+
 // Transferable returns the tasks of a job that run nowhere for certain and find no worker in this
-// cell, of the first step that has such tasks. A job that can move as a whole has none.
-func (e *Engine) Transferable(j *Job, now time.Time) (TransferableStep, bool) {
+// cell, by step, those that have run before first. A job that can move as a whole has none.
+func (e *Engine) Transferable(j *Job, now time.Time) []TransferableStep {
 	if !j.service || j.held || j.waiting == 0 || j.State.Final() || e.MayMove(j) {
-		return TransferableStep{}, false
+		return nil
 	}
+	var interrupted, others []TransferableStep
 	for _, o := range j.occurrences {
 		for s := range j.Spec.Steps {
 			step := &j.Spec.Steps[s]
 			if !step.Service || step.Gang || step.SameRack || o.pending[s] == 0 || now.Before(o.due) || !o.ready(step) {
 				continue
 			}
-			if found := e.transferableOf(step, o.tasks[s], now); len(found.Tasks) > 0 {
-				return found, true
+			if found := e.transferableOf(step, o.tasks[s], true, now); len(found.Tasks) > 0 {
+				interrupted = append(interrupted, found)
+			}
+			if found := e.transferableOf(step, o.tasks[s], false, now); len(found.Tasks) > 0 {
+				others = append(others, found)
 			}
 		}
 	}
-	return TransferableStep{}, false
+	return append(interrupted, others...)
 }
 
-// transferableOf returns the tasks of a step that can be transferred together: either those that have
+// transferableOf returns the tasks of a step that can be transferred together: those that have
 // run before, or the others, and either those that are given up, or the others.
-func (e *Engine) transferableOf(step *job.Step, tasks []*Task, now time.Time) TransferableStep {
-	found := TransferableStep{Step: step}
+func (e *Engine) transferableOf(step *job.Step, tasks []*Task, interrupted bool, now time.Time) TransferableStep {
+	found := TransferableStep{Step: step, Interrupted: interrupted}
 	for _, t := range tasks {
-		if !t.waiting() || t.held {
+		if !t.waiting() || t.held || t.hasRun != interrupted {
 			continue
 		}
 		// A plan does not try the other new tasks of a step once one of them fits nowhere.
@@ -207,9 +217,9 @@
 			continue
 		}
 		if len(found.Tasks) == 0 {
-			found.Interrupted, found.GivenUp = t.hasRun, t.givenUp()
+			found.GivenUp = t.givenUp()
 		}
-		if t.hasRun == found.Interrupted && t.givenUp() == found.GivenUp {
+		if t.givenUp() == found.GivenUp {
 			found.Tasks = append(found.Tasks, t.transferState())
 			if found.Since.IsZero() || t.readyAt.Before(found.Since) {
 				found.Since = t.readyAt
--- a/dispatch/transfer_test.go
+++ b/dispatch/transfer_test.go
@@ -26,13 +26,13 @@
 	f, j := full()
 	f.plan(time.Second)
 	f.plan(transferNewAfter)
-	_, ok := f.Transferable(j, f.now)
-	is.True(!ok) // it moves as a whole
+	is.Equal(len(f.Transferable(j, f.now)), 0) // it moves as a whole
 	is.NoErr(f.Restore(j, Progress{}))
 	f.listAllRunning()
 	f.plan(0)
-	found, ok := f.Transferable(j, f.now)
-	is.True(ok)
+	steps := f.Transferable(j, f.now)
+	is.Equal(len(steps), 1)
+	found := steps[0]
 	is.Equal(len(found.Tasks), 2)
 	is.True(!found.Interrupted)
 	for _, s := range found.Tasks {
@@ -73,8 +73,9 @@
 		host.markLost(out.Starts[0], LossWorkerGone)
 	}
 	is.Equal(len(host.plan(3*time.Second).Starts), 0)
-	found, ok := host.Transferable(j, host.now)
-	is.True(ok)
+	steps := host.Transferable(j, host.now)
+	is.Equal(len(steps), 1)
+	found := steps[0]
 	is.True(found.GivenUp)
 
 	home := newFixture(worker("a", 8000, 64000))
@@ -103,3 +104,28 @@
 	is.Equal(reserved(home), int64(0))
 	is.Equal(reserved(host), int64(0))
 }
+
+// Guards against LOST: a step that fits nowhere keeps the other steps of its job from being
+// transferred, and a task that has not run yet keeps interrupted ones of its step.
+func TestEachStepIsTransferableBesideOneThatFitsNowhere(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("lost", 40000, 64000))
+	f.place("full", serviceStep(1, 8000), "a")
+	late := serviceStep(2, 4000)
+	j := f.Add(spec("service", serviceStep(1, 30000), late), f.now, 0)
+	tasks := j.occurrences[0].tasks
+	f.start(tasks[0][0], f.Worker("lost"), 1, f.now)
+	f.start(tasks[1][1], f.Worker("lost"), 1, f.now)
+	f.confirmStarts(f.TakeOutput())
+	f.lose()
+	for range 4 {
+		f.listAllRunning()
+		f.plan(time.Second)
+	}
+	var sizes []int64
+	for _, found := range f.Transferable(j, f.now) {
+		sizes = append(sizes, found.Step.Resources.MilliCPU)
+		is.Equal(len(found.Tasks), 1)
+	}
+	is.Equal(sizes, []int64{30000, 4000, 4000}) // the last is the task that has not run
+}
--- a/internal/cell/transfer_search.go
+++ b/internal/cell/transfer_search.go
@@ -27,21 +27,21 @@
 	chosen bool
 }
 
-// waitingService is a job with tasks that find no worker.
+// waitingService are tasks of one step of a job that find no worker.
 type waitingService struct {
 	job   *dispatch.Job
 	found dispatch.TransferableStep
 }
 
-// transferable returns the jobs whose tasks find no worker and for which room may be searched now:
-// first those with interrupted tasks, then by the time that they have waited.
+// transferable returns the tasks that find no worker and for which room may be searched now: first
+// the interrupted ones, then by the time that they have waited.
 func (t *term) transferable(now time.Time) []waitingService {
 	var waiting []waitingService
 	for id, j := range t.engine.Jobs() {
 		if t.transfers.active[id] != nil || t.mover.moves[id] != nil || now.Before(t.transfers.notBefore[id]) {
 			continue
 		}
-		if found, ok := t.engine.Transferable(j, now); ok {
+		for _, found := range t.engine.Transferable(j, now) {
 			waiting = append(waiting, waitingService{j, found})
 		}
 	}
--- a/internal/cell/transfers.go
+++ b/internal/cell/transfers.go
@@ -116,6 +116,9 @@
 		return
 	}
 	for _, w := range t.transferable(now) {
+		if t.transfers.active[w.job.Spec.ID] != nil {
+			continue // for another of its steps
+		}
 		if t.prepareTransfer(w.job, w.found); len(t.transfers.active) >= maxTransfers {
 			return
 		}
@@ -188,26 +191,31 @@
 		p.rows = rows
 		return p, err
 	}, func(p preparedTransfer, err error) {
-		chosen := err == nil && t.decideTransfer(tr, p)
+		chosen := err == nil && t.decideTransfer(tr, found, p)
 		t.searched(id, request, p, chosen)
 		if !chosen {
 			delete(t.transfers.active, id)
 		}
+		if !slices.ContainsFunc(p.room, func(room int) bool { return room != 0 }) {
+			delete(t.transfers.notBefore, id) // the refusals hold back as much; other steps may need less
+		}
 	})
 }
 
 // decideTransfer decides which tasks are transferred, and to which cell. From then on they are
 // held, so that none of them starts before the transfer is completed or revoked.
-func (t *term) decideTransfer(tr *transfer, p preparedTransfer) bool {
+func (t *term) decideTransfer(tr *transfer, asked dispatch.TransferableStep, p preparedTransfer) bool {
 	j := t.engine.Job(tr.id)
 	if j == nil || t.homeOf(j) != tr.home || t.releasing || t.unconfirmed || p.rows.homeRecord.Spec == nil {
 		return false
 	}
-	found, ok := t.engine.Transferable(j, t.c.Now())
+	steps := t.engine.Transferable(j, t.c.Now())
+	i := slices.IndexFunc(steps, asked.SameKind)
 	to, room := bestRoom(p, tr.home)
-	if !ok || room <= 0 {
+	if i < 0 || room <= 0 {
 		return false
 	}
+	found := steps[i]
 	tr.rows, tr.fence = p.rows, p.rows.home
 	if j.Hosted() {
 		tr.fence = p.rows.hosted[t.c.Number]
