Count limits per worker in the room of a cell

A gang with one task a worker was counted on one worker, and took room although it cannot run. A step with a limit per worker was promised room on workers that run as many of its tasks, so that tasks could go back and forth between two cells.

Tasks of a gang are now counted together, and a request names its job.

--- a/dispatch/obstacles_test.go
+++ b/dispatch/obstacles_test.go
@@ -37,6 +37,24 @@
 // BenchmarkPlanWhileManyStarve measures a plan in a cell that has lost half of its workers and
 // is full of services, while the services of the others wait.
 func BenchmarkPlanWhileManyStarve(b *testing.B) {
+	f := newStarvedFixture()
+	b.ReportMetric(float64(f.Interrupted()), "starved")
+	for b.Loop() {
+		f.plan(10 * time.Millisecond)
+	}
+}
+
+// BenchmarkRoomWhileManyStarve measures the answer of such a cell to another one, which finds a
+// place for a small task only.
+func BenchmarkRoomWhileManyStarve(b *testing.B) {
+	f := newStarvedFixture()
+	for b.Loop() {
+		f.RoomFor(roomRequest(1, 1000), nil, f.now)
+	}
+}
+
+// newStarvedFixture returns a cell that has lost half of its workers and is full of services.
+func newStarvedFixture() *fixture {
 	const workers, perWorker = 350, 4
 	var entries []port.WorkerEntry
 	for i := range workers {
@@ -55,8 +73,5 @@
 		f.listAllRunning()
 		f.plan(time.Second)
 	}
-	b.ReportMetric(float64(f.Interrupted()), "starved")
-	for b.Loop() {
-		f.plan(10 * time.Millisecond)
-	}
+	return f
 }
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -10,6 +10,8 @@
 
 // RoomRequest describes tasks of a service that another cell asks room for.
 type RoomRequest struct {
+	// Job is the ID of the tasks' job, of which the cell may run others.
+	Job          string
 	Pool, Label  string
 	Resources    job.Resources
 	MaxPerWorker int // zero means no limit
@@ -26,8 +28,14 @@
 	if room.placesFor(r) == 0 {
 		return 0
 	}
+	noRoom := unplaceable{}
 	for _, tasks := range e.unplacedOf(r.Pool) {
-		e.takeRoom(room, tasks, now)
+		if noRoom.covers(tasks[0], now) != fitsUnknown {
+			continue
+		}
+		if fit := e.takeRoom(room, tasks, now); !fit && len(tasks) == 1 { // parts of a gang may fit
+			noRoom.add(tasks[0], false, now)
+		}
 	}
 	for _, other := range earlier {
 		if other.Pool == r.Pool {
@@ -71,7 +79,7 @@
 		return 0
 	}
 	if r.MaxPerWorker > 0 {
-		n = min(n, r.MaxPerWorker)
+		n = min(n, r.MaxPerWorker-w.tasksLike(r))
 	}
 	fit := 0
 	for free := w.free; fit < n && r.Resources.Fits(free); fit++ {
@@ -80,6 +88,17 @@
 	return fit
 }
 
+// tasksLike returns how many tasks of the request's job with the same demand the worker runs.
+func (w *workerRoom) tasksLike(r RoomRequest) int {
+	n := 0
+	for _, run := range w.worker.runs {
+		if run.Task.ID.Job == r.Job && demand(run.Task.Step) == r.Resources {
+			n++
+		}
+	}
+	return n
+}
+
 // placesFor returns for how many tasks of a request there is room, up to all of them.
 func (room poolRoom) placesFor(r RoomRequest) int {
 	n := 0
@@ -100,7 +119,8 @@
 }
 
 // unplacedOf returns the interrupted service tasks of a pool that no capacity is reserved for,
-// the largest first. A gang's tasks are returned together, and others alone.
+// the smallest first, so that larger ones need not be tried once one fits nowhere. A gang's tasks
+// are returned together, and others alone.
 func (e *Engine) unplacedOf(pool string) [][]*Task {
 	var unplaced [][]*Task
 	for _, j := range e.jobs {
@@ -126,26 +146,29 @@
 		}
 	}
 	slices.SortFunc(unplaced, func(a, b []*Task) int {
-		return cmp.Or(cmp.Compare(b[0].Step.Resources.MilliCPU, a[0].Step.Resources.MilliCPU), cmp.Compare(a[0].name(), b[0].name()))
+		return cmp.Or(cmp.Compare(a[0].Step.Resources.MilliCPU, b[0].Step.Resources.MilliCPU), cmp.Compare(a[0].name(), b[0].name()))
 	})
 	return unplaced
 }
 
-// takeRoom takes the room of tasks if all of them fit.
-func (e *Engine) takeRoom(room poolRoom, tasks []*Task, now time.Time) {
+// takeRoom takes the room of tasks of a step if all of them fit, and reports whether they do.
+func (e *Engine) takeRoom(room poolRoom, tasks []*Task, now time.Time) bool {
 	var taken []*workerRoom
+	together := &reservation{taken: map[*Worker]job.Resources{}, count: map[*Worker]int{}}
 	for _, t := range tasks {
 		need := demand(t.Step)
 		i := slices.IndexFunc(room, func(w *workerRoom) bool {
-			return need.Fits(w.free) && e.suits(t, w.worker, now, nil) && e.advisorAllows(t, w.worker, now)
+			return need.Fits(w.free) && e.suits(t, w.worker, now, together) && e.advisorAllows(t, w.worker, now)
 		})
 		if i < 0 {
 			for _, w := range taken {
 				w.free = w.free.Add(need)
 			}
-			return
+			return false
 		}
+		together.count[room[i].worker]++
 		room[i].free = room[i].free.Sub(need)
 		taken = append(taken, room[i])
 	}
+	return true
 }
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -85,6 +85,40 @@
 	is.Equal(f.RoomFor(roomRequest(1, 7000), nil, f.now), 1)
 }
 
+// Guards against a gang with one task a worker, of which two tasks are counted on one worker, so
+// that a gang that cannot run takes its room.
+func TestRoomIsGivenBesideAGangThatLacksAWorker(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000))
+	step := serviceStep(2, 3000)
+	step.Gang, step.MaxPerWorker = true, 1
+	f.place("service", step, "a", "b")
+	f.lose()
+	gang := f.Job("service").occurrences[0].tasks[0]
+	f.listEnd(gang[0].Runs[0], 1, port.EndGangBroken)
+	is.Equal(f.Interrupted(), 2)
+	is.Equal(f.RoomFor(roomRequest(1, 7000), nil, f.now), 1)
+}
+
+// Guards against tasks that go back and forth between cells: the room for a step with a limit per
+// worker leaves out workers that run as many of its tasks.
+func TestRoomLeavesOutWorkersThatRunTheStep(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000))
+	step := serviceStep(3, 2000)
+	step.MaxPerWorker = 1
+	guest := f.AddHosted(spec("guest", step), f.now, 0)
+	r := roomRequest(1, 2000)
+	r.Job, r.MaxPerWorker = "guest", 1
+	is.Equal(f.RoomFor(r, nil, f.now), 1)
+	f.TakeIn(guest, TransferredTask{Attempt: 1}, f.now)
+	f.confirmStarts(f.plan(time.Second))
+	is.Equal(runningOf(guest), 1)
+	is.Equal(f.RoomFor(r, nil, f.now), 0)
+	r.Job = "other"
+	is.Equal(f.RoomFor(r, nil, f.now), 1)
+}
+
 // Guards against room that is reported but not there, and against a refusal although there is
 // room: as many tasks as reported, and no fewer than fit beside the services of the cell, start
 // at once, and each interrupted service of the cell starts that starts without them.
