--- a/internal/cell/transfers.go
+++ b/internal/cell/transfers.go
@@ -38,6 +38,8 @@
 	claims map[string]roomClaim
 	// searches are the last requests for room, by job ID.
 	searches map[string]transferSearch
+	// refusals are the requests that other cells have had no room for lately, by cell.
+	refusals map[int][]roomRefusal
 	// homes are the home cells of the hosted jobs.
 	homes map[string]int
 	// versions are those of the last rows applied, by job ID.
@@ -64,8 +66,8 @@
 func newTransferrer() transferrer {
 	return transferrer{
 		active: map[string]*transfer{}, notBefore: map[string]time.Time{}, claims: map[string]roomClaim{},
-		searches: map[string]transferSearch{},
-		homes:    map[string]int{}, versions: map[string]appliedVersion{},
+		searches: map[string]transferSearch{}, refusals: map[int][]roomRefusal{},
+		homes: map[string]int{}, versions: map[string]appliedVersion{},
 		ended: map[string]time.Time{}, ending: map[string]time.Time{}, staleProgress: map[string]bool{},
 	}
 }
@@ -110,17 +112,15 @@
 	}
 	t.transfers.checkedAt = now
 	t.transfers.prune(t.engine, now)
-	for _, interrupted := range []bool{true, false} {
-		for id, j := range t.engine.Jobs() {
-			if len(t.transfers.active) >= maxTransfers {
-				return
-			}
-			if t.transfers.active[id] != nil || t.mover.moves[id] != nil || now.Before(t.transfers.notBefore[id]) {
-				continue
-			}
-			if found, ok := t.engine.Transferable(j, now); ok && found.Interrupted == interrupted {
-				t.prepareTransfer(j, found)
-			}
+	if len(t.transfers.active) >= maxTransfers {
+		return
+	}
+	for _, w := range t.transferable(now) {
+		if t.transfers.active[w.job.Spec.ID] != nil {
+			continue // for another of its steps
+		}
+		if t.prepareTransfer(w.job, w.found); len(t.transfers.active) >= maxTransfers {
+			return
 		}
 	}
 }
@@ -163,14 +163,17 @@
 // prepareTransfer reads the rows of a job and asks other cells for room.
 func (t *term) prepareTransfer(j *dispatch.Job, found dispatch.TransferableStep) {
 	id, g, now := j.Spec.ID, t.c.group, t.c.Now()
-	t.transfers.notBefore[id] = now.Add(transferBackoff)
 	candidates := t.transferCandidates(j, found)
+	request := taskRequest(j, found)
+	if !found.GivenUp {
+		candidates = t.withoutRefusals(id, candidates, request, now)
+	}
 	if len(candidates) == 0 {
 		return
 	}
+	t.transfers.notBefore[id] = now.Add(transferBackoff)
 	tr := &transfer{id: id, home: t.homeOf(j), step: movePreparing}
 	t.transfers.active[id] = tr
-	request := taskRequest(j, found)
 	runAsync(t, prepareTimeout, func(ctx context.Context) (preparedTransfer, error) {
 		p := preparedTransfer{candidates: candidates, room: make([]int, len(candidates)), askedAt: now}
 		var wg sync.WaitGroup
@@ -188,26 +191,31 @@
 		p.rows = rows
 		return p, err
 	}, func(p preparedTransfer, err error) {
-		chosen := err == nil && t.decideTransfer(tr, p)
-		t.searched(id, p, chosen)
+		chosen := err == nil && t.decideTransfer(tr, found, p)
+		t.searched(id, request, p, chosen)
 		if !chosen {
 			delete(t.transfers.active, id)
 		}
+		if !slices.ContainsFunc(p.room, func(room int) bool { return room != 0 }) {
+			delete(t.transfers.notBefore, id) // the refusals hold back as much; other steps may need less
+		}
 	})
 }
 
 // decideTransfer decides which tasks are transferred, and to which cell. From then on they are
 // held, so that none of them starts before the transfer is completed or revoked.
-func (t *term) decideTransfer(tr *transfer, p preparedTransfer) bool {
+func (t *term) decideTransfer(tr *transfer, asked dispatch.TransferableStep, p preparedTransfer) bool {
 	j := t.engine.Job(tr.id)
 	if j == nil || t.homeOf(j) != tr.home || t.releasing || t.unconfirmed || p.rows.homeRecord.Spec == nil {
 		return false
 	}
-	found, ok := t.engine.Transferable(j, t.c.Now())
+	steps := t.engine.Transferable(j, t.c.Now())
+	i := slices.IndexFunc(steps, asked.SameKind)
 	to, room := bestRoom(p, tr.home)
-	if !ok || room <= 0 {
+	if i < 0 || room <= 0 {
 		return false
 	}
+	found := steps[i]
 	tr.rows, tr.fence = p.rows, p.rows.home
 	if j.Hosted() {
 		tr.fence = p.rows.hosted[t.c.Number]
