Count reserved capacity against the limit of a step per worker

Callers saw LOST: of a step with one task a worker, two interrupted tasks reserve the same worker. One starts; the other waits until its reservation has expired, 4 s, and keeps others from the capacity meanwhile. The limit counted runs only, although its comment named reservations.

TestTasksOfAStepWithALimitReserveWorkersOfTheirOwn fails before (one worker in place of two) and passes.

--- a/dispatch/interrupted_test.go
+++ b/dispatch/interrupted_test.go
@@ -219,3 +219,25 @@
 	f.plan(0)
 	is.Equal(f.Worker("b").reservedUse, job.Resources{})
 }
+
+// Guards against LOST: two tasks of a step with one task a worker reserve the same worker, so that
+// the second waits until its reservation expires, and keeps others from the capacity.
+func TestTasksOfAStepWithALimitReserveWorkersOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("b", 8000, 64000), worker("x", 8000, 64000), worker("y", 8000, 64000))
+	f.place("cheap", batchStep(4, 2000, true), "a", "a", "a", "a")
+	f.place("costly", batchStep(4, 2000, false), "b", "b", "b", "b")
+	step := serviceStep(2, 3000)
+	step.MaxPerWorker = 1
+	runs := f.place("service", step, "x", "y")
+	f.lose()
+	f.lose()
+	f.listAllRunning()
+	f.plan(50 * time.Millisecond)
+	reserved := map[*Worker]bool{}
+	for _, r := range runs {
+		is.True(r.Task.reserved != nil)
+		reserved[r.Task.reserved.worker] = true
+	}
+	is.Equal(len(reserved), 2)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -167,8 +167,8 @@
 	return !overTooLong && e.predictedTail(w, t.Step) < limit
 }
 
-// stepTasksOn returns how many tasks of a task's step run or are reserved on a
-// worker.
+// stepTasksOn returns how many tasks of a task's step run on a worker or, for other tasks, have
+// capacity reserved there. In the plan of a gang, reserved has those that wait.
 func (e *Engine) stepTasksOn(t *Task, w *Worker, reserved *reservation) int {
 	n := 0
 	if reserved != nil {
@@ -180,9 +180,19 @@
 			n++
 		}
 	}
+	for _, u := range t.siblings() {
+		if u != t && u.reserved != nil && u.reserved.worker == w && (reserved == nil || len(u.Runs) > 0) && !u.runsOn(w) {
+			n++
+		}
+	}
 	return n
 }
 
+// runsOn reports whether the task has a run on a worker.
+func (t *Task) runsOn(w *Worker) bool {
+	return slices.ContainsFunc(t.Runs, func(r *Run) bool { return r.Worker == w })
+}
+
 // penalty returns the penalty of a worker for a task; the lowest is the best.
 func (e *Engine) penalty(t *Task, w *Worker, rack string, reserved *reservation) float64 {
 	freeCPU := w.free().Sub(demand(t.Step)).MilliCPU
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -154,7 +154,10 @@
 // takeRoom takes the room of tasks of a step if all of them fit, and reports whether they do.
 func (e *Engine) takeRoom(room poolRoom, tasks []*Task, now time.Time) bool {
 	var taken []*workerRoom
-	together := &reservation{taken: map[*Worker]job.Resources{}, count: map[*Worker]int{}}
+	var together *reservation // of a gang
+	if len(tasks) > 1 {
+		together = &reservation{taken: map[*Worker]job.Resources{}, count: map[*Worker]int{}}
+	}
 	for _, t := range tasks {
 		need := demand(t.Step)
 		i := slices.IndexFunc(room, func(w *workerRoom) bool {
@@ -166,7 +169,9 @@
 			}
 			return false
 		}
-		together.count[room[i].worker]++
+		if together != nil {
+			together.count[room[i].worker]++
+		}
 		room[i].free = room[i].free.Sub(need)
 		taken = append(taken, room[i])
 	}
