--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -122,33 +122,37 @@
 // the smallest first, so that larger ones need not be tried once one fits nowhere. A gang's tasks
 // are returned together, and others alone.
 func (e *Engine) unplacedOf(pool string) [][]*Task {
-	var unplaced [][]*Task
+	var all [][]*Task
 	for _, j := range e.jobs {
 		if !j.service || j.waiting == 0 || j.held || j.Queue.Pool != pool {
 			continue
 		}
 		for _, o := range j.occurrences {
 			for s := range j.Spec.Steps {
-				var tasks []*Task
-				for _, t := range o.tasks[s] {
-					if t.interrupted() && t.reserved == nil && !t.held && !t.givenUp() {
-						tasks = append(tasks, t)
-					}
-				}
-				if j.Spec.Steps[s].Gang && len(tasks) > 0 {
-					unplaced = append(unplaced, tasks)
-					continue
-				}
-				for _, t := range tasks {
-					unplaced = append(unplaced, []*Task{t})
+				tasks := unplaced(o.tasks[s])
+				if !j.Spec.Steps[s].Gang {
+					all = slices.AppendSeq(all, slices.Chunk(tasks, 1))
+				} else if len(tasks) > 0 {
+					all = append(all, tasks)
 				}
 			}
 		}
 	}
-	slices.SortFunc(unplaced, func(a, b []*Task) int {
+	slices.SortFunc(all, func(a, b []*Task) int {
 		return cmp.Or(cmp.Compare(a[0].Step.Resources.MilliCPU, b[0].Step.Resources.MilliCPU), cmp.Compare(a[0].name(), b[0].name()))
 	})
-	return unplaced
+	return all
+}
+
+// unplaced returns those of some tasks that are interrupted, and that no capacity is reserved for.
+func unplaced(tasks []*Task) []*Task {
+	var found []*Task
+	for _, t := range tasks {
+		if t.interrupted() && t.reserved == nil && !t.held && !t.givenUp() {
+			found = append(found, t)
+		}
+	}
+	return found
 }
 
 // takeRoom takes the room of tasks of a step if all of them fit, and reports whether they do.
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -189,7 +189,7 @@
 	for _, o := range j.occurrences {
 		for s := range j.Spec.Steps {
 			step := &j.Spec.Steps[s]
-			if !step.Service || step.Gang || step.SameRack || o.pending[s] == 0 || now.Before(o.due) || !o.ready(step) {
+			if !divisible(step) || o.pending[s] == 0 || now.Before(o.due) || !o.ready(step) {
 				continue
 			}
 			if found := e.transferableOf(step, o.tasks[s], true, now); len(found.Tasks) > 0 {
@@ -203,6 +203,9 @@
 	return append(interrupted, others...)
 }
 
+// divisible reports whether the tasks of a step may run in several cells.
+func divisible(step *job.Step) bool { return step.Service && !step.Gang && !step.SameRack }
+
 // transferableOf returns the tasks of a step that can be transferred together: those that have
 // run before, or the others, and either those that are given up, or the others.
 func (e *Engine) transferableOf(step *job.Step, tasks []*Task, interrupted bool, now time.Time) TransferableStep {
