Choose the cells to ask for room among those that have not refused

A cell asks up to five others for room. In a fleet of many cells it chose them at random, those included that had just refused, so that one cell with room among many full ones is asked late. Refusals are left out before the choice.

TestTransferCandidatesLeaveOutFullCells has 20 cells of which one has room; a play of such a fleet was not made.

--- a/cellmap/move.go
+++ b/cellmap/move.go
@@ -88,13 +88,13 @@
 	})
 }
 
-// TransferCandidates returns the other cells to ask for room for a task of a cell. intN returns a
-// random number in [0, n).
-func (m *Map) TransferCandidates(cell int, needs Needs, intN func(n int) int) []int {
+// TransferCandidates returns the other cells to ask for room for a task of a cell, without those
+// that full reports to have none. intN returns a random number in [0, n).
+func (m *Map) TransferCandidates(cell int, needs Needs, full func(n int) bool, intN func(n int) int) []int {
 	var local, remote []int
 	for n, c := range m.Cells {
 		switch {
-		case n == cell || !c.satisfies(needs):
+		case n == cell || !c.satisfies(needs) || full(n):
 		case c.Region == m.Cells[cell].Region:
 			local = append(local, n)
 		default:
--- a/cellmap/move_test.go
+++ b/cellmap/move_test.go
@@ -185,3 +185,15 @@
 		}
 	})
 }
+
+// Answers a fleet of many cells most of which are full: those that have just refused are left out
+// before the choice, so that the one with room is asked.
+func TestTransferCandidatesLeaveOutFullCells(t *testing.T) {
+	is := is.New(t)
+	m := moveMap(20)
+	roomy := 17
+	needs := Needs{Pool: "pool"}
+	is.Equal(len(m.TransferCandidates(0, needs, func(int) bool { return false }, first)), localCandidates+remoteCandidates)
+	is.Equal(m.TransferCandidates(0, needs, func(n int) bool { return n != roomy }, first), []int{roomy})
+	is.Equal(len(m.TransferCandidates(0, needs, func(int) bool { return true }, first)), 0)
+}
--- a/internal/cell/transfer_search.go
+++ b/internal/cell/transfer_search.go
@@ -71,24 +71,15 @@
 	return sameWorkers && asMuch && (r.request.GetDisplacing() || !request.GetDisplacing())
 }
 
-// withoutRefusals returns the cells that may have room for a request. The others have refused as
-// much within transferBackoff, so that services that fit nowhere do not hold up smaller ones.
-func (t *term) withoutRefusals(id string, cells []int, request *peerpb.TaskRequest, now time.Time) []int {
-	var ask []int
-	var refusedAt time.Time
-	for _, n := range cells {
-		t.transfers.refusals[n] = slices.DeleteFunc(t.transfers.refusals[n], func(r roomRefusal) bool { return now.Sub(r.at) >= transferBackoff })
-		i := slices.IndexFunc(t.transfers.refusals[n], func(r roomRefusal) bool { return r.covers(request) })
-		if i < 0 {
-			ask = append(ask, n)
-			continue
-		}
-		refusedAt = t.transfers.refusals[n][i].at
-	}
-	if len(ask) == 0 && len(cells) > 0 {
-		t.transfers.searches[id] = transferSearch{askedAt: refusedAt, answeredAt: refusedAt, cells: cells, room: make([]int, len(cells))}
+// refusedAt reports whether a cell has refused as much as a request within transferBackoff, and
+// when. Services that fit nowhere do not hold up smaller ones so.
+func (tf *transferrer) refusedAt(n int, request *peerpb.TaskRequest, now time.Time) (time.Time, bool) {
+	tf.refusals[n] = slices.DeleteFunc(tf.refusals[n], func(r roomRefusal) bool { return now.Sub(r.at) >= transferBackoff })
+	i := slices.IndexFunc(tf.refusals[n], func(r roomRefusal) bool { return r.covers(request) })
+	if i < 0 {
+		return time.Time{}, false
 	}
-	return ask
+	return tf.refusals[n][i].at, true
 }
 
 // searched records the answers to a request for room and counts it.
--- a/internal/cell/transfers.go
+++ b/internal/cell/transfers.go
@@ -11,6 +11,7 @@
 
 	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/dispatch"
+	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 	"github.com/bambooyard/bambooyard/internal/port"
 )
 
@@ -133,8 +134,9 @@
 	return t.c.Number
 }
 
-// transferCandidates returns the cells to ask for room. Tasks that are given up go home.
-func (t *term) transferCandidates(j *dispatch.Job, found dispatch.TransferableStep) []int {
+// transferCandidates returns the cells to ask for room, without those that have refused as much
+// lately. Tasks that are given up go home.
+func (t *term) transferCandidates(j *dispatch.Job, found dispatch.TransferableStep, request *peerpb.TaskRequest, now time.Time) []int {
 	home := t.homeOf(j)
 	if found.GivenUp {
 		return []int{home}
@@ -143,10 +145,22 @@
 	if found.Step.Label != "" {
 		needs.Labels = []string{found.Step.Label}
 	}
-	candidates := m.TransferCandidates(t.c.Number, needs, rand.IntN)
-	if home != t.c.Number && !slices.Contains(candidates, home) {
+	var refused transferSearch
+	full := func(n int) bool {
+		at, isFull := t.transfers.refusedAt(n, request, now)
+		if isFull {
+			refused.cells, refused.askedAt = append(refused.cells, n), at
+		}
+		return isFull
+	}
+	candidates := m.TransferCandidates(t.c.Number, needs, full, rand.IntN)
+	if home != t.c.Number && !slices.Contains(candidates, home) && !slices.Contains(refused.cells, home) && !full(home) {
 		candidates = append(candidates, home)
 	}
+	if len(candidates) == 0 && len(refused.cells) > 0 {
+		refused.answeredAt, refused.room = refused.askedAt, make([]int, len(refused.cells))
+		t.transfers.searches[j.Spec.ID] = refused
+	}
 	return candidates
 }
 
@@ -163,11 +177,8 @@
 // prepareTransfer reads the rows of a job and asks other cells for room.
 func (t *term) prepareTransfer(j *dispatch.Job, found dispatch.TransferableStep) {
 	id, g, now := j.Spec.ID, t.c.group, t.c.Now()
-	candidates := t.transferCandidates(j, found)
 	request := taskRequest(j, found)
-	if !found.GivenUp {
-		candidates = t.withoutRefusals(id, candidates, request, now)
-	}
+	candidates := t.transferCandidates(j, found, request, now)
 	if len(candidates) == 0 {
 		return
 	}
