Let jobs take turns in the search for room, and mend limits per worker

- Jobs were asked for by their wait alone, so that while one cell is silent the oldest 16 to 24 took all turns, and a service that would fit was never asked for (over 40 s).
Those not asked for longest go first now.
- A request counted tasks of another step with the same demand, and services stayed away for good.
A worker now has the tasks that reserve it.
- Two tasks with a limit were counted on one worker.

--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -59,6 +59,7 @@
 	e.unreserve(t)
 	t.reserved = &capacityReservation{w, now}
 	w.reservedUse = w.reservedUse.Add(demand(t.Step))
+	w.reservedBy = append(w.reservedBy, t)
 	e.reservations[t] = true
 }
 
@@ -69,6 +70,7 @@
 	}
 	w := t.reserved.worker
 	w.reservedUse = w.reservedUse.Sub(demand(t.Step))
+	w.reservedBy = slices.DeleteFunc(w.reservedBy, func(u *Task) bool { return u == t })
 	t.reserved = nil
 	delete(e.reservations, t)
 }
@@ -140,7 +142,7 @@
 		if w.Entry.Capacity.MilliCPU-e.colocationOf(w).serviceCPU < demand(t.Step).MilliCPU { // most, if the cell is full
 			continue
 		}
-		if !e.mayWaitLonger(u, now) || !demand(t.Step).Fits(w.freeFor(t).Add(demand(u.Step)).Add(w.clearable())) || !e.suits(t, w, now, nil) || !e.advisorAllows(t, w, now) {
+		if !e.mayWaitLonger(u, now) || !demand(t.Step).Fits(w.freeFor(t).Add(demand(u.Step)).Add(w.clearable())) || !e.suitsInPlaceOf(u, t, now) || !e.advisorAllows(t, w, now) {
 			continue
 		}
 		if holder == nil || cmp.Or(
@@ -159,6 +161,15 @@
 	return true
 }
 
+// suitsInPlaceOf reports whether a worker on which another task has a reservation may run a task
+// without that.
+func (e *Engine) suitsInPlaceOf(holder, t *Task, now time.Time) bool {
+	reserved := holder.reserved
+	holder.reserved = nil // it may fill the step's limit per worker
+	defer func() { holder.reserved = reserved }()
+	return e.suits(t, reserved.worker, now, nil)
+}
+
 // mayWaitLonger reports whether a task with a reservation can do without it for now: it serves
 // on a draining worker, or may not start before other workers have answered.
 func (e *Engine) mayWaitLonger(t *Task, now time.Time) bool {
--- a/dispatch/interrupted_test.go
+++ b/dispatch/interrupted_test.go
@@ -241,3 +241,22 @@
 	}
 	is.Equal(len(reserved), 2)
 }
+
+// Guards against LOST: the only place for an interrupted task is reserved for a sibling that still
+// serves on a draining worker, and that reservation fills the limit of the step.
+func TestInterruptedTaskTakesThePlaceOfASiblingThatServes(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(worker("a", 8000, 64000), worker("draining", 8000, 64000), worker("lost", 8000, 64000))
+	step := serviceStep(2, 5000)
+	step.MaxPerWorker = 1
+	f.place("filler", serviceStep(1, 3000), "a")
+	runs := f.place("service", step, "draining", "lost")
+	f.drain(time.Minute, "draining")
+	f.reserve(runs[0].Task, f.Worker("a"), f.now)
+	f.lose()
+	for range 10 {
+		f.listAllRunning()
+		f.confirmStarts(f.plan(50 * time.Millisecond))
+	}
+	is.Equal(len(runs[1].Task.Runs), 1)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -180,8 +180,8 @@
 			n++
 		}
 	}
-	for _, u := range t.siblings() {
-		if u != t && u.reserved != nil && u.reserved.worker == w && (reserved == nil || len(u.Runs) > 0) && !u.runsOn(w) {
+	for _, u := range w.reservedBy {
+		if u != t && u.reserved != nil && u.Step == t.Step && u.Job == t.Job && u.ID.Occurrence == t.ID.Occurrence && (reserved == nil || len(u.Runs) > 0) && !u.runsOn(w) {
 			n++
 		}
 	}
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -10,8 +10,6 @@
 
 // RoomRequest describes tasks of a service that another cell asks room for.
 type RoomRequest struct {
-	// Job is the ID of the tasks' job, of which the cell may run others.
-	Job          string
 	Pool, Label  string
 	Resources    job.Resources
 	MaxPerWorker int // zero means no limit
@@ -28,12 +26,12 @@
 	if room.placesFor(r) == 0 {
 		return 0
 	}
-	noRoom := unplaceable{}
+	noRoom, placed := unplaceable{}, map[*job.Step]map[*Worker]int{}
 	for _, tasks := range e.unplacedOf(r.Pool) {
 		if noRoom.covers(tasks[0], now) != fitsUnknown {
 			continue
 		}
-		if fit := e.takeRoom(room, tasks, now); !fit && len(tasks) == 1 { // parts of a gang may fit
+		if fit := e.takeRoom(room, tasks, placed, now); !fit && len(tasks) == 1 { // parts of a gang may fit
 			noRoom.add(tasks[0], false, now)
 		}
 	}
@@ -79,7 +77,7 @@
 		return 0
 	}
 	if r.MaxPerWorker > 0 {
-		n = min(n, r.MaxPerWorker-w.tasksLike(r))
+		n = min(n, r.MaxPerWorker)
 	}
 	fit := 0
 	for free := w.free; fit < n && r.Resources.Fits(free); fit++ {
@@ -88,17 +86,6 @@
 	return fit
 }
 
-// tasksLike returns how many tasks of the request's job with the same demand the worker runs.
-func (w *workerRoom) tasksLike(r RoomRequest) int {
-	n := 0
-	for _, run := range w.worker.runs {
-		if run.Task.ID.Job == r.Job && demand(run.Task.Step) == r.Resources {
-			n++
-		}
-	}
-	return n
-}
-
 // placesFor returns for how many tasks of a request there is room, up to all of them.
 func (room poolRoom) placesFor(r RoomRequest) int {
 	n := 0
@@ -155,28 +142,30 @@
 	return found
 }
 
-// takeRoom takes the room of tasks of a step if all of them fit, and reports whether they do.
-func (e *Engine) takeRoom(room poolRoom, tasks []*Task, now time.Time) bool {
-	var taken []*workerRoom
-	var together *reservation // of a gang
-	if len(tasks) > 1 {
-		together = &reservation{taken: map[*Worker]job.Resources{}, count: map[*Worker]int{}}
+// takeRoom takes the room of tasks of a step if all of them fit, and reports whether they do. placed
+// counts the tasks of each step that have taken room of a worker.
+func (e *Engine) takeRoom(room poolRoom, tasks []*Task, placed map[*job.Step]map[*Worker]int, now time.Time) bool {
+	step, need := tasks[0].Step, demand(tasks[0].Step)
+	if placed[step] == nil {
+		placed[step] = map[*Worker]int{}
 	}
+	var taken []*workerRoom
 	for _, t := range tasks {
-		need := demand(t.Step)
 		i := slices.IndexFunc(room, func(w *workerRoom) bool {
-			return need.Fits(w.free) && e.suits(t, w.worker, now, together) && e.advisorAllows(t, w.worker, now)
+			if !need.Fits(w.free) || !e.suits(t, w.worker, now, nil) || !e.advisorAllows(t, w.worker, now) {
+				return false
+			}
+			return step.MaxPerWorker == 0 || e.stepTasksOn(t, w.worker, nil)+placed[step][w.worker] < step.MaxPerWorker
 		})
 		if i < 0 {
 			for _, w := range taken {
 				w.free = w.free.Add(need)
+				placed[step][w.worker]--
 			}
 			return false
 		}
-		if together != nil {
-			together.count[room[i].worker]++
-		}
 		room[i].free = room[i].free.Sub(need)
+		placed[step][room[i].worker]++
 		taken = append(taken, room[i])
 	}
 	return true
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -33,6 +33,8 @@
 	used          job.Resources
 	// reservedUse are the resources that are reserved for tasks without a run there.
 	reservedUse job.Resources
+	// reservedBy are these tasks.
+	reservedBy []*Task
 	// advance is the part of an advance reservation; nil if there is none.
 	advance *advancePart
 
--- a/internal/cell/hosted.go
+++ b/internal/cell/hosted.go
@@ -419,7 +419,7 @@
 		}
 	}
 	r := dispatch.RoomRequest{
-		Job: id, Pool: req.GetPool(), Label: req.GetLabel(), MaxPerWorker: int(req.GetMaxPerWorker()),
+		Pool: req.GetPool(), Label: req.GetLabel(), MaxPerWorker: int(req.GetMaxPerWorker()),
 		Resources: job.Resources{MilliCPU: req.GetMilliCpu(), MemoryMB: req.GetMemoryMb(), GPU: req.GetGpu()},
 		Tasks:     min(int(req.GetTasks()), maxTransferTasks), Displacing: req.GetDisplacing(),
 	}
--- a/internal/cell/transfer_search.go
+++ b/internal/cell/transfer_search.go
@@ -34,7 +34,8 @@
 }
 
 // transferable returns the tasks that find no worker and for which room may be searched now: first
-// the interrupted ones, then by the time that they have waited.
+// the interrupted ones, then those not asked for yet or longest ago, then by the time that they have
+// waited. So each has its turn, also if cells do not answer.
 func (t *term) transferable(now time.Time) []waitingService {
 	var waiting []waitingService
 	for id, j := range t.engine.Jobs() {
@@ -52,7 +53,11 @@
 			}
 			return 1
 		}
-		return cmp.Or(a.found.Since.Compare(b.found.Since), cmp.Compare(a.job.Spec.ID, b.job.Spec.ID))
+		return cmp.Or(
+			t.transfers.searches[a.job.Spec.ID].askedAt.Compare(t.transfers.searches[b.job.Spec.ID].askedAt),
+			a.found.Since.Compare(b.found.Since),
+			cmp.Compare(a.job.Spec.ID, b.job.Spec.ID),
+		)
 	})
 	return waiting
 }
