--- a/dispatch/interrupted.go
+++ b/dispatch/interrupted.go
@@ -161,8 +161,8 @@
 	return true
 }
 
-// suitsInPlaceOf reports whether a worker on which another task has a reservation may run a task
-// without that.
+// suitsInPlaceOf reports whether a task may run on the worker on which another one has a reservation
+// if that is given up.
 func (e *Engine) suitsInPlaceOf(holder, t *Task, now time.Time) bool {
 	reserved := holder.reserved
 	holder.reserved = nil // it may fill the step's limit per worker
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -49,8 +49,8 @@
 	free   job.Resources
 }
 
-// poolRoom is what further tasks may use of the workers of a pool, those with the fewest free
-// processors first, so that small tasks leave the large pieces to others.
+// poolRoom is the room of the workers of a pool, those with the fewest free processors first, so
+// that small tasks leave the large pieces to others.
 type poolRoom []*workerRoom
 
 // freeRoom returns the capacity of a pool's workers that no run uses and no task has reserved;
--- a/internal/cell/transfer_search.go
+++ b/internal/cell/transfer_search.go
@@ -27,7 +27,7 @@
 	chosen bool
 }
 
-// waitingService are tasks of one step of a job that find no worker.
+// waitingService is a step of a job with tasks that find no worker.
 type waitingService struct {
 	job   *dispatch.Job
 	found dispatch.TransferableStep
@@ -77,7 +77,7 @@
 }
 
 // refusedAt reports whether a cell has refused as much as a request within transferBackoff, and
-// when. Services that fit nowhere do not hold up smaller ones so.
+// when. It is not asked again meanwhile, so that services that fit nowhere leave the turns to others.
 func (tf *transferrer) refusedAt(n int, request *peerpb.TaskRequest, now time.Time) (time.Time, bool) {
 	tf.refusals[n] = slices.DeleteFunc(tf.refusals[n], func(r roomRefusal) bool { return now.Sub(r.at) >= transferBackoff })
 	i := slices.IndexFunc(tf.refusals[n], func(r roomRefusal) bool { return r.covers(request) })
