--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -133,6 +133,9 @@
 func (e *Engine) HandleAdvice(req AdviceRequest, tickets map[string]string, err error, sent, now time.Time) {
 	e.adviceInFlight--
 	a := req.Job.stepAdvice[req.key]
+	if a == nil {
+		return // the step is done
+	}
 	a.inFlight = false
 	if err != nil {
 		a.notBefore = now.Add(adviceBackoff)
--- a/dispatch/copying_test.go
+++ b/dispatch/copying_test.go
@@ -27,7 +27,8 @@
 }
 
 // racing is a fixture with a step of four tasks, each on its own worker, and three further
-// workers. All tasks but the straggler are done after a second.
+// workers. All tasks but the straggler are done after a second. The steps that newRacing gets in
+// addition must depend on it.
 type racing struct {
 	*fixture
 	job       *Job
@@ -35,14 +36,14 @@
 	sequence  map[string]int64
 }
 
-func newRacing(t *testing.T, step job.Step) *racing {
+func newRacing(t *testing.T, step job.Step, later ...job.Step) *racing {
 	t.Helper()
 	var workers []port.WorkerEntry
 	for i := range 7 {
 		workers = append(workers, onRack(fmt.Sprintf("w%d", i), fmt.Sprintf("r%d", i/2%2)))
 	}
 	f := &racing{fixture: newFixture(workers...), sequence: map[string]int64{}}
-	f.job = f.Add(spec("j", step), f.now, 0)
+	f.job = f.Add(spec("j", append([]job.Step{step}, later...)...), f.now, 0)
 	out := f.plan(0)
 	if len(out.Starts) != step.Tasks {
 		t.Fatalf("%d starts, want %d", len(out.Starts), step.Tasks)
@@ -164,12 +165,9 @@
 			t.Run(fmt.Sprintf("copy wins %t, loser %s", copyWins, last), func(t *testing.T) {
 				is := is.New(t)
 				step := speculative(4)
-				next := small(1)
-				next.After = []int{0}
-				f := newRacing(t, step)
-				f.job.Spec.Steps = append(f.job.Spec.Steps, next) // keeps the job open
-				f.job.occurrences[0].pending = append(f.job.occurrences[0].pending, 1)
-				f.job.occurrences[0].tasks = append(f.job.occurrences[0].tasks, nil)
+				next := small(1) // keeps the job open
+				next.After, next.Label = []int{0}, "no worker has it"
+				f := newRacing(t, step, next)
 				winner, loser := f.straggler, f.copyOf(t)
 				if copyWins {
 					winner, loser = loser, winner
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -35,6 +35,9 @@
 	MaxEvacuation time.Duration
 	// RecordedWorkersOnly is set if tasks start only on workers that MarkRecorded names.
 	RecordedWorkersOnly bool
+	// Budget bounds the memory that jobs and their tasks take; nil means no bound. Tasks that workers
+	// list or that a former owner recorded are held beyond it.
+	Budget *Budget
 }
 
 // clockRate is the lowest rate of a worker's clock relative to the owner's; the
@@ -188,6 +191,9 @@
 	reservedLoad, bestEffortLoad, reservedMemory int64
 	// unverified reports whether a job may have been cancelled; nil if none may.
 	unverified func(id string, hosted bool) bool
+	// held is the number of tasks, and of occurrences that have begun and are not done, of open jobs, and
+	// createdInPlan that of the tasks that the present plan has created.
+	held, createdInPlan int
 	// now is the time of the last call of Plan.
 	now time.Time
 	out Output
@@ -320,46 +326,38 @@
 // Add adds an accepted job. It returns the existing job if the ID is known, and
 // nil if the job has ended.
 func (e *Engine) Add(spec job.Spec, now time.Time, wallMS int64) *Job {
+	return e.add(spec, now, wallMS, false)
+}
+
+func (e *Engine) add(spec job.Spec, now time.Time, wallMS int64, hosted bool) *Job {
 	if j := e.jobs[spec.ID]; j != nil {
 		return j
 	}
 	if _, ended := e.finalJobs[spec.ID]; ended {
 		return nil
 	}
-	j := &Job{Spec: spec, Queue: e.queues[spec.Queue], State: job.Queued, arrived: now}
+	j := &Job{Spec: spec, Queue: e.queues[spec.Queue], State: job.Queued, arrived: now, arrivedUnixMS: wallMS, hosted: hosted, mayCreate: true}
+	j.waitingOf = make([]int, len(spec.Steps))
 	// A former owner that has not noticed the takeover may have received the job, too.
-	mayHaveStarted := len(e.uncontacted) > 0 && now.Sub(e.takeoverAt) < handoverWindow
-	for k := range spec.Occurrences() {
-		o := &occurrence{number: k, due: now}
-		if due := spec.DueUnixMS(k); due > 0 {
-			o.due = now.Add(time.Duration(min(due-wallMS, maxDelayMS)) * time.Millisecond)
-		}
-		for s := range spec.Steps {
-			step := &j.Spec.Steps[s]
-			row := make([]*Task, step.Tasks)
-			tasks := make([]Task, step.Tasks)
-			for i := range row {
-				id := job.TaskID{Job: spec.ID, Occurrence: k, Step: s, Index: i}
-				t := &tasks[i]
-				*t = Task{ID: id, Job: j, Step: step, fullName: id.String(), inherited: mayHaveStarted}
-				row[i] = t
-				e.tasks[t.name()] = t
-			}
-			o.tasks = append(o.tasks, row)
-			o.pending = append(o.pending, step.Tasks)
-			j.waiting += step.Tasks
-		}
-		j.occurrences = append(j.occurrences, o)
-	}
+	j.inherited = len(e.uncontacted) > 0 && now.Sub(e.takeoverAt) < handoverWindow
 	j.service = slices.ContainsFunc(spec.Steps, func(s job.Step) bool { return s.Service })
 	e.profileJob(j, now)
 	e.countWork(j)
 	e.jobs[spec.ID] = j
+	e.countJob(j, 1)
 	if slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return allowsCopies(&s) }) {
 		e.copyable[spec.ID] = j
 	}
 	e.addLoad(j, 1)
-	e.unstarted[spec.Queue]++
+	if hosted {
+		j.requested, j.Started, j.State = true, true, job.Running // the home cell counts it
+	} else {
+		e.unstarted[spec.Queue]++
+		// The other half is left to the tasks that a former owner recorded.
+		if e.createdInPlan = 0; e.options.Budget == nil || e.options.Budget.tasks < e.options.Budget.limit/2 {
+			e.createFor(j, now)
+		}
+	}
 	e.claimRunsAndEnds(j, now)
 	return j
 }
@@ -406,6 +404,7 @@
 	delete(e.out.Changed, j)
 	delete(e.jobs, j.Spec.ID)
 	delete(e.copyable, j.Spec.ID)
+	e.countJob(j, -1)
 	e.addLoad(j, -1)
 	e.finalJobs[j.Spec.ID] = e.now
 	for t := range j.allTasks() {
@@ -418,6 +417,8 @@
 			e.stop(r, StopEnded)
 		}
 	}
+	e.countCreated(j, -j.created)
+	e.countHeld(-len(j.occurrences))
 }
 
 // markChanged marks a job's progress for a commit; ended reports the end of a run.
--- a/dispatch/ends.go
+++ b/dispatch/ends.go
@@ -11,17 +11,16 @@
 // handleEnd handles a listed end of a run.
 func (e *Engine) handleEnd(w *Worker, end port.EndedTask, now time.Time) {
 	r := w.runs[runKey{end.Task, end.Attempt}]
-	t := e.tasks[end.Task]
-	if r != nil {
+	var t *Task
+	if r == nil {
+		t = e.taskOfEnd(w, end, now)
+	} else {
 		t = r.Task
 		w.detach(r)
 		w.updateShares(r, now)
 		t.readyAt = time.Time{}
 	}
 	e.trackFailures(w, r, end, now)
-	if _, final := e.finalJobs[jobIDOf(end.Task)]; t == nil && !final {
-		w.unmatchedEnds = append(w.unmatchedEnds, unmatchedEnd{end, now})
-	}
 	if t == nil || t.Job.State.Final() {
 		return
 	}
@@ -49,6 +48,21 @@
 	}
 }
 
+// taskOfEnd returns the task of an end of a run that is not known, or nil if the end tells nothing: all tasks
+// of the step are done, the job has ended, or it is not known yet.
+func (e *Engine) taskOfEnd(w *Worker, end port.EndedTask, now time.Time) *Task {
+	t, j := e.find(end.Task)
+	_, final := e.finalJobs[jobIDOf(end.Task)]
+	switch {
+	case t != nil || final:
+	case j != nil:
+		e.markChanged(j, true) // the end is acknowledged after a commit
+	default:
+		w.unmatchedEnds = append(w.unmatchedEnds, unmatchedEnd{end, now})
+	}
+	return t
+}
+
 // trackFailures counts a worker's consecutive failures and backs off from it. A run that
 // was started in a backoff does not extend it: the others would wait for as long as a
 // service fails. r is nil if the run is not known.
@@ -81,7 +95,7 @@
 	if t.Done {
 		return
 	}
-	o := t.Job.occurrences[t.ID.Occurrence]
+	o := t.occurrence
 	if t.Step.Gang {
 		// The completion of one member completes the whole gang.
 		for _, member := range o.tasks[t.ID.Step] {
@@ -90,19 +104,17 @@
 		o.pending[t.ID.Step] = 0
 	} else {
 		t.setDone()
-		if o.pending[t.ID.Step]--; o.pending[t.ID.Step] == 0 {
-			t.Job.profiledAt = time.Time{}
-		}
+		o.pending[t.ID.Step]--
 		for _, r := range t.Runs {
 			e.stop(r, StopEnded)
 		}
 	}
-	for _, o := range t.Job.occurrences {
-		if !o.done() {
-			return
-		}
+	if o.pending[t.ID.Step] == 0 {
+		e.endStep(t.Job, o, t.ID.Step)
+	}
+	if t.Job.complete() {
+		e.finish(t.Job, job.Completed)
 	}
-	e.finish(t.Job, job.Completed)
 }
 
 // recordFailure counts a failed attempt and fails the job after MaxAttempts.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -11,12 +11,14 @@
 
 // Task is one task of a job.
 type Task struct {
-	ID       job.TaskID
-	Job      *Job
-	Step     *job.Step
-	Done     bool
-	Attempt  int // highest attempt number so far
-	Failures []int
+	ID   job.TaskID
+	Job  *Job
+	Step *job.Step
+	// occurrence is that of the task. It may have ended.
+	occurrence *occurrence
+	Done       bool
+	Attempt    int // highest attempt number so far
+	Failures   []int
 	// Crashes are the attempts under which a worker has crashed.
 	Crashes []int
 	// Checkpoint is the last known one; empty if there is none.
@@ -79,7 +81,7 @@
 // setDone marks the task as done.
 func (t *Task) setDone() {
 	if t.waiting() {
-		t.Job.waiting--
+		t.Job.countWaiting(t.ID.Step, -1)
 	}
 	t.Done = true
 }
@@ -87,7 +89,7 @@
 // addRun adds a run to the task.
 func (t *Task) addRun(r *Run) {
 	if t.waiting() {
-		t.Job.waiting--
+		t.Job.countWaiting(t.ID.Step, -1)
 	}
 	t.Runs = append(t.Runs, r)
 	t.hasRun = true
@@ -98,10 +100,16 @@
 func (t *Task) removeRun(r *Run) {
 	t.Runs = slices.DeleteFunc(t.Runs, func(o *Run) bool { return o == r })
 	if t.waiting() {
-		t.Job.waiting++
+		t.Job.countWaiting(t.ID.Step, 1)
 	}
 }
 
+// countWaiting adds to the number of waiting tasks of a step.
+func (j *Job) countWaiting(step, n int) {
+	j.waiting += n
+	j.waitingOf[step] += n
+}
+
 // name returns the task's name on workers.
 func (t *Task) name() string { return t.fullName }
 
@@ -112,11 +120,25 @@
 	State job.State
 	// Started is set once a worker has confirmed a run of any task, and requested once
 	// a start of any task has been requested.
-	Started     bool
-	requested   bool
+	Started   bool
+	requested bool
+	// occurrences are those that have begun and are not done, in ascending order, and ended are
+	// those that are done. The others are from next on.
 	occurrences []*occurrence
+	ended       job.Ranges
+	next        int
 	objective   time.Time
-	arrived     time.Time
+	// arrived is when this owner received the job, and arrivedUnixMS its wall clock at that time.
+	arrived       time.Time
+	arrivedUnixMS int64
+	// mayCreate is set if tasks of occurrences that have begun may have to be created, and created is
+	// the number of tasks that are held.
+	mayCreate bool
+	created   int
+	// inherited is set if a former owner may have started any task of the job. attemptBase is the
+	// attempt from which those of tasks without a recorded start count.
+	inherited   bool
+	attemptBase int
 	// remaining is the predicted length of the longest chain of work from each step on.
 	remaining []time.Duration
 	// latestStart is when the job's longest chain must start to meet the objective.
@@ -139,8 +161,10 @@
 	chain time.Duration
 	// stepTimes are the run times of tasks of the job that have ended, by step.
 	stepTimes []observedTimes
-	// waiting is the number of tasks that are neither done nor have a run.
-	waiting int
+	// waiting is the number of created tasks that are neither done nor elsewhere and have no run, and
+	// waitingOf that of each step.
+	waiting   int
+	waitingOf []int
 	// inPlanOrder is set while the job is in the engine's planOrder.
 	inPlanOrder bool
 	// stepAdvice is the advisor's responses by step; nil if there are none.
@@ -160,15 +184,7 @@
 	return false
 }
 
-// occurrence is one run of a job's steps.
-type occurrence struct {
-	number  int
-	due     time.Time
-	tasks   [][]*Task
-	pending []int // tasks not done, by step
-}
-
-// allTasks yields every task of the job.
+// allTasks yields the tasks of the job that have been created and not dropped.
 func (j *Job) allTasks() iter.Seq[*Task] {
 	return func(yield func(*Task) bool) {
 		for _, o := range j.occurrences {
@@ -188,8 +204,8 @@
 
 func (t *Task) stepKey() stepKey { return stepKey{t.ID.Occurrence, t.ID.Step} }
 
-// siblings returns all tasks of the task's step, including itself.
-func (t *Task) siblings() []*Task { return t.Job.occurrences[t.ID.Occurrence].tasks[t.ID.Step] }
+// siblings returns all tasks of the task's step, including itself, or nil if all of them are done.
+func (t *Task) siblings() []*Task { return t.occurrence.tasks[t.ID.Step] }
 
 // unavailableSiblings counts the other tasks of a service step that do not serve.
 func (t *Task) unavailableSiblings() int {
@@ -202,25 +218,6 @@
 	return unavailable
 }
 
-func (o *occurrence) done() bool {
-	for _, n := range o.pending {
-		if n > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// ready reports whether all predecessors of a step are done.
-func (o *occurrence) ready(step *job.Step) bool {
-	for _, before := range step.After {
-		if o.pending[before] > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 // Job returns an open job, or nil.
 func (e *Engine) Job(id string) *Job { return e.jobs[id] }
 
--- a/dispatch/listing.go
+++ b/dispatch/listing.go
@@ -127,7 +127,7 @@
 // adopt takes over a run that a former owner started. It returns nil if the run
 // must not continue.
 func (e *Engine) adopt(w *Worker, entry port.RunningTask, now time.Time) *Run {
-	t := e.tasks[entry.Task]
+	t, _ := e.find(entry.Task)
 	if t == nil || t.Done || t.elsewhere || len(t.Runs) >= t.maxRunsOf() {
 		return nil
 	}
--- a/dispatch/movable.go
+++ b/dispatch/movable.go
@@ -11,7 +11,7 @@
 // tasks has been requested, by this owner or a former one. Of a job that a former owner
 // may have had, that is not known, because starts are recorded later than requested.
 func (e *Engine) MayMove(j *Job) bool {
-	if j.requested || j.State != job.Queued {
+	if j.requested || j.inherited || j.State != job.Queued {
 		return false
 	}
 	for t := range j.allTasks() {
@@ -25,10 +25,7 @@
 // WaitingSince returns when an open job that has not begun could have started at the
 // earliest, and whether that has passed.
 func (j *Job) WaitingSince(now time.Time) (time.Time, bool) {
-	if len(j.occurrences) == 0 {
-		return time.Time{}, false
-	}
-	since := later(j.arrived, j.occurrences[0].due)
+	since := later(j.arrived, j.dueAt(0))
 	return since, !since.After(now)
 }
 
@@ -61,6 +58,7 @@
 	delete(e.jobs, id)
 	delete(e.copyable, id)
 	delete(e.out.Changed, j)
+	e.countJob(j, -1)
 	e.addLoad(j, -1)
 	e.planOrder = slices.DeleteFunc(e.planOrder, func(o *Job) bool { return o == j })
 	for t := range j.allTasks() {
@@ -70,6 +68,8 @@
 		}
 		delete(e.tasks, t.name())
 	}
+	e.countCreated(j, -j.created)
+	e.countHeld(-len(j.occurrences))
 }
 
 // AcceptsWork reports whether any worker of a pool is to run more work: it is listed, and
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -21,6 +21,7 @@
 	e.unclearable.reset()
 	clear(e.waitingPools)
 	e.warmRoomsValid, e.warmWaits = false, 0
+	e.createDue(now)
 	order := e.byUrgency(now)
 	for _, j := range order {
 		if j.interrupted {
@@ -48,7 +49,7 @@
 		}
 		for s := range j.Spec.Steps {
 			step := &j.Spec.Steps[s]
-			if o.pending[s] > 0 && o.ready(step) {
+			if o.tasks[s] != nil && o.pending[s] > 0 && o.ready(step) {
 				e.planStep(step, o.tasks[s], interrupted, now)
 			}
 		}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -67,18 +67,39 @@
 	Tasks []TaskProgress `json:"tasks"`
 	// Started is set if a worker has confirmed a run of any task.
 	Started bool `json:"started,omitempty"`
+	// Done are further tasks that are done, by the numbers that job.Spec.Numbering gives them.
+	Done job.Ranges `json:"done,omitempty"`
+	// AttemptBase is the highest attempt of tasks that are neither in Tasks nor in Done.
+	AttemptBase int `json:"base,omitempty"`
+}
+
+// Append adds stored states of tasks of a job. Of tasks that are neither services nor running, and
+// have neither failed nor saved a checkpoint, only the attempt is kept.
+func (p *Progress) Append(spec job.Spec, tasks []TaskProgress) {
+	for _, tp := range tasks {
+		if tp.Step < len(spec.Steps) && !spec.Steps[tp.Step].Service && tp.onlyAttempt() {
+			p.AttemptBase = max(p.AttemptBase, tp.Attempt)
+		} else {
+			p.Tasks = append(p.Tasks, tp)
+		}
+	}
+}
+
+// onlyAttempt reports whether the record tells nothing but the attempt of a task.
+func (tp TaskProgress) onlyAttempt() bool {
+	return !tp.Done && len(tp.Failures)+len(tp.Crashes) == 0 && tp.Checkpoint == "" && tp.Worker == "" && tp.Second == nil && !tp.Copied && tp.Unresolved == 0
 }
 
 // started reports whether a worker has confirmed a run of any task.
 func (p Progress) started() bool {
-	return p.Started || slices.ContainsFunc(p.Tasks, func(tp TaskProgress) bool { return tp.Done || len(tp.Failures) > 0 })
+	return p.Started || len(p.Done) > 0 || slices.ContainsFunc(p.Tasks, func(tp TaskProgress) bool { return tp.Done || len(tp.Failures) > 0 })
 }
 
 // Progress returns the state to store for the job.
 func (j *Job) Progress() Progress {
-	p := Progress{Started: j.Started}
+	p := Progress{Started: j.Started, Done: j.doneRanges(), AttemptBase: j.attemptBase}
 	for t := range j.allTasks() {
-		if t.Attempt == 0 && !t.Done || j.hosted && t.elsewhere {
+		if !t.hasRun && !t.Done && t.Attempt <= j.attemptBase || j.hosted && t.elsewhere {
 			continue
 		}
 		tp := TaskProgress{
@@ -110,6 +131,23 @@
 	return p
 }
 
+// doneRanges returns the numbers of the tasks of the steps that are done.
+func (j *Job) doneRanges() job.Ranges {
+	numbers := j.Spec.Numbering()
+	var done []job.Range
+	for _, r := range j.ended {
+		done = append(done, job.Range{numbers.Number(r[0], 0, 0), numbers.Number(r[1], 0, 0)})
+	}
+	for _, o := range j.occurrences {
+		for s := range o.pending {
+			if o.pending[s] == 0 {
+				done = append(done, numbers.Step(o.number, s))
+			}
+		}
+	}
+	return job.NewRanges(done)
+}
+
 // attemptGap is added to the attempts that a former owner recorded, because it may
 // have had no time to record its last starts.
 const attemptGap = 16
@@ -117,34 +155,25 @@
 // Restore applies a former owner's stored state to a job that has just been added.
 // Every task of the job may still run somewhere, whether recorded or not.
 func (e *Engine) Restore(j *Job, p Progress) error {
+	j.inherited, j.attemptBase = true, max(j.attemptBase, p.AttemptBase)
 	for t := range j.allTasks() {
-		t.inherited = true
+		t.inherited, t.Attempt = true, max(t.Attempt, j.attemptBase)
+	}
+	for _, r := range p.Done {
+		e.restoreDone(j, r)
 	}
 	for _, tp := range p.Tasks {
 		id := job.TaskID{Job: j.Spec.ID, Occurrence: tp.Occurrence, Step: tp.Step, Index: tp.Index}
-		t := e.tasks[id.String()]
-		if t == nil {
+		if !j.hasTask(id) {
 			return fmt.Errorf("progress of job %s has unknown task %s", j.Spec.ID, id)
 		}
-		t.Attempt = max(t.Attempt, tp.Attempt)
-		t.Failures, t.Crashes = slices.Clone(tp.Failures), slices.Clone(tp.Crashes)
-		t.Checkpoint = tp.Checkpoint
-		t.copied = t.copied || tp.Copied
-		t.unresolvedRuns = tp.Unresolved + len(tp.runs())
-		t.placedOn, t.recordedRuns = nil, tp.runs()
-		for _, run := range t.recordedRuns {
-			t.placedOn = append(t.placedOn, run.Worker)
-			e.recordedOn[run.Worker] = append(e.recordedOn[run.Worker], t)
-		}
-		t.hasRun = t.hasRun || tp.Attempt > 0
-		if tp.Done && !t.Done {
-			t.setDone()
-			o := j.occurrences[tp.Occurrence]
-			o.pending[tp.Step]--
+		if t := e.taskOf(j, id); t != nil {
+			e.restoreTask(t, tp)
 		}
 	}
+	e.endRestoredSteps(j)
 	j.presumeRuns()
-	if len(p.Tasks) > 0 {
+	if len(p.Tasks)+len(p.Done) > 0 {
 		j.requested, j.State = true, job.Running
 	}
 	if !j.Started && p.started() {
@@ -154,12 +183,80 @@
 	for t := range j.allTasks() {
 		t.Attempt += attemptGap
 	}
+	j.attemptBase += attemptGap
 	for _, tp := range p.Tasks {
 		e.restoreBoot(j, tp)
 	}
+	if j.complete() {
+		e.finish(j, job.Completed)
+	}
 	return nil
 }
 
+// endRestoredSteps ends the steps whose tasks have all been restored as done.
+func (e *Engine) endRestoredSteps(j *Job) {
+	for _, o := range slices.Clone(j.occurrences) {
+		for s := range o.tasks {
+			if o.tasks[s] != nil && o.pending[s] == 0 {
+				e.endStep(j, o, s)
+			}
+		}
+	}
+}
+
+// restoreTask applies the stored state of a task.
+func (e *Engine) restoreTask(t *Task, tp TaskProgress) {
+	t.Attempt = max(t.Attempt, tp.Attempt)
+	t.Failures, t.Crashes = slices.Clone(tp.Failures), slices.Clone(tp.Crashes)
+	t.Checkpoint = tp.Checkpoint
+	t.copied = t.copied || tp.Copied
+	t.unresolvedRuns = tp.Unresolved + len(tp.runs())
+	t.placedOn, t.recordedRuns = nil, tp.runs()
+	for _, run := range t.recordedRuns {
+		t.placedOn = append(t.placedOn, run.Worker)
+		e.recordedOn[run.Worker] = append(e.recordedOn[run.Worker], t)
+	}
+	t.hasRun = t.hasRun || tp.Attempt > 0
+	if tp.Done {
+		t.restoreAsDone()
+	}
+}
+
+// restoreAsDone marks a task as done. Its step is not ended.
+func (t *Task) restoreAsDone() {
+	if !t.Done {
+		t.setDone()
+		t.occurrence.pending[t.ID.Step]--
+	}
+}
+
+// restoreDone marks a range of tasks as done. Those of whole steps and occurrences are not created.
+func (e *Engine) restoreDone(j *Job, r job.Range) {
+	numbers := j.Spec.Numbering()
+	each := numbers.PerOccurrence()
+	end := min(r[1], j.Spec.Occurrences()*each)
+	for n := max(0, r[0]); n < end; {
+		k, s, i := numbers.At(n)
+		if whole := (end - n) / each; s == 0 && i == 0 && whole > 0 {
+			e.endOccurrences(j, k, k+whole)
+			n += whole * each
+			continue
+		}
+		step := numbers.Step(k, s)
+		next := min(end, step[1])
+		if o := e.begin(j, k); o != nil && n == step[0] && next == step[1] {
+			e.endStep(j, o, s)
+		} else if o != nil {
+			for ; n < next; n++ {
+				if t := e.taskOf(j, job.TaskID{Job: j.Spec.ID, Occurrence: k, Step: s, Index: n - step[0]}); t != nil {
+					t.restoreAsDone()
+				}
+			}
+		}
+		n = next
+	}
+}
+
 // presumeRuns marks the tasks of each step of a former owner that presumably have run.
 func (j *Job) presumeRuns() {
 	for _, o := range j.occurrences {
@@ -175,7 +272,7 @@
 // otherwise each takeover of a full cell would let all services that wait for capacity displace
 // running tasks.
 func presumeStepHasRun(tasks []*Task) {
-	if !tasks[0].Step.Service || !slices.ContainsFunc(tasks, func(t *Task) bool { return t.hasRun }) {
+	if len(tasks) == 0 || !tasks[0].Step.Service || !slices.ContainsFunc(tasks, func(t *Task) bool { return t.hasRun }) {
 		return
 	}
 	for _, t := range tasks {
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -44,21 +44,7 @@
 	if j := e.jobs[spec.ID]; j != nil {
 		return j
 	}
-	j := e.Add(spec, now, wallMS)
-	if j == nil {
-		return nil
-	}
-	e.addLoad(j, -1)
-	j.hosted, j.requested, j.State = true, true, job.Running
-	for t := range j.allTasks() {
-		t.setElsewhere(true)
-	}
-	e.addLoad(j, 1)
-	if !j.Started {
-		e.countStarted(j) // the home cell counts it
-		j.Started = true
-	}
-	return j
+	return e.add(spec, now, wallMS, true)
 }
 
 // Hosted reports whether the job is one of another cell.
@@ -67,17 +53,17 @@
 // setElsewhere records whether another cell runs the task.
 func (t *Task) setElsewhere(elsewhere bool) {
 	if t.waiting() {
-		t.Job.waiting--
+		t.Job.countWaiting(t.ID.Step, -1)
 	}
 	t.elsewhere = elsewhere
 	if t.waiting() {
-		t.Job.waiting++
+		t.Job.countWaiting(t.ID.Step, 1)
 	}
 }
 
 // TakeIn makes this cell run a task that another one has run. The task must run nowhere.
 func (e *Engine) TakeIn(j *Job, s TransferredTask, now time.Time) {
-	t := e.tasks[s.ID(j.Spec.ID).String()]
+	t, _ := e.find(s.ID(j.Spec.ID).String())
 	switch {
 	case t == nil:
 		return
@@ -99,11 +85,14 @@
 	for _, attempt := range crashes {
 		e.recordCrash(t, attempt)
 	}
+	if !j.State.Final() {
+		e.claimRunsAndEnds(j, now)
+	}
 }
 
 // GiveAway records that another cell runs a task.
 func (e *Engine) GiveAway(id job.TaskID) {
-	t := e.tasks[id.String()]
+	t, _ := e.find(id.String())
 	if t == nil || t.elsewhere {
 		return
 	}
@@ -146,10 +135,18 @@
 	for t := range j.allTasks() {
 		some, all = some || t.elsewhere, all && t.elsewhere
 	}
+	if !j.allCreated() { // the others run where the job is at home
+		some, all = some || j.hosted, all && j.hosted
+	}
 	return some, all
 }
 
-// TasksHere returns the IDs of the tasks of a job that this cell runs.
+// allCreated reports whether all tasks of the job are held.
+func (j *Job) allCreated() bool {
+	return j.created == j.Spec.Occurrences()*j.Spec.Numbering().PerOccurrence()
+}
+
+// TasksHere returns the IDs of the tasks of a hosted job that this cell runs.
 func (e *Engine) TasksHere(j *Job) []job.TaskID {
 	var here []job.TaskID
 	for t := range j.allTasks() {
--- a/dispatch/unknown_runs.go
+++ b/dispatch/unknown_runs.go
@@ -43,7 +43,7 @@
 	}
 	tracked.entry = entry
 	w.unknownRuns[key] = tracked
-	if ended || e.tasks[entry.Task] != nil || now.Sub(tracked.since) > unknownJobGracePeriod {
+	if _, open := e.find(entry.Task); ended || open != nil || now.Sub(tracked.since) > unknownJobGracePeriod {
 		e.out.UnknownRuns = append(e.out.UnknownRuns, UnknownRun{w, entry.Task, entry.Attempt})
 	}
 }
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -34,19 +34,25 @@
 
 // rank updates a job's class and, while tasks of it wait, its rank.
 func (e *Engine) rank(j *Job, now time.Time) {
-	switch {
-	case j.service:
-		j.rank = urgency.Rank{Class: urgency.OnTime, Priority: j.Queue.Priority}
-	case j.waiting > 0:
-		if now.Sub(j.profiledAt) >= profileInterval {
-			e.profileJob(j, now)
-		}
-		j.rank, j.class = j.profile.Rank(now)
-	default:
+	if j.service || j.waiting > 0 {
+		e.updateRank(j, now)
+	} else {
 		j.class = j.profile.Class(now)
 	}
 }
 
+// updateRank updates a job's class and its rank.
+func (e *Engine) updateRank(j *Job, now time.Time) {
+	if j.service {
+		j.rank = urgency.Rank{Class: urgency.OnTime, Priority: j.Queue.Priority}
+		return
+	}
+	if now.Sub(j.profiledAt) >= profileInterval {
+		e.profileJob(j, now)
+	}
+	j.rank, j.class = j.profile.Rank(now)
+}
+
 func compareUrgency(a, b *Job) int {
 	if c := a.rank.CompareLevel(b.rank); c != 0 {
 		return c
@@ -139,14 +145,15 @@
 }
 
 // currentOccurrence returns the first occurrence that is due and not done, or else the
-// last one.
+// next one.
 func (j *Job) currentOccurrence(now time.Time) *occurrence {
 	for _, o := range j.occurrences {
-		if !now.Before(o.due) && !o.done() {
+		if !now.Before(o.due) {
 			return o
 		}
 	}
-	return j.occurrences[len(j.occurrences)-1]
+	j.skipBegun()
+	return j.newOccurrence(min(j.next, j.Spec.Occurrences()-1))
 }
 
 // mean is an exponentially weighted mean.
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -136,6 +136,9 @@
 		t.c.recordStoreResult(err, t.c.Now())
 		if err == nil {
 			cursor.rescan = false
+			if table == t.c.tables.jobs {
+				t.deferred.clear()
+			}
 			t.applyChanges(table, cursor, page, began, true)
 		}
 	})
--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -60,6 +60,8 @@
 	maxEvacuation time.Duration
 	// machines tells which workers are up; nil if there is no such list.
 	machines port.Machines
+	// heldLimit is the limit of the budget of daemons that are started after it is set; zero means none.
+	heldLimit int
 	// logTo receives the events of daemons that are started after it is set; it may
 	// be nil.
 	logTo log.Handler
@@ -168,6 +170,9 @@
 	if cl.maxEvacuation > 0 {
 		options.Engine.MaxEvacuation, options.Engine.CapacityTTL = cl.maxEvacuation, 0
 	}
+	if cl.heldLimit > 0 {
+		options.Engine.Budget = dispatch.NewBudget(cl.heldLimit)
+	}
 	if cl.storedDirectory {
 		options.Directory = storedDirectory{cl, d}
 	}
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -472,6 +472,7 @@
 	t.log.WithField("event", "ownership_released").Info("released the ownership of the cell")
 	t.ended = true
 	t.observeEnd()
+	t.engine.Close()
 	t.c.term = nil
 	t.c.transition(charts.ShardRelease)
 	t.c.ownerVersionSeenAt = time.Time{}
--- /dev/null
+++ b/internal/cell/deferred.go
@@ -0,0 +1,136 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/bambooyard/bambooyard/job"
+	"github.com/bambooyard/bambooyard/verdict"
+)
+
+const (
+	// fullRetryAfter is sent to callers while there is no memory for further jobs, and up to twice that,
+	// so that they do not return at the same time. Jobs end every second, but seldom all at once.
+	fullRetryAfter = 2 * time.Second
+	// fullPercent is the share of the memory for open jobs from which further ones are refused, and
+	// fullLaterPercent that for jobs which are due later than dueSoon: they would keep others out until
+	// then.
+	fullPercent      = 100
+	fullLaterPercent = 75
+	dueSoon          = 10 * time.Minute
+	// deferredReadInterval is the least time between two reads of all jobs for those that are deferred.
+	deferredReadInterval = 5 * time.Second
+)
+
+// deferredJobs are stored jobs that the owner has no memory for. They have not begun, and are read from
+// the store again when there is. It belongs to the control loop.
+type deferredJobs struct {
+	queues map[string]string // by job ID
+	readAt time.Time
+}
+
+func (d *deferredJobs) clear() { clear(d.queues) }
+
+// count adds the jobs to the depths of the queues.
+func (d *deferredJobs) count(depths map[string]int) {
+	for _, queue := range d.queues {
+		depths[queue]++
+	}
+}
+
+// memoryPercent returns the share of the memory for open jobs that these take, in percent. It is full
+// while any are deferred.
+func (t *term) memoryPercent() uint32 {
+	percent := t.c.Engine.Budget.JobPercent()
+	if len(t.deferred.queues) > 0 {
+		percent = max(percent, fullPercent)
+	}
+	return uint32(percent)
+}
+
+// isFull reports whether the owner of the cell has no memory for a further job.
+func (c *Cell) isFull(spec job.Spec) bool {
+	limit := uint32(fullPercent)
+	if spec.DueUnixMS(0) > c.Wall().Add(dueSoon).UnixMilli() {
+		limit = fullLaterPercent
+	}
+	return c.jobStates.memory(c.Now()) >= limit
+}
+
+// deferJob leaves a job in the store for which there is no memory. It reports whether it has.
+func (t *term) deferJob(spec job.Spec) bool {
+	if t.c.Engine.Budget.FitsJob(spec) {
+		delete(t.deferred.queues, spec.ID)
+		return false
+	}
+	if len(t.deferred.queues) == 0 {
+		tasks, jobs, limit := t.c.Engine.Budget.Usage()
+		t.log.WithFields(log.Fields{"event": "jobs_deferred", "job": spec.ID, "tasks_held": tasks, "jobs_held": jobs, "limit": limit}).
+			Warn("no memory for further jobs; leaving them in the store until others end")
+	}
+	t.deferred.queues[spec.ID] = spec.Queue
+	return true
+}
+
+// cancelDeferred has a deferred job read again, so that its end is committed.
+func (t *term) cancelDeferred(id string) {
+	if _, ok := t.deferred.queues[id]; ok {
+		delete(t.deferred.queues, id)
+		t.rereadJobs()
+	}
+}
+
+// readDeferred reads the deferred jobs again once there is memory.
+func (t *term) readDeferred(now time.Time) {
+	if len(t.deferred.queues) == 0 || !t.c.Engine.Budget.HasRoom() || now.Sub(t.deferred.readAt) < deferredReadInterval {
+		return
+	}
+	t.deferred.readAt = now
+	t.log.WithFields(log.Fields{"event": "deferred_jobs_read", "jobs": len(t.deferred.queues)}).Info("reading the jobs again that there was no memory for")
+	t.rereadJobs()
+}
+
+// rereadJobs has all stored jobs of the cell read.
+func (t *term) rereadJobs() { t.changes[t.c.tables.jobs].rescan = true }
+
+// submitToFull handles a submission for which the owner has no memory: it is refused, unless a row of the
+// job is stored already.
+func (c *Cell) submitToFull(ctx context.Context, id string) error {
+	if _, err := c.storedState(ctx, id); !errors.Is(err, ErrNoJob) {
+		return err
+	}
+	c.instruments.jobsRefusedFull.Inc(1)
+	c.Log.WithFields(log.Fields{"event": "job_refused_full", "job": id, "cell": c.Number}).Info("no memory for further jobs")
+	after := fullRetryAfter + time.Duration(c.Random()*float64(fullRetryAfter))
+	return verdict.Refuse(verdict.CodeOverloaded, http.StatusTooManyRequests, after, "the cell has no memory for further jobs")
+}
+
+// withMemory returns the cells whose owners have memory for a further job, or all if none has.
+func (g *Group) withMemory(spec job.Spec, cells []int) []int {
+	free := slices.DeleteFunc(slices.Clone(cells), func(n int) bool { return g.cell(n).isFull(spec) })
+	if len(free) == 0 {
+		return cells
+	}
+	return free
+}
+
+// observeMemory updates the gauges of what the owned cells hold in memory.
+func (g *Group) observeMemory() {
+	tasks, jobs, limit := g.lead.Engine.Budget.Usage()
+	deferred := 0
+	for _, c := range append(g.others(), g.lead) {
+		if c.term != nil {
+			deferred += len(c.term.deferred.queues)
+		}
+	}
+	m := g.lead.instruments
+	m.tasksHeld.Update(int64(tasks))
+	m.jobsHeld.Update(int64(jobs))
+	m.heldLimit.Update(int64(limit))
+	m.jobsDeferred.Update(int64(deferred))
+}
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -140,6 +140,7 @@
 	// they are, but never newer.
 	if !reply.GetLoading() {
 		c.jobStates.confirm(now, depthsByQueue(reply.GetDepths()), l.sentAt.Add(-milliseconds(reply.GetDepthsAgeMs())))
+		c.jobStates.setMemory(reply.GetMemoryPercent(), now)
 	}
 	if c.isLead() {
 		c.reportedEvacuations = decodeEvacuations(reply.GetEvacuations())
@@ -246,6 +247,7 @@
 		if t.loaded {
 			reply.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
 			reply.Depths = encodeDepths(t.depths())
+			reply.MemoryPercent = t.memoryPercent()
 		}
 		if c.isLead() {
 			reply.Evacuations = encodeEvacuations(t.engine.Evacuations())
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -47,6 +47,9 @@
 	if err := c.checkStore(); err != nil {
 		return err
 	}
+	if c.isFull(spec) {
+		return c.submitToFull(ctx, spec.ID)
+	}
 	txn := c.submission(spec)
 	if bytes := len(txn.Puts[0].Value); bytes > c.rowBytes() {
 		return verdict.Refuse(verdict.CodeTooLarge, http.StatusRequestEntityTooLarge, 0, "the job takes %d bytes and the store holds %d", bytes, c.rowBytes())
--- a/internal/cell/jobstates.go
+++ b/internal/cell/jobstates.go
@@ -37,6 +37,9 @@
 	depths map[string]int
 	// depthsAt is the time as of which the depths count every stored job.
 	depthsAt time.Time
+	// memoryPercent is the share of the owner's memory for open jobs that these take, as of memoryAt.
+	memoryPercent uint32
+	memoryAt      time.Time
 	// confirmedAt is when the owner last confirmed the states that are not final.
 	confirmedAt time.Time
 
@@ -150,6 +153,24 @@
 	}
 }
 
+// setMemory records the share of the owner's memory for open jobs that these take, in percent, as of a
+// time.
+func (cache *jobStateCache) setMemory(percent uint32, at time.Time) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	cache.memoryPercent, cache.memoryAt = percent, at
+}
+
+// memory returns that share, or zero if it is not known.
+func (cache *jobStateCache) memory(now time.Time) uint32 {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	if now.Sub(cache.memoryAt) >= depthTTL {
+		return 0
+	}
+	return cache.memoryPercent
+}
+
 // state returns a job's last known state and whether it is valid. Final states are
 // always valid, other states for confirmationTTL after a confirmation.
 func (cache *jobStateCache) state(id string, now time.Time) (job.State, bool) {
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -219,6 +219,7 @@
 	}
 	if !s.GetLoading() {
 		c.jobStates.setDepths(depthsByQueue(s.GetDepths()), at.Add(-milliseconds(s.GetDepthsAgeMs())))
+		c.jobStates.setMemory(s.GetMemoryPercent(), at)
 	}
 	if c.reportedOwner != s.GetAddress() {
 		c.reportedOwner = s.GetAddress()
@@ -294,6 +295,7 @@
 func (g *Group) observeOwned(now time.Time) {
 	g.observeEvacuations()
 	g.observeBestEffort()
+	g.observeMemory()
 	for _, c := range g.others() {
 		if c.term != nil {
 			g.recordStatus(c.term.status(now), now)
@@ -313,6 +315,7 @@
 	if t.loaded {
 		s.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
 		s.Depths = encodeDepths(t.depths())
+		s.MemoryPercent = t.memoryPercent()
 	}
 	s.Evacuations = encodeEvacuations(t.engine.Evacuations())
 	return s
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -100,6 +100,7 @@
 	}
 	demand := cellmap.DemandOf(spec)
 	candidates := v.cellMap.Candidates(g.needs(spec), g.options.Region, rand.IntN)
+	candidates = g.withMemory(spec, candidates)
 	loads := make([]*cellmap.Load, len(candidates))
 	var wg sync.WaitGroup
 	for i, n := range candidates {
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -64,6 +64,13 @@
 	copiesStarted, copiesWon metrics.Counter
 	// reservationsMade counts the advance reservations for large tasks.
 	reservationsMade metrics.Counter
+	// tasksHeld and jobsHeld are the memory that tasks and open jobs take in the cells that this daemon
+	// owns, in tasks that take as much, and heldLimit is the limit of each.
+	tasksHeld, jobsHeld, heldLimit metrics.Gauge
+	// jobsDeferred is the number of stored jobs that the owner has no memory for yet, and jobsRefusedFull
+	// counts the submissions that were refused because of such a lack.
+	jobsDeferred    metrics.Gauge
+	jobsRefusedFull metrics.Counter
 	// interrupted is the number of service tasks that ran before and have no run.
 	interrupted metrics.Gauge
 }
@@ -119,6 +126,11 @@
 		copiesWon:          counter("cell.copies_won"),
 		reservationsMade:   counter("cell.reservations_made"),
 		interrupted:        gauge("cell.services_interrupted"),
+		tasksHeld:          gauge("cell.tasks_held"),
+		jobsHeld:           gauge("cell.jobs_held"),
+		heldLimit:          gauge("cell.held_limit"),
+		jobsDeferred:       gauge("cell.jobs_deferred"),
+		jobsRefusedFull:    counter("cell.jobs_refused_full"),
 	}
 	m.registerByReason()
 	return m
--- a/internal/cell/progress_rows.go
+++ b/internal/cell/progress_rows.go
@@ -30,14 +30,8 @@
 type progressRecord struct {
 	dispatch.Progress
 	Split bool `json:"split,omitempty"`
-	// Done are the ranges of the numbers of tasks that are done.
-	Done []taskRange `json:"done,omitempty"`
 }
 
-// taskRange is a range of the numbers of tasks, the last one excluded. Tasks are numbered in
-// the order of their occurrences, steps and indexes.
-type taskRange [2]int
-
 // progressParts are the rows of a split progress that are stored, by number, as hashes of their
 // values. The hash is zero if it is not known whether the row is stored.
 type progressParts struct {
@@ -56,65 +50,31 @@
 
 func partKey(id string, part int) string { return id + "/" + strconv.Itoa(part) }
 
-// taskNumbers numbers the tasks of a job.
-type taskNumbers struct {
-	offsets       []int // of each step within an occurrence
-	perOccurrence int
-}
-
-func numberTasks(spec job.Spec) taskNumbers {
-	var n taskNumbers
-	for _, step := range spec.Steps {
-		n.offsets = append(n.offsets, n.perOccurrence)
-		n.perOccurrence += step.Tasks
-	}
-	return n
-}
-
-func (n taskNumbers) of(tp dispatch.TaskProgress) int {
-	return tp.Occurrence*n.perOccurrence + n.offsets[tp.Step] + tp.Index
-}
-
-// at returns the task with a number.
-func (n taskNumbers) at(number int) dispatch.TaskProgress {
-	within := number % n.perOccurrence
-	step, found := slices.BinarySearch(n.offsets, within)
-	if !found {
-		step--
-	}
-	return dispatch.TaskProgress{Occurrence: number / n.perOccurrence, Step: step, Index: within - n.offsets[step]}
-}
-
-// splitProgress returns the ranges of the parts of a job whose tasks are all done, and the tasks of
-// the other parts.
-func splitProgress(spec job.Spec, p dispatch.Progress) ([]taskRange, map[int][]dispatch.TaskProgress) {
-	numbers := numberTasks(spec)
-	total := spec.Occurrences() * numbers.perOccurrence
+// splitProgress returns the ranges of tasks that are done, and the tasks of the parts that others are
+// in. Parts also hold the done tasks that the ranges have no room for.
+func splitProgress(spec job.Spec, p dispatch.Progress) (job.Ranges, map[int][]dispatch.TaskProgress) {
+	numbers := spec.Numbering()
+	total := spec.Occurrences() * numbers.PerOccurrence()
 	parts := map[int][]dispatch.TaskProgress{}
 	for _, tp := range p.Tasks {
-		n := numbers.of(tp) / partTasks
+		n := numbers.Number(tp.Occurrence, tp.Step, tp.Index) / partTasks
 		parts[n] = append(parts[n], tp)
 	}
-	var done []taskRange
-	order := make([]int, 0, len(parts))
-	for n := range parts {
-		order = append(order, n)
-	}
-	slices.Sort(order)
-	for _, n := range order {
+	all := slices.Clone(p.Done)
+	for n, tasks := range parts {
 		from, to := n*partTasks, min((n+1)*partTasks, total)
-		if len(parts[n]) < to-from || slices.ContainsFunc(parts[n], func(tp dispatch.TaskProgress) bool { return !tp.Done }) {
-			continue
+		if len(tasks) == to-from && !slices.ContainsFunc(tasks, func(tp dispatch.TaskProgress) bool { return !tp.Done }) {
+			all = append(all, job.Range{from, to})
+			delete(parts, n)
 		}
-		switch last := len(done) - 1; {
-		case last >= 0 && done[last][1] == from:
-			done[last][1] = to
-		case len(done) < maxDoneRanges:
-			done = append(done, taskRange{from, to})
-		default:
-			continue
+	}
+	done, others := job.NewRanges(all).Longest(maxDoneRanges)
+	for _, r := range others {
+		for n := r[0]; n < r[1]; n++ {
+			tp := dispatch.TaskProgress{Attempt: 1, Done: true}
+			tp.Occurrence, tp.Step, tp.Index = numbers.At(n)
+			parts[n/partTasks] = append(parts[n/partTasks], tp)
 		}
-		delete(parts, n)
 	}
 	return done, parts
 }
@@ -125,7 +85,7 @@
 	id, p := j.Spec.ID, j.Progress()
 	rows := t.parts[id]
 	if rows == nil {
-		if value := encode(p); len(value) <= t.c.rowBytes()/2 {
+		if value := encode(p); len(value) <= t.c.rowBytes()/2 && len(p.Done) <= maxDoneRanges {
 			b.put(tableProgress, id, value)
 			b.jobs = append(b.jobs, j)
 			return true
@@ -153,7 +113,7 @@
 	if !complete && !rows.split {
 		return false // until all parts are stored, the row that holds all of it is kept
 	}
-	head := encode(progressRecord{Progress: dispatch.Progress{Started: p.Started}, Split: true, Done: done})
+	head := encode(progressRecord{Progress: dispatch.Progress{Started: p.Started, Done: done, AttemptBase: p.AttemptBase}, Split: true})
 	b.put(tableProgress, id, head)
 	b.split = append(b.split, id)
 	for n := range rows.stored {
@@ -267,25 +227,19 @@
 		record, err = decode[progressRecord](row)
 	}
 	p := record.Progress
+	p.Tasks = nil
+	p.Append(j.Spec, record.Tasks)
 	if record.Split || len(parts) > 0 {
 		t.parts[id] = &progressParts{stored: map[int]uint64{}, split: record.Split}
 	}
 	for _, part := range parts {
 		progress, partErr := decode[dispatch.Progress](part)
 		err = cmp.Or(err, partErr)
-		p.Tasks = append(p.Tasks, progress.Tasks...)
+		p.Append(j.Spec, progress.Tasks)
 		if _, n, ok := splitNumberedKey(part.Key); ok {
 			t.parts[id].stored[n] = xxhash.Sum64(part.Value)
 		}
 	}
-	numbers := numberTasks(j.Spec)
-	for _, r := range record.Done {
-		for n := r[0]; n < r[1]; n++ {
-			tp := numbers.at(n)
-			tp.Done = true
-			p.Tasks = append(p.Tasks, tp)
-		}
-	}
 	return p, err
 }
 
--- a/internal/cell/progress_rows_test.go
+++ b/internal/cell/progress_rows_test.go
@@ -73,13 +73,13 @@
 		for range rapid.IntRange(1, 4).Draw(r, "steps") {
 			spec.Steps = append(spec.Steps, job.Step{Tasks: rapid.IntRange(1, 150).Draw(r, "tasks")})
 		}
-		numbers := numberTasks(spec)
+		numbers := spec.Numbering()
 		var p dispatch.Progress
 		want := map[int]bool{} // whether a task is done, by number
-		for n := range spec.Occurrences() * numbers.perOccurrence {
+		for n := range spec.Occurrences() * numbers.PerOccurrence() {
 			if kind := rapid.IntRange(0, 20).Draw(r, "kind"); kind > 0 || n < 100 {
-				tp := numbers.at(n)
-				tp.Attempt, tp.Done = 1, kind != 1
+				tp := dispatch.TaskProgress{Attempt: 1, Done: kind != 1}
+				tp.Occurrence, tp.Step, tp.Index = numbers.At(n)
 				p.Tasks = append(p.Tasks, tp)
 				want[n] = tp.Done
 			}
@@ -88,13 +88,13 @@
 		got := map[int]bool{}
 		for _, tasks := range parts {
 			for _, tp := range tasks {
-				got[numbers.of(tp)] = tp.Done
+				got[numbers.Number(tp.Occurrence, tp.Step, tp.Index)] = tp.Done
 			}
 		}
 		for _, span := range done {
 			for n := span[0]; n < span[1]; n++ {
-				if numbers.of(numbers.at(n)) != n {
-					r.Fatalf("task %d is numbered as %d", n, numbers.of(numbers.at(n)))
+				if number := numbers.Number(numbers.At(n)); number != n {
+					r.Fatalf("task %d is numbered as %d", n, number)
 				}
 				got[n] = true
 			}
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -12,6 +12,7 @@
 	"github.com/bambooyard/bambooyard/charts"
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/job"
 )
 
 // recoveryData is the state of former owners in the store, and the workers.
@@ -169,26 +170,7 @@
 	workers := t.setWorkers(data.workers)
 	t.restoreOutcomes(data.outcomes, now)
 	t.restoreLearned(data.learned)
-	progress := map[string]port.Row{}
-	for _, row := range data.progress.Rows {
-		progress[row.Key] = row
-	}
-	parts := restoreParts(data.parts)
-	for _, row := range data.jobs.Rows {
-		if spec, ok := t.decodeSpec(row); ok {
-			if j := t.add(spec, now); j != nil {
-				t.restoreJob(j, progress[row.Key], parts[row.Key])
-			}
-			t.applyHomeRow(row)
-		}
-		delete(progress, row.Key)
-	}
-	for _, row := range data.hosted.Rows {
-		if j := t.applyHostedRow(row); j != nil {
-			t.restoreJob(j, progress[j.Spec.ID], parts[j.Spec.ID])
-			delete(progress, j.Spec.ID)
-		}
-	}
+	progress := t.restoreJobs(data, now)
 	for id := range progress {
 		t.transfers.staleProgress[id] = true
 	}
@@ -221,6 +203,49 @@
 	t.markRecorded()
 }
 
+// restoreJobs restores the jobs of the cell, and its tasks of jobs of other cells. It returns the progress
+// rows of other jobs, by ID.
+func (t *term) restoreJobs(data recoveryData, now time.Time) map[string]port.Row {
+	progress := map[string]port.Row{}
+	for _, row := range data.progress.Rows {
+		progress[row.Key] = row
+	}
+	parts := restoreParts(data.parts)
+	// Jobs that have begun come first, as their runs must be known.
+	begun := func(row port.Row) bool { return progress[row.Key].Version > 0 || len(parts[row.Key]) > 0 }
+	var others []port.Row
+	for _, row := range data.jobs.Rows {
+		if begun(row) {
+			t.restoreRow(row, progress[row.Key], parts[row.Key], t.addAlways, now)
+			delete(progress, row.Key)
+		} else {
+			others = append(others, row)
+		}
+	}
+	for _, row := range others {
+		t.restoreRow(row, port.Row{}, nil, t.add, now)
+	}
+	for _, row := range data.hosted.Rows {
+		if j := t.applyHostedRow(row); j != nil {
+			t.restoreJob(j, progress[j.Spec.ID], parts[j.Spec.ID])
+			delete(progress, j.Spec.ID)
+		}
+	}
+	return progress
+}
+
+// restoreRow restores the job of a row, which add adds to the engine.
+func (t *term) restoreRow(row, progress port.Row, parts []port.Row, add func(job.Spec, time.Time) *dispatch.Job, now time.Time) {
+	spec, ok := t.decodeSpec(row)
+	if !ok {
+		return
+	}
+	if j := add(spec, now); j != nil {
+		t.restoreJob(j, progress, parts)
+	}
+	t.applyHomeRow(row)
+}
+
 // directorySettleTime is how long after an outage of the store the directory may lack
 // workers: the platform lists them again within about 2 s. It includes an interval of
 // the reads that show the end of the outage, and one of the directory.
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -289,6 +289,7 @@
 	c.instruments.ownershipsLost.Inc(1)
 	c.term.observeEnd()
 	c.term.ended = true
+	c.term.engine.Close()
 	c.term = nil
 	c.transition(charts.ShardLose)
 	c.ownerVersionSeenAt, c.ownerReadTriedAt = time.Time{}, time.Time{}
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -65,6 +65,8 @@
 	// either not yet or no longer.
 	cancelled map[string]bool
 
+	deferred deferredJobs
+
 	// evacuated are the data centres whose evacuation has been logged.
 	evacuated map[string]bool
 
@@ -98,6 +100,7 @@
 		inherited:  inheritedLeases{},
 
 		cancelled: map[string]bool{},
+		deferred:  deferredJobs{queues: map[string]string{}},
 		evacuated: map[string]bool{},
 		changes: map[string]*changeCursor{
 			c.tables.jobs: {}, c.tables.cancels: {},
@@ -196,6 +199,7 @@
 		t.updateMap(now)
 		t.moveJobs(now)
 		t.transferTasks(now)
+		t.readDeferred(now)
 	}
 	if t.loaded && now.Sub(t.prunedAt) > time.Minute {
 		t.prunedAt = now
@@ -203,6 +207,7 @@
 	}
 	if t.loaded {
 		t.c.jobStates.confirm(now, t.depths(), t.jobsReadAt)
+		t.c.jobStates.setMemory(t.memoryPercent(), now)
 	}
 	t.plan()
 }
@@ -302,6 +307,7 @@
 func (t *term) depths() map[string]int {
 	depths := maps.Clone(t.engine.Unstarted())
 	t.countDepartures(depths, t.c.Now())
+	t.deferred.count(depths)
 	return depths
 }
 
@@ -323,8 +329,16 @@
 }
 
 // add adds an accepted job to the engine. It returns nil if the job has ended or
-// was cancelled.
+// was cancelled, or if there is no memory for it yet.
 func (t *term) add(spec job.Spec, now time.Time) *dispatch.Job {
+	if t.engine.Job(spec.ID) == nil && !t.cancelled[spec.ID] && t.deferJob(spec) {
+		return nil
+	}
+	return t.addAlways(spec, now)
+}
+
+// addAlways is like add. The job is added even if there is no memory for it.
+func (t *term) addAlways(spec job.Spec, now time.Time) *dispatch.Job {
 	if j := t.engine.Job(spec.ID); j != nil {
 		return j
 	}
@@ -356,6 +370,7 @@
 // cancel applies a stored cancellation. source tells how the owner has learned of it.
 func (t *term) cancel(id, source string) {
 	if t.engine.Job(id) == nil {
+		t.cancelDeferred(id)
 		t.cancelled[id] = true // the job's row may be read later
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,9 @@
 	// memoryShare is the share of the memory bound that is set as the Go memory
 	// limit, above which the garbage collector runs more often.
 	memoryShare = 0.75
+	// heldShare is the share of the memory bound that the tasks of open jobs may take, and again that
+	// of the jobs themselves. The garbage collector needs as much, and a takeover reads all jobs.
+	heldShare = 0.12
 	// retentionFactor extends the status retention to allow for a daemon that is
 	// slow to learn that a job has ended.
 	retentionFactor = 2
@@ -129,7 +132,7 @@
 		Log:       logger,
 		Metrics:   registry,
 		MilliCPU:  s.MilliCPU,
-		Engine:    dispatch.Options{MaxLease: s.MaxLease, StartWindow: startWindow, MaxViolation: s.MaxViolation, CapacityTTL: s.ContactTime, MaxEvacuation: s.MaxEvacuation},
+		Engine:    dispatch.Options{Budget: heldBudget(s.MemoryBytes), MaxLease: s.MaxLease, StartWindow: startWindow, MaxViolation: s.MaxViolation, CapacityTTL: s.ContactTime, MaxEvacuation: s.MaxEvacuation},
 		Lease:     min(defaultLease, s.MaxLease),
 		Retention: retentionFactor * s.StatusRetention,
 		Now:       time.Now,
@@ -311,3 +314,11 @@
 	d.log.WithFields(log.Fields{"event": "stopped", "took_ms": time.Since(started).Milliseconds()}).Info("stopped")
 	return err
 }
+
+// heldBudget returns the budget of the engines of a process with a memory bound, which may be zero.
+func heldBudget(memoryBytes int64) *dispatch.Budget {
+	if memoryBytes == 0 {
+		return nil
+	}
+	return dispatch.NewBudget(max(dispatch.MinBudget, int(float64(memoryBytes)*heldShare)/dispatch.TaskBytes))
+}
--- a/job/job.go
+++ b/job/job.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -154,6 +155,8 @@
 	MaxSteps        = 64
 	MaxTasksPerStep = 1000
 	maxIDBytes      = 100
+	// maxOccurrences keeps the numbers of a job's tasks within an int.
+	maxOccurrences = 1 << 40
 )
 
 // Validate returns a *FieldError for the first invalid field.
@@ -172,6 +175,9 @@
 	if s.Schedule.Times < 0 {
 		return &FieldError{"schedule.times", s.Schedule.Times, "zero or more"}
 	}
+	if s.Schedule.Times > maxOccurrences {
+		return &FieldError{"schedule.times", s.Schedule.Times, fmt.Sprintf("up to %d", maxOccurrences)}
+	}
 	if s.Schedule.Times > 1 && s.Schedule.IntervalMS <= 0 {
 		return &FieldError{"schedule.interval", s.Schedule.IntervalMS, "more than zero"}
 	}
@@ -261,6 +267,26 @@
 	return string(name)
 }
 
+// ParseTaskID returns the ID of the task with a name that TaskID.String returned. It reports false
+// if the name is not valid.
+func ParseTaskID(name string) (TaskID, bool) {
+	var id TaskID
+	rest := name
+	for _, n := range [...]*int{&id.Index, &id.Step, &id.Occurrence} {
+		dot := strings.LastIndexByte(rest, '.')
+		if dot < 0 {
+			return TaskID{}, false
+		}
+		number, err := strconv.Atoi(rest[dot+1:])
+		if err != nil || number < 0 {
+			return TaskID{}, false
+		}
+		*n, rest = number, rest[:dot]
+	}
+	id.Job = rest
+	return id, true
+}
+
 // maxNumbersBytes is the space for the numbers in a task's name. Longer names are
 // valid, but need a second allocation.
 const maxNumbersBytes = 16
