--- a/dispatch/occurrences.go
+++ b/dispatch/occurrences.go
@@ -28,6 +28,8 @@
 type occurrence struct {
 	number int
 	due    time.Time
+	// begunAt is when the occurrence became due, or later, when its turn had come.
+	begunAt time.Time
 	// tasks are the tasks by step; nil for a step whose tasks are not created, or all done.
 	tasks [][]*Task
 	// createdAt is when the tasks of each step were created.
@@ -56,7 +58,7 @@
 // newOccurrence returns an occurrence without tasks.
 func (j *Job) newOccurrence(number int) *occurrence {
 	o := &occurrence{
-		number: number, due: j.dueAt(number), tasks: make([][]*Task, len(j.Spec.Steps)),
+		number: number, due: j.dueAt(number), begunAt: j.dueAt(number), tasks: make([][]*Task, len(j.Spec.Steps)),
 		createdAt: make([]time.Time, len(j.Spec.Steps)), pending: make([]int, len(j.Spec.Steps)),
 	}
 	for s := range j.Spec.Steps {
@@ -81,6 +83,7 @@
 		return nil
 	}
 	o := j.newOccurrence(number)
+	o.begunAt = later(o.due, later(j.arrived, e.now))
 	j.occurrences = slices.Insert(j.occurrences, i, o)
 	e.countHeld(1)
 	return o
--- a/dispatch/occurrences_test.go
+++ b/dispatch/occurrences_test.go
@@ -66,6 +66,39 @@
 	}
 }
 
+// Guards against LOST: occurrences that were missed are all due at once. They run in turn, within the
+// budget, and keep no other job waiting.
+func TestMissedOccurrencesRunInTurnBesideOtherJobs(t *testing.T) {
+	is := is.New(t)
+	f := budgeted(MinBudget, worker("a", 100_000, 100_000), worker("b", 100_000, 100_000))
+	missed := spec("missed", small(3))
+	missed.Schedule = job.Schedule{Times: 20_000, FirstUnixMS: 1, IntervalMS: 1}
+	j := f.Add(missed, f.now, f.now.UnixMilli())
+	started, sequence := map[string]int{}, map[string]int64{}
+	for round := 0; j.State != job.Completed; round++ {
+		is.True(round < 1000)
+		id := fmt.Sprintf("other%d", round)
+		f.Add(spec(id, small(1)), f.now, f.now.UnixMilli())
+		out := f.plan(100 * time.Millisecond)
+		is.True(f.options.Budget.tasks <= MinBudget)
+		for _, r := range out.Starts {
+			started[r.Task.name()]++
+		}
+		if waited := round - 20; waited >= 0 { // its objective is 2 s after its arrival
+			is.Equal(started[fmt.Sprintf("other%d.0.0.0", waited)], 1)
+		}
+		f.complete(out, sequence)
+	}
+	for k := range 20_000 {
+		for i := range 3 {
+			is.Equal(started[job.TaskID{Job: "missed", Occurrence: k, Index: i}.String()], 1)
+		}
+	}
+	is.Equal(len(f.tasks), 0)
+	is.Equal(f.options.Budget.tasks, 0)
+	is.Equal(f.options.Budget.jobs, 0)
+}
+
 // Guards against LOST: the tasks of jobs that fit on no worker take all the memory for tasks, and no
 // other job begins. All of them have the same priority.
 func TestTasksThatFitNowhereMakeWayInMemory(t *testing.T) {
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -111,7 +111,7 @@
 	}
 	current := j.currentOccurrence(now)
 	if d.Scheduled {
-		d.Arrived = current.due
+		d.Arrived, d.Missed = current.begunAt, j.missed(current)
 	}
 	clear(j.remaining)
 	for s := len(j.Spec.Steps) - 1; s >= 0; s-- {
@@ -138,6 +138,16 @@
 	j.profile = urgency.NewProfile(d, time.Duration(e.meanChain.value*float64(time.Second)))
 }
 
+// missedAfter is the least delay from which an occurrence counts as missed. Changes of the owner take less.
+const missedAfter = 10 * time.Second
+
+// missed reports whether the turn of an occurrence came so long after it was due that several have been
+// missed. They are made up for with capacity that no other work needs.
+func (j *Job) missed(o *occurrence) bool {
+	interval := time.Duration(min(j.Spec.Schedule.IntervalMS, maxDelayMS)) * time.Millisecond
+	return o.begunAt.Sub(o.due) > max(missedAfter, 2*interval)
+}
+
 // setObjective computes when work that arrived or was due at a time should be done.
 func (j *Job) setObjective(from time.Time, chain time.Duration) {
 	j.objective = from.Add(urgency.Objective(chain, j.Queue.Stretch, j.Queue.Slack))
--- a/internal/cell/deferred_test.go
+++ b/internal/cell/deferred_test.go
@@ -138,3 +138,36 @@
 		cl.check()
 	})
 }
+
+// Guards against LOST for all callers: after each change of the owner, the tasks of a schedule of which
+// most occurrences were missed are held again, and other jobs wait.
+func TestMissedOccurrencesDoNotHoldUpOtherJobsOverTakeovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 172, 0, 4, halfSecond, nil)
+		cl.heldLimit = 4000
+		for i := range 3 {
+			cl.start(fmt.Sprintf("d%d", i))
+		}
+		defer cl.stopAll()
+		missed := cl.spec(3)
+		missed.Schedule = job.Schedule{Times: 100_000, FirstUnixMS: 1, IntervalMS: 1}
+		cl.submit(cl.awaitOwner(), missed)
+		for range 6 {
+			time.Sleep(2 * time.Second)
+			ordinary := cl.spec(2)
+			cl.submit(cl.awaitOwner(), ordinary)
+			cl.awaitState(ordinary.ID, job.Completed, 20*time.Second)
+			owner := cl.awaitOwner()
+			tasks, _, limit := cl.daemons[owner].cell.Engine.Budget.Usage()
+			is.True(tasks <= limit)
+			cl.kill(owner)
+			cl.start(owner)
+		}
+		is.Equal(cl.state(missed.ID), job.Running)
+		is.True(cl.tryCancelAt(cl.awaitOwner(), missed.ID))
+		time.Sleep(3 * time.Second)
+		is.Equal(cl.fleet.Running(), 0)
+		cl.check()
+	})
+}
--- a/urgency/urgency.go
+++ b/urgency/urgency.go
@@ -51,8 +51,11 @@
 	// MeanWork the mean work of the jobs of its queue.
 	Work, RemainingWork, MeanWork float64
 	// Scheduled is set for jobs that have no objective: they are always on time. Arrived is
-	// then when the work was due.
+	// then when the work was due, or when its turn came after earlier work of the job.
 	Scheduled bool
+	// Missed is set for scheduled work that is far behind its due time. Other work goes first, until
+	// it is aged.
+	Missed bool
 }
 
 // Class ranks jobs by the value that they can still yield.
@@ -79,8 +82,8 @@
 	// density is the logarithm of the value per core-second that is left.
 	density float64
 	// lookahead is the wait that counts as much as a factor of e in density, in seconds.
-	lookahead float64
-	scheduled bool
+	lookahead         float64
+	scheduled, missed bool
 }
 
 // leastWork is the least remaining work that is counted, in core-seconds: the ratio of value
@@ -105,6 +108,7 @@
 		density:     math.Log(Value(j.Work, j.MeanWork) / max(j.RemainingWork, leastWork)),
 		lookahead:   max(lookaheadFactor*meanChain.Seconds(), leastLookahead),
 		scheduled:   j.Scheduled,
+		missed:      j.Missed,
 	}
 	// With a stretch below a third, longer run times leave less time instead of more.
 	p.lateUntil = max(p.lateUntil, (scale(objective, ExpiryFactor) - j.Remaining).Seconds())
@@ -140,6 +144,8 @@
 
 func (p *Profile) class(age float64) Class {
 	switch {
+	case p.missed:
+		return Expired
 	case p.scheduled || age <= p.onTimeUntil:
 		return OnTime
 	case age <= p.lateUntil:
--- a/urgency/urgency_test.go
+++ b/urgency/urgency_test.go
@@ -124,6 +124,11 @@
 	is.Equal(wide.Class(epoch.Add(44*time.Second)), Expired)
 	scheduled := NewProfile(Job{Arrived: epoch, Chain: time.Second, Remaining: time.Second, Scheduled: true}, time.Second)
 	is.Equal(scheduled.Class(epoch.Add(time.Hour)), OnTime)
+	missed := NewProfile(Job{Arrived: epoch, Chain: time.Second, Remaining: time.Second, Scheduled: true, Missed: true}, time.Second)
+	rank, _ := missed.Rank(epoch)
+	is.Equal(rank.Class, Expired)
+	rank, _ = missed.Rank(epoch.Add(AgedAfter + 10*time.Second))
+	is.Equal(rank.Class, OnTime) // it has waited for long
 }
 
 // Guards against an order that is not one: a sort with it would be arbitrary.
