--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -14,6 +14,7 @@
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/chart"
@@ -160,6 +161,7 @@
 	view        atomic.Pointer[View]
 	jobStates   jobStateCache
 	breaker     breaker
+	withdrawals *rate.Limiter
 	instruments *instruments
 }
 
@@ -184,7 +186,7 @@
 	if o.LeadPartition == "" {
 		o.LeadPartition = o.Partition
 	}
-	c := &Cell{Options: o, state: charts.Shard.Initial(), instruments: newInstruments(o.Metrics), tables: jobTablesOf(o.Number)}
+	c := &Cell{Options: o, state: charts.Shard.Initial(), instruments: newInstruments(o.Metrics), tables: jobTablesOf(o.Number), withdrawals: newWithdrawalLimiter()}
 	c.jobStates.init()
 	if c.isLead() {
 		c.registerDepthAge()
--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -176,6 +176,8 @@
 		if spec, ok := t.decodeSpec(row); ok {
 			t.add(spec, now)
 			t.applyHomeRow(row)
+		} else {
+			t.noteWithdrawn(row)
 		}
 	}
 	t.schedulePlan()
--- a/internal/cell/compactor.go
+++ b/internal/cell/compactor.go
@@ -41,7 +41,10 @@
 	inFlight        bool
 	startedAt       time.Time
 	expiredOutcomes []string // IDs of jobs whose outcomes are to be deleted
-	cell            *Cell
+	// withdrawn are the jobs that were cancelled before they were stored.
+	withdrawn         []withdrawnJob
+	deletingWithdrawn bool
+	cell              *Cell
 }
 
 func newCompactor(c *Cell) compactor { return compactor{uncompacted: map[string][]endedJob{}, cell: c} }
@@ -60,6 +63,7 @@
 	}
 	comp.startedAt = now
 	t.deleteExpired(now)
+	t.deleteWithdrawn(now)
 	var partition string
 	for range jobPartitions {
 		partition = t.c.partitionName(comp.nextPartition)
--- a/internal/cell/deferred.go
+++ b/internal/cell/deferred.go
@@ -101,8 +101,12 @@
 // submitToFull handles a submission for which the owner has no memory: it is refused, unless a row of the
 // job is stored already.
 func (c *Cell) submitToFull(ctx context.Context, id string) error {
-	if _, err := c.storedState(ctx, id); !errors.Is(err, ErrNoJob) {
+	stored, err := c.storedState(ctx, id)
+	switch {
+	case !errors.Is(err, ErrNoJob):
 		return err
+	case stored.record.Withdrawn:
+		return c.submitWithdrawn(ctx, id, stored.version, stored.record)
 	}
 	c.instruments.jobsRefusedFull.Inc(1)
 	c.Log.WithFields(log.Fields{"event": "job_refused_full", "job": id, "cell": c.Number}).Info("no memory for further jobs")
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -58,7 +58,7 @@
 	var conflict *port.ConflictError
 	if errors.As(err, &conflict) {
 		c.Log.WithFields(log.Fields{"event": "job_resubmitted", "job": spec.ID}).Info("the job is already stored")
-		return c.storedAt(conflict.Rows, spec.ID)
+		return c.resubmitted(ctx, conflict.Rows, spec.ID)
 	}
 	if err != nil {
 		c.instruments.jobsNotStored.Inc(1)
@@ -261,7 +261,8 @@
 	version int64
 }
 
-// storedState reads a job's state from the store.
+// storedState reads a job's state from the store. With ErrNoJob, the record is that of a withdrawn job,
+// if there is one.
 func (c *Cell) storedState(ctx context.Context, id string) (storedJobState, error) {
 	row, err := c.readRow(ctx, c.tables.jobs, c.jobPartition(id), id)
 	here := err == nil && row.Version > 0
@@ -280,6 +281,9 @@
 		return storedJobState{}, storeError(err, true)
 	}
 	stored := storedJobState{state: record.Ended, record: record, version: row.Version}
+	if record.Withdrawn && !record.Submitted {
+		return stored, ErrNoJob
+	}
 	if record.Ended != "" {
 		return stored, nil
 	}
@@ -334,13 +338,22 @@
 }
 
 // Cancel stores a job's cancellation. The error is ErrNoJob or another
-// *verdict.RequestError, or an *OtherCellError. A job that has ended stays as it is.
+// *verdict.RequestError, or an *OtherCellError. A job that has ended stays as it is. After ErrNoJob, no
+// submission of the job is stored any more, however late it is.
 func (c *Cell) Cancel(ctx context.Context, id string) error {
 	if state, ok := c.jobStates.state(id, c.Now()); ok && state.Final() {
 		return nil
 	}
 	for range maxStoreAttempts {
+		var conflict *port.ConflictError
 		stored, err := c.storedState(ctx, id)
+		if errors.Is(err, ErrNoJob) && !stored.record.Withdrawn {
+			if failed := c.withdraw(ctx, id); errors.As(failed, &conflict) {
+				continue // the job has been stored in the meantime
+			} else if failed != nil {
+				return failed
+			}
+		}
 		if err != nil {
 			return err
 		}
@@ -349,7 +362,6 @@
 		}
 		hosts := stored.record.hosts()
 		_, err = c.write(ctx, c.cancellation(id, stored))
-		var conflict *port.ConflictError
 		if errors.As(err, &conflict) {
 			continue // the job has ended or moved in the meantime
 		}
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -71,6 +71,8 @@
 	// counts the submissions that were refused because of such a lack.
 	jobsDeferred    metrics.Gauge
 	jobsRefusedFull metrics.Counter
+	// jobsWithdrawn counts the jobs that were cancelled before they were stored.
+	jobsWithdrawn metrics.Counter
 	// interrupted is the number of service tasks that ran before and have no run.
 	interrupted metrics.Gauge
 }
@@ -131,6 +133,7 @@
 		heldLimit:          gauge("cell.held_limit"),
 		jobsDeferred:       gauge("cell.jobs_deferred"),
 		jobsRefusedFull:    counter("cell.jobs_refused_full"),
+		jobsWithdrawn:      counter("cell.jobs_withdrawn"),
 	}
 	m.registerByReason()
 	return m
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -238,6 +238,7 @@
 func (t *term) restoreRow(row, progress port.Row, parts []port.Row, add func(job.Spec, time.Time) *dispatch.Job, now time.Time) {
 	spec, ok := t.decodeSpec(row)
 	if !ok {
+		t.noteWithdrawn(row)
 		return
 	}
 	if j := add(spec, now); j != nil {
--- a/internal/cell/rows.go
+++ b/internal/cell/rows.go
@@ -102,6 +102,10 @@
 	// from last.
 	Moves int `json:"moves,omitempty"`
 	From  int `json:"from,omitempty"`
+	// Withdrawn is set if the job was cancelled before it was stored, and Submitted if its submission
+	// has been acknowledged since. Until then, callers are told that there is no such job.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+	Submitted bool `json:"submitted,omitempty"`
 	// Transferred are the tasks that other cells run or have run.
 	Transferred []transferredTask `json:"transferred,omitempty"`
 }
