--- a/internal/cell/changes.go
+++ b/internal/cell/changes.go
@@ -137,7 +137,8 @@
 		if err == nil {
 			cursor.rescan = false
 			if table == t.c.tables.jobs {
-				t.deferred.clear()
+				t.deferred.beginReread()
+				defer t.deferred.endReread()
 			}
 			t.applyChanges(table, cursor, page, began, true)
 		}
@@ -154,7 +155,9 @@
 	}
 	if table == t.c.tables.jobs && complete && began.After(t.jobsReadAt) {
 		t.jobsReadAt = began
-		t.engine.HandleJobsRead(began)
+		if len(t.deferred.queues) == 0 { // otherwise the engine does not know all jobs
+			t.engine.HandleJobsRead(began)
+		}
 	}
 }
 
--- a/internal/cell/deferred.go
+++ b/internal/cell/deferred.go
@@ -9,6 +9,8 @@
 
 	"github.com/apex/log"
 
+	"github.com/bambooyard/bambooyard/dispatch"
+	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 	"github.com/bambooyard/bambooyard/verdict"
 )
@@ -31,10 +33,22 @@
 // the store again when there is. It belongs to the control loop.
 type deferredJobs struct {
 	queues map[string]string // by job ID
+	// reread are those that were deferred before a read of all jobs, while its rows are applied.
+	reread map[string]string
 	readAt time.Time
 }
 
-func (d *deferredJobs) clear() { clear(d.queues) }
+// beginReread is called before the rows of a read of all jobs are applied, and endReread afterwards.
+func (d *deferredJobs) beginReread() { d.reread, d.queues = d.queues, map[string]string{} }
+
+func (d *deferredJobs) endReread() { d.reread = nil }
+
+// has reports whether a job is or was deferred.
+func (d *deferredJobs) has(id string) bool {
+	_, deferred := d.queues[id]
+	_, reread := d.reread[id]
+	return deferred || reread
+}
 
 // count adds the jobs to the depths of the queues.
 func (d *deferredJobs) count(depths map[string]int) {
@@ -65,7 +79,6 @@
 // deferJob leaves a job in the store for which there is no memory. It reports whether it has.
 func (t *term) deferJob(spec job.Spec) bool {
 	if t.c.Engine.Budget.FitsJob(spec) {
-		delete(t.deferred.queues, spec.ID)
 		return false
 	}
 	if len(t.deferred.queues) == 0 {
@@ -77,6 +90,17 @@
 	return true
 }
 
+// addDeferred adds a job that was deferred. Like any job that is read at a takeover, it may have been
+// started by a former owner that has not recorded that.
+func (t *term) addDeferred(spec job.Spec, now time.Time) *dispatch.Job {
+	delete(t.deferred.queues, spec.ID)
+	j := t.addAlways(spec, now)
+	if j != nil {
+		t.restoreJob(j, port.Row{}, nil)
+	}
+	return j
+}
+
 // cancelDeferred has a deferred job read again, so that its end is committed.
 func (t *term) cancelDeferred(id string) {
 	if _, ok := t.deferred.queues[id]; ok {
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -334,6 +334,9 @@
 	if t.engine.Job(spec.ID) == nil && !t.cancelled[spec.ID] && t.deferJob(spec) {
 		return nil
 	}
+	if t.deferred.has(spec.ID) {
+		return t.addDeferred(spec, now)
+	}
 	return t.addAlways(spec, now)
 }
 
--- a/internal/cell/withdrawn.go
+++ b/internal/cell/withdrawn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -126,14 +127,13 @@
 		if err == nil {
 			return
 		}
-		t.log.WithFields(log.Fields{"event": "forget_failed", "jobs": len(batch)}).WithError(err).Warn("deletion of the rows of withdrawn jobs failed; trying again later")
+		t.log.WithFields(log.Fields{"event": "sweep_failed", "jobs": len(batch)}).WithError(err).Debug("deletion of the rows of withdrawn jobs failed; retrying")
 		var conflict *port.ConflictError
-		for _, w := range batch {
-			if errors.As(err, &conflict) && findRow(conflict.Rows, tableJobs, w.id).Version != w.version {
-				continue
-			}
-			w.at = t.c.Now()
-			comp.withdrawn = append(comp.withdrawn, w)
+		if errors.As(err, &conflict) {
+			batch = slices.DeleteFunc(batch, func(w withdrawnJob) bool {
+				return findRow(conflict.Rows, tableJobs, w.id).Version != w.version
+			})
 		}
+		comp.withdrawn = append(batch, comp.withdrawn...)
 	})
 }
