--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -160,6 +160,8 @@
 
 	view        atomic.Pointer[View]
 	jobStates   jobStateCache
+	// statesPrunedAt is when states were last dropped from jobStates.
+	statesPrunedAt time.Time
 	breaker     breaker
 	withdrawals *rate.Limiter
 	instruments *instruments
@@ -249,9 +251,18 @@
 	if c.term != nil {
 		c.term.tick(now)
 	}
+	c.pruneStates(now)
 	c.publish()
 }
 
+// pruneStates drops the states of jobs that ended long ago, whether this daemon owns the cell or not.
+func (c *Cell) pruneStates(now time.Time) {
+	if now.Sub(c.statesPrunedAt) > time.Minute {
+		c.statesPrunedAt = now
+		c.jobStates.prune(now)
+	}
+}
+
 const (
 	// stallLimit is the longest pause of the control loop that is not logged.
 	stallLimit = 700 * time.Millisecond
--- a/internal/cell/group.go
+++ b/internal/cell/group.go
@@ -110,6 +110,8 @@
 	for _, c := range g.others() {
 		if c.role >= 0 || c.term != nil {
 			c.tick(now)
+		} else {
+			c.pruneStates(now)
 		}
 	}
 	g.observeOwned(g.lead.Now())
--- a/internal/cell/jobstates.go
+++ b/internal/cell/jobstates.go
@@ -201,12 +201,12 @@
 	depthTTL = 2 * time.Second
 )
 
-// prune drops states that were recorded more than stateRetention ago.
+// prune drops states that were recorded more than stateRetention ago, except those of open jobs.
 func (cache *jobStateCache) prune(now time.Time) {
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
 	for id, entry := range cache.states {
-		if now.Sub(entry.at) > stateRetention {
+		if open := !entry.state.Final() && entry.state != stateMoved && !entry.submitted; !open && now.Sub(entry.at) > stateRetention {
 			delete(cache.states, id)
 		}
 	}
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -80,7 +80,6 @@
 	cancelScannedAt time.Time
 	// jobsReadAt is the start of the last successful read of the stored jobs.
 	jobsReadAt time.Time
-	prunedAt   time.Time
 	// waitsObservedAt is when the interrupted services were last counted, and
 	// recoveryWaitLoggedAt when the workers that the recovery waits for were last logged.
 	waitsObservedAt, recoveryWaitLoggedAt time.Time
@@ -201,10 +200,6 @@
 		t.transferTasks(now)
 		t.readDeferred(now)
 	}
-	if t.loaded && now.Sub(t.prunedAt) > time.Minute {
-		t.prunedAt = now
-		t.c.jobStates.prune(now)
-	}
 	if t.loaded {
 		t.c.jobStates.confirm(now, t.depths(), t.jobsReadAt)
 		t.c.jobStates.setMemory(t.memoryPercent(), now)
