--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -158,13 +158,13 @@
 	suspendedFor time.Duration
 	loopDelay    loopDelay
 
-	view        atomic.Pointer[View]
-	jobStates   jobStateCache
+	view      atomic.Pointer[View]
+	jobStates jobStateCache
 	// statesPrunedAt is when states were last dropped from jobStates.
 	statesPrunedAt time.Time
-	breaker     breaker
-	withdrawals *rate.Limiter
-	instruments *instruments
+	breaker        breaker
+	withdrawals    *rate.Limiter
+	instruments    *instruments
 }
 
 // View is a snapshot of the Cell's state for request handlers, which read it
--- a/internal/cell/withdrawn_test.go
+++ b/internal/cell/withdrawn_test.go
@@ -41,7 +41,9 @@
 	return statusOf(cl.daemons[name].jobs().Cancel(cl.t.Context(), id))
 }
 
-func (cl *cluster) submitAt(name string, spec job.Spec) int { return statusOf(cl.trySubmit(name, spec)) }
+func (cl *cluster) submitAt(name string, spec job.Spec) int {
+	return statusOf(cl.trySubmit(name, spec))
+}
 
 func (cl *cluster) stateAt(name, id string) (job.State, int) {
 	state, err := cl.daemons[name].jobs().State(cl.t.Context(), id)
