--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -53,12 +53,13 @@
 	return 2 + (len(spec.Payload)+stepBytes*len(spec.Steps))/TaskBytes
 }
 
-// Close returns what the engine holds to the budget. The engine must not be used afterwards.
+// Close returns what the engine holds to the budget. What it does afterwards is not counted.
 func (e *Engine) Close() {
 	for _, j := range e.jobs {
 		e.countJob(j, -1)
 	}
 	e.countHeld(-e.held)
+	e.options.Budget = nil
 }
 
 // countHeld adds to the number of tasks and occurrences that the engine holds.
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -115,7 +115,7 @@
 
 // HoldTask keeps a task from being started until ReleaseTask, TakeIn or GiveAway.
 func (e *Engine) HoldTask(id job.TaskID) {
-	if t := e.tasks[id.String()]; t != nil {
+	if t, _ := e.find(id.String()); t != nil {
 		e.unreserve(t)
 		t.held = true
 	}
--- a/internal/cell/deferred.go
+++ b/internal/cell/deferred.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -134,8 +135,7 @@
 	}
 	c.instruments.jobsRefusedFull.Inc(1)
 	c.Log.WithFields(log.Fields{"event": "job_refused_full", "job": id, "cell": c.Number}).Info("no memory for further jobs")
-	after := fullRetryAfter + time.Duration(c.Random()*float64(fullRetryAfter))
-	return verdict.Refuse(verdict.CodeOverloaded, http.StatusTooManyRequests, after, "the cell has no memory for further jobs")
+	return verdict.Refuse(verdict.CodeOverloaded, http.StatusTooManyRequests, fullRetryAfter+rand.N(fullRetryAfter), "the cell has no memory for further jobs")
 }
 
 // withMemory returns the cells whose owners have memory for a further job, or all if none has.
--- a/internal/cell/deferred_test.go
+++ b/internal/cell/deferred_test.go
@@ -23,6 +23,13 @@
 	return spec
 }
 
+// heldInMemory returns the use of the daemon's budget.
+func (d *daemon) heldInMemory(t *testing.T) (tasks, jobs, limit int) {
+	t.Helper()
+	is.New(t).NoErr(d.loop.Do(t.Context(), func() { tasks, jobs, limit = d.cell.Engine.Budget.Usage() }))
+	return tasks, jobs, limit
+}
+
 // submitUntilRefused submits jobs to all daemons in turn until one is refused. It returns the accepted
 // ones and the refusal.
 func (cl *cluster) submitUntilRefused(spec func() job.Spec) ([]job.Spec, *verdict.RequestError) {
@@ -104,7 +111,7 @@
 		}
 		owner := cl.daemons[cl.awaitOwner()]
 		time.Sleep(5 * time.Second)
-		_, held, limit := owner.cell.Engine.Budget.Usage()
+		_, held, limit := owner.heldInMemory(t)
 		is.Equal(limit, smallLimit)
 		is.True(held <= smallLimit+smallLimit/4+3*8) // and the jobs that had begun
 		pending, err := owner.cell.Pending("batch")
@@ -139,6 +146,64 @@
 	})
 }
 
+// Guards against LOST and TWICE: an owner that has no memory for all jobs takes one whose move a former
+// owner has recorded for one that has moved, or one whose tasks other cells run for one that has ended.
+func TestJobsThatConcernOtherCellsAreAlwaysHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newDividedCluster(t, 174, 6, func(string) time.Duration { return time.Second }, nil)
+		defer cl.stopAll()
+		cl.awaitCells()
+		lead := cl.daemons[cl.awaitOwner()].cell
+		var moving []job.Spec
+		for range 10 {
+			spec := cl.spec(1)
+			spec.Schedule = job.Schedule{Times: 1, FirstUnixMS: time.Now().Add(20 * time.Second).UnixMilli()}
+			is.NoErr(lead.Submit(t.Context(), spec))
+			moving = append(moving, spec)
+		}
+		transferred := cl.spec(2)
+		transferred.Steps = transferred.Steps[:1]
+		transferred.Steps[0].Service = true
+		for range 60 {
+			spec := cl.spec(1)
+			spec.Schedule = job.Schedule{Times: 1, FirstUnixMS: time.Now().Add(time.Hour).UnixMilli()}
+			is.NoErr(lead.Submit(t.Context(), spec))
+		}
+		cl.stopAll()
+		for _, spec := range moving {
+			partition := lead.jobPartition(spec.ID)
+			version := cl.store.Rows(tableJobs, partition)
+			for _, row := range version {
+				if row.Key == spec.ID {
+					cl.store.Put(tableMoves, "c0", spec.ID, encode(moveRecord{To: 1, Version: row.Version}))
+				}
+			}
+		}
+		elsewhere := jobRecord{Spec: &transferred, Transferred: []transferredTask{{Cell: 1}}}
+		cl.store.Put(tableJobs, lead.jobPartition(transferred.ID), transferred.ID, encode(elsewhere))
+		cl.heldLimit = smallLimit
+		for i := range 6 {
+			cl.start(fmt.Sprintf("d%d", i))
+		}
+		owner := cl.daemons[cl.awaitOwner()].cell
+		time.Sleep(2 * time.Second)
+		is.NoErr(owner.Loop.Do(t.Context(), func() {
+			is.True(len(owner.term.deferred.queues) > 0)
+			for _, spec := range moving {
+				is.True(owner.term.engine.Job(spec.ID) != nil)
+			}
+			_, ending := owner.term.transfers.ending[transferred.ID]
+			is.True(!ending)
+			is.True(owner.term.engine.Job(transferred.ID) != nil)
+		}))
+		for _, spec := range moving {
+			cl.awaitState(spec.ID, job.Completed, 60*time.Second)
+			is.Equal(cl.fleet.StartsOfJob(spec.ID), 2)
+		}
+	})
+}
+
 // Guards against LOST for all callers: after each change of the owner, the tasks of a schedule of which
 // most occurrences were missed are held again, and other jobs wait.
 func TestMissedOccurrencesDoNotHoldUpOtherJobsOverTakeovers(t *testing.T) {
@@ -159,7 +224,7 @@
 			cl.submit(cl.awaitOwner(), ordinary)
 			cl.awaitState(ordinary.ID, job.Completed, 20*time.Second)
 			owner := cl.awaitOwner()
-			tasks, _, limit := cl.daemons[owner].cell.Engine.Budget.Usage()
+			tasks, _, limit := cl.daemons[owner].heldInMemory(t)
 			is.True(tasks <= limit)
 			cl.kill(owner)
 			cl.start(owner)
--- a/internal/cell/hosted.go
+++ b/internal/cell/hosted.go
@@ -171,8 +171,11 @@
 	if err != nil || record.Spec == nil || record.Cell != t.c.Number || len(record.Transferred) == 0 {
 		return
 	}
+	if j == nil && t.deferred.has(row.Key) && len(record.hosts()) > 0 {
+		j = t.addDeferred(*record.Spec, t.c.Now()) // its tasks run elsewhere
+	}
 	if j == nil {
-		if len(record.hosts()) > 0 {
+		if len(record.hosts()) > 0 && !t.deferred.has(row.Key) {
 			t.transfers.ending[row.Key] = time.Time{} // it has ended, and its hosts may not know
 		}
 		return
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -210,9 +210,14 @@
 	for _, row := range data.progress.Rows {
 		progress[row.Key] = row
 	}
-	parts := restoreParts(data.parts)
-	// Jobs that have begun come first, as their runs must be known.
-	begun := func(row port.Row) bool { return progress[row.Key].Version > 0 || len(parts[row.Key]) > 0 }
+	parts, moving := restoreParts(data.parts), map[string]bool{}
+	for _, row := range data.moves.Rows {
+		moving[row.Key] = true
+	}
+	// Jobs that have begun or are moving come first, and are added in any case.
+	begun := func(row port.Row) bool {
+		return progress[row.Key].Version > 0 || len(parts[row.Key]) > 0 || moving[row.Key]
+	}
 	var others []port.Row
 	for _, row := range data.jobs.Rows {
 		if begun(row) {
