--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -135,6 +135,8 @@
 	// the number of tasks that are held.
 	mayCreate bool
 	created   int
+	// displacedAt is when tasks of the job last made way for those of another one.
+	displacedAt time.Time
 	// inherited is set if a former owner may have started any task of the job. attemptBase is the
 	// attempt from which those of tasks without a recorded start count.
 	inherited   bool
--- a/dispatch/occurrences.go
+++ b/dispatch/occurrences.go
@@ -20,7 +20,7 @@
 	// plan after many occurrences were missed does not delay requests.
 	maxCreatedPerPlan = 4000
 	// displaceAfter is how long a step of which no task has started keeps its tasks when a job
-	// without any needs their memory.
+	// without any needs their memory, and how long a job that was displaced displaces no other.
 	displaceAfter = 2 * time.Second
 )
 
@@ -290,7 +290,7 @@
 		return true
 	case j.created > 0:
 		return e.createdInPlan < maxCreatedPerPlan && b.tasks+n <= b.limit/2
-	case b.tasks+n > b.limit:
+	case b.tasks+n > b.limit && now.Sub(j.displacedAt) >= displaceAfter:
 		e.displace(j, b.tasks+n-b.limit, now)
 	}
 	return b.tasks+n <= b.limit
@@ -313,7 +313,7 @@
 				if (lessUrgent || now.Sub(o.createdAt[s]) >= displaceAfter) && other.untouched(o, s) {
 					n -= len(o.tasks[s])
 					e.drop(other, o, s)
-					other.mayCreate = true
+					other.mayCreate, other.displacedAt = true, now
 				}
 			}
 		}
--- a/dispatch/occurrences_test.go
+++ b/dispatch/occurrences_test.go
@@ -326,3 +326,28 @@
 	is.Equal(out.Starts[0].Task.ID.Occurrence, 86_400)
 	is.Equal(j.Progress().Done, job.Ranges{{0, 6 * 86_400}})
 }
+
+// Guards against an owner that creates and drops tasks in every plan: jobs that fit on no worker take
+// turns in memory seconds apart.
+func TestJobsThatFitNowhereTakeTurnsInMemory(t *testing.T) {
+	is := is.New(t)
+	f := budgeted(MinBudget, worker("w", 8000, 8000))
+	for n := range 40 {
+		s := spec(fmt.Sprintf("impossible%d", n), small(job.MaxTasksPerStep))
+		s.Steps[0].Label = "no worker has it"
+		f.Add(s, f.now, 0)
+	}
+	const seconds = 60
+	held, turns := map[string]bool{}, 0
+	for range seconds * 20 {
+		f.plan(50 * time.Millisecond)
+		for id, j := range f.jobs {
+			if j.created > 0 && !held[id] {
+				turns++
+			}
+			held[id] = j.created > 0
+		}
+	}
+	is.True(turns >= 40)                                      // each has its turn
+	is.True(turns <= 40*int(seconds/displaceAfter.Seconds())) // none has more than one in displaceAfter
+}
