--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -191,6 +191,8 @@
 	reservedLoad, bestEffortLoad, reservedMemory int64
 	// unverified reports whether a job may have been cancelled; nil if none may.
 	unverified func(id string, hosted bool) bool
+	// incomplete are the open jobs of which further tasks may have to be created, at once or when they are due.
+	incomplete map[*Job]bool
 	// held is the number of tasks, and of occurrences that have begun and are not done, of open jobs, and
 	// createdInPlan that of the tasks that the present plan has created.
 	held, createdInPlan int
@@ -264,6 +266,7 @@
 		silentRuns:       map[string][]silentRun{},
 		copyable:         map[string]*Job{},
 		waitingPools:     map[string]bool{},
+		incomplete:       map[*Job]bool{},
 
 		out: Output{Changed: map[*Job]bool{}},
 	}
@@ -345,6 +348,7 @@
 	e.countWork(j)
 	e.jobs[spec.ID] = j
 	e.countJob(j, 1)
+	e.incomplete[j] = true
 	if slices.ContainsFunc(j.Spec.Steps, func(s job.Step) bool { return allowsCopies(&s) }) {
 		e.copyable[spec.ID] = j
 	}
@@ -405,6 +409,7 @@
 	delete(e.jobs, j.Spec.ID)
 	delete(e.copyable, j.Spec.ID)
 	e.countJob(j, -1)
+	delete(e.incomplete, j)
 	e.addLoad(j, -1)
 	e.finalJobs[j.Spec.ID] = e.now
 	for t := range j.allTasks() {
--- a/dispatch/movable.go
+++ b/dispatch/movable.go
@@ -59,6 +59,7 @@
 	delete(e.copyable, id)
 	delete(e.out.Changed, j)
 	e.countJob(j, -1)
+	delete(e.incomplete, j)
 	e.addLoad(j, -1)
 	e.planOrder = slices.DeleteFunc(e.planOrder, func(o *Job) bool { return o == j })
 	for t := range j.allTasks() {
--- a/dispatch/occurrences.go
+++ b/dispatch/occurrences.go
@@ -188,7 +188,7 @@
 	delete(j.stepAdvice, key)
 	delete(j.speeds, key)
 	e.drop(j, o, s)
-	j.mayCreate = true
+	e.setMayCreate(j)
 	j.profiledAt = time.Time{}
 	if o.done() {
 		e.endOccurrences(j, o.number, o.number+1)
@@ -214,7 +214,7 @@
 func (e *Engine) createDue(now time.Time) {
 	e.createdInPlan = 0
 	var due []*Job
-	for _, j := range e.jobs {
+	for j := range e.incomplete {
 		if j.hasDue(now) {
 			e.updateRank(j, now)
 			due = append(due, j)
@@ -226,6 +226,14 @@
 	}
 }
 
+// setMayCreate has the next plan look for tasks of a job to create.
+func (e *Engine) setMayCreate(j *Job) {
+	j.mayCreate = true
+	if e.jobs[j.Spec.ID] == j {
+		e.incomplete[j] = true
+	}
+}
+
 // hasDue reports whether tasks of the job may be created.
 func (j *Job) hasDue(now time.Time) bool {
 	return !j.hosted && (j.mayCreate || !j.allBegun() && !now.Before(j.dueAt(j.next)))
@@ -233,6 +241,13 @@
 
 // createFor creates the tasks of a job whose turn has come.
 func (e *Engine) createFor(j *Job, now time.Time) {
+	e.createOccurrences(j, now)
+	if !j.mayCreate && j.allBegun() {
+		delete(e.incomplete, j)
+	}
+}
+
+func (e *Engine) createOccurrences(j *Job, now time.Time) {
 	j.mayCreate = false
 	for _, o := range j.occurrences {
 		if !e.createReady(j, o, now) {
@@ -313,7 +328,8 @@
 				if (lessUrgent || now.Sub(o.createdAt[s]) >= displaceAfter) && other.untouched(o, s) {
 					n -= len(o.tasks[s])
 					e.drop(other, o, s)
-					other.mayCreate, other.displacedAt = true, now
+					e.setMayCreate(other)
+					other.displacedAt = now
 				}
 			}
 		}
--- a/dispatch/occurrences_test.go
+++ b/dispatch/occurrences_test.go
@@ -50,10 +50,10 @@
 	}
 }
 
-// budgeted returns a fixture whose engine may hold a number of tasks.
-func budgeted(limit int, workers ...port.WorkerEntry) *fixture {
+// budgeted returns a fixture whose engine has the smallest budget.
+func budgeted(workers ...port.WorkerEntry) *fixture {
 	f := newFixture(workers...)
-	f.options.Budget = NewBudget(limit)
+	f.options.Budget = NewBudget(MinBudget)
 	return f
 }
 
@@ -70,7 +70,7 @@
 // budget, and keep no other job waiting.
 func TestMissedOccurrencesRunInTurnBesideOtherJobs(t *testing.T) {
 	is := is.New(t)
-	f := budgeted(MinBudget, worker("a", 100_000, 100_000), worker("b", 100_000, 100_000))
+	f := budgeted(worker("a", 100_000, 100_000), worker("b", 100_000, 100_000))
 	missed := spec("missed", small(3))
 	missed.Schedule = job.Schedule{Times: 20_000, FirstUnixMS: 1, IntervalMS: 1}
 	j := f.Add(missed, f.now, f.now.UnixMilli())
@@ -103,7 +103,7 @@
 // other job begins. All of them have the same priority.
 func TestTasksThatFitNowhereMakeWayInMemory(t *testing.T) {
 	is := is.New(t)
-	f := budgeted(MinBudget, worker("w", 8000, 8000))
+	f := budgeted(worker("w", 8000, 8000))
 	impossible := wideSteps(false)
 	for s := range impossible {
 		impossible[s].Label = "no worker has it"
@@ -128,7 +128,7 @@
 // running.
 func TestStepThatFitsNowhereDoesNotHoldUpOtherOccurrences(t *testing.T) {
 	is := is.New(t)
-	f := budgeted(MinBudget, worker("w", 8000, 8000))
+	f := budgeted(worker("w", 8000, 8000))
 	impossible := small(1)
 	impossible.Label = "no worker has it"
 	s := spec("j", impossible, small(1))
@@ -331,7 +331,7 @@
 // turns in memory seconds apart.
 func TestJobsThatFitNowhereTakeTurnsInMemory(t *testing.T) {
 	is := is.New(t)
-	f := budgeted(MinBudget, worker("w", 8000, 8000))
+	f := budgeted(worker("w", 8000, 8000))
 	for n := range 40 {
 		s := spec(fmt.Sprintf("impossible%d", n), small(job.MaxTasksPerStep))
 		s.Steps[0].Label = "no worker has it"
