--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -326,7 +326,10 @@
 // add adds an accepted job to the engine. It returns nil if the job has ended or
 // was cancelled, or if there is no memory for it yet.
 func (t *term) add(spec job.Spec, now time.Time) *dispatch.Job {
-	if t.engine.Job(spec.ID) == nil && !t.cancelled[spec.ID] && t.deferJob(spec) {
+	if j := t.engine.Job(spec.ID); j != nil {
+		return j
+	}
+	if !t.cancelled[spec.ID] && !t.hasEnded(spec.ID, now) && t.deferJob(spec) {
 		return nil
 	}
 	if t.deferred.has(spec.ID) {
@@ -340,7 +343,7 @@
 	if j := t.engine.Job(spec.ID); j != nil {
 		return j
 	}
-	if t.uncommittedFinal[spec.ID] != nil || t.knownToHaveEnded(spec.ID, now) {
+	if t.hasEnded(spec.ID, now) {
 		return nil // the next commit deletes its progress row
 	}
 	j := t.engine.Add(spec, now, t.c.Wall().UnixMilli())
@@ -358,6 +361,11 @@
 	return j
 }
 
+// hasEnded reports whether the job has ended, committed or not.
+func (t *term) hasEnded(id string, now time.Time) bool {
+	return t.uncommittedFinal[id] != nil || t.knownToHaveEnded(id, now)
+}
+
 // knownToHaveEnded reports whether an owner has committed the job's end. A cancellation
 // may only be stored: its job is added, to stop its runs and to commit the outcome.
 func (t *term) knownToHaveEnded(id string, now time.Time) bool {
