--- a/internal/cell/roster_test.go
+++ b/internal/cell/roster_test.go
@@ -133,6 +133,15 @@
 		}
 		cl.store.SetFault(func(string) fake.StoreFault { return fake.FaultNone })
 		time.Sleep(12 * time.Second)
+		// An owner that has taken over meanwhile keeps silent workers of its predecessor until it has
+		// recovered: the read of the state, and the longest lease on the slowest clock.
+		for recovered, waited := false, 0; !recovered; waited++ {
+			is.True(waited < 10)
+			time.Sleep(time.Second)
+			owner := cl.daemons[cl.awaitOwner()]
+			is.NoErr(owner.loop.Do(t.Context(), func() { recovered = owner.cell.term != nil && owner.cell.term.recovered }))
+		}
+		time.Sleep(2 * time.Second)
 		roster := cl.roster()
 		is.Equal(len(roster), 20)
 		for n := range 10 {
