--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -17,7 +17,8 @@
 // limit must be at least MinBudget.
 func NewBudget(limit int) *Budget { return &Budget{limit: limit} }
 
-// MinBudget is the smallest limit of a Budget: a task of one step must not keep those of others waiting.
+// MinBudget is the smallest limit of a Budget, in tasks: four steps of the largest size, so that one
+// such step does not keep the tasks of all other jobs waiting.
 const MinBudget = 4 * job.MaxTasksPerStep
 
 // JobPercent returns the share of the memory for open jobs that these take, in percent. The Budget may
--- a/internal/cell/moved_jobs_test.go
+++ b/internal/cell/moved_jobs_test.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// depthMaxAge is the maximum age of a depth that the platform allows.
+const depthMaxAge = 2 * time.Second
+
+// sampleDepths checks the depth of the queue at all daemons while its only job waits and
+// moves: a daemon counts the job within depthMaxAge, from then on without a gap, and in the
+// last second exactly once. The samples do not wait for other requests.
+func (mc *moveCluster) sampleDepths(begun time.Time, length time.Duration) {
+	counted := map[string]bool{}
+	for ; time.Since(begun) < length; time.Sleep(5 * time.Millisecond) {
+		after := time.Since(begun)
+		for _, name := range mc.names() {
+			pending, err := mc.daemons[name].group.Pending("batch")
+			counted[name] = counted[name] || err == nil && pending > 0
+			switch {
+			case counted[name] && (err != nil || pending < 1), !counted[name] && after > depthMaxAge:
+				mc.t.Errorf("daemon %s counts %d jobs after %s, err %v", name, pending, after, err)
+			case after > length-time.Second && pending != 1:
+				mc.t.Errorf("daemon %s still counts %d jobs after %s", name, pending, after)
+			}
+		}
+	}
+}
+
 // Guards against a job that cannot be found, is reported in its former cell's state or is
 // not counted as waiting while it moves.
 func TestStateAndDepthWhileAJobMoves(t *testing.T) {
@@ -126,24 +149,20 @@
 				return version, err
 			})
 			mc.submitTo(movingFrom, mc.spec)
-			for begun := time.Now(); time.Since(begun) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
+			begun := time.Now()
+			sampled := make(chan struct{})
+			go func() {
+				defer close(sampled)
+				mc.sampleDepths(begun, 6*time.Second)
+			}()
+			for ; time.Since(begun) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
 				for _, name := range mc.names() {
 					state, err := mc.daemons[name].group.State(context.Background(), mc.spec.ID)
 					is.NoErr(err)
 					is.Equal(state, job.Queued)
-					// New jobs are counted as soon as the owner's depths have arrived.
-					pending, err := mc.daemons[name].group.Pending("batch")
-					if time.Since(begun) > 700*time.Millisecond {
-						is.NoErr(err)
-						if pending < 1 {
-							mc.t.Errorf("daemon %s counts %d jobs after %s, err %v", name, pending, time.Since(begun), err)
-						}
-					}
-					if time.Since(begun) > 5*time.Second {
-						is.Equal(pending, 1)
-					}
 				}
 			}
+			<-sampled
 			is.Equal(mc.count("job_moved", mc.spec.ID), 1)
 			is.Equal(mc.cellOf(mc.spec.ID), movingTo)
 			is.NoErr(mc.bystander().group.Cancel(context.Background(), mc.spec.ID))
