--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -73,6 +73,12 @@
 	return c.MilliCPU
 }
 
+// mayHandOver reports whether the cell may be released by choice. A release that cannot be committed would
+// only stop the owner's work, and one during the recovery makes the successor begin it anew.
+func (t *term) mayHandOver(now time.Time) bool {
+	return t.recovered && !t.failing && !t.unconfirmed && !now.Before(t.handoverNotBefore)
+}
+
 // handOverIfNotFirst releases a cell other than the lead cell if the cell map names
 // another daemon first for some time. After a takeover, it takes a moment until the map
 // names the new owner first.
@@ -83,7 +89,7 @@
 		delay = repeatedHandoverDelay
 	}
 	settled := now.Sub(c.roleSince) > memberHandoverDelay && now.Sub(t.startedAt) > delay
-	if c.isLead() || c.role == 0 || !settled || !t.loaded || t.failing || t.unconfirmed {
+	if c.isLead() || c.role == 0 || !settled || !t.mayHandOver(now) {
 		return
 	}
 	t.log.WithFields(log.Fields{"event": "ownership_handover", "role": c.role}).Info("releasing the cell to the daemon that the cell map names")
@@ -96,8 +102,8 @@
 	if t.afterRelease {
 		delay = repeatedHandoverDelay
 	}
-	if !t.c.isLead() || t.c.MilliCPU <= 0 || now.Sub(t.startedAt) < delay || t.failing || t.unconfirmed {
-		return // a release that cannot be committed would only stop the owner's work
+	if !t.c.isLead() || t.c.MilliCPU <= 0 || now.Sub(t.startedAt) < delay || !t.mayHandOver(now) {
+		return
 	}
 	largest := t.candidates.largest(now)
 	if float64(largest) < handoverRatio*float64(t.c.MilliCPU) {
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -40,8 +40,11 @@
 	// learnedInterval is the interval at which the learned data of images is
 	// stored. What is not stored is lost at a takeover, and takes seconds to learn
 	// again.
-	learnedInterval  = 2 * time.Second
-	commitTimeout    = time.Second
+	learnedInterval = 2 * time.Second
+	commitTimeout   = time.Second
+	// releaseWithin bounds the time in which an owner stores all changes before it releases the cell.
+	// Meanwhile it starts nothing and reads nothing from workers; their leases last longer.
+	releaseWithin    = 1500 * time.Millisecond
 	commitRetryDelay = 100 * time.Millisecond
 )
 
@@ -61,8 +64,9 @@
 	// committedAt is when the last commit succeeded, and commitSentAt when it was
 	// sent. triedAt is when the last commit was sent, successful or not.
 	committedAt, commitSentAt, triedAt time.Time
-	// releaseSentAt is when the first commit that releases the cell was sent.
-	releaseSentAt time.Time
+	// releaseBegan is when the owner began to store what is left before it releases the cell, and
+	// releaseSentAt when the first commit that releases it was sent.
+	releaseBegan, releaseSentAt time.Time
 	// learnedAt is when the learned data was last added to a commit, and learned
 	// its encoding at that time.
 	learnedAt  time.Time
@@ -209,8 +213,8 @@
 	t.putRoster(&b)
 	t.putStaleParts(&b)
 	t.committing, t.triedAt = true, now
-	if release && t.releaseSentAt.IsZero() {
-		t.releaseSentAt = now
+	if b.record.Released {
+		t.noteReleaseSent(now)
 	}
 	runAsync(t, commitTimeout, func(ctx context.Context) (int64, error) {
 		return t.c.Store.Commit(ctx, b.txn)
@@ -234,8 +238,8 @@
 	b.suspensions = t.c.suspensions
 	b.record = t.record
 	b.record.Sequence++
-	b.record.Released = release
-	b.record.Recorded = release && len(t.changedSince) == 0 && t.loaded && t.engine.KnowsAllRuns(t.c.Now())
+	b.record.Released = release && (t.allChangesIn(&b) || t.mustRelease(t.c.Now()))
+	b.record.Recorded = b.record.Released && len(t.changedSince) == 0 && t.loaded && t.engine.KnowsAllRuns(t.c.Now())
 	if t.stable(t.c.Now()) {
 		b.record.Backoff = 0
 	}
@@ -351,6 +355,10 @@
 		}
 		t.failing = true
 	}
+	if t.releasing && err == nil && !t.ended {
+		t.release(now)
+		return
+	}
 	t.schedulePlan()
 }
 
@@ -448,31 +456,13 @@
 	t.triedAt = time.Time{}
 }
 
-// release sends a last commit that releases the cell to another daemon. Changes that do
-// not fit into it are left to the next owner, which finds them in the workers' listings,
-// as after a failure of this one.
-func (t *term) release(now time.Time) {
-	t.releasing = true
-	if !t.committing {
-		t.plan() // starts nothing, and takes over the changes that the engine holds
-		t.commit(now, true)
-	}
-}
-
-// retryRelease releases the cell unless an attempt was sent only just before. A release
-// that was begun goes on until it succeeds or another daemon has acquired the cell.
-func (t *term) retryRelease(now time.Time) {
-	if !t.releasing || now.Sub(t.triedAt) >= commitRetryDelay {
-		t.release(now)
-	}
-}
-
 // finishRelease ends the term. Followers read the released row and take over.
 func (t *term) finishRelease() {
 	t.log.WithField("event", "ownership_released").Info("released the ownership of the cell")
 	t.ended = true
 	t.observeEnd()
 	t.engine.Close()
+	t.stopListings()
 	t.c.term = nil
 	t.c.transition(charts.ShardRelease)
 	t.c.ownerVersionSeenAt = time.Time{}
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -59,7 +59,7 @@
 
 // heartbeatAll requests listings from the workers for which one is due.
 func (t *term) heartbeatAll(now time.Time) {
-	if !t.loaded || t.leaseAt(now) <= 0 {
+	if !t.loaded || t.leaseAt(now) <= 0 || t.readsNothing(now) {
 		return
 	}
 	workers := t.engine.Workers()
@@ -145,13 +145,20 @@
 	boot := hb.boot
 	hb.inFlight, hb.sentAt = true, now
 	t.c.instruments.listingsSent.Inc(1)
+	listings := t.listings
 	var received time.Time // before the control loop processes it, which may be much later
 	runAsync(t, t.c.loopDelay.timeout(wait+listTimeoutMargin), func(ctx context.Context) (port.Listing, error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(listings, cancel)()
 		l, err := t.c.Workers.List(ctx, target, req)
 		received = t.c.Now()
 		return l, err
 	}, func(l port.Listing, err error) {
 		hb.inFlight = false
+		if listings.Err() != nil {
+			return
+		}
 		done := t.c.Now()
 		t.c.instruments.observeListing(done.Sub(now), err)
 		if err != nil {
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -73,6 +73,9 @@
 	jobsRefusedFull metrics.Counter
 	// jobsWithdrawn counts the jobs that were cancelled before they were stored.
 	jobsWithdrawn metrics.Counter
+	// releasesAbandoned counts the releases by choice after which this daemon stayed the owner, and
+	// releasesIncomplete the commits of a release that left changes unstored.
+	releasesAbandoned, releasesIncomplete metrics.Counter
 	// interrupted is the number of service tasks that ran before and have no run.
 	interrupted metrics.Gauge
 }
@@ -135,6 +138,7 @@
 		jobsRefusedFull:    counter("cell.jobs_refused_full"),
 		jobsWithdrawn:      counter("cell.jobs_withdrawn"),
 	}
+	m.releasesAbandoned, m.releasesIncomplete = counter("cell.releases_abandoned"), counter("cell.releases_incomplete")
 	m.registerByReason()
 	return m
 }
--- a/internal/cell/ownership_test.go
+++ b/internal/cell/ownership_test.go
@@ -260,9 +260,11 @@
 
 // Guards against lost work: a release that needs many commits first must not let the
 // leases of all runs lapse. A new owner that has adopted the runs of many jobs has a change
-// of each to commit.
+// of each to commit. An owner that releases the cell by choice stays if that takes too long, and one
+// that is stopped does not.
 func TestRunsSurviveAReleaseWithManyChanges(t *testing.T) {
-	for _, release := range []bool{false, true} {
+	const byChoice, stopped = "by choice", "stopped"
+	for _, release := range []string{"", byChoice, stopped} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			const jobs = 750
@@ -284,22 +286,58 @@
 				for _, j := range first.cell.term.engine.Jobs() {
 					first.cell.term.markDirty(j, false)
 				}
-				if release {
+				if release == byChoice {
 					first.cell.term.release(time.Now())
 				}
 			}))
 			began := time.Now()
-			for release && first.cell.View().IsOwner {
-				time.Sleep(10 * time.Millisecond)
+			if release == stopped {
+				is.NoErr(first.cell.Release(t.Context()))
+				is.True(time.Since(began) <= releaseWithin+2*time.Second)
+				is.True(first.cell.instruments.releasesIncomplete.Count() > 0)
 			}
-			t.Logf("released after %s", time.Since(began))
 			time.Sleep(15 * time.Second)
+			is.Equal(first.cell.View().IsOwner, release != stopped)
+			if release == byChoice {
+				is.Equal(first.cell.instruments.releasesAbandoned.Count(), int64(1))
+			}
 			again := 0
 			for _, id := range ids {
 				again += cl.fleet.Starts(id+".0.0.0") - 1
 			}
-			t.Logf("release %v: %d tasks were started again", release, again)
+			t.Logf("release %q: %d tasks were started again", release, again)
 			is.Equal(again, 0)
 		})
 	}
 }
+
+// Guards against services that are away for longer than a takeover takes: an owner released the cell for
+// the sake of a larger daemon while it was still waiting for workers, and the successor waited anew.
+func TestCellIsNotReleasedByChoiceDuringTheRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sizes := func(name string) int64 {
+			if name == "d2" {
+				return 800
+			}
+			return 200
+		}
+		cl := newSizedCluster(t, 163, 2, 3, halfSecond, nil, sizes)
+		defer cl.stopAll()
+		first := cl.awaitOwner()
+		time.Sleep(3 * time.Second)
+		cl.fleet.SetUnreachable("w0", true) // the next owner waits for the longest lease
+		cl.kill(first)
+		second := cl.daemons[cl.awaitOwner()]
+		cl.start("d2")
+		for recovered := false; !recovered; time.Sleep(50 * time.Millisecond) {
+			is.Equal(cl.owner(), second.name)
+			is.NoErr(second.loop.Do(t.Context(), func() {
+				recovered = second.cell.term == nil || second.cell.term.recovered
+			}))
+		}
+		cl.fleet.SetUnreachable("w0", false)
+		time.Sleep(3 * time.Second)
+		is.Equal(cl.owner(), "d2")
+	})
+}
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -290,6 +290,7 @@
 	c.term.observeEnd()
 	c.term.ended = true
 	c.term.engine.Close()
+	c.term.stopListings()
 	c.term = nil
 	c.transition(charts.ShardLose)
 	c.ownerVersionSeenAt, c.ownerReadTriedAt = time.Time{}, time.Time{}
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -38,6 +38,12 @@
 	// it. The monotonic clock stood still, so that no lease may be renewed.
 	suspended bool
 
+	// listings is the context of the listings in flight, which stopListings cancels.
+	listings     context.Context //nolint:containedctx // it ends with the term or a release, not with a call
+	stopListings context.CancelFunc
+	// handoverNotBefore is until when the cell is not released by choice.
+	handoverNotBefore time.Time
+
 	// afterRelease is set if the previous owner released the cell.
 	afterRelease bool
 	// runsRecorded is set if the previous owner has recorded all runs when it released the cell.
@@ -109,6 +115,7 @@
 		t.changes[tableHosted] = &changeCursor{}
 	}
 	t.committer = newCommitter(now)
+	t.listings, t.stopListings = context.WithCancel(context.Background())
 	t.roster = newRoster()
 	t.queueKeeper.removedAt = map[string]time.Time{}
 	t.cancelReads.partitions = map[string]time.Time{}
@@ -255,6 +262,9 @@
 // plan runs the engine and sends the requests that it outputs.
 func (t *term) plan() {
 	now := t.c.Now()
+	if !t.releaseSentAt.IsZero() && t.committing {
+		return // nothing is ordered after the last commit
+	}
 	t.c.checkStall(now)
 	t.checkOwnershipConfirmed(now)
 	defer func() {
