--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -76,7 +76,7 @@
 		Cell: uint32(c.Number), Epoch: l.epoch, After: l.sequence, WaitMs: uint32(followWait.Milliseconds()),
 		Config:     c.configToOwner(),
 		WantConfig: c.storeFailing && c.isLead(), AcceptsGzip: true,
-		Sender: c.Self.Name, CandidateMilliCpu: uint64(c.candidateCapacity(now)),
+		Sender: c.Self.Name, Address: c.Self.Address, CandidateMilliCpu: uint64(c.candidateCapacity(now)),
 	}
 	if c.group != nil && c.isLead() {
 		c.group.describe(follow, now)
@@ -186,6 +186,8 @@
 		return c.handleLoad(ctx, kind.CellLoad)
 	case *peerpb.Request_Config:
 		return c.handleConfig(ctx, kind.Config)
+	case *peerpb.Request_Successor:
+		return c.handleSuccessor(ctx, kind.Successor)
 	default:
 		return peer.Refuse("request is not known")
 	}
@@ -204,7 +206,7 @@
 		}
 		if c.term != nil {
 			epoch = c.term.record.Epoch
-			c.term.candidates.observe(req.GetSender(), int64(req.GetCandidateMilliCpu()), c.Now())
+			c.term.candidates.observe(req.GetSender(), req.GetAddress(), int64(req.GetCandidateMilliCpu()), c.Now())
 			if c.group != nil && c.isLead() {
 				c.group.observeDaemon(req, c.Now())
 			}
@@ -242,7 +244,7 @@
 		reply.Config, reply.AcceptsGzip = c.configReply(req), true
 		now := c.Now()
 		reply.CommitAgeMs = uint64(max(0, now.Sub(t.committedAt).Milliseconds()))
-		reply.LargestCandidateMilliCpu = uint64(t.candidates.largest(now))
+		reply.LargestCandidateMilliCpu = uint64(t.candidates.largest(now).milliCPU)
 		reply.Loading = !t.loaded
 		if t.loaded {
 			reply.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
--- a/internal/cell/group.go
+++ b/internal/cell/group.go
@@ -250,6 +250,8 @@
 		n = int(kind.State.GetCell())
 	case *peerpb.Request_CellLoad:
 		n = int(kind.CellLoad.GetCell())
+	case *peerpb.Request_Successor:
+		n = int(kind.Successor.GetCell())
 	}
 	if m := g.view.Load().cellMap; n != cellmap.Lead && (m == nil || n >= len(m.Cells)) {
 		return peer.Refuse("cell %d is not known", n)
--- /dev/null
+++ b/internal/cell/handover_test.go
@@ -0,0 +1,129 @@
+package cell
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/cellmap"
+)
+
+// Guards against services that are away for the time of a recovery: an owner released its cell to a
+// daemon that did not take it, acquired it again 0.4 s later and recovered as if it knew nothing.
+func TestCellIsNotReleasedToADaemonThatDoesNotTakeIt(t *testing.T) {
+	cases := map[string]func(cl *cluster, d *daemon){
+		"not running": func(cl *cluster, d *daemon) { cl.kill(d.name) },
+		"unreachable": func(_ *cluster, d *daemon) { d.isolated.Store(true) },
+		"stopping":    func(_ *cluster, d *daemon) { d.setOnLoop(func() { d.cell.stopping = true }) },
+		"store fails": func(_ *cluster, d *daemon) { d.setOnLoop(func() { d.cell.storeFailedAt = time.Now() }) },
+		"recovery failed": func(_ *cluster, d *daemon) {
+			d.setOnLoop(func() { d.cell.acquireNotBefore = time.Now().Add(time.Hour) })
+		},
+		"not following": func(cl *cluster, d *daemon) {
+			d.unreachablePeers.Store(cl.owner(), true)
+			time.Sleep(2 * linkTimeout)
+		},
+	}
+	for name, fail := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cl := newSizedCluster(t, 164, 2, 3, halfSecond, nil, func(string) int64 { return 200 })
+				defer cl.stopAll()
+				owner := cl.daemons[cl.awaitOwner()]
+				time.Sleep(settleDelay)
+				epoch := owner.cell.View().Epoch
+				for _, other := range cl.names() {
+					if other != owner.name {
+						fail(cl, cl.daemons[other])
+						owner.setOnLoop(func() { owner.cell.term.candidates.observe(other, other, 800, time.Now()) })
+					}
+				}
+				time.Sleep(3 * time.Second)
+				is.Equal(owner.cell.View().Epoch, epoch)
+				is.True(owner.cell.View().IsOwner)
+				is.True(owner.cell.instruments.handoversDeclined.Count() > 0)
+			})
+		})
+	}
+}
+
+// setOnLoop runs fn on the daemon's control loop.
+func (d *daemon) setOnLoop(fn func()) {
+	if err := d.loop.Do(context.Background(), fn); err != nil {
+		panic(err)
+	}
+}
+
+// Guards against the same for the daemon that the cell map names first, and against a cell that does
+// not go to it though it takes it.
+func TestMemberCellIsReleasedOnlyToAFirstMemberThatTakesIt(t *testing.T) {
+	for name, takes := range map[string]bool{"takes it": true, "not running": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cl := newDividedCluster(t, 420, 6, halfSecond, nil)
+				defer cl.stopAll()
+				m := cl.awaitCells()
+				time.Sleep(repeatedHandoverDelay + time.Second)
+				n, first := cl.memberCell(m)
+				owner := cl.ownerOf(n)
+				epoch := owner.group.cell(n).View().Epoch
+				if !takes {
+					first = "d9"
+				}
+				cl.nameFirst(n, first)
+				time.Sleep(time.Second)
+				is.Equal(cl.ownerOf(n).name == first, takes)
+				is.Equal(owner.group.cell(n).instruments.handoversDeclined.Count() > 0, !takes)
+				is.Equal(owner.group.cell(n).View().IsOwner, !takes)
+				is.Equal(owner.group.cell(n).View().Epoch == epoch, !takes)
+			})
+		})
+	}
+}
+
+// memberCell returns a cell and a member that does not own it; neither the member nor the owner owns the
+// lead cell.
+func (cl *cluster) memberCell(m *cellmap.Map) (n int, member string) {
+	for n := cellmap.Lead + 1; n < len(m.Cells); n++ {
+		if owner := cl.ownerOf(n).name; owner != cl.owner() {
+			for _, member := range m.Cells[n].Members {
+				if member.Name != owner && member.Name != cl.owner() {
+					return n, member.Name
+				}
+			}
+		}
+	}
+	cl.t.Fatal("the owner of the lead cell owns every cell or is a member of it")
+	return 0, ""
+}
+
+// nameFirst makes the daemons adopt a map that has named a daemon first among the members of a cell for
+// a minute. The owner of the lead cell, which would change the map again, does not learn of it.
+func (cl *cluster) nameFirst(n int, name string) {
+	var others []*daemon
+	for _, d := range cl.names() {
+		if d != cl.owner() {
+			others = append(others, cl.daemons[d])
+		}
+	}
+	for _, d := range others {
+		g := d.group
+		d.setOnLoop(func() {
+			next := *g.cellMap
+			next.Version += 100
+			next.Cells = slices.Clone(next.Cells)
+			members := slices.DeleteFunc(slices.Clone(next.Cells[n].Members), func(m cellmap.Member) bool { return m.Name == name })
+			next.Cells[n].Members = append([]cellmap.Member{{Name: name, Address: name}}, members...)
+			g.adoptMap(&next)
+		})
+	}
+	for _, d := range others {
+		d.setOnLoop(func() { d.group.cell(n).roleSince = time.Now().Add(-time.Minute) })
+	}
+}
--- a/internal/cell/lead.go
+++ b/internal/cell/lead.go
@@ -258,7 +258,7 @@
 // describe adds to a poll of the lead cell's owner what it needs to know of this daemon.
 func (g *Group) describe(req *peerpb.FollowRequest, now time.Time) {
 	c := g.lead
-	req.Address, req.DataCentre = c.Self.Address, g.options.DataCentre
+	req.DataCentre = g.options.DataCentre
 	req.MilliCpu, req.LinkMbps, req.Stopping = uint64(max(0, c.MilliCPU)), uint64(max(0, g.options.LinkMbps)), c.stopping
 	if g.cellMap == nil {
 		return
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -73,6 +73,8 @@
 	jobsRefusedFull metrics.Counter
 	// jobsWithdrawn counts the jobs that were cancelled before they were stored.
 	jobsWithdrawn metrics.Counter
+	// handoversDeclined counts the successors that did not consent to take a cell.
+	handoversDeclined metrics.Counter
 	// releasesAbandoned counts the releases by choice after which this daemon stayed the owner, and
 	// releasesIncomplete the commits of a release that left changes unstored.
 	releasesAbandoned, releasesIncomplete metrics.Counter
@@ -138,7 +140,7 @@
 		jobsRefusedFull:    counter("cell.jobs_refused_full"),
 		jobsWithdrawn:      counter("cell.jobs_withdrawn"),
 	}
-	m.releasesAbandoned, m.releasesIncomplete = counter("cell.releases_abandoned"), counter("cell.releases_incomplete")
+	m.handoversDeclined, m.releasesAbandoned, m.releasesIncomplete = counter("cell.handovers_declined"), counter("cell.releases_abandoned"), counter("cell.releases_incomplete")
 	m.registerByReason()
 	return m
 }
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -41,8 +41,10 @@
 	// listings is the context of the listings in flight, which stopListings cancels.
 	listings     context.Context //nolint:containedctx // it ends with the term or a release, not with a call
 	stopListings context.CancelFunc
-	// handoverNotBefore is until when the cell is not released by choice.
+	// handoverNotBefore is until when the cell is not released by choice, and askingSuccessor is set
+	// while a daemon is asked whether it takes the cell.
 	handoverNotBefore time.Time
+	askingSuccessor   bool
 
 	// afterRelease is set if the previous owner released the cell.
 	afterRelease bool
@@ -191,8 +193,7 @@
 	if t.releasing || t.abandoned {
 		t.retryRelease(now)
 	} else {
-		t.handOverIfSmall(now)
-		t.handOverIfNotFirst(now)
+		t.handOver(now)
 	}
 	t.renewInherited(now)
 	if t.loaded && !t.releasing {
