--- a/internal/cell/handover_test.go
+++ b/internal/cell/handover_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/bambooyard/bambooyard/cellmap"
+	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
 )
 
 // Guards against services that are away for the time of a recovery: an owner released its cell to a
@@ -127,3 +128,30 @@
 		d.setOnLoop(func() { d.group.cell(n).roleSince = time.Now().Add(-time.Minute) })
 	}
 }
+
+// Guards against a room of zero that only means that workers have not answered yet: the tasks of
+// another cell were not transferred, and as many were not asked for again.
+func TestRoomOfARecoveringCellIsNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 165, 1, 3, halfSecond, nil)
+		defer cl.stopAll()
+		d := cl.daemons[cl.awaitOwner()]
+		time.Sleep(settleDelay)
+		room := func(recovered bool, milliCPU int64) (n int, known bool) {
+			d.setOnLoop(func() {
+				d.cell.term.recovered = recovered
+				n, known = d.cell.term.knownRoom("other", &peerpb.TaskRequest{Pool: "pool", MilliCpu: milliCPU, Tasks: 1})
+				d.cell.term.recovered = true
+			})
+			return n, known
+		}
+		const fits, tooMuch = 1000, 9000
+		n, known := room(true, tooMuch)
+		is.True(known && n == 0)
+		_, known = room(false, tooMuch)
+		is.True(!known)
+		n, known = room(false, fits)
+		is.True(known && n == 1)
+	})
+}
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -55,7 +55,10 @@
 		}
 		load = c.term.load(c.Now())
 		if tasks := req.GetTasks(); tasks != nil {
-			load.TaskRoom = uint32(c.term.taskRoom(req.GetJob(), tasks))
+			room, known := c.term.knownRoom(req.GetJob(), tasks)
+			if load.TaskRoom = uint32(room); !known {
+				load = nil
+			}
 			return
 		}
 		if c.term.engine.Job(req.GetJob()) == nil {
@@ -63,11 +66,18 @@
 		}
 	})
 	if err != nil || load == nil {
-		return peer.Refuse("not the owner")
+		return peer.Refuse("not the owner, or the room is not known yet")
 	}
 	return &peerpb.Response{Kind: &peerpb.Response_CellLoad{CellLoad: load}}
 }
 
+// knownRoom returns for how many tasks of another cell there is room, and whether that is known: during the
+// recovery, workers that have not answered may have room.
+func (t *term) knownRoom(job string, tasks *peerpb.TaskRequest) (room int, known bool) {
+	room = t.taskRoom(job, tasks)
+	return room, room > 0 || t.recovered
+}
+
 // handleState replies with the state of a job in the cell.
 func (c *Cell) handleState(ctx context.Context, req *peerpb.StateRequest) *peerpb.Response {
 	reply := &peerpb.StateReply{}
