--- a/internal/cell/handover_test.go
+++ b/internal/cell/handover_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bambooyard/bambooyard/cellmap"
 	"github.com/bambooyard/bambooyard/internal/peer/peerpb"
+	"github.com/bambooyard/bambooyard/internal/port"
 )
 
 // Guards against services that are away for the time of a recovery: an owner released its cell to a
@@ -129,6 +130,36 @@
 	}
 }
 
+// Guards against a recovery that waits for silent workers after a release that has recorded all runs, and
+// against a cell that is handed over again at once: a read of the owner's row that was faster than the
+// response to the acquisition hid the release.
+func TestReleaseIsKnownToASuccessorThatReadsItsRowBeforeTheResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newCluster(t, 166, 2, 3, halfSecond, nil)
+		defer cl.stopAll()
+		owner := cl.daemons[cl.awaitOwner()]
+		time.Sleep(settleDelay)
+		var next *daemon
+		for _, name := range cl.names() {
+			if name != owner.name {
+				next = cl.daemons[name]
+			}
+		}
+		slow := txnHook(func(_ context.Context, _ port.Txn, commit func() (int64, error)) (int64, error) {
+			version, err := commit()
+			time.Sleep(3 * ownerPoll)
+			return version, err
+		})
+		next.txnHook.Store(&slow)
+		is.NoErr(owner.cell.Release(t.Context()))
+		for !next.cell.View().IsOwner {
+			time.Sleep(10 * time.Millisecond)
+		}
+		next.setOnLoop(func() { is.True(next.cell.term.afterRelease && next.cell.term.runsRecorded) })
+	})
+}
+
 // Guards against a room of zero that only means that workers have not answered yet: the tasks of
 // another cell were not transferred, and as many were not asked for again.
 func TestRoomOfARecoveringCellIsNotKnown(t *testing.T) {
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -188,14 +188,14 @@
 		c.acquireAt = time.Time{}
 		now := c.Now()
 		if err != nil {
-			c.acquireFailed(err, record, now)
+			c.acquireFailed(err, previous, record, now)
 			return
 		}
 		c.recordStoreResult(nil, now)
 		if c.checkStall(now); c.suspensions != suspensions {
 			sent = time.Time{}
 		}
-		c.becomeOwner(record, committed, sent)
+		c.becomeOwner(previous, record, committed, sent)
 	})
 }
 
@@ -209,7 +209,7 @@
 
 // acquireFailed handles a failed acquisition. On a conflict, an earlier attempt
 // without a response may have succeeded.
-func (c *Cell) acquireFailed(err error, record ownerRecord, now time.Time) {
+func (c *Cell) acquireFailed(err error, previous, record ownerRecord, now time.Time) {
 	conflict, ok := err.(*port.ConflictError)
 	if !ok {
 		c.recordStoreResult(err, now)
@@ -219,7 +219,7 @@
 	row := findRow(conflict.Rows, tableOwners, ownerKey)
 	c.observeOwner(row, now)
 	if c.owner.Boot == c.Self.Boot && c.owner.Epoch == record.Epoch {
-		c.becomeOwner(c.owner, row.Version, time.Time{})
+		c.becomeOwner(previous, c.owner, row.Version, time.Time{})
 	}
 }
 
@@ -244,14 +244,14 @@
 	}
 }
 
-// becomeOwner starts a term of this daemon. The row that makes it the owner was sent at
-// a time, which is zero if that is not known.
-func (c *Cell) becomeOwner(record ownerRecord, version int64, sent time.Time) {
+// becomeOwner starts a term of this daemon after that of a previous owner; c.owner may be this daemon
+// already, if a read of the row was faster than the response to its commit. The row that makes it
+// the owner was sent at a time, which is zero if that is not known.
+func (c *Cell) becomeOwner(previous, record ownerRecord, version int64, sent time.Time) {
 	now := c.Now()
-	if c.owner.Address != "" && c.owner.Address != c.Self.Address {
-		c.notifyFormerOwner(c.owner.Address, record.Epoch)
+	if previous.Address != "" && previous.Address != c.Self.Address {
+		c.notifyFormerOwner(previous.Address, record.Epoch)
 	}
-	afterRelease, runsRecorded := c.owner.Released, c.owner.Released && c.owner.Recorded
 	c.owner, c.ownerVersion, c.ownerVersionSeenAt = record, version, now
 	if c.stopping {
 		return
@@ -261,7 +261,7 @@
 	c.link.reset()
 	c.term = newTerm(c, record, version, now)
 	c.term.commitSentAt, c.term.unconfirmed = sent, sent.IsZero()
-	c.term.afterRelease, c.term.runsRecorded = afterRelease, runsRecorded
+	c.term.afterRelease, c.term.runsRecorded = previous.Released, previous.Released && previous.Recorded
 	c.term.recover()
 	c.publish()
 }
