--- a/internal/cell/candidates.go
+++ b/internal/cell/candidates.go
@@ -52,6 +52,22 @@
 	return most
 }
 
+// largestFollower returns the capacity of the largest daemon that may acquire the lead cell if it loses its
+// owner, or zero if there is none. Those that no cell is handed over to, because they were without
+// the store lately, count as well: smaller daemons leave the cell to them for a moment.
+func (t *term) largestFollower(now time.Time) int64 {
+	most := t.candidates.largest(now).milliCPU
+	if t.c.group == nil || !t.c.isLead() {
+		return most
+	}
+	for _, d := range t.c.group.daemons {
+		if now.Sub(d.seenAt) < daemonTTL && !d.Stopping {
+			most = max(most, d.MilliCPU)
+		}
+	}
+	return most
+}
+
 // candidateCapacity returns this daemon's capacity as a candidate, or zero if it
 // cannot acquire the cell.
 func (c *Cell) candidateCapacity(now time.Time) int64 {
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -244,7 +244,7 @@
 		reply.Config, reply.AcceptsGzip = c.configReply(req), true
 		now := c.Now()
 		reply.CommitAgeMs = uint64(max(0, now.Sub(t.committedAt).Milliseconds()))
-		reply.LargestCandidateMilliCpu = uint64(t.candidates.largest(now).milliCPU)
+		reply.LargestCandidateMilliCpu = uint64(t.largestFollower(now))
 		reply.Loading = !t.loaded
 		if t.loaded {
 			reply.DepthsAgeMs = uint64(max(0, now.Sub(t.jobsReadAt).Milliseconds()))
--- a/internal/cell/handover_test.go
+++ b/internal/cell/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -160,6 +161,41 @@
 	})
 }
 
+// Guards against an overloaded owner after an outage of the store: a small daemon acquired the cell at
+// once, though larger ones, which had only been without the store lately, were about to.
+func TestLargeDaemonTakesOverAfterAnOutageOfTheStore(t *testing.T) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			cl := newDividedCluster(t, 430+seed, 0, halfSecond, nil)
+			defer cl.stopAll()
+			const large = 4 * smallMilliCPU
+			cl.milliCPU = func(name string) int64 {
+				if name < "d3" {
+					return large
+				}
+				return smallMilliCPU
+			}
+			for i := range 8 {
+				cl.start(fmt.Sprintf("d%d", i))
+			}
+			cl.awaitOwner()
+			time.Sleep(repeatedHandoverDelay + 2*time.Second)
+			owner := cl.daemons[cl.owner()]
+			is.Equal(owner.cell.MilliCPU, int64(large))
+			for _, name := range cl.names() {
+				if d := cl.daemons[name]; d.cell.MilliCPU == large {
+					d.setOnLoop(func() { d.cell.storeFailedAt = time.Now() })
+				}
+			}
+			time.Sleep(time.Second)
+			cl.kill(owner.name)
+			next := cl.daemons[cl.awaitOwner()]
+			is.Equal(next.cell.MilliCPU, int64(large))
+		})
+	}
+}
+
 // Guards against a room of zero that only means that workers have not answered yet: the tasks of
 // another cell were not transferred, and as many were not asked for again.
 func TestRoomOfARecoveringCellIsNotKnown(t *testing.T) {
