--- a/scripts/compat.sh
+++ b/scripts/compat.sh
@@ -43,6 +43,13 @@
   [ "$(count_runs "$1")" = 1 ] || fail "reorder $1 ran $(count_runs "$1") times"
 }
 
+# output_has reads the whole output of a command: it would fail if grep closed the pipe before its end.
+output_has() { # text command...
+  local text=$1 output
+  shift
+  output=$("$@") && [[ $output == *"$text"* ]]
+}
+
 job_finished() { # build daemon-number key tasks
   [ "$("$1/bambooyard" --caller "127.0.0.1:700$2" job describe --member state-library --key "$3" | grep -c finished)" = "$4" ]
 }
@@ -107,12 +114,12 @@
 start_build_daemon "$second" 1 hobart hobart-1
 start_build_daemon "$second" 2 hobart hobart-2
 for n in 1 2; do wait_until "daemon d$n is not ready" curl -sf "http://127.0.0.1:710$n/readyz"; done
-"$second/bambooyard" status | grep -q "revision 1" || fail "the stored document is not in force"
-"$second/bambooyard" history | grep -q compat || fail "the stored history is missing"
+wait_until "the stored document is not in force" output_has "revision 1" "$second/bambooyard" status
+wait_until "the stored history is missing" output_has compat "$second/bambooyard" history
 send_reorder 1 stored
 cmp "$work_dir/stored" "$work_dir/answer" || fail "the stored outcome was not replayed"
 [ "$(count_runs stored)" = 1 ] || fail "reorder stored ran $(count_runs stored) times"
-job_finished "$second" 2 ended 3 || fail "the stored job ended is not finished"
+wait_until "the stored job ended is not finished" job_finished "$second" 2 ended 3
 wait_until "job under-way did not finish" job_finished "$second" 1 under-way 3
 wait_until "the burn report lacks the stored counts" burn_counts_complete "$second"
 
