--- a/internal/cell/handover_test.go
+++ b/internal/cell/handover_test.go
@@ -21,10 +21,10 @@
 	cases := map[string]func(cl *cluster, d *daemon){
 		"not running": func(cl *cluster, d *daemon) { cl.kill(d.name) },
 		"unreachable": func(_ *cluster, d *daemon) { d.isolated.Store(true) },
-		"stopping":    func(_ *cluster, d *daemon) { d.setOnLoop(func() { d.cell.stopping = true }) },
-		"store fails": func(_ *cluster, d *daemon) { d.setOnLoop(func() { d.cell.storeFailedAt = time.Now() }) },
+		"stopping":    func(_ *cluster, d *daemon) { d.doOnLoop(func() { d.cell.stopping = true }) },
+		"store fails": func(_ *cluster, d *daemon) { d.doOnLoop(func() { d.cell.storeFailedAt = time.Now() }) },
 		"recovery failed": func(_ *cluster, d *daemon) {
-			d.setOnLoop(func() { d.cell.acquireNotBefore = time.Now().Add(time.Hour) })
+			d.doOnLoop(func() { d.cell.acquireNotBefore = time.Now().Add(time.Hour) })
 		},
 		"not following": func(cl *cluster, d *daemon) {
 			d.unreachablePeers.Store(cl.owner(), true)
@@ -43,7 +43,7 @@
 				for _, other := range cl.names() {
 					if other != owner.name {
 						fail(cl, cl.daemons[other])
-						owner.setOnLoop(func() { owner.cell.term.candidates.observe(other, other, 800, time.Now()) })
+						owner.doOnLoop(func() { owner.cell.term.candidates.observe(other, other, 800, time.Now()) })
 					}
 				}
 				time.Sleep(3 * time.Second)
@@ -55,8 +55,8 @@
 	}
 }
 
-// setOnLoop runs fn on the daemon's control loop.
-func (d *daemon) setOnLoop(fn func()) {
+// doOnLoop runs fn on the daemon's control loop.
+func (d *daemon) doOnLoop(fn func()) {
 	if err := d.loop.Do(context.Background(), fn); err != nil {
 		panic(err)
 	}
@@ -117,7 +117,7 @@
 	}
 	for _, d := range others {
 		g := d.group
-		d.setOnLoop(func() {
+		d.doOnLoop(func() {
 			next := *g.cellMap
 			next.Version += 100
 			next.Cells = slices.Clone(next.Cells)
@@ -127,7 +127,7 @@
 		})
 	}
 	for _, d := range others {
-		d.setOnLoop(func() { d.group.cell(n).roleSince = time.Now().Add(-time.Minute) })
+		d.doOnLoop(func() { d.group.cell(n).roleSince = time.Now().Add(-time.Minute) })
 	}
 }
 
@@ -157,7 +157,7 @@
 		for !next.cell.View().IsOwner {
 			time.Sleep(10 * time.Millisecond)
 		}
-		next.setOnLoop(func() { is.True(next.cell.term.afterRelease && next.cell.term.runsRecorded) })
+		next.doOnLoop(func() { is.True(next.cell.term.afterRelease && next.cell.term.runsRecorded) })
 	})
 }
 
@@ -185,7 +185,7 @@
 			is.Equal(owner.cell.MilliCPU, int64(large))
 			for _, name := range cl.names() {
 				if d := cl.daemons[name]; d.cell.MilliCPU == large {
-					d.setOnLoop(func() { d.cell.storeFailedAt = time.Now() })
+					d.doOnLoop(func() { d.cell.storeFailedAt = time.Now() })
 				}
 			}
 			time.Sleep(time.Second)
@@ -206,7 +206,7 @@
 		d := cl.daemons[cl.awaitOwner()]
 		time.Sleep(settleDelay)
 		room := func(recovered bool, milliCPU int64) (n int, known bool) {
-			d.setOnLoop(func() {
+			d.doOnLoop(func() {
 				d.cell.term.recovered = recovered
 				n, known = d.cell.term.knownRoom("other", &peerpb.TaskRequest{Pool: "pool", MilliCpu: milliCPU, Tasks: 1})
 				d.cell.term.recovered = true
