--- a/internal/cell/handover_test.go
+++ b/internal/cell/handover_test.go
@@ -21,10 +21,10 @@
 	cases := map[string]func(cl *cluster, d *daemon){
 		"not running": func(cl *cluster, d *daemon) { cl.kill(d.name) },
 		"unreachable": func(_ *cluster, d *daemon) { d.isolated.Store(true) },
-		"stopping":    func(_ *cluster, d *daemon) { d.doOnLoop(func() { d.cell.stopping = true }) },
-		"store fails": func(_ *cluster, d *daemon) { d.doOnLoop(func() { d.cell.storeFailedAt = time.Now() }) },
-		"recovery failed": func(_ *cluster, d *daemon) {
-			d.doOnLoop(func() { d.cell.acquireNotBefore = time.Now().Add(time.Hour) })
+		"stopping":    func(cl *cluster, d *daemon) { cl.onLoop(d, func() { d.cell.stopping = true }) },
+		"store fails": func(cl *cluster, d *daemon) { cl.onLoop(d, func() { d.cell.storeFailedAt = time.Now() }) },
+		"recovery failed": func(cl *cluster, d *daemon) {
+			cl.onLoop(d, func() { d.cell.acquireNotBefore = time.Now().Add(time.Hour) })
 		},
 		"not following": func(cl *cluster, d *daemon) {
 			d.unreachablePeers.Store(cl.owner(), true)
@@ -43,7 +43,7 @@
 				for _, other := range cl.names() {
 					if other != owner.name {
 						fail(cl, cl.daemons[other])
-						owner.doOnLoop(func() { owner.cell.term.candidates.observe(other, other, 800, time.Now()) })
+						cl.onLoop(owner, func() { owner.cell.term.candidates.observe(other, other, 800, time.Now()) })
 					}
 				}
 				time.Sleep(3 * time.Second)
@@ -55,13 +55,6 @@
 	}
 }
 
-// doOnLoop runs fn on the daemon's control loop.
-func (d *daemon) doOnLoop(fn func()) {
-	if err := d.loop.Do(context.Background(), fn); err != nil {
-		panic(err)
-	}
-}
-
 // Guards against the same for the daemon that the cell map names first, and against a cell that does
 // not go to it though it takes it.
 func TestMemberCellIsReleasedOnlyToAFirstMemberThatTakesIt(t *testing.T) {
@@ -117,7 +110,7 @@
 	}
 	for _, d := range others {
 		g := d.group
-		d.doOnLoop(func() {
+		cl.onLoop(d, func() {
 			next := *g.cellMap
 			next.Version += 100
 			next.Cells = slices.Clone(next.Cells)
@@ -127,7 +120,7 @@
 		})
 	}
 	for _, d := range others {
-		d.doOnLoop(func() { d.group.cell(n).roleSince = time.Now().Add(-time.Minute) })
+		cl.onLoop(d, func() { d.group.cell(n).roleSince = time.Now().Add(-time.Minute) })
 	}
 }
 
@@ -157,7 +150,7 @@
 		for !next.cell.View().IsOwner {
 			time.Sleep(10 * time.Millisecond)
 		}
-		next.doOnLoop(func() { is.True(next.cell.term.afterRelease && next.cell.term.runsRecorded) })
+		cl.onLoop(next, func() { is.True(next.cell.term.afterRelease && next.cell.term.runsRecorded) })
 	})
 }
 
@@ -185,7 +178,7 @@
 			is.Equal(owner.cell.MilliCPU, int64(large))
 			for _, name := range cl.names() {
 				if d := cl.daemons[name]; d.cell.MilliCPU == large {
-					d.doOnLoop(func() { d.cell.storeFailedAt = time.Now() })
+					cl.onLoop(d, func() { d.cell.storeFailedAt = time.Now() })
 				}
 			}
 			time.Sleep(time.Second)
@@ -206,7 +199,7 @@
 		d := cl.daemons[cl.awaitOwner()]
 		time.Sleep(settleDelay)
 		room := func(recovered bool, milliCPU int64) (n int, known bool) {
-			d.doOnLoop(func() {
+			cl.onLoop(d, func() {
 				d.cell.term.recovered = recovered
 				n, known = d.cell.term.knownRoom("other", &peerpb.TaskRequest{Pool: "pool", MilliCpu: milliCPU, Tasks: 1})
 				d.cell.term.recovered = true
--- a/internal/cell/move_cluster_test.go
+++ b/internal/cell/move_cluster_test.go
@@ -253,9 +253,9 @@
 }
 
 // onLoop runs fn on a daemon's control loop.
-func (mc *moveCluster) onLoop(d *daemon, fn func()) {
-	mc.t.Helper()
+func (cl *cluster) onLoop(d *daemon, fn func()) {
+	cl.t.Helper()
 	if err := d.loop.Do(context.Background(), fn); err != nil {
-		mc.t.Fatal(err)
+		cl.t.Fatal(err)
 	}
 }
