--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -49,6 +49,7 @@
 // and counts the job from then on.
 func (c *Cell) handleLoad(ctx context.Context, req *peerpb.LoadRequest) *peerpb.Response {
 	var load *peerpb.CellLoad
+	refusal := "not the owner"
 	err := c.Loop.Do(ctx, func() {
 		if c.term == nil || !c.term.loaded || c.term.releasing {
 			return
@@ -57,7 +58,7 @@
 		if tasks := req.GetTasks(); tasks != nil {
 			room, known := c.term.knownRoom(req.GetJob(), tasks)
 			if load.TaskRoom = uint32(room); !known {
-				load = nil
+				load, refusal = nil, "the room is not known yet"
 			}
 			return
 		}
@@ -66,7 +67,7 @@
 		}
 	})
 	if err != nil || load == nil {
-		return peer.Refuse("not the owner, or the room is not known yet")
+		return peer.Refuse("%s", refusal)
 	}
 	return &peerpb.Response{Kind: &peerpb.Response_CellLoad{CellLoad: load}}
 }
