--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs all tests, first with all random histories and then, with fewer, under the
-# race detector. Tests listed in KNOWN-RED.txt, as
+# race detector. The crowds of clients, which observe the memory of whole processes,
+# run after these, one at a time and beside no other test. Tests listed in KNOWN-RED.txt, as
 # "package TestName | command and seed | what was seen | issue", are run
 # separately; their failures are printed and do not fail the run.
 set -euo pipefail
@@ -13,8 +14,11 @@
   grep -v '^#' KNOWN-RED.txt | grep . || true
   skip=(-skip "^($known)\$")
 fi
-go test -timeout 30m "${skip[@]}" ./...
-go test -race -timeout 30m "${skip[@]}" ./...
+crowds=./internal/crowd
+mapfile -t packages < <(go list ./... | grep -v "/${crowds#./}\$")
+go test -timeout 30m "${skip[@]}" "${packages[@]}"
+go test -race -timeout 30m "${skip[@]}" "${packages[@]}"
+go test -count=1 -timeout 10m "${skip[@]}" "$crowds"
 if [ -n "$known" ]; then
   go test -timeout 10m -run "^($known)\$" ./... || echo "known failing tests still fail"
 fi
