Bound what a daemon on the platform holds for its clients

What was seen: crowds of up to 800 clients took a daemon with 160 MB to 284 to 2,575 MB, or to 842 and 1,428 of 700 descriptors: bodies of legal size that stop short, announced, in pieces or chunked; whole bodies; bodies without end where the configuration has no limit; headers of many short fields; responses that are not read; silent connections. The platform kills such a process.

Cause: what the process held followed from the number of its clients. Each connection could hold a body of the greatest size, and no one counted all of them, nor their descriptors. The HTTP server takes about 150 bytes for a header field of four.

Change: package intake counts the connections and the bytes of each listener, and decides who makes way; internal/gate applies it to callers, the job API, probes, metrics and other daemons. Bytes are charged as they arrive. Each connection has 8 KB of its own, so that an ordinary request always has room; what is beyond is a share of the memory in the settings, and when it is short the request that arrives most slowly makes way, with 503, Retry-After and the verdict not-run. At the limit of connections the one that has waited longest is closed. Nothing is limited by time while there is room: a caller that names no deadline may now take longer for its body than the route's timeout, which had begun with the header. A missing maxBodyBytes means 1 MiB.

Why it works: the sum of all shares is a fixed part of the memory and of the descriptors, whatever the number of clients, and is checked over random operations (TestLedgerKeepsItsLimits).

A single request at the limit is served, and a refused one gets its whole response: what still comes of it is discarded for a while, since a reset would take the response along (TestRefusedBodies failed without that). Limits, defaults, metrics and log lines are in docs/design/clients.md, docs/METRICS.md and docs/OPERATIONS.md.

--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -5,15 +5,18 @@
 	"strings"
 	"testing"
 
+	"github.com/apex/log"
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/burn"
+	"github.com/bambooyard/bambooyard/intake"
 	"github.com/bambooyard/bambooyard/internal/batch"
 	"github.com/bambooyard/bambooyard/internal/cell"
 	"github.com/bambooyard/bambooyard/internal/claims"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/entry"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/process"
 	"github.com/bambooyard/bambooyard/platform"
 )
@@ -30,6 +33,9 @@
 	platform.NewDirectory(nil, nil).RegisterMetrics(registry)
 	is.NoErr(registerControlMetrics(control.NewLoop(), registry))
 	is.NoErr(process.Register(registry))
+	doors := intake.Limits{"callers": {}, "jobs": {}, "metrics": {}, "peers": {}, "ready": {}}
+	_, err := gate.New(doors, registry, log.Log)
+	is.NoErr(err)
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	is.NoErr(err)
 	documented := map[string]bool{}
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/apex/log"
 	"github.com/gin-gonic/gin"
 
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/port"
 	"github.com/bambooyard/bambooyard/job"
 	"github.com/bambooyard/bambooyard/verdict"
@@ -35,6 +35,8 @@
 	// Cells returns the state of all cells, as far as the daemon knows it.
 	Cells func(ctx context.Context) ([]port.CellState, error)
 	Log   log.Interface
+	// Gate has the limits of what the requests may hold; none if nil.
+	Gate *gate.Gate
 	// Wall returns the time of the wall clock.
 	Wall func() time.Time
 }
@@ -42,6 +44,9 @@
 const (
 	// maxFileBytes bounds a job file; it is the store's size limit for a row.
 	maxFileBytes = 256 << 10
+	// fileFactor is how often a job is held while it is stored: as received, decoded, encoded and in
+	// the request to the store.
+	fileFactor = 4
 	// requestTimeout bounds a request; it is twice the time after which a reply of
 	// the store counts as lost.
 	requestTimeout = 3 * time.Second
@@ -108,12 +113,13 @@
 }
 
 func (h *handler) submit(c *gin.Context) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxFileBytes))
+	body, err := h.Gate.ReadBody(c.Writer, c.Request, gate.Body{Limit: maxFileBytes, Factor: fileFactor})
 	if err != nil {
-		h.fail(c, verdict.Refuse(verdict.CodeTooLarge, http.StatusRequestEntityTooLarge, 0, "the job file cannot be read or is over %d bytes", maxFileBytes))
+		h.fail(c, err)
 		return
 	}
-	spec, err := job.DecodeFile(body)
+	var spec job.Spec
+	h.Gate.DecodeLarge(func() { spec, err = job.DecodeFile(body) })
 	if err == nil {
 		spec.ID, spec.Queue, spec.AcceptedUnixMS = c.Param("id"), c.Param("queue"), h.Wall().UnixMilli()
 		err = spec.Validate()
--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -76,7 +76,7 @@
 	metrics.GetOrRegisterGauge("cell.epoch", r).Update(12)
 	d := &daemon{
 		settings: settings.Node{FixedMetricsAddress: address},
-		log:      &log.Logger{Handler: h, Level: log.InfoLevel}, metrics: newServer(metricsHandler(r)),
+		log:      &log.Logger{Handler: h, Level: log.InfoLevel}, metrics: new(daemon).newServer(metricsHandler(r)),
 	}
 	d.serveFixedMetrics()
 	is.Equal(len(h.Entries), 1)
@@ -104,6 +104,8 @@
 	cell.New(cell.Options{Metrics: r, Now: time.Now})
 	platform.NewDirectory(nil, nil).RegisterMetrics(r)
 	is.True(r.Get("directory.unreadable_entries") != nil)
+	_, err = newGate(settings.Node{}, r, log.Log)
+	is.NoErr(err)
 	_, platformPart, found := strings.Cut(string(page), "## On the users' platform")
 	is.True(found)
 	r.Each(func(name string, _ any) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,12 +7,10 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"reflect"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -26,9 +24,11 @@
 	"github.com/bambooyard/bambooyard/dispatch"
 	"github.com/bambooyard/bambooyard/internal/cell"
 	"github.com/bambooyard/bambooyard/internal/control"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/jobapi"
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/port"
+	"github.com/bambooyard/bambooyard/internal/process"
 	"github.com/bambooyard/bambooyard/internal/settings"
 	"github.com/bambooyard/bambooyard/platform"
 )
@@ -51,9 +51,6 @@
 	balancerDelay = 2300 * time.Millisecond
 	// stopMargin is the part of the stop timeout reserved for exiting the process.
 	stopMargin = 500 * time.Millisecond
-	// memoryShare is the share of the memory bound that is set as the Go memory
-	// limit, above which the garbage collector runs more often.
-	memoryShare = 0.75
 	// heldShare is the share of the memory bound that the tasks of open jobs may take, and again that
 	// of the jobs themselves. The garbage collector needs as much, and a takeover reads all jobs.
 	heldShare = 0.12
@@ -70,9 +67,7 @@
 
 // Run runs the daemon until it is told to stop, and returns its exit code.
 func Run(s settings.Node, logger log.Interface) int {
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
-	}
+	process.LimitMemory(s.MemoryBytes)
 	app := fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(s.StopTimeout-stopMargin/2),
@@ -84,6 +79,7 @@
 			peer.NewPool,
 			metrics.NewRegistry,
 			newCells,
+			newGate,
 			newDaemon,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, d *daemon) {
@@ -174,6 +170,7 @@
 	pool       *peer.Pool
 	client     *platform.Client
 	registry   metrics.Registry
+	gate       *gate.Gate
 	shutdowner fx.Shutdowner
 
 	closing atomic.Bool
@@ -184,8 +181,8 @@
 	peers   *peer.Server
 }
 
-func newDaemon(s settings.Node, logger log.Interface, loop *control.Loop, cells *cell.Group, pool *peer.Pool, client *platform.Client, registry metrics.Registry, shutdowner fx.Shutdowner) *daemon {
-	return &daemon{settings: s, log: logger, loop: loop, cells: cells, pool: pool, client: client, registry: registry, shutdowner: shutdowner}
+func newDaemon(s settings.Node, logger log.Interface, loop *control.Loop, cells *cell.Group, pool *peer.Pool, client *platform.Client, registry metrics.Registry, g *gate.Gate, shutdowner fx.Shutdowner) *daemon {
+	return &daemon{settings: s, log: logger, loop: loop, cells: cells, pool: pool, client: client, registry: registry, gate: g, shutdowner: shutdowner}
 }
 
 func (d *daemon) start(context.Context) error {
@@ -193,7 +190,7 @@
 	if err := registerProcessMetrics(d.registry, d.loop); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", d.settings.PeerAddress)
+	listener, err := d.gate.Listen(d.settings.PeerAddress, doorPeers)
 	if err != nil {
 		return err
 	}
@@ -201,27 +198,28 @@
 	go d.peers.Serve()
 	go d.loop.Run()
 	d.cells.Start()
-	d.callers = newServer(&platform.Ingress{Jobs: d.cells, State: d.ingressState, Log: d.log, Now: time.Now, HasAdvisor: d.settings.AdvisorAddress != ""})
-	d.callers.MaxHeaderBytes = maxHeaderBytes
-	d.ready = newServer(http.HandlerFunc(d.serveReady))
-	d.metrics = newServer(metricsHandler(d.registry))
-	d.jobs = newServer(jobapi.New(jobapi.Options{Jobs: d.cells, HasQueue: d.hasQueue, Cells: d.cells.States, Log: d.log, Wall: time.Now}))
+	d.callers = d.newServer(&platform.Ingress{Jobs: d.cells, State: d.ingressState, Log: d.log, Now: time.Now, Gate: d.gate, HasAdvisor: d.settings.AdvisorAddress != ""})
+	d.ready = d.newServer(http.HandlerFunc(d.serveReady))
+	d.metrics = d.newServer(metricsHandler(d.registry))
+	d.jobs = d.newServer(jobapi.New(jobapi.Options{Jobs: d.cells, HasQueue: d.hasQueue, Cells: d.cells.States, Log: d.log, Wall: time.Now, Gate: d.gate}))
 	d.reloadOnSIGHUP()
 	d.serveFixedMetrics()
 	return errors.Join(
-		d.serve(d.callers, d.settings.CallerAddress),
-		d.serve(d.ready, d.settings.ReadyAddress),
-		d.serve(d.metrics, d.settings.MetricsAddress),
-		d.serve(d.jobs, d.settings.JobsAddress),
+		d.serve(d.callers, d.settings.CallerAddress, doorCallers),
+		d.serve(d.ready, d.settings.ReadyAddress, doorReady),
+		d.serve(d.metrics, d.settings.MetricsAddress, doorMetrics),
+		d.serve(d.jobs, d.settings.JobsAddress, doorJobs),
 	)
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+func (d *daemon) newServer(h http.Handler) *http.Server {
+	server := d.gate.Server(h)
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = readHeaderTimeout, callerIdleTimeout, maxHeaderBytes
+	return server
 }
 
-func (d *daemon) serve(server *http.Server, address string) error {
-	listener, err := net.Listen("tcp", address)
+func (d *daemon) serve(server *http.Server, address, door string) error {
+	listener, err := d.gate.Listen(address, door)
 	if err != nil {
 		return err
 	}
@@ -241,7 +239,7 @@
 	if address == "" {
 		return
 	}
-	if err := d.serve(d.metrics, address); err != nil {
+	if err := d.serve(d.metrics, address, doorMetrics); err != nil {
 		d.log.WithFields(log.Fields{"event": "metrics_not_served", "address": address}).WithError(err).Warn("cannot serve the metrics at the fixed port")
 	}
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -26,6 +26,9 @@
 
 	// MemoryBytes is the memory bound of the process; zero means none.
 	MemoryBytes int64
+	// MaxDescriptors is the number of file descriptors that the process may have open; zero means
+	// that it is not known.
+	MaxDescriptors int
 	// MilliCPU is the processor capacity in thousandths of a core; zero means that it
 	// is not known.
 	MilliCPU int64
