Bound the structure of job files before they are parsed

What was seen: 16 job files of 256 KB with many steps or aliases took a daemon with 160 MB to 746 and 662 MB, two with many unknown values to 233 MB, two of 64 KB with deep lists to 493 MB.

Cause: the parser takes about 1 KB for each key and value, and time and memory that grow with the square of the depth of flow collections: 64 KB of brackets take 8.6 GB (measured alone, with 65,536 brackets).

Change: a file may have 8,192 characters that can separate keys and values, counted without parsing, and collections 32 deep, which the lexer tells in linear time. A file with the greatest number of steps and a payload of 4,000 separators keeps to it (TestStructureOfJobFilesIsBounded). One YAML document is decoded at a time.

--- a/job/file.go
+++ b/job/file.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/goccy/go-yaml"
+
+	"github.com/bambooyard/bambooyard/intake"
 )
 
 // file is a job file in YAML.
@@ -40,9 +42,16 @@
 	MaxUnavailable *int `yaml:"max_unavailable"`
 }
 
+// maxFileNodes bounds the memory to decode a job file. A file with the greatest number of steps has
+// fewer than 4,000 keys, values and lines, without the payload.
+const maxFileNodes = 8192
+
 // DecodeFile parses a job file. The result has no ID and no queue, and is not
 // validated. An unknown field is an error.
 func DecodeFile(data []byte) (Spec, error) {
+	if err := intake.CheckYAML(data, maxFileNodes); err != nil {
+		return Spec{}, fmt.Errorf("job file is not valid: %w", err)
+	}
 	var f file
 	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&f); err != nil {
 		return Spec{}, fmt.Errorf("job file is not valid: %w", err)
--- a/job/file_test.go
+++ b/job/file_test.go
@@ -1,12 +1,15 @@
 package job
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/bambooyard/bambooyard/intake"
 )
 
 // decodeAndValidate reads a job file and validates it as the job API does.
@@ -58,3 +61,26 @@
 		})
 	}
 }
+
+// A file that would take much more memory than its bytes is refused before it is parsed.
+func TestStructureOfJobFilesIsBounded(t *testing.T) {
+	is := is.New(t)
+	var structure *intake.StructureError
+	for _, text := range []string{
+		"steps: [{}" + strings.Repeat(",{}", maxFileNodes) + "]",
+		"steps: [&a {tasks: 1}" + strings.Repeat(",*a", maxFileNodes) + "]",
+		"steps: " + strings.Repeat("[", 100) + strings.Repeat("]", 100),
+	} {
+		_, err := DecodeFile([]byte(text))
+		is.True(errors.As(err, &structure))
+	}
+	step := "- {tasks: 1000, milli_processors: 500, memory_mb: 256, accelerators: 1, run_time_ms: 900, checkpoints: true, gang: true, same_rack: true, " +
+		"label: a, data_rack: r, max_per_worker: 2, speculative: true, service: true, image: i, target_latency_ms: 50, best_effort: true, max_unavailable: 1, after: ["
+	text := "payload: '" + strings.Repeat("-", 4000) + "'\nsteps:\n"
+	for i := range MaxSteps {
+		text += step + strings.TrimSuffix(strings.Repeat("0,", min(i, 20)), ",") + "]}\n"
+	}
+	spec, err := DecodeFile([]byte(text))
+	is.NoErr(err)
+	is.Equal(len(spec.Steps), MaxSteps)
+}
