Bound what messages between daemons hold before they are complete

What was seen: 16 connections with 8 messages each that stop short took a daemon with 160 MB to 619 MB, two with 800 small messages and 200 KB after each of them to 448 MB.

Cause: a message's buffer was allocated as announced; the receive buffer of a stream is allocated when a frame is announced, and twice as much while it is filled; a stream that the server has closed keeps what it still receives for five minutes.

Change: the bytes of messages and of streams' receive buffers are counted as they come, the latter from the headers of the frames below the session. Without room, or after anything but one message a stream, the session is closed, which frees all of it. Connections that have carried a message make way last.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,6 +22,9 @@
 	// callTimeout bounds a call on an open session, on both sides.
 	callTimeout = time.Second
 	dialTimeout = 500 * time.Millisecond
+	// streamCloseTimeout bounds how long a stream stays half closed. Until then it keeps what it
+	// receives.
+	streamCloseTimeout = 5 * time.Second
 )
 
 // Handler handles a request of another daemon. It is called on a goroutine for
@@ -41,6 +44,7 @@
 	c.LogOutput = io.Discard
 	c.KeepAliveInterval = 5 * time.Second
 	c.ConnectionWriteTimeout = 2 * time.Second
+	c.StreamCloseTimeout = streamCloseTimeout
 	return c
 }
 
@@ -85,7 +89,9 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	session, err := yamux.Server(conn, yamuxConfig())
+	account := accountOf(conn)
+	frames := newFrameCounter(conn, account)
+	session, err := yamux.Server(frames, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -94,22 +100,41 @@
 	defer stop()
 	defer session.Close() //nolint:errcheck // the session has failed or is already closed
 	for {
-		stream, err := session.Accept()
+		stream, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
-		s.wg.Go(func() { s.serveStream(stream) })
+		s.wg.Go(func() {
+			defer frames.release(stream.StreamID())
+			s.serveStream(session, stream, account)
+		})
 	}
 }
 
-func (s *Server) serveStream(stream net.Conn) {
+// serveStream serves one request. It closes the session of a peer that sends anything but one message
+// in time: a closed stream would keep what is still received for it.
+func (s *Server) serveStream(session *yamux.Session, stream net.Conn, account Account) {
 	defer stream.Close() //nolint:errcheck // the response was written or has failed
+	if !account.Hold(streamBytes) {
+		_ = session.Close()
+		return
+	}
+	defer account.Hold(-streamBytes)
 	_ = stream.SetDeadline(time.Now().Add(callTimeout))
 	req := &peerpb.Request{}
-	if err := decode(stream, req); err != nil {
+	held, err := readRequest(stream, req, account)
+	defer account.Hold(-held)
+	if err != nil {
+		_ = session.Close()
 		return
 	}
-	_, _ = stream.Write(s.encodeResponse(s.handler(s.ctx, req)))
+	account.Used()
+	if _, err := stream.Write(s.encodeResponse(s.handler(s.ctx, req))); err != nil {
+		return
+	}
+	if n, _ := stream.Read(make([]byte, 1)); n > 0 {
+		_ = session.Close()
+	}
 }
 
 // Pool holds one yamux session for each peer address. It is safe for concurrent
