Bound what a daemon that serves a document holds for its clients

What was seen: crowds took a daemon with 160 MB to 264 to 801 MB with bodies of service requests and batch jobs, to 1,077 to 2,020 MB with documents, to 576 and 615 MB with headers, to 635 MB with messages between daemons, and to 1,222 of 700 descriptors.

Bodies of service requests, batch jobs and documents are read through the gate. The values of a batch job are counted before it is decoded; documents are decoded one at a time, not more than 32 collections deep, and refused with 413 if they take more than 35% of the memory.

--- a/cmd/bambooyardd/main.go
+++ b/cmd/bambooyardd/main.go
@@ -16,6 +16,7 @@
 	"github.com/bambooyard/bambooyard/internal/daemon"
 	"github.com/bambooyard/bambooyard/internal/eventlog"
 	"github.com/bambooyard/bambooyard/internal/node"
+	"github.com/bambooyard/bambooyard/internal/process"
 	"github.com/bambooyard/bambooyard/internal/settings"
 	"github.com/bambooyard/bambooyard/internal/version"
 	"github.com/bambooyard/bambooyard/platform"
@@ -73,6 +74,7 @@
 	logger := &log.Logger{Handler: logfmt.New(os.Stderr), Level: log.InfoLevel}
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(daemon.StdLogWriter{Log: logger.WithField("daemon", s.Name)})
+	process.LimitMemory(s.MemoryMB << 20)
 	fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(s.DrainDelay+2*s.DrainTimeout),
--- a/document/document.go
+++ b/document/document.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/goccy/go-yaml"
 
+	"github.com/bambooyard/bambooyard/intake"
 	"github.com/bambooyard/bambooyard/inventory"
 	"github.com/bambooyard/bambooyard/rules"
 )
@@ -50,6 +51,9 @@
 // a *DecodeError, or joined *inventory.FieldError with their lines.
 func Decode(data []byte) (Document, error) {
 	var d Document
+	if err := intake.CheckYAMLDepth(data); err != nil {
+		return Document{}, &DecodeError{Err: err}
+	}
 	if err := yaml.UnmarshalWithOptions(data, &d, yaml.Strict()); err != nil {
 		return Document{}, &DecodeError{Err: err}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/bambooyard/bambooyard/internal/burnstore"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/entry"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/operator"
 	"github.com/bambooyard/bambooyard/internal/peer"
 	"github.com/bambooyard/bambooyard/internal/settings"
@@ -36,6 +36,7 @@
 	Settings   settings.Settings
 	Log        log.Interface
 	Loop       *control.Loop
+	Gate       *gate.Gate
 	Controller *controller
 	Entry      *entry.Server
 	Operator   *operator.Server
@@ -44,13 +45,13 @@
 }
 
 func run(lc fx.Lifecycle, p components) {
-	callers := newHTTPServer(p.Entry.Handler())
-	operators := newHTTPServer(p.Operator.Handler())
+	callers := p.newHTTPServer(p.Entry.Handler())
+	operators := p.newHTTPServer(p.Operator.Handler())
 	operators.ReadTimeout, operators.WriteTimeout = operatorReadTimeout, operatorWriteTimeout
 	var peers *peer.Server
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp", p.Settings.PeerAddress)
+			listener, err := p.Gate.Listen(p.Settings.PeerAddress, doorPeers)
 			if err != nil {
 				return err
 			}
@@ -60,8 +61,8 @@
 			p.Controller.start()
 			p.scheduleBurnJobs()
 			return errors.Join(
-				serve(callers, p.Settings.CallerAddress, p),
-				serve(operators, p.Settings.OperatorAddress, p),
+				p.serve(callers, p.Settings.CallerAddress, doorCallers),
+				p.serve(operators, p.Settings.OperatorAddress, doorOperators),
 			)
 		},
 		OnStop: func(ctx context.Context) error {
@@ -70,17 +71,14 @@
 	})
 }
 
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+func (p components) newHTTPServer(h http.Handler) *http.Server {
+	server := p.Gate.Server(h)
+	server.ReadHeaderTimeout, server.IdleTimeout, server.MaxHeaderBytes = readHeaderTimeout, idleTimeout, maxHeaderBytes
+	return server
 }
 
-func serve(server *http.Server, address string, p components) error {
-	listener, err := net.Listen("tcp", address)
+func (p components) serve(server *http.Server, address, door string) error {
+	listener, err := p.Gate.Listen(address, door)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/daemon/doors.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooyard/bambooyard/intake"
+	"github.com/bambooyard/bambooyard/internal/gate"
+	"github.com/bambooyard/bambooyard/internal/process"
+	"github.com/bambooyard/bambooyard/internal/settings"
+)
+
+// Names of the daemon's listeners.
+const (
+	doorCallers   = "callers"
+	doorOperators = "operators"
+	doorPeers     = "peers"
+)
+
+// doorShares are the shares of the listeners. Operators are few, and their documents large: each request
+// in progress may hold one.
+var doorShares = map[string]intake.Share{
+	doorCallers:   {Sockets: 0.36, ConnectionMemory: 0.1, RequestMemory: 0.08},
+	doorOperators: {Sockets: 0.05, Requests: 0.005, ConnectionMemory: 0.02, RequestMemory: 0.12},
+	doorPeers:     {Sockets: 0.26, ConnectionMemory: 0.08, RequestMemory: 0.05},
+}
+
+// documentShare is the share of the memory that decoding a document may take.
+const documentShare = 0.35
+
+func newGate(s settings.Settings, registry metrics.Registry, logger log.Interface) (*gate.Gate, error) {
+	return gate.New(intake.LimitsFor(memoryBytes(s), process.Descriptors(s.MaxDescriptors), doorShares), registry, logger)
+}
+
+// memoryBytes returns the memory that the process may use.
+func memoryBytes(s settings.Settings) int64 { return process.Memory(s.MemoryMB << 20) }
--- a/internal/daemon/module.go
+++ b/internal/daemon/module.go
@@ -14,6 +14,7 @@
 	"github.com/bambooyard/bambooyard/internal/claims"
 	"github.com/bambooyard/bambooyard/internal/control"
 	"github.com/bambooyard/bambooyard/internal/entry"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/operator"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/internal/settings"
@@ -28,6 +29,7 @@
 		traffic.NewPublisher,
 		burn.NewRecorder,
 		metrics.NewRegistry,
+		newGate,
 		newLinks,
 		newSender,
 		newPlatform,
@@ -65,15 +67,17 @@
 	})
 }
 
-func newEntry(c *controller, publisher *traffic.Publisher, claimService *claims.Service, sender *traffic.Sender, observer *requestMetrics, registry metrics.Registry, logger log.Interface) *entry.Server {
+func newEntry(c *controller, publisher *traffic.Publisher, claimService *claims.Service, sender *traffic.Sender, observer *requestMetrics, registry metrics.Registry, g *gate.Gate, logger log.Interface) *entry.Server {
 	return entry.NewServer(entry.Options{
+		Gate:      g,
 		Publisher: publisher, Claims: claimService, Sender: sender, Limiters: entry.NewLimiters(entry.NewMetrics(registry)), Observer: observer, Jobs: jobs{c}, Log: logger,
 		Now: time.Now,
 	})
 }
 
-func newOperator(c *controller, client *platform.Client, publisher *traffic.Publisher, store *burnstore.Store, registry metrics.Registry) *operator.Server {
+func newOperator(c *controller, client *platform.Client, publisher *traffic.Publisher, store *burnstore.Store, registry metrics.Registry, g *gate.Gate) *operator.Server {
 	return operator.NewServer(operator.Options{
+		Gate: g, DocumentMemoryBytes: int64(documentShare * float64(memoryBytes(c.settings))),
 		Table: client, Objects: client.Objects(), Publisher: publisher, Burn: burnReport(store, publisher), Metrics: registry, Now: time.Now,
 		NewID:      rand.Text,
 		Status:     c.status,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/bambooyard/bambooyard/burn"
 	"github.com/bambooyard/bambooyard/internal/claims"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/verdict"
 )
@@ -45,6 +46,8 @@
 	Jobs      Jobs
 	Log       log.Interface
 	Now       func() time.Time
+	// Gate has the limits of what the requests may hold; none if nil.
+	Gate *gate.Gate
 }
 
 // Observer receives the outcome of each request. It is safe for concurrent use.
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -1,21 +1,30 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/bambooyard/bambooyard/intake"
 	"github.com/bambooyard/bambooyard/internal/batch"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
 // Limits of job requests.
 const (
-	maxJobBytes     = 1 << 20
+	maxJobBytes = 1 << 20
+	// jobBodyFactor is how often a job is held while it is stored: as received, decoded, encoded and
+	// in the request to the table.
+	jobBodyFactor = 4
+	// maxJobObjects and maxJobValues bound what a job is decoded into. A valid job has two objects
+	// and fewer than 100 values.
+	maxJobObjects   = 16
+	maxJobValues    = 1024
 	defaultListJobs = 100
 	maxListJobs     = 1000
 )
@@ -31,16 +40,25 @@
 }
 
 func (s *Server) submitJob(c *gin.Context) {
-	job, err := decodeJob(c.Request)
+	body, err := s.opts.Gate.ReadBody(c.Writer, c.Request, gate.Body{Limit: maxJobBytes, Factor: jobBodyFactor})
+	if err != nil {
+		s.writeJob(c, 0, nil, err)
+		return
+	}
+	var job batch.Job
+	s.opts.Gate.Decode(func() { job, err = decodeJob(body) })
 	if err == nil {
 		job, err = s.opts.Jobs.Submit(c.Request.Context(), job)
 	}
 	s.writeJob(c, http.StatusAccepted, job, err)
 }
 
-func decodeJob(r *http.Request) (batch.Job, error) {
+func decodeJob(body []byte) (batch.Job, error) {
 	var job batch.Job
-	d := json.NewDecoder(io.LimitReader(r.Body, maxJobBytes))
+	if err := intake.CheckJSON(body, maxJobObjects, maxJobValues); err != nil {
+		return job, verdict.Refuse(verdict.CodeBadRequest, http.StatusBadRequest, 0, "the job cannot be read: %v", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&job); err != nil {
 		return job, verdict.Refuse(verdict.CodeBadRequest, http.StatusBadRequest, 0, "the job cannot be read: %v", err)
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -3,9 +3,7 @@
 import (
 	"crypto/rand"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +11,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/bambooyard/bambooyard/idempotency"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/verdict"
 )
@@ -101,7 +100,7 @@
 			return req, err
 		}
 	}
-	if err := req.readBody(c.Writer, httpReq); err != nil {
+	if err := req.readBody(s.opts.Gate, c.Writer, httpReq); err != nil {
 		return req, err
 	}
 	req.header = forwardedHeader(httpReq.Header)
@@ -202,39 +201,29 @@
 	return nil
 }
 
+// bodyFactor is how often a request's body is held while it is sent: as received and in the buffers of
+// the connection to the target.
+const bodyFactor = 2
+
 // readBody reads the whole body, so that a request whose body is cut short never
 // reaches a target.
-func (r *request) readBody(w http.ResponseWriter, httpReq *http.Request) error {
+func (r *request) readBody(g *gate.Gate, w http.ResponseWriter, httpReq *http.Request) error {
 	limit := r.service.Rules.MaxBodyBytes
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if httpReq.ContentLength > limit {
-		return bodyTooLarge(limit)
-	}
-	if httpReq.ContentLength == 0 {
-		return nil
-	}
-	_ = http.NewResponseController(w).SetReadDeadline(r.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, httpReq.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return bodyTooLarge(limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	body, err := g.ReadBody(w, httpReq, gate.Body{Limit: limit, Deadline: r.deadline, Factor: bodyFactor})
+	var refused *verdict.RequestError
+	if errors.As(err, &refused) && refused.Code == verdict.CodeDeadlineExceeded {
 		return badRequest(verdict.CodeDeadlineExceeded, http.StatusRequestTimeout, "the request's body did not arrive before the deadline")
-	case err != nil:
-		return badRequest(verdict.CodeBadRequest, http.StatusBadRequest, "the request's body broke off")
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err != nil {
+		return err
+	}
 	r.body = body
 	return nil
 }
 
-func bodyTooLarge(limit int64) error {
-	return badRequest(verdict.CodeTooLarge, http.StatusRequestEntityTooLarge, "the request's body is longer than %d bytes", limit)
-}
-
 // hopByHopHeaders are the header fields that are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -3,18 +3,20 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/gin-gonic/gin"
 
 	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/intake"
 	"github.com/bambooyard/bambooyard/internal/configsync"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/internal/sessions"
 	"github.com/bambooyard/bambooyard/inventory"
 	"github.com/bambooyard/bambooyard/membership"
+	"github.com/bambooyard/bambooyard/verdict"
 )
 
 // maxHistory limits how many revisions one listing returns.
@@ -110,7 +112,7 @@
 		s.respondError(c, err)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, maxDocumentBytes))
+	body, err := s.opts.Gate.ReadBody(c.Writer, c.Request, gate.Body{Limit: maxDocumentBytes})
 	if err != nil {
 		s.respondError(c, err)
 		return
@@ -134,12 +136,25 @@
 	return nil
 }
 
+// decode decodes a document, one at a time, unless that takes more memory than there is.
+func (s *Server) decode(body []byte) (doc document.Document, err error) {
+	need := int64(intake.YAMLNodes(body)) * intake.YAMLNodeBytes
+	if most := s.opts.DocumentMemoryBytes; most > 0 && need > most {
+		return doc, &TooLargeError{NeedBytes: need, MaxBytes: most}
+	}
+	s.opts.Gate.DecodeLarge(func() { doc, err = document.Decode(body) })
+	if err != nil {
+		return doc, &InvalidError{Err: err}
+	}
+	return doc, nil
+}
+
 // propose validates a document and makes it the next revision if basedOn is
 // the one in force.
 func (s *Server) propose(c *gin.Context, body []byte, basedOn document.Revision) {
-	doc, err := document.Decode(body)
+	doc, err := s.decode(body)
 	if err != nil {
-		s.respondError(c, &InvalidError{Err: err})
+		s.respondError(c, err)
 		return
 	}
 	if err := s.checkCommitted(c.Request.Context(), doc); err != nil {
@@ -237,7 +252,8 @@
 // statusCode returns the HTTP status that reports an error.
 func statusCode(err error) int {
 	var query *QueryError
-	var tooLarge *http.MaxBytesError
+	var tooLarge *TooLargeError
+	var refused *verdict.RequestError
 	var invalid *InvalidError
 	var notFound *NotFoundError
 	var noRevision *configsync.UnknownRevisionError
@@ -248,6 +264,8 @@
 		return http.StatusBadRequest
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.As(err, &refused):
+		return refused.Status
 	case errors.As(err, &invalid):
 		return http.StatusUnprocessableEntity
 	case errors.As(err, &notFound), errors.As(err, &noRevision):
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooyard/bambooyard/document"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/internal/platform"
 	"github.com/bambooyard/bambooyard/internal/traffic"
 	"github.com/bambooyard/bambooyard/inventory"
@@ -48,6 +49,10 @@
 	// OnAccepted is called after a new document was accepted, before the request
 	// is answered.
 	OnAccepted func()
+	// Gate has the limits of what the requests may hold; none if nil.
+	Gate *gate.Gate
+	// DocumentMemoryBytes bounds the memory to decode a document; zero means no bound.
+	DocumentMemoryBytes int64
 	// Committed returns the resources that tasks hold on each VM, by name.
 	// Documents that reduce a VM below them are refused. It may be nil.
 	Committed func(ctx context.Context) (map[string]inventory.Resources, error)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -72,3 +72,17 @@
 	is.Equal(serve(h, http.MethodPost, "/v1/config/rollback?to=1&based_on=0", "", "").Code, http.StatusNotFound)
 	is.Equal(serve(h, http.MethodGet, "/v1/config/history", "", "").Body.String(), "[]")
 }
+
+// A document that takes more memory to decode than the daemon has for it is refused before.
+func TestDocumentsAreBoundedByMemory(t *testing.T) {
+	is := is.New(t)
+	p := fake.NewPlatform()
+	h := operator.NewServer(operator.Options{
+		Table: p, Objects: p.Objects(), Publisher: traffic.NewPublisher(), Metrics: metrics.NewRegistry(),
+		Now: time.Now, NewID: func() string { return "p" }, OnAccepted: func() {}, DocumentMemoryBytes: 1 << 20,
+	}).Handler()
+	small := "inventory: {regions: []}\n"
+	is.Equal(serve(h, http.MethodPut, "/v1/config?based_on=0", "", small).Code, http.StatusOK)
+	large := small + "rules: {members: [" + strings.Repeat("{},", 1000) + "]}\n"
+	is.Equal(serve(h, http.MethodPut, "/v1/config?based_on=1", "", large).Code, http.StatusRequestEntityTooLarge)
+}
--- a/internal/settings/print.go
+++ b/internal/settings/print.go
@@ -19,7 +19,7 @@
 		if flag == "" {
 			continue
 		}
-		value := v.Field(i).String()
+		value := fmt.Sprint(v.Field(i).Interface())
 		if field.Tag.Get("secret") != "" && value != "" {
 			value = redacted
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,6 +28,9 @@
 	OperatorToken     string `long:"operator-token" env:"BAMBOOYARD_OPERATOR_TOKEN" description:"secret that operators must send; none is demanded if left out" secret:"true"`
 	OperatorTokenFile string `long:"operator-token-file" env:"BAMBOOYARD_OPERATOR_TOKEN_FILE" description:"file that holds the operator token"`
 
+	MemoryMB       int64 `long:"memory-mb" env:"BAMBOOYARD_MEMORY_MB" description:"memory that the process may use, in units of 1,048,576 bytes; that of the machine if left out"`
+	MaxDescriptors int   `long:"max-descriptors" env:"BAMBOOYARD_MAX_DESCRIPTORS" description:"file descriptors that the process may have open; as many as the operating system allows if left out"`
+
 	// SessionTTL is how long a daemon's session lasts without renewal.
 	SessionTTL time.Duration `no-flag:"true"`
 	// LeaseTTL is how long a worker may run a task without renewal of its lease.
@@ -83,6 +87,8 @@
 		parseDuration("drain-delay", v.DrainDelayText, 0, &v.DrainDelay),
 		parseDuration("drain-timeout", v.DrainTimeoutText, time.Millisecond, &v.DrainTimeout),
 		readToken(&v.Settings),
+		checkNotNegative("memory-mb", v.MemoryMB),
+		checkNotNegative("max-descriptors", int64(v.MaxDescriptors)),
 		v.Check(),
 	)
 	return Parsed{Settings: v.Settings, Print: v.Print}, errors.Join(errs...)
@@ -104,6 +110,13 @@
 	return nil
 }
 
+func checkNotNegative(flag string, n int64) error {
+	if n < 0 {
+		return &Error{flag, strconv.FormatInt(n, 10), "must not be negative"}
+	}
+	return nil
+}
+
 // readToken reads the operator token from OperatorTokenFile, if that is set.
 func readToken(s *Settings) error {
 	if s.OperatorTokenFile == "" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -19,11 +19,12 @@
 
 func TestParseReportsAllErrors(t *testing.T) {
 	is := is.New(t)
-	_, err := settings.Parse([]string{"--name=d1", "--region=hobart", "--caller-address=localhost:1", "--lease-ttl=soon", "--session-ttl=1s", "--colour"})
+	_, err := settings.Parse([]string{"--name=d1", "--region=hobart", "--caller-address=localhost:1", "--lease-ttl=soon", "--session-ttl=1s", "--memory-mb=-1", "--colour"})
 	is.Equal(strings.Split(err.Error(), "\n"), []string{
 		`setting --colour: value "--colour" is not known`,
 		`setting --session-ttl: value "1s" must be at least 3s`,
 		`setting --lease-ttl: value "soon" is not a duration such as 6s or 500ms`,
+		`setting --memory-mb: value "-1" must not be negative`,
 		`setting --data-centre: value "" must be given`,
 		`setting --caller-address: value "localhost:1" is not an IP number with a port`,
 		`setting --operator-address: value "" must be given`,
@@ -38,6 +39,7 @@
 	is.NoErr(os.WriteFile(file, []byte("s3cret\n"), 0o600))
 	t.Setenv("BAMBOOYARD_OPERATOR_TOKEN_FILE", file)
 	t.Setenv("BAMBOOYARD_SESSION_TTL", "9s")
+	t.Setenv("BAMBOOYARD_MEMORY_MB", "284")
 	parsed, err := settings.Parse(append(validFlags, "--print-settings"))
 	is.NoErr(err)
 	is.True(parsed.Print)
@@ -45,6 +47,8 @@
 	var out bytes.Buffer
 	is.NoErr(parsed.Settings.Fprint(&out))
 	is.True(strings.Contains(out.String(), "session-ttl=9s\n"))
+	is.True(strings.Contains(out.String(), "memory-mb=284\n"))
+	is.True(strings.Contains(out.String(), "max-descriptors=0\n"))
 	is.True(strings.Contains(out.String(), "operator-token=(hidden)\n"))
 	is.True(!strings.Contains(out.String(), "s3cret"))
 }
