Choose ports for the crowds above those of the example document

TestCrowdsAtTheStandIns failed once: the stand-ins ended with "address already in use". The port for their platform, chosen by the test's process id, was 21050, which is that of a worker in examples/association.yaml. Ports are chosen from 23000 on; crowds and bounds are unchanged.

--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -207,10 +207,13 @@
 	return 0
 }
 
+// firstPort is above the ports of the workers and targets in the example document.
+const firstPort = 23000
+
 // freePorts returns the first of n consecutive ports that are free on an IP address.
 func freePorts(t *testing.T, ip string, n int) int {
 	t.Helper()
-	for base := 20000 + os.Getpid()%100*50; base < 32000; base += 50 {
+	for base := firstPort + os.Getpid()%100*50; base < 32000; base += 50 {
 		free := 0
 		for ; free < n; free++ {
 			l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(base+free)))
