--- a/internal/fake/http.go
+++ b/internal/fake/http.go
@@ -10,8 +10,6 @@
 	"github.com/bambooyard/bambooyard/verdict"
 )
 
-const maxRequestBytes = 64 << 20
-
 // Handler returns a handler that serves the platform's HTTP interface and the
 // controls of the stand-in: PUT /faults with a Faults body, PUT /vms/{name} with
 // a state as text, and GET /counts.
--- a/internal/fake/site.go
+++ b/internal/fake/site.go
@@ -5,8 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooyard/bambooyard/intake"
+	"github.com/bambooyard/bambooyard/internal/gate"
 	"github.com/bambooyard/bambooyard/job"
 )
 
@@ -81,16 +87,34 @@
 	return encoded
 }
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// maxRequestBytes bounds a request's body. The largest is a document that daemons accept.
+	maxRequestBytes = 33 << 20
+)
+
+// door is the name of all listeners of the stand-ins.
+const door = "stand_ins"
+
+// sharedGate returns the limits of what the clients of all listeners may hold.
+var sharedGate = sync.OnceValues(func() (*gate.Gate, error) {
+	limits := intake.Limits{door: {Connections: 1024, SharedBytes: maxRequestBytes + maxRequestBytes/8}}
+	return gate.New(limits, metrics.NewRegistry(), log.Log)
+})
 
 // Listen starts to serve h at address and returns. It is served until the process
-// ends.
+// ends. Handlers find the whole body of a request in memory.
 func Listen(address string, h http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	g, err := sharedGate()
+	if err != nil {
+		return err
+	}
+	listener, err := g.Listen(address, door)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	server := g.Server(g.BufferBodies(h, maxRequestBytes))
+	server.ReadHeaderTimeout = readHeaderTimeout
 	go func() { _ = server.Serve(listener) }() // ends with the process
 	return nil
 }
