--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -130,10 +130,10 @@
 // for, slower connections of it make way: the caller must interrupt them. It reports false if c itself
 // must be refused; then it holds as much as before.
 func (l *Ledger) Hold(c *Conn, bytes int64, now time.Time) (interrupted []*Conn, ok bool) {
-	if c.interrupted {
+	d := c.door
+	if _, open := d.conns[c]; !open || c.interrupted {
 		return nil, false
 	}
-	d := c.door
 	for {
 		need := d.shared - beyondAllowance(c.held) + beyondAllowance(bytes)
 		if need <= d.limits.SharedBytes || bytes <= c.held {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -9,6 +9,15 @@
 	Requests int
 	// SharedBytes is what all connections together hold beyond their allowances.
 	SharedBytes int64
+	// ReceiveBuffer is the size in bytes to set for the receive buffers of connections, which bounds
+	// what waits to be read; zero leaves it to the operating system.
+	ReceiveBuffer int
+}
+
+// ProcessingBytes returns what a request holds while it is processed, if that is a number of times its
+// body: at most half of what there is for all, so that a single request of the greatest size is served.
+func (d DoorLimits) ProcessingBytes(body, times int64) int64 {
+	return max(body, min(times*body, d.SharedBytes/2))
 }
 
 // Limits are the limits of each listener of a process by its name.
@@ -21,9 +30,6 @@
 	// connectionBytes is about what an open connection takes without its allowance: two stacks and
 	// two buffers of the HTTP server, and what its socket receives before it is read.
 	connectionBytes = 24 << 10
-	// ReceiveBufferBytes is the size to set for the receive buffers of sockets. It bounds what a
-	// connection holds in bytes that have not been read.
-	ReceiveBufferBytes = 16 << 10
 
 	// reservedDescriptors are those for files.
 	reservedDescriptors = 200
@@ -44,6 +50,8 @@
 	// RequestMemory is the part of the memory for requests beyond the allowances of their
 	// connections.
 	RequestMemory float64
+	// ReceiveBuffer is that of DoorLimits.
+	ReceiveBuffer int
 }
 
 // LimitsFor returns the limits of a process with an amount of memory in bytes and a number of
@@ -56,7 +64,7 @@
 		limits[name] = DoorLimits{
 			Connections: max(minConnections, min(byMemory, int(s.Sockets*sockets))),
 			Requests:    int(s.Requests * sockets),
-			SharedBytes: int64(s.RequestMemory * float64(memory)),
+			SharedBytes: int64(s.RequestMemory * float64(memory)), ReceiveBuffer: s.ReceiveBuffer,
 		}
 	}
 	return limits
--- a/internal/daemon/doors.go
+++ b/internal/daemon/doors.go
@@ -20,11 +20,14 @@
 // doorShares are the shares of the listeners. Operators are few, and their documents large: each request
 // in progress may hold one.
 var doorShares = map[string]intake.Share{
-	doorCallers:   {Sockets: 0.36, ConnectionMemory: 0.1, RequestMemory: 0.08},
+	doorCallers:   {Sockets: 0.36, ConnectionMemory: 0.1, RequestMemory: 0.08, ReceiveBuffer: receiveBuffer},
 	doorOperators: {Sockets: 0.05, Requests: 0.005, ConnectionMemory: 0.02, RequestMemory: 0.12},
-	doorPeers:     {Sockets: 0.26, ConnectionMemory: 0.08, RequestMemory: 0.05},
+	doorPeers:     {Sockets: 0.26, ConnectionMemory: 0.08, RequestMemory: 0.05, ReceiveBuffer: receiveBuffer},
 }
 
+// receiveBuffer is the size of receive buffers in bytes. It carries 2 MB a second from clients 30 ms away.
+const receiveBuffer = 64 << 10
+
 // documentShare is the share of the memory that decoding a document may take.
 const documentShare = 0.35
 
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -16,13 +16,17 @@
 // body takes no memory that is only announced.
 const firstBufferBytes = 1 << 10
 
+// smallBodyBytes is the size up to which a body is always processed: with its header, it keeps to the
+// allowance of the connection while it is received.
+const smallBodyBytes = 4 << 10
+
 // Body is how the body of a request is read.
 type Body struct {
 	// Limit is the greatest size in bytes.
 	Limit int64
 	// Deadline is when the client stops waiting for its response; zero if that is not known.
 	Deadline time.Time
-	// Factor is how often the request holds its body while it is processed, at least once.
+	// Factor is how often the request holds its body while it is processed; zero means once.
 	Factor int64
 }
 
@@ -60,7 +64,7 @@
 	if !b.Deadline.IsZero() {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
-	if !c.holdBody(max(1, b.Factor) * int64(cap(body))) {
+	if cap(body) > smallBodyBytes && !c.holdBody(c.processingBytes(int64(cap(body)), b.Factor)) {
 		return nil, busy("there is no room to process the request")
 	}
 	if !c.bodyComplete() {
@@ -147,6 +151,13 @@
 	return c.gate.hold(c, c.header+held)
 }
 
+func (c *conn) processingBytes(body, factor int64) int64 {
+	if c.gate == nil {
+		return body
+	}
+	return c.gate.limits[c.door].ProcessingBytes(body, factor)
+}
+
 func (c *conn) interrupted() bool {
 	if c.gate == nil {
 		return false
