Do not report connections that are closed as refused

Cause: a stream that ends after its session has closed releases what it held; the connection holds nothing any more, and the ledger's answer was reported as a refusal. Nothing was refused.

Change: what is held for a connection that is closed or was interrupted is not asked of the ledger. TestOtherConnections releases after a close.

--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -92,8 +92,12 @@
 	return g.hold(c, c.header)
 }
 
-// hold sets what the process holds for c. The caller must hold g.mu.
+// hold sets what the process holds for c. It reports false if there is no room, or if c is closed or
+// interrupted already. The caller must hold g.mu.
 func (g *Gate) hold(c *conn, held int64) bool {
+	if _, open := g.conns[c.counted]; !open || c.counted.Interrupted() {
+		return false
+	}
 	interrupted, ok := g.ledger.Hold(c.counted, held, g.now())
 	for _, victim := range interrupted {
 		g.conns[victim].interrupt()
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -274,6 +274,11 @@
 		is.NoErr(err)
 		return c.(*conn)
 	}
+	closed := accept()
+	is.True(closed.Hold(1 << 10))
+	is.NoErr(closed.Close())
+	is.True(!closed.Hold(-1 << 10)) // what it held was released with it; nobody was refused
+	is.Equal(g.instruments.counters[refusedForMemory].Count(), int64(0))
 	used, silent := accept(), accept()
 	used.Used()
 	is.True(used.Hold(12 << 10))
