Leave 40 MB beside the Go memory limit in small processes

The bounds of the tests are 160 MB, and hold.

Cause: the Go memory limit is 0.75 of the memory, and does not count the program, the C library and the sockets, which take about 30 MB whatever the memory is.

Change: at least 40 MB are left to them. From 160 MB on nothing changes; the deployments have 160 to 640 MB.

--- a/internal/process/limits.go
+++ b/internal/process/limits.go
@@ -6,18 +6,30 @@
 	"golang.org/x/sys/unix"
 )
 
-// memoryShare is the share of the memory of the process that is set as the Go memory limit, above which
-// the garbage collector runs more often.
-const memoryShare = 0.75
+const (
+	// memoryShare is the greatest share of the memory of the process that is set as the Go memory limit,
+	// above which the garbage collector runs more often.
+	memoryShare = 0.75
+	// outsideBytes is what the Go memory limit leaves at least to what it does not count: the program
+	// itself, the C library and the bytes that sockets have received.
+	outsideBytes = 40 << 20
+	// minMemoryShare is the least share.
+	minMemoryShare = 0.25
+)
 
 // LimitMemory sets the Go memory limit of a process that may use an amount of memory in bytes; zero
 // means no limit.
 func LimitMemory(bytes int64) {
 	if bytes > 0 {
-		debug.SetMemoryLimit(int64(float64(bytes) * memoryShare))
+		debug.SetMemoryLimit(goMemoryLimit(bytes))
 	}
 }
 
+func goMemoryLimit(bytes int64) int64 {
+	limit := min(int64(memoryShare*float64(bytes)), bytes-outsideBytes)
+	return max(limit, int64(minMemoryShare*float64(bytes)))
+}
+
 // Assumed where the machine does not tell its limits.
 const (
 	defaultMemoryBytes = 256 << 20
