--- a/intake/ledger.go
+++ b/intake/ledger.go
@@ -26,8 +26,8 @@
 
 // Conn is a connection as a Ledger counts it.
 type Conn struct {
-	door  *door
-	phase Phase
+	listener *listener
+	phase    Phase
 	// since is when the phase began.
 	since time.Time
 	// received is the number of bytes of the request that have been received.
@@ -46,8 +46,8 @@
 // Phase returns what the connection is doing.
 func (c *Conn) Phase() Phase { return c.phase }
 
-type door struct {
-	limits     DoorLimits
+type listener struct {
+	limits     ListenerLimits
 	conns      map[*Conn]struct{}
 	processing int
 	// shared is what the connections hold beyond their allowances, in bytes.
@@ -55,40 +55,40 @@
 }
 
 // Ledger counts what the clients of a process hold. It must be used by one goroutine at a time.
-type Ledger struct{ doors map[string]*door }
+type Ledger struct{ listeners map[string]*listener }
 
 // NewLedger returns a ledger without connections.
 func NewLedger(limits Limits) *Ledger {
-	l := &Ledger{doors: map[string]*door{}}
-	for name, d := range limits {
-		l.doors[name] = &door{limits: d, conns: map[*Conn]struct{}{}}
+	l := &Ledger{listeners: map[string]*listener{}}
+	for name, ln := range limits {
+		l.listeners[name] = &listener{limits: ln, conns: map[*Conn]struct{}{}}
 	}
 	return l
 }
 
-// Open adds a connection to the door with a name. If the door has as many as it may have, the caller
+// Open adds a connection to the listener with a name. If the listener has as many as it may have, the caller
 // must close evicted, which has made way; without one, conn is nil and the new connection must be
-// closed. The door must be one of the limits.
+// closed. The listener must be one of the limits.
 func (l *Ledger) Open(name string, now time.Time) (conn, evicted *Conn) {
-	d := l.doors[name]
-	if len(d.conns) >= d.limits.Connections {
-		if evicted = d.evictable(now); evicted == nil {
+	ln := l.listeners[name]
+	if len(ln.conns) >= ln.limits.Connections {
+		if evicted = ln.evictable(now); evicted == nil {
 			return nil, nil
 		}
 		evicted.interrupted = true
 		l.Close(evicted)
 	}
-	conn = &Conn{door: d, since: now}
-	d.conns[conn] = struct{}{}
+	conn = &Conn{listener: ln, since: now}
+	ln.conns[conn] = struct{}{}
 	return conn, evicted
 }
 
 // evictable returns the connection that makes way for a new one, or nil: the one that has waited
 // longest for a request, those without any request before others, then the slowest one that is
 // receiving or responding.
-func (d *door) evictable(now time.Time) *Conn {
+func (ln *listener) evictable(now time.Time) *Conn {
 	var best *Conn
-	for c := range d.conns {
+	for c := range ln.conns {
 		switch {
 		case c.phase == Processing, c.phase != Waiting && now.Sub(c.since) < graceTime:
 		case best == nil || c.yieldsBefore(best, now):
@@ -126,21 +126,21 @@
 	c.received += bytes
 }
 
-// Hold sets what the process holds for a connection, in bytes. If that is more than the door has room
+// Hold sets what the process holds for a connection, in bytes. If that is more than the listener has room
 // for, slower connections of it make way: the caller must interrupt them. It reports false if c itself
 // must be refused; then it holds as much as before.
 func (l *Ledger) Hold(c *Conn, bytes int64, now time.Time) (interrupted []*Conn, ok bool) {
-	d := c.door
-	if _, open := d.conns[c]; !open || c.interrupted {
+	ln := c.listener
+	if _, open := ln.conns[c]; !open || c.interrupted {
 		return nil, false
 	}
 	for {
-		need := d.shared - beyondAllowance(c.held) + beyondAllowance(bytes)
-		if need <= d.limits.SharedBytes || bytes <= c.held {
-			d.shared, c.held = need, bytes
+		need := ln.shared - beyondAllowance(c.held) + beyondAllowance(bytes)
+		if need <= ln.limits.SharedBytes || bytes <= c.held {
+			ln.shared, c.held = need, bytes
 			return interrupted, true
 		}
-		slowest := d.slowest(c, now)
+		slowest := ln.slowest(c, now)
 		if slowest == nil {
 			return interrupted, false
 		}
@@ -153,9 +153,9 @@
 // slowest returns the connection that makes way for what c holds, or nil if none does before c itself:
 // of those that hold more than their allowance and are not being processed, the one that is receiving
 // most slowly. Connections in the phase Waiting receive nothing.
-func (d *door) slowest(c *Conn, now time.Time) *Conn {
+func (ln *listener) slowest(c *Conn, now time.Time) *Conn {
 	var best *Conn
-	for other := range d.conns {
+	for other := range ln.conns {
 		if other == c || other.held <= allowance || other.phase == Processing || other.phase == Responding {
 			continue
 		}
@@ -181,32 +181,32 @@
 func beyondAllowance(held int64) int64 { return max(0, held-allowance) }
 
 func (c *Conn) release() {
-	c.door.shared -= beyondAllowance(c.held)
+	c.listener.shared -= beyondAllowance(c.held)
 	c.held = 0
 }
 
 // Enter begins a phase of a connection. It reports false, and changes nothing, if the phase is
-// Processing and the connection had to make way or the door processes as many requests as it may.
+// Processing and the connection had to make way or the listener processes as many requests as it may.
 func (l *Ledger) Enter(c *Conn, phase Phase, now time.Time) bool {
 	if phase == c.phase {
 		return true
 	}
-	d := c.door
-	if _, open := d.conns[c]; !open {
+	ln := c.listener
+	if _, open := ln.conns[c]; !open {
 		return !c.interrupted
 	}
 	if phase == Processing {
 		if c.interrupted {
 			return false
 		}
-		if d.limits.Requests > 0 && d.processing >= d.limits.Requests {
+		if ln.limits.Requests > 0 && ln.processing >= ln.limits.Requests {
 			return false
 		}
-		d.processing++
+		ln.processing++
 		c.used = true
 	}
 	if c.phase == Processing {
-		d.processing--
+		ln.processing--
 	}
 	if phase == Waiting {
 		c.received = 0
@@ -217,19 +217,19 @@
 
 // Close removes a connection. It has no effect on one that is removed already.
 func (l *Ledger) Close(c *Conn) {
-	if _, open := c.door.conns[c]; !open {
+	if _, open := c.listener.conns[c]; !open {
 		return
 	}
 	if c.phase == Processing {
-		c.door.processing--
+		c.listener.processing--
 	}
-	delete(c.door.conns, c)
+	delete(c.listener.conns, c)
 	c.release()
 }
 
-// Usage returns the number of connections of the door with a name, and what they hold beyond their
+// Usage returns the number of connections of the listener with a name, and what they hold beyond their
 // allowances, in bytes.
 func (l *Ledger) Usage(name string) (connections int, heldBytes int64) {
-	d := l.doors[name]
-	return len(d.conns), d.shared
+	ln := l.listeners[name]
+	return len(ln.conns), ln.shared
 }
--- a/intake/ledger_test.go
+++ b/intake/ledger_test.go
@@ -13,13 +13,13 @@
 // at returns a time in milliseconds after start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-const testDoor = "callers"
+const testListener = "callers"
 
-func newTestLedger(d DoorLimits) *Ledger { return NewLedger(Limits{testDoor: d, "other": d}) }
+func newTestLedger(d ListenerLimits) *Ledger { return NewLedger(Limits{testListener: d, "other": d}) }
 
 // open opens a connection for which no other has to make way.
 func open(t interface{ Fatalf(string, ...any) }, l *Ledger, ms int) *Conn {
-	c, evicted := l.Open(testDoor, at(ms))
+	c, evicted := l.Open(testListener, at(ms))
 	if c == nil || evicted != nil {
 		t.Fatalf("not opened, or %v evicted", evicted)
 	}
@@ -28,7 +28,7 @@
 
 func TestIdleConnectionsMakeWayFirst(t *testing.T) {
 	is := is.New(t)
-	l := newTestLedger(DoorLimits{Connections: 4})
+	l := newTestLedger(ListenerLimits{Connections: 4})
 	served := open(t, l, 0)
 	is.True(l.Enter(served, Processing, at(1)))
 	is.True(l.Enter(served, Waiting, at(2)))
@@ -36,15 +36,15 @@
 	is.True(l.Enter(processing, Processing, at(13)))
 	l.Receive(receiving, 100, at(14))
 	for i, want := range []*Conn{silent, served} {
-		c, evicted := l.Open(testDoor, at(1000+i))
+		c, evicted := l.Open(testListener, at(1000+i))
 		is.Equal(evicted, want)
 		is.True(want.Interrupted())
 		is.True(l.Enter(c, Processing, at(1000+i)))
 	}
-	c, evicted := l.Open(testDoor, at(2000))
+	c, evicted := l.Open(testListener, at(2000))
 	is.Equal(evicted, receiving) // the last that is not being processed
 	is.True(l.Enter(c, Processing, at(2001)))
-	c, evicted = l.Open(testDoor, at(3000))
+	c, evicted = l.Open(testListener, at(3000))
 	is.True(c == nil)
 	is.True(evicted == nil)
 }
@@ -52,12 +52,12 @@
 // A connection that has just begun to receive is not slow yet.
 func TestNewRequestsDoNotMakeWay(t *testing.T) {
 	is := is.New(t)
-	l := newTestLedger(DoorLimits{Connections: 1})
+	l := newTestLedger(ListenerLimits{Connections: 1})
 	c := open(t, l, 0)
 	l.Receive(c, 1, at(1))
-	refused, _ := l.Open(testDoor, at(50))
+	refused, _ := l.Open(testListener, at(50))
 	is.True(refused == nil)
-	_, evicted := l.Open(testDoor, at(200))
+	_, evicted := l.Open(testListener, at(200))
 	is.Equal(evicted, c)
 }
 
@@ -66,7 +66,7 @@
 func TestStalledBodiesMakeWayForOneThatArrives(t *testing.T) {
 	is := is.New(t)
 	const body = 100 << 10
-	l := newTestLedger(DoorLimits{Connections: 100, SharedBytes: 10 * body})
+	l := newTestLedger(ListenerLimits{Connections: 100, SharedBytes: 10 * body})
 	var crowd []*Conn
 	for range 11 {
 		c := open(t, l, 0)
@@ -94,7 +94,7 @@
 // The slowest connection makes way, be it the one that asks for room.
 func TestSlowestMakesWay(t *testing.T) {
 	is := is.New(t)
-	l := newTestLedger(DoorLimits{Connections: 3, SharedBytes: 100 << 10})
+	l := newTestLedger(ListenerLimits{Connections: 3, SharedBytes: 100 << 10})
 	fast, slow := open(t, l, 0), open(t, l, 0)
 	l.Receive(fast, 60<<10, at(0))
 	l.Receive(slow, 10<<10, at(0))
@@ -112,7 +112,7 @@
 
 func TestRequestsInProgressAreBounded(t *testing.T) {
 	is := is.New(t)
-	l := newTestLedger(DoorLimits{Connections: 3, Requests: 1})
+	l := newTestLedger(ListenerLimits{Connections: 3, Requests: 1})
 	a, b := open(t, l, 0), open(t, l, 0)
 	is.True(l.Enter(a, Processing, at(1)))
 	is.True(!l.Enter(b, Processing, at(2)))
@@ -120,10 +120,10 @@
 	is.True(l.Enter(b, Processing, at(3)))
 }
 
-// The doors of a process do not share their limits.
-func TestDoorsDoNotMakeWayForEachOther(t *testing.T) {
+// The listeners of a process do not share their limits.
+func TestListenersDoNotMakeWayForEachOther(t *testing.T) {
 	is := is.New(t)
-	l := newTestLedger(DoorLimits{Connections: 1, SharedBytes: 1 << 10})
+	l := newTestLedger(ListenerLimits{Connections: 1, SharedBytes: 1 << 10})
 	c := open(t, l, 0)
 	l.Receive(c, 1, at(0))
 	_, ok := l.Hold(c, allowance+1<<10, at(0))
@@ -138,15 +138,15 @@
 
 func TestLimitsFollowTheMachine(t *testing.T) {
 	is := is.New(t)
-	shares := map[string]Share{testDoor: {Sockets: 0.5, Requests: 0.1, ConnectionMemory: 0.1, RequestMemory: 0.1}}
-	is.Equal(LimitsFor(320<<20, 10200, shares)[testDoor], DoorLimits{Connections: 1024, Requests: 1000, SharedBytes: 32 << 20})
-	is.Equal(LimitsFor(320<<20, 1200, shares)[testDoor].Connections, 500)
-	is.Equal(LimitsFor(1<<20, 100, shares)[testDoor].Connections, minConnections)
+	shares := map[string]Share{testListener: {Sockets: 0.5, Requests: 0.1, ConnectionMemory: 0.1, RequestMemory: 0.1}}
+	is.Equal(LimitsFor(320<<20, 10200, shares)[testListener], ListenerLimits{Connections: 1024, Requests: 1000, SharedBytes: 32 << 20})
+	is.Equal(LimitsFor(320<<20, 1200, shares)[testListener].Connections, 500)
+	is.Equal(LimitsFor(1<<20, 100, shares)[testListener].Connections, minConnections)
 }
 
 func TestProcessingBytes(t *testing.T) {
 	is := is.New(t)
-	d := DoorLimits{SharedBytes: 1000}
+	d := ListenerLimits{SharedBytes: 1000}
 	is.Equal(d.ProcessingBytes(100, 4), int64(400))
 	is.Equal(d.ProcessingBytes(200, 4), int64(500))
 	is.Equal(d.ProcessingBytes(900, 4), int64(900))
@@ -155,7 +155,7 @@
 // Whatever clients do, no limit is exceeded and no request in progress makes way.
 func TestLedgerKeepsItsLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := DoorLimits{
+		limits := ListenerLimits{
 			Connections: rapid.IntRange(1, 6).Draw(t, "connections"), Requests: rapid.IntRange(0, 3).Draw(t, "requests"),
 			SharedBytes: int64(rapid.IntRange(0, 40<<10).Draw(t, "shared")),
 		}
@@ -171,7 +171,7 @@
 			now += rapid.IntRange(0, 200).Draw(t, "ms")
 			operation := rapid.IntRange(0, 5).Draw(t, "operation")
 			if operation == 0 || len(conns) == 0 {
-				c, evicted := l.Open(testDoor, at(now))
+				c, evicted := l.Open(testListener, at(now))
 				made(evicted)
 				if c != nil {
 					conns = append(conns, c)
@@ -205,8 +205,8 @@
 	}
 }
 
-func checkLedger(t *rapid.T, l *Ledger, limits DoorLimits) {
-	d := l.doors[testDoor]
+func checkLedger(t *rapid.T, l *Ledger, limits ListenerLimits) {
+	d := l.listeners[testListener]
 	shared, processing := int64(0), 0
 	for c := range d.conns {
 		shared += beyondAllowance(c.held)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -1,7 +1,7 @@
 package intake
 
-// DoorLimits are what the clients of one listener may hold.
-type DoorLimits struct {
+// ListenerLimits are what the clients of one listener may hold.
+type ListenerLimits struct {
 	// Connections is the number of open connections.
 	Connections int
 	// Requests is the number of requests that are processed at the same time; zero means no limit
@@ -16,12 +16,12 @@
 
 // ProcessingBytes returns what a request holds while it is processed, if that is a number of times its
 // body: at most half of what there is for all, so that a single request of the greatest size is served.
-func (d DoorLimits) ProcessingBytes(body, times int64) int64 {
+func (d ListenerLimits) ProcessingBytes(body, times int64) int64 {
 	return max(body, min(times*body, d.SharedBytes/2))
 }
 
 // Limits are the limits of each listener of a process by its name.
-type Limits map[string]DoorLimits
+type Limits map[string]ListenerLimits
 
 const (
 	// allowance is what each connection holds whatever the others do, in bytes. It is enough for the
@@ -33,7 +33,7 @@
 
 	// reservedDescriptors are those for files.
 	reservedDescriptors = 200
-	// minConnections is the least number of connections of a door.
+	// minConnections is the least number of connections of a listener.
 	minConnections = 8
 )
 
@@ -50,7 +50,7 @@
 	// RequestMemory is the part of the memory for requests beyond the allowances of their
 	// connections.
 	RequestMemory float64
-	// ReceiveBuffer is that of DoorLimits.
+	// ReceiveBuffer is that of ListenerLimits.
 	ReceiveBuffer int
 }
 
@@ -61,7 +61,7 @@
 	sockets := float64(max(0, descriptors-reservedDescriptors))
 	for name, s := range shares {
 		byMemory := int(s.ConnectionMemory * float64(memory) / (connectionBytes + allowance))
-		limits[name] = DoorLimits{
+		limits[name] = ListenerLimits{
 			Connections: max(minConnections, min(byMemory, int(s.Sockets*sockets))),
 			Requests:    int(s.Requests * sockets),
 			SharedBytes: int64(s.RequestMemory * float64(memory)), ReceiveBuffer: s.ReceiveBuffer,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,7 +51,7 @@
 	var peers *peer.Server
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			listener, err := p.Gate.Listen(p.Settings.PeerAddress, doorPeers)
+			listener, err := p.Gate.Listen(p.Settings.PeerAddress, listenerPeers)
 			if err != nil {
 				return err
 			}
@@ -61,8 +61,8 @@
 			p.Controller.start()
 			p.scheduleBurnJobs()
 			return errors.Join(
-				p.serve(callers, p.Settings.CallerAddress, doorCallers),
-				p.serve(operators, p.Settings.OperatorAddress, doorOperators),
+				p.serve(callers, p.Settings.CallerAddress, listenerCallers),
+				p.serve(operators, p.Settings.OperatorAddress, listenerOperators),
 			)
 		},
 		OnStop: func(ctx context.Context) error {
@@ -77,8 +77,8 @@
 	return server
 }
 
-func (p components) serve(server *http.Server, address, door string) error {
-	listener, err := p.Gate.Listen(address, door)
+func (p components) serve(server *http.Server, address, name string) error {
+	listener, err := p.Gate.Listen(address, name)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/doors.go
+++ b/internal/daemon/listeners.go
@@ -12,17 +12,17 @@
 
 // Names of the daemon's listeners.
 const (
-	doorCallers   = "callers"
-	doorOperators = "operators"
-	doorPeers     = "peers"
+	listenerCallers   = "callers"
+	listenerOperators = "operators"
+	listenerPeers     = "peers"
 )
 
-// doorShares are the shares of the listeners. Operators are few, and their documents large: each request
+// listenerShares are the shares of the listeners. Operators are few, and their documents large: each request
 // in progress may hold one.
-var doorShares = map[string]intake.Share{
-	doorCallers:   {Sockets: 0.36, ConnectionMemory: 0.1, RequestMemory: 0.08, ReceiveBuffer: receiveBuffer},
-	doorOperators: {Sockets: 0.05, Requests: 0.005, ConnectionMemory: 0.02, RequestMemory: 0.12},
-	doorPeers:     {Sockets: 0.26, ConnectionMemory: 0.08, RequestMemory: 0.05, ReceiveBuffer: receiveBuffer},
+var listenerShares = map[string]intake.Share{
+	listenerCallers:   {Sockets: 0.36, ConnectionMemory: 0.1, RequestMemory: 0.08, ReceiveBuffer: receiveBuffer},
+	listenerOperators: {Sockets: 0.05, Requests: 0.005, ConnectionMemory: 0.02, RequestMemory: 0.12},
+	listenerPeers:     {Sockets: 0.26, ConnectionMemory: 0.08, RequestMemory: 0.05, ReceiveBuffer: receiveBuffer},
 }
 
 // receiveBuffer is the size of receive buffers in bytes. It carries 2 MB a second from clients 30 ms away.
@@ -32,7 +32,7 @@
 const documentShare = 0.35
 
 func newGate(s settings.Settings, registry metrics.Registry, logger log.Interface) (*gate.Gate, error) {
-	return gate.New(intake.LimitsFor(memoryBytes(s), process.Descriptors(s.MaxDescriptors), doorShares), registry, logger)
+	return gate.New(intake.LimitsFor(memoryBytes(s), process.Descriptors(s.MaxDescriptors), listenerShares), registry, logger)
 }
 
 // memoryBytes returns the memory that the process may use.
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -33,8 +33,8 @@
 	platform.NewDirectory(nil, nil).RegisterMetrics(registry)
 	is.NoErr(registerControlMetrics(control.NewLoop(), registry))
 	is.NoErr(process.Register(registry))
-	doors := intake.Limits{"callers": {}, "jobs": {}, "metrics": {}, "operators": {}, "peers": {}, "ready": {}}
-	_, err := gate.New(doors, registry, log.Log)
+	listeners := intake.Limits{"callers": {}, "jobs": {}, "metrics": {}, "operators": {}, "peers": {}, "ready": {}}
+	_, err := gate.New(listeners, registry, log.Log)
 	is.NoErr(err)
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	is.NoErr(err)
--- a/internal/fake/site.go
+++ b/internal/fake/site.go
@@ -93,12 +93,12 @@
 	maxRequestBytes = 33 << 20
 )
 
-// door is the name of all listeners of the stand-ins.
-const door = "stand_ins"
+// listenerName is the name under which all listeners of the stand-ins share limits.
+const listenerName = "stand_ins"
 
 // sharedGate returns the limits of what the clients of all listeners may hold.
 var sharedGate = sync.OnceValues(func() (*gate.Gate, error) {
-	limits := intake.Limits{door: {Connections: 1024, SharedBytes: maxRequestBytes + maxRequestBytes/8}}
+	limits := intake.Limits{listenerName: {Connections: 1024, SharedBytes: maxRequestBytes + maxRequestBytes/8}}
 	return gate.New(limits, metrics.NewRegistry(), log.Log)
 })
 
@@ -109,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := g.Listen(address, door)
+	listener, err := g.Listen(address, listenerName)
 	if err != nil {
 		return err
 	}
--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -155,7 +155,7 @@
 	if c.gate == nil {
 		return body
 	}
-	return c.gate.limits[c.door].ProcessingBytes(body, factor)
+	return c.gate.limits[c.listener].ProcessingBytes(body, factor)
 }
 
 func (c *conn) interrupted() bool {
--- a/internal/gate/conn.go
+++ b/internal/gate/conn.go
@@ -36,7 +36,8 @@
 	net.Conn
 	gate    *Gate
 	counted *intake.Conn
-	door    string
+	// listener is the name of the listener that has accepted the connection.
+	listener string
 
 	// carriesHTTP is set if what is received are requests of HTTP. The user of another connection
 	// says what it holds.
@@ -103,14 +104,14 @@
 		g.conns[victim].interrupt()
 	}
 	if !ok {
-		g.report(refusedForMemory, c.door)
+		g.report(refusedForMemory, c.listener)
 	}
 	return ok
 }
 
 // interrupt ends what the connection receives: the pending read fails. The caller must hold g.mu.
 func (c *conn) interrupt() {
-	c.gate.report(interruptedRequest, c.door)
+	c.gate.report(interruptedRequest, c.listener)
 	_ = c.Conn.SetReadDeadline(longAgo)
 }
 
@@ -179,7 +180,7 @@
 func (c *conn) process() bool {
 	ok := c.gate.ledger.Enter(c.counted, intake.Processing, c.gate.now())
 	if !ok {
-		c.gate.report(refusedRequest, c.door)
+		c.gate.report(refusedRequest, c.listener)
 	}
 	return ok
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -55,13 +55,14 @@
 	return g, err
 }
 
-// Listen listens at a TCP address. Its connections count as those of a door of the limits.
-func (g *Gate) Listen(address, door string) (net.Listener, error) {
+// Listen listens at a TCP address. Its connections count as those of the listener
+// with a name in the limits.
+func (g *Gate) Listen(address, name string) (net.Listener, error) {
 	if g == nil {
 		return net.Listen("tcp", address)
 	}
 	config := net.ListenConfig{}
-	if bytes := g.limits[door].ReceiveBuffer; bytes > 0 {
+	if bytes := g.limits[name].ReceiveBuffer; bytes > 0 {
 		// Accepted sockets inherit the size. Without it, more bytes wait; that is no reason not to listen.
 		config.Control = func(_, _ string, c syscall.RawConn) error {
 			return c.Control(func(fd uintptr) {
@@ -73,14 +74,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &listener{Listener: l, gate: g, door: door}, nil
+	return &listener{Listener: l, gate: g, name: name}, nil
 }
 
-// listener accepts connections as long as the limits of its door allow it, and closes others.
+// listener accepts connections as long as its limits allow it, and closes others.
 type listener struct {
 	net.Listener
 	gate *Gate
-	door string
+	name string
 }
 
 // Accept implements net.Listener.
@@ -90,7 +91,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if admitted := l.gate.open(c, l.door); admitted != nil {
+		if admitted := l.gate.open(c, l.name); admitted != nil {
 			return admitted, nil
 		}
 		_ = c.Close()
@@ -98,21 +99,21 @@
 }
 
 // open returns the counted connection, or nil if it must be closed.
-func (g *Gate) open(c net.Conn, door string) *conn {
+func (g *Gate) open(c net.Conn, listener string) *conn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	counted, evicted := g.ledger.Open(door, g.now())
+	counted, evicted := g.ledger.Open(listener, g.now())
 	if evicted != nil {
-		g.report(evictedConnection, door)
+		g.report(evictedConnection, listener)
 		victim := g.conns[evicted]
 		delete(g.conns, evicted)
 		_ = victim.Conn.Close()
 	}
 	if counted == nil {
-		g.report(rejectedConnection, door)
+		g.report(rejectedConnection, listener)
 		return nil
 	}
-	admitted := &conn{Conn: c, gate: g, counted: counted, door: door}
+	admitted := &conn{Conn: c, gate: g, counted: counted, listener: listener}
 	g.conns[counted] = admitted
 	return admitted
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	testDoor  = "callers"
-	bodyLimit = 100 << 10
+	testListener = "callers"
+	bodyLimit    = 100 << 10
 )
 
 // echo is a server with a gate that answers with the size of the body.
@@ -37,14 +37,14 @@
 	started, release chan struct{}
 }
 
-func startEcho(t *testing.T, limits intake.DoorLimits) *echo {
+func startEcho(t *testing.T, limits intake.ListenerLimits) *echo {
 	t.Helper()
 	is := is.New(t)
 	e := &echo{registry: metrics.NewRegistry(), events: memory.New(), started: make(chan struct{}, 100), release: make(chan struct{}, 100)}
-	g, err := New(intake.Limits{testDoor: limits}, e.registry, &log.Logger{Handler: e.events, Level: log.InfoLevel})
+	g, err := New(intake.Limits{testListener: limits}, e.registry, &log.Logger{Handler: e.events, Level: log.InfoLevel})
 	is.NoErr(err)
 	e.gate = g
-	l, err := g.Listen("127.0.0.1:0", testDoor)
+	l, err := g.Listen("127.0.0.1:0", testListener)
 	is.NoErr(err)
 	e.address = l.Addr().String()
 	server := g.Server(http.HandlerFunc(e.serve))
@@ -104,7 +104,7 @@
 	return resp, string(body)
 }
 
-var generous = intake.DoorLimits{Connections: 10, SharedBytes: 1 << 20}
+var generous = intake.ListenerLimits{Connections: 10, SharedBytes: 1 << 20}
 
 func TestBodiesUpToTheLimit(t *testing.T) {
 	is := is.New(t)
@@ -141,10 +141,10 @@
 // the request has not run and when to come back.
 func TestStalledBodyMakesWay(t *testing.T) {
 	is := is.New(t)
-	e := startEcho(t, intake.DoorLimits{Connections: 10, SharedBytes: 150 << 10})
+	e := startEcho(t, intake.ListenerLimits{Connections: 10, SharedBytes: 150 << 10})
 	stalled := e.dial(t)
 	post(t, stalled, "/", bodyLimit, make([]byte, bodyLimit-1))
-	waitFor(t, func() bool { _, held := e.gate.usage(testDoor); return held > bodyLimit/2 })
+	waitFor(t, func() bool { _, held := e.gate.usage(testListener); return held > bodyLimit/2 })
 	time.Sleep(200 * time.Millisecond) // longer than a request may take before it makes way
 	other := e.dial(t)
 	post(t, other, "/", bodyLimit, make([]byte, bodyLimit))
@@ -172,7 +172,7 @@
 
 func TestConnectionsMakeWay(t *testing.T) {
 	is := is.New(t)
-	e := startEcho(t, intake.DoorLimits{Connections: 2, SharedBytes: 1 << 20})
+	e := startEcho(t, intake.ListenerLimits{Connections: 2, SharedBytes: 1 << 20})
 	first := e.dial(t)
 	busy := e.dial(t)
 	post(t, busy, "/wait", 0, nil)
@@ -188,12 +188,12 @@
 	is.Equal(text, "0")
 	is.Equal(e.count(evictedConnection), int64(1))
 	is.Equal(len(e.events.Entries), 1)
-	is.Equal(e.events.Entries[0].Fields.Get("door"), testDoor)
+	is.Equal(e.events.Entries[0].Fields.Get("listener"), testListener)
 }
 
 func TestRequestsInProgressAreBounded(t *testing.T) {
 	is := is.New(t)
-	e := startEcho(t, intake.DoorLimits{Connections: 10, Requests: 1, SharedBytes: 1 << 20})
+	e := startEcho(t, intake.ListenerLimits{Connections: 10, Requests: 1, SharedBytes: 1 << 20})
 	first, second := e.dial(t), e.dial(t)
 	post(t, first, "/wait", 0, nil)
 	<-e.started
@@ -213,7 +213,7 @@
 // A header of many fields takes much more memory than bytes.
 func TestHeadersOfManyFields(t *testing.T) {
 	is := is.New(t)
-	e := startEcho(t, intake.DoorLimits{Connections: 10, SharedBytes: 100 << 10})
+	e := startEcho(t, intake.ListenerLimits{Connections: 10, SharedBytes: 100 << 10})
 	large := e.dial(t)
 	_, err := io.WriteString(large, "GET / HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 1000))
 	is.NoErr(err)
@@ -253,17 +253,17 @@
 		is.Equal(string(text), fmt.Sprint(20<<10))
 	}
 	wg.Wait()
-	waitFor(t, func() bool { _, held := e.gate.usage(testDoor); return held < bufferBytes })
+	waitFor(t, func() bool { _, held := e.gate.usage(testListener); return held < bufferBytes })
 	is.NoErr(c.Close())
-	waitFor(t, func() bool { n, _ := e.gate.usage(testDoor); return n == 0 })
+	waitFor(t, func() bool { n, _ := e.gate.usage(testListener); return n == 0 })
 }
 
 // The user of a connection that does not carry HTTP says what it holds.
 func TestOtherConnections(t *testing.T) {
 	is := is.New(t)
-	g, err := New(intake.Limits{testDoor: {Connections: 2, SharedBytes: 10 << 10}}, metrics.NewRegistry(), &log.Logger{Handler: memory.New()})
+	g, err := New(intake.Limits{testListener: {Connections: 2, SharedBytes: 10 << 10}}, metrics.NewRegistry(), &log.Logger{Handler: memory.New()})
 	is.NoErr(err)
-	l, err := g.Listen("127.0.0.1:0", testDoor)
+	l, err := g.Listen("127.0.0.1:0", testListener)
 	is.NoErr(err)
 	defer l.Close()
 	accept := func() *conn {
@@ -292,7 +292,7 @@
 func TestGateWithoutLimits(t *testing.T) {
 	is := is.New(t)
 	var g *Gate
-	l, err := g.Listen("127.0.0.1:0", testDoor)
+	l, err := g.Listen("127.0.0.1:0", testListener)
 	is.NoErr(err)
 	is.NoErr(l.Close())
 	decoded := 0
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -29,13 +29,13 @@
 
 var allLimited = []limited{evictedConnection, rejectedConnection, interruptedRequest, refusedForMemory, refusedRequest}
 
-// reportInterval bounds the lines in the log: each kind at each door is reported once in this time.
+// reportInterval bounds the lines in the log: each kind at each listener is reported once in this time.
 const reportInterval = 10 * time.Second
 
-// reportKey names a kind of event at a door.
+// reportKey names a kind of event at a listener.
 type reportKey struct {
-	kind limited
-	door string
+	kind     limited
+	listener string
 }
 
 // unreported is what has happened since the last line in the log.
@@ -60,26 +60,26 @@
 	gauge := func(name string, value func() int64) {
 		errs = append(errs, registry.Register("gate."+name, metrics.NewFunctionalGauge(value)))
 	}
-	for door, d := range limits {
-		gauge("connections."+door, func() int64 { n, _ := g.usage(door); return int64(n) })
-		gauge("connections_limit."+door, func() int64 { return int64(d.Connections) })
-		gauge("held_bytes."+door, func() int64 { _, held := g.usage(door); return held })
-		gauge("held_limit_bytes."+door, func() int64 { return d.SharedBytes })
+	for listener, d := range limits {
+		gauge("connections."+listener, func() int64 { n, _ := g.usage(listener); return int64(n) })
+		gauge("connections_limit."+listener, func() int64 { return int64(d.Connections) })
+		gauge("held_bytes."+listener, func() int64 { _, held := g.usage(listener); return held })
+		gauge("held_limit_bytes."+listener, func() int64 { return d.SharedBytes })
 	}
 	return in, errors.Join(errs...)
 }
 
-func (g *Gate) usage(door string) (connections int, heldBytes int64) {
+func (g *Gate) usage(listener string) (connections int, heldBytes int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Usage(door)
+	return g.ledger.Usage(listener)
 }
 
-// report counts an event, and logs it unless one of its kind at the door was logged recently. The
+// report counts an event, and logs it unless one of its kind at the listener was logged recently. The
 // caller must hold g.mu.
-func (g *Gate) report(kind limited, door string) {
+func (g *Gate) report(kind limited, listener string) {
 	g.instruments.counters[kind].Inc(1)
-	key := reportKey{kind, door}
+	key := reportKey{kind, listener}
 	u := g.instruments.log[key]
 	if u == nil {
 		u = &unreported{}
@@ -90,9 +90,9 @@
 	if !u.reportedAt.IsZero() && now.Sub(u.reportedAt) < reportInterval {
 		return
 	}
-	connections, held := g.ledger.Usage(door)
+	connections, held := g.ledger.Usage(listener)
 	g.log.WithFields(log.Fields{
-		"event": string(kind), "door": door, "times": u.count, "connections": connections, "held_bytes": held,
+		"event": string(kind), "listener": listener, "times": u.count, "connections": connections, "held_bytes": held,
 	}).Warn("clients are limited")
 	u.count, u.reportedAt = 0, now
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,7 +190,7 @@
 	if err := registerProcessMetrics(d.registry, d.loop); err != nil {
 		return err
 	}
-	listener, err := d.gate.Listen(d.settings.PeerAddress, doorPeers)
+	listener, err := d.gate.Listen(d.settings.PeerAddress, listenerPeers)
 	if err != nil {
 		return err
 	}
@@ -205,10 +205,10 @@
 	d.reloadOnSIGHUP()
 	d.serveFixedMetrics()
 	return errors.Join(
-		d.serve(d.callers, d.settings.CallerAddress, doorCallers),
-		d.serve(d.ready, d.settings.ReadyAddress, doorReady),
-		d.serve(d.metrics, d.settings.MetricsAddress, doorMetrics),
-		d.serve(d.jobs, d.settings.JobsAddress, doorJobs),
+		d.serve(d.callers, d.settings.CallerAddress, listenerCallers),
+		d.serve(d.ready, d.settings.ReadyAddress, listenerReady),
+		d.serve(d.metrics, d.settings.MetricsAddress, listenerMetrics),
+		d.serve(d.jobs, d.settings.JobsAddress, listenerJobs),
 	)
 }
 
@@ -218,8 +218,8 @@
 	return server
 }
 
-func (d *daemon) serve(server *http.Server, address, door string) error {
-	listener, err := d.gate.Listen(address, door)
+func (d *daemon) serve(server *http.Server, address, name string) error {
+	listener, err := d.gate.Listen(address, name)
 	if err != nil {
 		return err
 	}
@@ -239,7 +239,7 @@
 	if address == "" {
 		return
 	}
-	if err := d.serve(d.metrics, address, doorMetrics); err != nil {
+	if err := d.serve(d.metrics, address, listenerMetrics); err != nil {
 		d.log.WithFields(log.Fields{"event": "metrics_not_served", "address": address}).WithError(err).Warn("cannot serve the metrics at the fixed port")
 	}
 }
