review: a job on a route that the owner never saw is not run

Configs follow each other every 0.33 s and add and remove routes. Jobs that a daemon accepts on a route which the owner of the cell has not read are never run.

--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the third review start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review-3/ ./review/stand3
--- /dev/null
+++ b/review/stand3/cases.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// finishTime is how long accepted work may take once all is calm: finish_s, and the 3 s for which
+// a job may have nothing running.
+const finishTime = 18 * time.Second
+
+// jobOf returns the body of a job of one step.
+func jobOf(count, cpu, estimateMS int, extra string) string {
+	return fmt.Sprintf(`{"spec":"review","steps":[{"count":%d,"cpu":%d,"memMb":1000,"estimateMs":%d%s}]}`, count, cpu, estimateMS, extra)
+}
+
+// crashedRunners crashes the runner of a task three times. No run of the task ends failed.
+func crashedRunners(rec *record, binary, dir string, trouble bool) (int, error) {
+	const (
+		id      = "00000000000000a1"
+		crashes = 3
+		work    = 8 * time.Second
+		down    = 4500 * time.Millisecond
+	)
+	s, err := startSite(rec, binary, dir, trouble, 8, 3, func(string) time.Duration { return work }, "scans")
+	if err != nil {
+		return cannotRun, err
+	}
+	defer s.stop()
+	if !s.submit("scans", id, jobOf(1, 1000, 6000, "")) {
+		return cannotRun, errors.New("the job was not accepted")
+	}
+	task := id + ".0.0.0"
+	for range crashes {
+		if !waitFor(20*time.Second, func() bool { return s.fleet.running(task) != nil }) {
+			rec.add("the task has no run")
+			break
+		}
+		r := s.fleet.runners[s.fleet.running(task).runner]
+		if !trouble {
+			break
+		}
+		time.Sleep(6 * time.Second)
+		r.crash()
+		time.AfterFunc(down, func() {
+			if err := r.restart(); err != nil {
+				rec.add("runner %d did not restart: %v", r.number, err)
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	state := s.watchState(40*time.Second, "scans", id, "completed", "failed", "cancelled")
+	failed := 0
+	for _, r := range s.fleet.runsOf(id) {
+		rec.add("run %d on runner %d: %s after %s", r.attempt, r.runner, r.how, r.to.Sub(r.from).Round(time.Millisecond))
+		if r.how == "failed" {
+			failed++
+		}
+	}
+	s.logs("task_given_up", "job_final", "task_lost")
+	rec.add("the job is shown as %s; %d of its runs ended failed", state, failed)
+	if state != "completed" {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// removedRoute removes the routes of jobs just after these were accepted, and kills all
+// daemons once the change is confirmed. The second step of each job has not started by then.
+func removedRoute(rec *record, binary, dir string, trouble bool) (int, error) {
+	const (
+		daemons = 3
+		tasks   = 3
+		body    = `{"spec":"review","steps":[{"count":2,"cpu":1000,"memMb":1000,"estimateMs":2000},{"count":1,"cpu":1000,"memMb":1000,"estimateMs":2000,"after":[0]}]}`
+	)
+	work := func(string) time.Duration { return 2 * time.Second }
+	s, err := startSite(rec, binary, dir, trouble, 8, daemons, work, "scans", "extra0", "extra1", "extra2")
+	if err != nil {
+		return cannotRun, err
+	}
+	defer s.stop()
+	answers := make(chan int, daemons)
+	id := func(n int) string { return fmt.Sprintf("%016x", 0xb0+n) }
+	for n := range daemons {
+		go func() {
+			status, _ := s.do(n, "POST", fmt.Sprintf("/extra%d/%s", n, id(n)), body)
+			answers <- status
+		}()
+	}
+	for range daemons {
+		if status := <-answers; status/100 != 2 {
+			return cannotRun, errors.New("a job was not accepted")
+		}
+	}
+	s.config("scans")
+	if trouble {
+		if err := s.killAll(1200 * time.Millisecond); err != nil {
+			return cannotRun, err
+		}
+		if !waitFor(20*time.Second, s.allReady) {
+			return cannotRun, errors.New("the daemons are not ready after the kill")
+		}
+	}
+	rec.add("the daemons are ready")
+	lost := 0
+	time.Sleep(finishTime)
+	for n := range daemons {
+		rec.add("job %s of route extra%d: %d of %d tasks done", id(n), n, s.fleet.done(id(n)), tasks)
+		if s.fleet.done(id(n)) < tasks {
+			lost++
+		}
+	}
+	s.logs("cell_recovered", "job_known", "config_adopted", "job_final")
+	rec.add("%d of %d accepted jobs have not run to their end", lost, daemons)
+	if lost > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// configStorm adds a route with each of some versions of the config that come in quick
+// succession, removes it with the next, and hands in a job on each route at each daemon.
+func configStorm(rec *record, binary, dir string, trouble bool) (int, error) {
+	const (
+		changes = 12
+		gap     = 330 * time.Millisecond
+		calm    = 4 * time.Second // over configApplyMs
+		tasks   = 2
+		daemons = 5
+	)
+	s, err := startSite(rec, binary, dir, trouble, 8, daemons, func(string) time.Duration { return 300 * time.Millisecond }, "scans")
+	if err != nil {
+		return cannotRun, err
+	}
+	defer s.stop()
+	between, rounds := gap, changes
+	if !trouble {
+		between, rounds = calm, 3
+	}
+	accepted := map[string]string{}
+	for round := range rounds {
+		queue := fmt.Sprintf("extra%d", round)
+		s.config("scans", queue)
+		until := time.Now().Add(between)
+		for time.Now().Before(until) {
+			for n := range daemons {
+				id := fmt.Sprintf("%016x", 0xd000+16*round+n)
+				if accepted[id] != "" {
+					continue
+				}
+				if status, text := s.call(n, "POST", "/"+queue+"/"+id, jobOf(tasks, 1000, 300, "")); status/100 == 2 {
+					accepted[id] = queue
+					rec.add("client: POST /%s/%s to %s: %d %s", queue, id, s.daemons[n].name, status, text)
+				}
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	s.config("scans")
+	if len(accepted) == 0 {
+		return cannotRun, errors.New("no job was accepted")
+	}
+	rec.add("the traffic has ended; %d jobs were accepted", len(accepted))
+	time.Sleep(finishTime)
+	lost := 0
+	for _, id := range slices.Sorted(maps.Keys(accepted)) {
+		if done := s.fleet.done(id); done < tasks {
+			lost++
+			rec.add("job %s of route %s was accepted, and %d of its tasks are done; %d runs", id, accepted[id], done, len(s.fleet.runsOf(id)))
+		}
+	}
+	s.logs("config_adopted", "cell_recovered")
+	rec.add("%d of %d accepted jobs have not run", lost, len(accepted))
+	if lost > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
