--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the third review start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-3/ ./review/stand3
+go build -tags review3 -o target/review-3/ ./review/stand3
--- a/review/stand3/daemons.go
+++ b/review/stand3/daemons.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -164,16 +166,15 @@
 
 // start starts the process with the environment that the deploy file gives it.
 func (d *daemon) start() error {
-	log, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	output, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	defer log.Close()
 	cmd := exec.Command(d.binary)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "BAMBOOYARD_NODE_FILE=" + d.settings, "METRICS_PORT=" + d.metrics}
-	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Stdout, cmd.Stderr = output, output
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	if err := errors.Join(cmd.Start(), output.Close()); err != nil {
 		return err
 	}
 	d.cmd, d.exited = cmd, make(chan struct{})
@@ -195,12 +196,6 @@
 	<-d.exited
 }
 
-// logHas reports whether the daemon's log contains a text.
-func (d *daemon) logHas(text string) bool {
-	body, err := os.ReadFile(d.log)
-	return err == nil && strings.Contains(string(body), text)
-}
-
 // grep returns the lines of all daemons' logs with any of the texts.
 func (s *site) grep(texts ...string) []string {
 	out := []string{}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command stand3 plays the scripts of the third review: it stands in for the
 // platform, the runners and the clients, and starts the project's daemons.
 package main
@@ -45,7 +47,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return cannotRun
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	code, err := fn(rec, binary, dir, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/stand3/runners.go
+++ b/review/stand3/runners.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -40,11 +42,7 @@
 	address string
 	life    *life // nil while it is down
 	lives   int
-	// silent is set while the runner does not answer; late delays orders.
-	silent bool
-	// stayID keeps the ID in the next lives.
-	stayID bool
-	state  string
+	state   string
 }
 
 // life is one boot of a runner.
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -157,7 +159,7 @@
 	if err != nil {
 		return 0, err.Error()
 	}
-	defer resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, err.Error()
