review: tasks run twice after a late list of machines

A runner that starts again under its ID is given up on an answer of the list of machines that is older than its new boot, while its new runs go on.

--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -181,3 +182,68 @@
 	}
 	return held, nil
 }
+
+// restartedRunner crashes runners, one at a time, that start again under their IDs after a short
+// time, while the platform answers calls for the list of machines late.
+func restartedRunner(rec *record, binary, dir string, trouble bool) (int, error) {
+	const (
+		rounds = 4
+		apart  = 10 * time.Second
+		late   = 600 * time.Millisecond
+		down   = 800 * time.Millisecond
+		long   = 6 * time.Second
+		short  = time.Second
+		vary   = 1500 // ms
+	)
+	work := func(task string) time.Duration {
+		if task[0] == 'a' {
+			return long
+		}
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(task)) // it never fails
+		return short + time.Duration(h.Sum32()%vary)*time.Millisecond
+	}
+	sameID = true
+	s, err := startSite(rec, binary, dir, trouble, 8, 3, work, "scans")
+	if err != nil {
+		return cannotRun, err
+	}
+	defer s.stop()
+	for round := range rounds {
+		begun, job := time.Now(), fmt.Sprintf("a%015x", round)
+		if !s.submit("scans", job, jobOf(2, 8000, 6000, "")) {
+			return cannotRun, errors.New("a job was not accepted")
+		}
+		for n := range 8 { // keeps the other runners full
+			if !s.submit("scans", fmt.Sprintf("%016x", 0xf00+16*round+n), jobOf(6, 8000, 1700, "")) {
+				return cannotRun, errors.New("a job was not accepted")
+			}
+		}
+		if !waitFor(5*time.Second, func() bool { return s.fleet.running(job+".0.0.0") != nil }) {
+			return cannotRun, errors.New("the task was not started")
+		}
+		time.Sleep(1600 * time.Millisecond)
+		if r := s.fleet.runners[s.fleet.running(job+".0.0.0").runner]; trouble {
+			s.fleet.setLate(late)
+			r.crash()
+			time.Sleep(down)
+			if err := r.restart(); err != nil {
+				return cannotRun, err
+			}
+			time.Sleep(time.Second)
+			s.fleet.setLate(0)
+		}
+		time.Sleep(time.Until(begun.Add(apart)))
+	}
+	pairs := s.fleet.overlaps()
+	for _, p := range pairs {
+		for _, r := range p {
+			rec.add("TWICE %s: run %d on runner %d from %.3f to %.3f: %s", r.task, r.attempt, r.runner, rec.at(r.from), rec.at(r.to), r.how)
+		}
+	}
+	s.logs("task_lost", "worker_gone")
+	if len(pairs) > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -18,9 +18,10 @@
 )
 
 var cases = map[string]func(rec *record, binary, dir string, trouble bool) (int, error){
-	"crashed-runners": crashedRunners,
-	"removed-route":   removedRoute,
-	"config-storm":    configStorm,
+	"crashed-runners":  crashedRunners,
+	"removed-route":    removedRoute,
+	"config-storm":     configStorm,
+	"restarted-runner": restartedRunner,
 }
 
 func main() {
--- a/review/stand3/record.go
+++ b/review/stand3/record.go
@@ -31,3 +31,6 @@
 	_, _ = r.file.WriteString(line) // a record that cannot be written shows as a short one
 	fmt.Fprint(os.Stderr, line)
 }
+
+// at returns a time in seconds from the start of the record.
+func (r *record) at(t time.Time) float64 { return t.Sub(r.started).Seconds() }
--- a/review/stand3/runners.go
+++ b/review/stand3/runners.go
@@ -33,6 +33,10 @@
 	runners []*runner
 	history []*run
 	changed chan struct{} // closed and replaced when a run begins or ends
+	// stayID keeps a runner's ID in its next lives.
+	stayID bool
+	// machinesLate is how late the list of machines is answered.
+	machinesLate time.Duration
 }
 
 // runner is a machine with a runner; its life changes when it crashes.
@@ -105,6 +109,9 @@
 		id: fmt.Sprintf("i-%02d%04d", r.number, r.lives), born: time.Now().UnixMilli(), started: time.Now(),
 		runs: map[string]*run{}, highest: map[string]int{}, gone: make(chan struct{}),
 	}
+	if f.stayID {
+		lf.id = fmt.Sprintf("i-%02d", r.number)
+	}
 	r.life, r.state = lf, "ready"
 	lf.server = &http.Server{Handler: r.handler(lf), ReadHeaderTimeout: time.Minute}
 	go func() { _ = lf.server.Serve(l) }() // ends with the life
@@ -397,6 +404,27 @@
 	return n
 }
 
+// overlaps returns the pairs of runs of one task that went on at the same time.
+func (f *fleet) overlaps() [][2]run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, pairs := time.Now(), [][2]run{}
+	end := func(r *run) time.Time {
+		if r.to.IsZero() {
+			return now
+		}
+		return r.to
+	}
+	for i, a := range f.history {
+		for _, b := range f.history[i+1:] {
+			if a.task == b.task && b.from.Before(end(a)) && a.from.Before(end(b)) {
+				pairs = append(pairs, [2]run{*a, *b})
+			}
+		}
+	}
+	return pairs
+}
+
 // running returns the current run of a task, or nil.
 func (f *fleet) running(task string) *run {
 	f.mu.Lock()
@@ -410,13 +438,19 @@
 	return nil
 }
 
+// setLate sets how late the list of machines is answered.
+func (f *fleet) setLate(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.machinesLate = d
+}
+
 // machines serves the platform's list of machines.
 func (f *fleet) machines() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/machines", func(w http.ResponseWriter, _ *http.Request) {
 		f.mu.Lock()
-		defer f.mu.Unlock()
-		list := []map[string]any{}
+		list, late := []map[string]any{}, f.machinesLate
 		for _, r := range f.runners {
 			m := map[string]any{
 				"hostId": "h-" + strconv.Itoa(r.number), "pool": f.service, "state": "down", "zone": "a",
@@ -428,6 +462,8 @@
 			}
 			list = append(list, m)
 		}
+		f.mu.Unlock()
+		time.Sleep(late)
 		reply(w, http.StatusOK, map[string]any{"machines": list, "nextToken": ""})
 	})
 	return mux
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -28,6 +28,9 @@
 	version int
 }
 
+// sameID is set in cases whose runners start again under their IDs.
+var sameID bool
+
 const (
 	service = "desk"
 	host    = "desk.example"
@@ -45,6 +48,7 @@
 func startSite(rec *record, binary, dir string, trouble bool, runners, daemons int, work func(string) time.Duration, routes ...string) (*site, error) {
 	s := &site{rec: rec, store: newStore(), trouble: trouble, dir: dir, client: &http.Client{Timeout: 3 * time.Second}}
 	s.fleet = newFleet(s.store, rec, service, work)
+	s.fleet.stayID = sameID
 	storeAddress, err := serve(s.store.handler())
 	if err != nil {
 		return nil, err
