--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -20,57 +20,6 @@
 	return fmt.Sprintf(`{"spec":"review","steps":[{"count":%d,"cpu":%d,"memMb":1000,"estimateMs":%d%s}]}`, count, cpu, estimateMS, extra)
 }
 
-// crashedRunners crashes the runner of a task three times. No run of the task ends failed.
-func crashedRunners(rec *record, binary, dir string, trouble bool) (int, error) {
-	const (
-		id      = "00000000000000a1"
-		crashes = 3
-		work    = 8 * time.Second
-		down    = 4500 * time.Millisecond
-	)
-	s, err := startSite(rec, binary, dir, trouble, 8, 3, func(string) time.Duration { return work }, "scans")
-	if err != nil {
-		return cannotRun, err
-	}
-	defer s.stop()
-	if !s.submit("scans", id, jobOf(1, 1000, 6000, "")) {
-		return cannotRun, errors.New("the job was not accepted")
-	}
-	task := id + ".0.0.0"
-	for range crashes {
-		if !waitFor(20*time.Second, func() bool { return s.fleet.running(task) != nil }) {
-			rec.add("the task has no run")
-			break
-		}
-		r := s.fleet.runners[s.fleet.running(task).runner]
-		if !trouble {
-			break
-		}
-		time.Sleep(6 * time.Second)
-		r.crash()
-		time.AfterFunc(down, func() {
-			if err := r.restart(); err != nil {
-				rec.add("runner %d did not restart: %v", r.number, err)
-			}
-		})
-		time.Sleep(100 * time.Millisecond)
-	}
-	state := s.watchState(40*time.Second, "scans", id, "completed", "failed", "cancelled")
-	failed := 0
-	for _, r := range s.fleet.runsOf(id) {
-		rec.add("run %d on runner %d: %s after %s", r.attempt, r.runner, r.how, r.to.Sub(r.from).Round(time.Millisecond))
-		if r.how == "failed" {
-			failed++
-		}
-	}
-	s.logs("task_given_up", "job_final", "task_lost")
-	rec.add("the job is shown as %s; %d of its runs ended failed", state, failed)
-	if state != "completed" {
-		return broken, nil
-	}
-	return held, nil
-}
-
 // removedRoute removes the routes of jobs just after these were accepted, and kills all
 // daemons once the change is confirmed. The second step of each job has not started by then.
 func removedRoute(rec *record, binary, dir string, trouble bool) (int, error) {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -18,7 +18,6 @@
 )
 
 var cases = map[string]func(rec *record, binary, dir string, trouble bool) (int, error){
-	"crashed-runners":  crashedRunners,
 	"removed-route":    removedRoute,
 	"config-storm":     configStorm,
 	"restarted-runner": restartedRunner,
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -190,36 +189,6 @@
 	return false
 }
 
-// state returns a job's state; empty if there is none.
-func (s *site) state(n int, queue, id string) string {
-	status, text := s.call(n, http.MethodGet, "/"+queue+"/"+id, "")
-	var body struct{ State string }
-	if status != http.StatusOK || json.Unmarshal([]byte(text), &body) != nil {
-		return fmt.Sprint(status)
-	}
-	return body.State
-}
-
-// watchState polls a job's state until it is one of those, and records changes.
-func (s *site) watchState(limit time.Duration, queue, id string, finals ...string) string {
-	last, n := "", 0
-	waitFor(limit, func() bool {
-		n++
-		if state := s.state(n, queue, id); state != last {
-			last = state
-			s.rec.add("client: GET /%s/%s: %s", queue, id, state)
-		}
-		time.Sleep(200 * time.Millisecond)
-		for _, f := range finals {
-			if last == f {
-				return true
-			}
-		}
-		return false
-	})
-	return last
-}
-
 // logs adds lines of the daemons' logs to the record.
 func (s *site) logs(texts ...string) {
 	for _, line := range s.grep(texts...) {
