--- a/review/stand3/runners.go
+++ b/review/stand3/runners.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	heartbeat    = 1100 * time.Millisecond
-	maxLease     = 6 * time.Second // holdMaxMs
+	heartbeat    = 1500 * time.Millisecond
+	maxLease     = 10 * time.Second // holdMaxMs
 	maxEnds      = 500
 	maxHoldWait  = 2 * time.Second
 	runnerRack   = 2
