--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -79,6 +79,7 @@
 	const (
 		changes = 12
 		gap     = 330 * time.Millisecond
+		retry   = 40 * time.Millisecond
 		calm    = 4 * time.Second // over configApplyMs
 		tasks   = 2
 		daemons = 5
@@ -103,12 +104,11 @@
 				if accepted[id] != "" {
 					continue
 				}
-				if status, text := s.call(n, "POST", "/"+queue+"/"+id, jobOf(tasks, 1000, 300, "")); status/100 == 2 {
+				if status, _ := s.do(n, "POST", "/"+queue+"/"+id, jobOf(tasks, 1000, 300, "")); status/100 == 2 {
 					accepted[id] = queue
-					rec.add("client: POST /%s/%s to %s: %d %s", queue, id, s.daemons[n].name, status, text)
 				}
 			}
-			time.Sleep(5 * time.Millisecond)
+			time.Sleep(retry)
 		}
 	}
 	s.config("scans")
@@ -136,10 +136,10 @@
 // time, while the platform answers calls for the list of machines late.
 func restartedRunner(rec *record, binary, dir string, trouble bool) (int, error) {
 	const (
-		rounds = 4
-		apart  = 10 * time.Second
-		late   = 600 * time.Millisecond
-		down   = 800 * time.Millisecond
+		rounds = 11
+		apart  = 9 * time.Second
+		late   = 200 * time.Millisecond
+		down   = 660 * time.Millisecond
 		long   = 6 * time.Second
 		short  = time.Second
 		vary   = 1500 // ms
@@ -158,12 +158,13 @@
 		return cannotRun, err
 	}
 	defer s.stop()
+	s.fleet.setTaskCPU(8000)
 	for round := range rounds {
 		begun, job := time.Now(), fmt.Sprintf("a%015x", round)
 		if !s.submit("scans", job, jobOf(2, 8000, 6000, "")) {
 			return cannotRun, errors.New("a job was not accepted")
 		}
-		for n := range 8 { // keeps the other runners full
+		for n := range 7 { // keeps the other runners full
 			if !s.submit("scans", fmt.Sprintf("%016x", 0xf00+16*round+n), jobOf(6, 8000, 1700, "")) {
 				return cannotRun, errors.New("a job was not accepted")
 			}
--- a/review/stand3/runners.go
+++ b/review/stand3/runners.go
@@ -33,6 +33,8 @@
 	runners []*runner
 	history []*run
 	changed chan struct{} // closed and replaced when a run begins or ends
+	// taskCPU is what each task requests; a runner refuses what does not fit.
+	taskCPU int
 	// stayID keeps a runner's ID in its next lives.
 	stayID bool
 	// machinesLate is how late the list of machines is answered.
@@ -85,7 +87,7 @@
 }
 
 func newFleet(s *store, rec *record, service string, work func(string) time.Duration) *fleet {
-	return &fleet{store: s, rec: rec, service: service, work: work, changed: make(chan struct{})}
+	return &fleet{store: s, rec: rec, service: service, work: work, changed: make(chan struct{}), taskCPU: 1000}
 }
 
 // add starts a runner on a free port.
@@ -297,6 +299,10 @@
 	if o.Attempt <= lf.highest[o.Task] || lf.runs[o.Task] != nil {
 		return refuse("old")
 	}
+	if (len(lf.runs)+1)*f.taskCPU > runnerCPU {
+		f.rec.add("runner %d (%s): %s/%d refused for want of room", r.number, lf.id, o.Task, o.Attempt)
+		return refuse("room")
+	}
 	started := &run{task: o.Task, attempt: o.Attempt, runner: r.number, life: lf.id, fence: o.Fence, from: time.Now(), spec: o.Spec, checkpoint: o.Checkpoint}
 	lf.runs[o.Task] = started
 	f.history = append(f.history, started)
@@ -438,6 +444,13 @@
 	return nil
 }
 
+// setTaskCPU sets what each task requests, in thousandths of a core.
+func (f *fleet) setTaskCPU(cpu int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.taskCPU = cpu
+}
+
 // setLate sets how late the list of machines is answered.
 func (f *fleet) setLate(d time.Duration) {
 	f.mu.Lock()
@@ -450,7 +463,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/machines", func(w http.ResponseWriter, _ *http.Request) {
 		f.mu.Lock()
-		list, late := []map[string]any{}, f.machinesLate
+		list, down, late := []map[string]any{}, []string{}, f.machinesLate
 		for _, r := range f.runners {
 			m := map[string]any{
 				"hostId": "h-" + strconv.Itoa(r.number), "pool": f.service, "state": "down", "zone": "a",
@@ -459,11 +472,15 @@
 			}
 			if r.life != nil {
 				m["state"], m["id"] = "up", r.life.id
+			} else {
+				down = append(down, strconv.Itoa(r.number))
 			}
 			list = append(list, m)
 		}
 		f.mu.Unlock()
+		asked := time.Now()
 		time.Sleep(late)
+		f.rec.add("list of machines: as of %.3f, down: %s", f.rec.at(asked), strings.Join(down, " "))
 		reply(w, http.StatusOK, map[string]any{"machines": list, "nextToken": ""})
 	})
 	return mux
