cell: a late answer of the list of VMs ends the runs of a new boot (test)

The owner reads the list of VMs while a worker is down, the worker restarts under its ID and gets tasks, and the answer, which was true before the restart, gives them up.

The fleet's list of VMs answers late, in virtual time.

--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -36,6 +36,8 @@
 	speculation speculation
 	// endsPerListing is the number of ends that a worker lists at a time.
 	endsPerListing int
+	// aliveDelay is how late the list of VMs is answered.
+	aliveDelay time.Duration
 	// evacuations are those in force, by data centre.
 	evacuations map[string]evacuation
 	running     map[string]int       // current runs of a task on live workers
@@ -255,8 +257,29 @@
 	return entries, nil
 }
 
+// DelayAlive makes the list of VMs answer d after a call arrives, with the state as of its
+// arrival. Zero restores normal operation.
+func (f *Fleet) DelayAlive(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.aliveDelay = d
+}
+
 // Alive implements port.Machines.
-func (f *Fleet) Alive(context.Context) (map[string]bool, error) {
+func (f *Fleet) Alive(ctx context.Context) (map[string]bool, error) {
+	alive, delay := f.aliveNow()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, &port.UnansweredError{Op: "machines", Err: ctx.Err()}
+		}
+	}
+	return alive, nil
+}
+
+// aliveNow returns the IDs of the workers whose VMs are up, and how late that is answered.
+func (f *Fleet) aliveNow() (map[string]bool, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	alive := map[string]bool{}
@@ -265,7 +288,7 @@
 			alive[w.entry.ID] = true
 		}
 	}
-	return alive, nil
+	return alive, f.aliveDelay
 }
 
 func (w *fleetWorker) kill() {
