cell: a listing of a former boot is no answer of the known one

Cause: the engine ignored a listing of an older boot, but the heartbeat took it for an answer and renewed the lease of the runs that the known boot had. They were neither listed nor given up.

Change: by the rule for results of calls, such a listing says nothing of the known boot, so that this one has not answered. Its lease is not renewed, and its tasks start elsewhere once it has expired.

--- a/dispatch/responses.go
+++ b/dispatch/responses.go
@@ -25,8 +25,8 @@
 }
 
 // HandleStartResponse handles the response to a start request: nil,
-// *port.RefusedError or *port.UnansweredError. clockMS is the worker's clock, zero
-// if it is not known.
+// *port.RefusedError or *port.UnansweredError. o is the observation of the request, and
+// clockMS the worker's clock, zero if it is not known.
 func (e *Engine) HandleStartResponse(r *Run, o Observation, clockMS int64, err error, now time.Time) {
 	w := r.Worker
 	current := o.concerns(w)
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -57,6 +57,9 @@
 	uncommittedSince time.Time
 }
 
+// errOutdatedBoot means that a listing is of an older boot than the one known.
+var errOutdatedBoot = errors.New("the listing is of an older boot")
+
 // heartbeatAll requests listings from the workers for which one is due.
 func (t *term) heartbeatAll(now time.Time) {
 	if !t.loaded || t.leaseAt(now) <= 0 || t.readsNothing(now) {
@@ -166,13 +169,19 @@
 			t.schedulePlan()
 			return
 		}
-		hb.failed = false
 		if l.Boot == boot {
 			hb.acknowledgedEnd = max(hb.acknowledgedEnd, req.Acknowledge)
 			hb.answeredAt = received
 		}
 		t.logEnds(w, l)
-		t.engine.HandleListing(observed, l, done)
+		if !t.engine.HandleListing(observed, l, done) {
+			if t.engine.Worker(w.Entry.ID) == w { // the known boot has not answered
+				t.listFailed(hb, w, observed, errOutdatedBoot)
+				t.schedulePlan()
+			}
+			return
+		}
+		hb.failed = false
 		if seen, _ := w.LastEnd(); seen > hb.committedEnd && hb.uncommittedSince.Before(now) {
 			hb.uncommittedSince = done
 			t.urgent = true
--- a/internal/cell/liveness_test.go
+++ b/internal/cell/liveness_test.go
@@ -148,3 +148,23 @@
 		}
 	})
 }
+
+// TestTasksOfAWorkerThatRestartsWithAnEarlierBootStartAgain guards against accepted jobs that
+// never end: the listings of a boot that is not newer than the known one were ignored, and yet
+// counted as answers that renew the lease of the runs of the former boot.
+func TestTasksOfAWorkerThatRestartsWithAnEarlierBootStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newVMListCluster(t, time.Second, 0)
+		defer cl.stopAll()
+		cl.fleet.RestartWithBoot("w0", 5)
+		time.Sleep(2 * time.Second)
+		long := cl.fillWorker("")
+		time.Sleep(time.Second)
+		if cl.fleet.RunningOn("w0") != 8 {
+			t.Fatal("the tasks do not fill the worker")
+		}
+		cl.fleet.RestartWithBoot("w0", 3)
+		cl.awaitState(long, job.Completed, 20*time.Second)
+		cl.check()
+	})
+}
--- a/internal/fake/fleet.go
+++ b/internal/fake/fleet.go
@@ -144,6 +144,17 @@
 	w.restart()
 }
 
+// RestartWithBoot is like Restart with a given boot number, which may be an earlier one: the
+// worker's clock has been set back.
+func (f *Fleet) RestartWithBoot(id string, boot int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.kill()
+	w.entry.Boot = boot - 1
+	w.restart()
+}
+
 // restart replaces a dead worker by its next boot.
 func (w *fleetWorker) restart() {
 	entry := w.entry
