--- a/internal/cell/cluster_test.go
+++ b/internal/cell/cluster_test.go
@@ -49,6 +49,9 @@
 	// queueRemovedIn is the version of the configuration from which the queue is missing; zero
 	// if there is none.
 	queueRemovedIn atomic.Int64
+	// queuesOf returns the queues of a version of the configuration; nil means that each has the
+	// queue "batch".
+	queuesOf func(version int64) []job.Queue
 	// milliCPU is the capacity of each daemon; nil if capacities are not known.
 	milliCPU func(name string) int64
 	// divided is set if the daemons divide the workers into cells.
@@ -87,6 +90,9 @@
 	// unreadable reports whether reads of a table in a partition fail; the partition is empty
 	// for reads of changes. It may be nil.
 	unreadable atomic.Pointer[func(table, partition string) bool]
+	// configVersion is the version of the configuration that the daemon reads; zero means the
+	// newest.
+	configVersion atomic.Int64
 	// scanDelay is the duration of each read of a table other than the owner's row, in
 	// nanoseconds.
 	scanDelay atomic.Int64
@@ -358,7 +364,11 @@
 	if err := (daemonStore{c.cl.store, c.d}).blockIfUnreachable(ctx, "range"); err != nil {
 		return nil, err
 	}
-	body := []byte(strconv.FormatInt(1+c.cl.configChanges.Load(), 10))
+	version := c.d.configVersion.Load()
+	if version == 0 {
+		version = 1 + c.cl.configChanges.Load()
+	}
+	body := []byte(strconv.FormatInt(version, 10))
 	if size := c.cl.configBytes.Load(); size > 0 {
 		if known != nil && known.Version == 1+c.cl.configChanges.Load() {
 			return known, nil // large bodies are not read again
@@ -378,6 +388,12 @@
 	}
 	queue := job.Queue{Name: "batch", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}
 	config := &port.Config{Version: version, Body: body, Routes: []port.Route{{Queue: queue}}}
+	if c.cl.queuesOf != nil {
+		config.Routes = nil
+		for _, q := range c.cl.queuesOf(version) {
+			config.Routes = append(config.Routes, port.Route{Queue: q})
+		}
+	}
 	if removed := c.cl.queueRemovedIn.Load(); removed > 0 && version >= removed {
 		config.Routes = nil
 	}
