cell: a job is stored with the settings of its queue

Cause: the owner looked up the queue of a job in what it happened to know. If it had never read the version of the configuration that had the queue, or its predecessor had not yet stored the queue's settings, the job had no pool, and waited without a word.

Change: the specification of a job carries the settings of its queue and their version (job.QueueSettings), stored by the transaction that accepts the job. The newest settings that an owner meets hold for all jobs of the queue; the row of queues tells its versions. A submission to a queue that is not in the daemon's configuration is refused with 503. A job without settings, of an earlier version, is logged and counted.

--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -17,7 +17,7 @@
 	f.SetQueues([]job.Queue{{
 		Name: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second,
 		Advisor: &job.Advisor{DecisionTime: 5 * time.Millisecond, PerWorkerTime: time.Millisecond, TicketTTL: 3 * time.Second},
-	}})
+	}}, 1)
 	return f
 }
 
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -16,7 +16,7 @@
 func newFullEngine(workers, services, waiting int) (*Engine, time.Time) {
 	e := NewEngine(testOptions)
 	now := time.Unix(1000, 0)
-	e.SetQueues([]job.Queue{{Name: "batch", Pool: "pool", Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second}})
+	e.SetQueues([]job.Queue{{Name: "batch", Pool: "pool", Priority: 2, MaxAttempts: 3, Stretch: 2, Slack: time.Second}}, 1)
 	var entries []port.WorkerEntry
 	for i := range workers {
 		entries = append(entries, worker(fmt.Sprintf("w%03d", i), 64000, 250000))
--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -50,7 +50,7 @@
 	f.SetWorkersReadAt(f.now)
 	is.Equal(len(f.plan(0).Starts), 1)
 
-	f.SetQueues([]job.Queue{{Name: "q", Pool: "pool", GuardsCapacity: true}})
+	f.SetQueues([]job.Queue{{Name: "q", Pool: "pool", GuardsCapacity: true}}, 1)
 	f.Add(spec("guarded", small(1)), f.now, 0)
 	is.Equal(len(f.plan(10*time.Second).Starts), 1)
 }
--- a/dispatch/copying_takeover_test.go
+++ b/dispatch/copying_takeover_test.go
@@ -16,7 +16,7 @@
 func (f *racing) takeOverCopy(t *testing.T, stored Progress) (*racing, *Task) {
 	t.Helper()
 	next := &racing{fixture: &fixture{Engine: NewEngine(testOptions), now: f.now, entries: f.entries}, sequence: f.sequence}
-	next.SetQueues([]job.Queue{{Name: "q", Pool: "pool", MaxAttempts: 3, Stretch: 9, Slack: time.Minute}})
+	next.SetQueues([]job.Queue{{Name: "q", Pool: "pool", MaxAttempts: 3, Stretch: 9, Slack: time.Minute}}, 1)
 	next.SetWorkers(f.entries, next.now)
 	j := next.Add(f.job.Spec, next.now, 0)
 	is.New(t).NoErr(next.Restore(j, stored))
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -405,7 +405,7 @@
 func (f *fixture) takeOver(t *testing.T, former *Job, list []port.WorkerEntry) (*fixture, *Job) {
 	t.Helper()
 	next := &fixture{Engine: NewEngine(testOptions), now: f.now, entries: list}
-	next.SetQueues([]job.Queue{f.queues["q"]})
+	next.SetQueues([]job.Queue{f.queues["q"].Queue}, 1)
 	next.SetWorkers(list, next.now)
 	j := next.Add(former.Spec, next.now, 0)
 	is.New(t).NoErr(next.Restore(j, former.Progress()))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -126,7 +125,11 @@
 	// unstarted is the number of open jobs that have not started, by queue; queues
 	// without such jobs are left out.
 	unstarted map[string]int
-	queues    map[string]job.Queue
+	// queues are the newest known settings of each queue, by name. The settings of jobs point to
+	// them.
+	queues map[string]*job.QueueSettings
+	// withoutSettings are the names of queues with jobs whose settings are not known.
+	withoutSettings map[string]bool
 	// uncontacted are workers that may run tasks of a former owner and have not
 	// answered this one, with the time by which those tasks have ended.
 	uncontacted map[string]time.Time
@@ -245,13 +248,16 @@
 // NewEngine returns an engine without jobs and workers.
 func NewEngine(o Options) *Engine {
 	return &Engine{
-		options:     o,
-		jobs:        map[string]*Job{},
-		tasks:       map[string]*Task{},
-		workers:     map[string]*Worker{},
-		finalJobs:   map[string]time.Time{},
-		unstarted:   map[string]int{},
-		queues:      map[string]job.Queue{},
+		options:   o,
+		jobs:      map[string]*Job{},
+		tasks:     map[string]*Task{},
+		workers:   map[string]*Worker{},
+		finalJobs: map[string]time.Time{},
+		unstarted: map[string]int{},
+		queues:    map[string]*job.QueueSettings{},
+
+		withoutSettings: map[string]bool{},
+
 		uncontacted: map[string]time.Time{},
 		recordedOn:  map[string][]*Task{},
 
@@ -294,23 +300,64 @@
 	}
 }
 
-// SetQueues applies the operators' queue settings. A queue that has been removed
-// keeps its last settings for the jobs that remain in it.
-func (e *Engine) SetQueues(queues []job.Queue) {
+// SetQueues applies the queue settings of a version of the operators' configuration. A queue
+// that it lacks keeps its last settings for the jobs that remain in it, and one that is known
+// from a later version keeps those.
+func (e *Engine) SetQueues(queues []job.Queue, version int64) {
+	settings := make([]job.QueueSettings, 0, len(queues))
 	for _, q := range queues {
-		e.queues[q.Name] = q
+		settings = append(settings, job.QueueSettings{Version: version, Queue: q})
+	}
+	e.SetQueueSettings(settings)
+}
+
+// SetQueueSettings is like SetQueues for the settings of queues as of different versions.
+func (e *Engine) SetQueueSettings(settings []job.QueueSettings) {
+	for i := range settings {
+		e.learnSettings(&settings[i])
 	}
 	for _, j := range e.jobs {
-		if q, ok := e.queues[j.Spec.Queue]; ok {
-			j.Queue = q
-			j.profiledAt = time.Time{}
-		}
+		j.applySettings(e.queues[j.Spec.Queue])
+	}
+}
+
+// learnSettings keeps the settings of a queue unless later ones are known.
+func (e *Engine) learnSettings(t *job.QueueSettings) {
+	if known := e.queues[t.Queue.Name]; known == nil || known.Version <= t.Version {
+		e.queues[t.Queue.Name] = t
+	}
+}
+
+// learnSettingsOf keeps the settings that a new job was accepted under if they are later than those
+// known, and applies them to the other jobs of the queue.
+func (e *Engine) learnSettingsOf(spec job.Spec) {
+	t, known := spec.QueueSettings, e.queues[spec.Queue]
+	if t == nil || t.Queue.Name != spec.Queue || known != nil && known.Version >= t.Version {
+		return
+	}
+	if known == nil && !e.withoutSettings[spec.Queue] {
+		e.learnSettings(t) // there are no other jobs
+		return
 	}
+	e.SetQueueSettings([]job.QueueSettings{*t})
 }
 
-// Queues returns the known settings of all queues, sorted by name.
-func (e *Engine) Queues() []job.Queue {
-	return slices.SortedFunc(maps.Values(e.queues), func(a, b job.Queue) int { return strings.Compare(a.Name, b.Name) })
+// applySettings applies the settings of a job's queue; nil if they are not known.
+func (j *Job) applySettings(t *job.QueueSettings) {
+	if t != nil {
+		j.Spec.QueueSettings, j.Queue = t, t.Queue
+		j.profiledAt = time.Time{}
+	}
+}
+
+// QueueSettings returns the known settings of all queues, sorted by name.
+func (e *Engine) QueueSettings() []job.QueueSettings {
+	settings := make([]job.QueueSettings, 0, len(e.queues))
+	for _, t := range e.queues {
+		settings = append(settings, *t)
+	}
+	slices.SortFunc(settings, func(a, b job.QueueSettings) int { return strings.Compare(a.Queue.Name, b.Queue.Name) })
+	return settings
 }
 
 // UsedQueues returns the queues that open jobs are in.
@@ -339,7 +386,12 @@
 	if _, ended := e.finalJobs[spec.ID]; ended {
 		return nil
 	}
-	j := &Job{Spec: spec, Queue: e.queues[spec.Queue], State: job.Queued, arrived: now, arrivedUnixMS: wallMS, hosted: hosted, mayCreate: true}
+	e.learnSettingsOf(spec)
+	j := &Job{Spec: spec, State: job.Queued, arrived: now, arrivedUnixMS: wallMS, hosted: hosted, mayCreate: true}
+	j.applySettings(e.queues[spec.Queue])
+	if j.Spec.QueueSettings == nil {
+		e.withoutSettings[spec.Queue] = true
+	}
 	j.waitingOf = make([]int, len(spec.Steps))
 	// A former owner that has not noticed the takeover may have received the job, too.
 	j.inherited = len(e.uncontacted) > 0 && now.Sub(e.takeoverAt) < handoverWindow
--- a/dispatch/draining_test.go
+++ b/dispatch/draining_test.go
@@ -143,7 +143,7 @@
 	former.place("other", serviceStep(1, 4000), "silent")
 
 	f := &fixture{Engine: NewEngine(testOptions), now: former.now, entries: former.entries}
-	f.SetQueues(former.queueList())
+	f.SetQueues(former.queueList(), 1)
 	f.SetWorkers(f.entries, f.now)
 	for _, id := range []string{"service", "other"} {
 		is.NoErr(f.Restore(f.Add(former.Job(id).Spec, f.now, 0), former.Job(id).Progress()))
@@ -184,7 +184,7 @@
 func (f *fixture) queueList() []job.Queue {
 	queues := make([]job.Queue, 0, len(f.queues))
 	for _, q := range f.queues {
-		queues = append(queues, q)
+		queues = append(queues, q.Queue)
 	}
 	return queues
 }
--- a/dispatch/engine_test.go
+++ b/dispatch/engine_test.go
@@ -20,7 +20,7 @@
 
 func newFixture(workers ...port.WorkerEntry) *fixture {
 	f := &fixture{Engine: NewEngine(testOptions), now: time.Unix(1000, 0), entries: workers}
-	f.SetQueues([]job.Queue{{Name: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}})
+	f.SetQueues([]job.Queue{{Name: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}, 1)
 	f.SetWorkers(workers, f.now)
 	for _, w := range workers {
 		f.reportListing(w.ID, port.Listing{})
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -172,7 +172,7 @@
 func TestStartsExpireWithTheEvacuationsThatTheyRelyOn(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(worker("a", 16000, 64000))
-	f.SetQueues([]job.Queue{{Name: "q", Pool: "pool", GuardsCapacity: true}})
+	f.SetQueues([]job.Queue{{Name: "q", Pool: "pool", GuardsCapacity: true}}, 1)
 	f.options.MaxEvacuation = 5 * time.Second
 	f.SetWorkersReadAt(f.now)
 	f.Add(spec("first", small(1)), f.now, 0)
--- a/dispatch/lookahead_load_test.go
+++ b/dispatch/lookahead_load_test.go
@@ -168,7 +168,7 @@
 	p.SetQueues([]job.Queue{
 		{Name: "small", Pool: "pool", Priority: 1, MaxAttempts: 3, Stretch: 2, Slack: 2 * time.Second},
 		{Name: "large", Pool: "pool", Priority: 1, MaxAttempts: 3, Stretch: 2, Slack: 2 * time.Second},
-	})
+	}, 1)
 	var entries []port.WorkerEntry
 	for i := range l.workers {
 		entries = append(entries, worker(fmt.Sprintf("w%03d", i), yardCores*1000, yardMemoryMB))
--- a/dispatch/lookahead_test.go
+++ b/dispatch/lookahead_test.go
@@ -257,7 +257,7 @@
 			f.reserve(task, f.Worker("a"), f.now)
 		},
 		"priority": func(f *fixture) {
-			f.SetQueues([]job.Queue{{Name: "first", Pool: "pool", Priority: -1, MaxAttempts: 3, Stretch: 2}})
+			f.SetQueues([]job.Queue{{Name: "first", Pool: "pool", Priority: -1, MaxAttempts: 3, Stretch: 2}}, 1)
 			f.Add(job.Spec{ID: "next", Queue: "first", Steps: []job.Step{step(1, 1000, 60_000)}}, f.now, 0)
 		},
 	} {
--- a/dispatch/occurrences_test.go
+++ b/dispatch/occurrences_test.go
@@ -193,7 +193,7 @@
 func (p *played) begin() {
 	p.fixture = &fixture{Engine: NewEngine(testOptions), now: p.now, entries: p.entries}
 	p.options.Budget = NewBudget(p.limit)
-	p.SetQueues([]job.Queue{{Name: "q", Pool: "pool", Stretch: 2, Slack: time.Second}})
+	p.SetQueues([]job.Queue{{Name: "q", Pool: "pool", Stretch: 2, Slack: time.Second}}, 1)
 	p.SetWorkers(p.entries, p.now)
 	p.job = p.Add(p.spec, p.now, p.now.UnixMilli())
 }
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -44,7 +44,7 @@
 	f.SetQueues([]job.Queue{
 		{Name: "q", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
 		{Name: "other", Pool: "other", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
-	})
+	}, 1)
 	s := spec("service", serviceStep(4, 1000))
 	s.Queue = "other"
 	f.Add(s, f.now, 0)
--- a/dispatch/urgency_bench_test.go
+++ b/dispatch/urgency_bench_test.go
@@ -14,7 +14,7 @@
 	for _, waiting := range []int{100, 1000, 3000} {
 		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
 			e := NewEngine(testOptions)
-			e.SetQueues([]job.Queue{{Name: "urgent", Stretch: 2, Slack: time.Second}, {Name: "batch", Priority: 2, Stretch: 2, Slack: 2 * time.Second}})
+			e.SetQueues([]job.Queue{{Name: "urgent", Stretch: 2, Slack: time.Second}, {Name: "batch", Priority: 2, Stretch: 2, Slack: 2 * time.Second}}, 1)
 			now := time.Unix(1000, 0)
 			add := func(n int) {
 				step := job.Step{Tasks: 10, EstimateMS: int64(500 + n*7919%3000), Image: fmt.Sprint("i", n%9), Resources: job.Resources{MilliCPU: 1000}}
--- a/dispatch/urgency_test.go
+++ b/dispatch/urgency_test.go
@@ -68,7 +68,7 @@
 	f := newFixture(worker("w", 100, 64000))
 	j := f.Add(spec("j", small(1)), f.now, 0)
 	is.Equal(j.objective.Sub(j.arrived), 2*time.Second)
-	f.SetQueues([]job.Queue{{Name: "q", Pool: "pool", Priority: 1, Stretch: 4, Slack: 2 * time.Second}})
+	f.SetQueues([]job.Queue{{Name: "q", Pool: "pool", Priority: 1, Stretch: 4, Slack: 2 * time.Second}}, 1)
 	f.plan(0)
 	is.Equal(j.objective.Sub(j.arrived), 4*time.Second)
 	is.Equal(j.rank.Priority, 1)
@@ -79,7 +79,7 @@
 func TestExpiredJobIsPlannedAgain(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(worker("w", 1000, 64000))
-	f.SetQueues([]job.Queue{{Name: "late", Pool: "pool", Priority: 2, Stretch: 1}})
+	f.SetQueues([]job.Queue{{Name: "late", Pool: "pool", Priority: 2, Stretch: 1}}, 1)
 	old := small(1)
 	f.Add(job.Spec{ID: "old", Queue: "late", Steps: []job.Step{old}}, f.now, 0)
 	expires := f.now.Add(urgency.ExpiryFactor * 500 * time.Millisecond)
@@ -109,7 +109,7 @@
 		is := is.New(t)
 		rng := rand.New(rand.NewPCG(seed, 9))
 		f := newFixture(worker("w", 10, 10))
-		f.SetQueues([]job.Queue{{Name: "p0", Stretch: 2, Slack: time.Second}, {Name: "p1", Priority: 1, Stretch: 2, Slack: time.Second}, {Name: "p2", Priority: 2, Stretch: 2, Slack: time.Second}})
+		f.SetQueues([]job.Queue{{Name: "p0", Stretch: 2, Slack: time.Second}, {Name: "p1", Priority: 1, Stretch: 2, Slack: time.Second}, {Name: "p2", Priority: 2, Stretch: 2, Slack: time.Second}}, 1)
 		for n := range 60 {
 			step := small(1 + rng.IntN(5))
 			if rng.IntN(2) == 0 {
--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -258,12 +258,23 @@
 }
 
 // BenchmarkRestore measures the part of a recovery that runs on the control loop, for
-// 1,500 jobs of two steps, half of which have started.
+// 1,500 jobs of two steps, half of which have started. The jobs have no settings, or those of queues
+// that the configuration lacks.
 func BenchmarkRestore(b *testing.B) {
+	for _, queues := range []int{0, 1, 1400} {
+		b.Run(fmt.Sprintf("queues=%d", queues), func(b *testing.B) { benchmarkRestore(b, queues) })
+	}
+}
+
+func benchmarkRestore(b *testing.B, queues int) {
 	var data recoveryData
 	cluster := &cluster{}
 	for i := range 1500 {
 		spec := cluster.spec(benchTasksPerJob)
+		if queues > 0 {
+			spec.Queue = fmt.Sprintf("queue%d", i%queues)
+			spec.QueueSettings = &job.QueueSettings{Version: 1, Queue: job.Queue{Name: spec.Queue, Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}
+		}
 		row := port.Row{Table: tableJobs, Key: spec.ID, Value: encode(jobRecord{Spec: &spec}), Version: 1}
 		data.jobs.Rows = append(data.jobs.Rows, row)
 		if i%2 == 0 {
--- a/internal/cell/deferred.go
+++ b/internal/cell/deferred.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -126,12 +125,8 @@
 // submitToFull handles a submission for which the owner has no memory: it is refused, unless a row of the
 // job is stored already.
 func (c *Cell) submitToFull(ctx context.Context, id string) error {
-	stored, err := c.storedState(ctx, id)
-	switch {
-	case !errors.Is(err, ErrNoJob):
+	if stored, err := c.submitStored(ctx, id); stored {
 		return err
-	case stored.record.Withdrawn:
-		return c.submitWithdrawn(ctx, id, stored.version, stored.record)
 	}
 	c.instruments.jobsRefusedFull.Inc(1)
 	c.Log.WithFields(log.Fields{"event": "job_refused_full", "job": id, "cell": c.Number}).Info("no memory for further jobs")
--- a/internal/cell/jobs.go
+++ b/internal/cell/jobs.go
@@ -50,6 +50,9 @@
 	if c.isFull(spec) {
 		return c.submitToFull(ctx, spec.ID)
 	}
+	if spec.QueueSettings = settingsOf(c.View().Config, spec.Queue); spec.QueueSettings == nil {
+		return c.submitToUnknownQueue(ctx, spec)
+	}
 	txn := c.submission(spec)
 	if bytes := len(txn.Puts[0].Value); bytes > c.rowBytes() {
 		return verdict.Refuse(verdict.CodeTooLarge, http.StatusRequestEntityTooLarge, 0, "the job takes %d bytes and the store holds %d", bytes, c.rowBytes())
@@ -72,6 +75,42 @@
 	return nil
 }
 
+// submitStored handles a submission that cannot be stored now. It reports whether a row of the job
+// is stored already, or whether that is not known.
+func (c *Cell) submitStored(ctx context.Context, id string) (stored bool, err error) {
+	state, err := c.storedState(ctx, id)
+	switch {
+	case !errors.Is(err, ErrNoJob):
+		return true, err
+	case state.record.Withdrawn:
+		return true, c.submitWithdrawn(ctx, id, state.version, state.record)
+	}
+	return false, nil
+}
+
+// submitToUnknownQueue handles a submission to a queue that the configuration in force lacks: without
+// the queue's settings, the job would not run.
+func (c *Cell) submitToUnknownQueue(ctx context.Context, spec job.Spec) error {
+	if stored, err := c.submitStored(ctx, spec.ID); stored {
+		return err
+	}
+	c.Log.WithFields(log.Fields{"event": "job_refused_queue", "job": spec.ID, "queue": spec.Queue}).Info("the configuration in force lacks the queue")
+	return verdict.Refuse(verdict.CodeNotReady, http.StatusServiceUnavailable, retryAfter, "the settings of the queue %s are not known", spec.Queue)
+}
+
+// settingsOf returns the settings of a queue in a configuration; nil if it lacks the queue.
+func settingsOf(config *port.Config, queue string) *job.QueueSettings {
+	if config == nil {
+		return nil
+	}
+	for _, r := range config.Routes {
+		if r.Queue.Name == queue {
+			return &job.QueueSettings{Version: config.Version, Queue: r.Queue}
+		}
+	}
+	return nil
+}
+
 // submission returns the transaction that stores a job, unless it is stored in any cell.
 func (c *Cell) submission(spec job.Spec) port.Txn {
 	txn := port.Txn{
--- a/internal/cell/loopdelay_test.go
+++ b/internal/cell/loopdelay_test.go
@@ -62,7 +62,7 @@
 	is := is.New(t)
 	e := dispatch.NewEngine(dispatch.Options{MaxLease: 6 * time.Second, StartWindow: 1500 * time.Millisecond, MaxViolation: 4 * time.Second})
 	now := time.Unix(1000, 0)
-	e.SetQueues([]job.Queue{{Name: "batch", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}})
+	e.SetQueues([]job.Queue{{Name: "batch", Pool: "pool", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}, 1)
 	e.SetWorkers([]port.WorkerEntry{{ID: "w", Pool: "pool", Boot: 1, Capacity: job.Resources{MilliCPU: 64000, MemoryMB: 250000}}}, now)
 	e.HandleListing(e.Observe("w", now), port.Listing{ClockMS: 1000, Boot: 1}, now)
 	w, hb := e.Worker("w"), &workerHeartbeat{}
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -27,6 +27,7 @@
 	commitLatency                   metrics.Histogram
 	takeovers, ownershipsLost       metrics.Counter
 	jobsStored, jobsNotStored       metrics.Counter
+	jobsWithoutSettings             metrics.Counter
 
 	// owner, loaded and recovered are 1 or 0, and epoch is the owner's as far as
 	// this daemon knows.
@@ -98,8 +99,6 @@
 		commitLatency:     histogram("cell.commit_ms"),
 		takeovers:         counter("cell.takeovers"),
 		ownershipsLost:    counter("cell.ownerships_lost"),
-		jobsStored:        counter("cell.jobs_stored"),
-		jobsNotStored:     counter("cell.jobs_not_stored"),
 
 		owner:     gauge("cell.owner"),
 		loaded:    gauge("cell.loaded"),
@@ -137,14 +136,20 @@
 		jobsHeld:           gauge("cell.jobs_held"),
 		heldLimit:          gauge("cell.held_limit"),
 		jobsDeferred:       gauge("cell.jobs_deferred"),
-		jobsRefusedFull:    counter("cell.jobs_refused_full"),
-		jobsWithdrawn:      counter("cell.jobs_withdrawn"),
 	}
+	m.registerSubmissions(counter)
 	m.handoversDeclined, m.releasesAbandoned, m.releasesIncomplete = counter("cell.handovers_declined"), counter("cell.releases_abandoned"), counter("cell.releases_incomplete")
 	m.registerByReason()
 	return m
 }
 
+// registerSubmissions registers the counters of submitted jobs.
+func (m *instruments) registerSubmissions(counter func(name string) metrics.Counter) {
+	m.jobsStored, m.jobsNotStored = counter("cell.jobs_stored"), counter("cell.jobs_not_stored")
+	m.jobsRefusedFull, m.jobsWithdrawn = counter("cell.jobs_refused_full"), counter("cell.jobs_withdrawn")
+	m.jobsWithoutSettings = counter("cell.jobs_without_settings")
+}
+
 // registerByReason registers the counters that exist for each reason or state, so that they
 // are shown before the first event.
 func (m *instruments) registerByReason() {
--- a/internal/cell/queue_rows.go
+++ b/internal/cell/queue_rows.go
@@ -25,10 +25,27 @@
 type queuesRecord struct {
 	// Queues are those that may have open jobs, sorted by name.
 	Queues []job.Queue `json:"queues"`
+	// Versions are the versions of the configuration that Queues are of, in the same order. A
+	// daemon of an earlier version stores none.
+	Versions []int64 `json:"versions,omitempty"`
 }
 
-// queueKeeper keeps the settings of queues in the store, because the configuration lacks those of
-// a queue that has been removed while its jobs go on. It belongs to the control loop.
+// settings returns the settings with their versions; zero if these are not known.
+func (r queuesRecord) settings() []job.QueueSettings {
+	settings := make([]job.QueueSettings, 0, len(r.Queues))
+	for i, q := range r.Queues {
+		t := job.QueueSettings{Queue: q}
+		if len(r.Versions) == len(r.Queues) {
+			t.Version = r.Versions[i]
+		}
+		settings = append(settings, t)
+	}
+	return settings
+}
+
+// queueKeeper keeps the last settings of queues in the store, because the configuration lacks those of
+// a queue that has been removed while its jobs go on. A job whose queue is not stored goes on under
+// the settings that it was accepted under. It belongs to the control loop.
 type queueKeeper struct {
 	stored    []byte // nil if it is not known
 	checkedAt time.Time
@@ -44,9 +61,9 @@
 			continue
 		}
 		t.queueKeeper.stored = row.Value
-		t.engine.SetQueues(record.Queues)
+		t.engine.SetQueueSettings(record.settings())
 	}
-	t.engine.SetQueues(t.c.queues()) // newer
+	t.engine.SetQueues(t.c.queues(), t.c.configVersion())
 }
 
 // putQueues adds the settings of queues to a batch if they have changed.
@@ -56,7 +73,7 @@
 		return
 	}
 	k.checkedAt = now
-	value := encode(queuesRecord{t.queuesToKeep(now)})
+	value := encode(t.queuesToKeep(now))
 	if bytes.Equal(value, k.stored) {
 		return
 	}
@@ -66,27 +83,28 @@
 
 // queuesToKeep returns the queues that open jobs are in and, as far as they fit into the row,
 // those that have been removed from the configuration a short time ago.
-func (t *term) queuesToKeep(now time.Time) []job.Queue {
+func (t *term) queuesToKeep(now time.Time) queuesRecord {
 	k, configured, used := &t.queueKeeper, map[string]bool{}, t.engine.UsedQueues()
 	for _, q := range t.c.queues() {
 		configured[q.Name] = true
 		delete(k.removedAt, q.Name)
 	}
-	keep, bytes := []job.Queue{}, 0
-	add := func(q job.Queue) {
-		if n := len(encode(q)) + 1; bytes+n < t.c.rowBytes() {
-			keep, bytes = append(keep, q), bytes+n
-		} else if used[q.Name] {
-			t.log.WithFields(log.Fields{"event": "queue_not_stored", "queue": q.Name}).Error("the settings of the queue do not fit into the row; its jobs do not go on after its removal and a takeover")
+	keep, bytes := []job.QueueSettings{}, 0
+	add := func(settings job.QueueSettings) {
+		if n := len(encode(settings)) + 1; bytes+n < t.c.rowBytes() {
+			keep, bytes = append(keep, settings), bytes+n
+		} else if name := settings.Queue.Name; used[name] {
+			t.log.WithFields(log.Fields{"event": "queue_not_stored", "queue": name}).Debug("the settings of the queue do not fit into the row; after its removal and a takeover its jobs go on under the settings that they were accepted under")
 		}
 	}
-	all := t.engine.Queues()
-	for _, q := range all {
-		if used[q.Name] {
-			add(q)
+	all := t.engine.QueueSettings()
+	for _, settings := range all {
+		if used[settings.Queue.Name] {
+			add(settings)
 		}
 	}
-	for _, q := range all {
+	for _, settings := range all {
+		q := settings.Queue
 		if configured[q.Name] || used[q.Name] || t.c.config == nil {
 			continue
 		}
@@ -95,9 +113,13 @@
 			since, k.removedAt[q.Name] = now, now
 		}
 		if now.Sub(since) < removedQueueRetention {
-			add(q)
+			add(settings)
 		}
 	}
-	slices.SortFunc(keep, func(a, b job.Queue) int { return strings.Compare(a.Name, b.Name) })
-	return keep
+	slices.SortFunc(keep, func(a, b job.QueueSettings) int { return strings.Compare(a.Queue.Name, b.Queue.Name) })
+	record := queuesRecord{Queues: []job.Queue{}}
+	for _, settings := range keep {
+		record.Queues, record.Versions = append(record.Queues, settings.Queue), append(record.Versions, settings.Version)
+	}
+	return record
 }
--- a/internal/cell/queue_terms_test.go
+++ b/internal/cell/queue_settings_test.go
@@ -9,8 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/bambooyard/bambooyard/internal/fake"
 	"github.com/bambooyard/bambooyard/job"
+	"github.com/bambooyard/bambooyard/verdict"
 )
 
 // removedInVersion is the version of the configuration that lacks the queues which were added in
@@ -220,3 +223,28 @@
 		mc.awaitRunning(20 * time.Second)
 	})
 }
+
+// TestJobOfAnUnknownQueueIsRefused guards against a job that is accepted and never runs: the queue
+// was removed between the choice of the route and the submission.
+func TestJobOfAnUnknownQueueIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cl := newAddedQueuesCluster(t)
+		defer cl.stopAll()
+		owner := cl.awaitOwner()
+		cl.awaitConfig(owner, 1)
+		spec := cl.spec(1)
+		spec.Queue = "added"
+		is.Equal(verdict.Of(cl.trySubmit(owner, spec)), verdict.NotRun)
+		is.Equal(cl.state(spec.ID), job.State(""))
+	})
+}
+
+// TestStoredQueuesKeepTheirVersions guards against older settings after a takeover: the stored ones
+// are newer than those that a job was accepted under.
+func TestStoredQueuesKeepTheirVersions(t *testing.T) {
+	is := is.New(t)
+	queue := job.Queue{Name: "q", Priority: 2}
+	is.Equal(queuesRecord{Queues: []job.Queue{queue}, Versions: []int64{4}}.settings(), []job.QueueSettings{{Version: 4, Queue: queue}})
+	is.Equal(queuesRecord{Queues: []job.Queue{queue}}.settings(), []job.QueueSettings{{Queue: queue}}) // of a daemon of an earlier version
+}
--- a/internal/cell/term.go
+++ b/internal/cell/term.go
@@ -123,7 +123,7 @@
 	t.cancelReads.partitions = map[string]time.Time{}
 	t.compactor = newCompactor(c)
 	t.liveness.absences = map[string]absence{}
-	t.engine.SetQueues(c.queues())
+	t.engine.SetQueues(c.queues(), c.configVersion())
 	return t
 }
 
@@ -154,7 +154,7 @@
 }
 
 func (t *term) setQueues() {
-	t.engine.SetQueues(t.c.queues())
+	t.engine.SetQueues(t.c.queues(), t.c.configVersion())
 	t.queueKeeper.checkedAt, t.urgent = time.Time{}, true
 	t.schedulePlan()
 }
@@ -363,6 +363,10 @@
 	}
 	t.log.WithFields(log.Fields{"event": "job_known", "job": spec.ID, "queue": spec.Queue, "steps": len(spec.Steps),
 		"age_ms": t.c.Wall().UnixMilli() - spec.AcceptedUnixMS}).Info("accepted")
+	if j.Spec.QueueSettings == nil {
+		t.c.instruments.jobsWithoutSettings.Inc(1)
+		t.log.WithFields(log.Fields{"event": "job_without_settings", "job": spec.ID, "queue": spec.Queue}).Error("the settings of the job's queue are not known; it waits for a configuration with the queue")
+	}
 	t.c.jobStates.set(spec.ID, j.State, now)
 	if t.cancelled[spec.ID] {
 		delete(t.cancelled, spec.ID)
--- a/job/job.go
+++ b/job/job.go
@@ -110,6 +110,15 @@
 	// AcceptedUnixMS is when a daemon accepted the job, by its wall clock, in
 	// milliseconds since 1970 UTC. It orders jobs and affects no other decision.
 	AcceptedUnixMS int64 `json:"accepted"`
+	// QueueSettings are those of the queue when the job was accepted, or later ones. They
+	// are nil if a daemon of an earlier version has stored the job.
+	QueueSettings *QueueSettings `json:"queue_settings,omitempty"`
+}
+
+// QueueSettings are the settings of a queue as of a version of the operators' configuration.
+type QueueSettings struct {
+	Version int64 `json:"version"`
+	Queue   Queue `json:"queue"`
 }
 
 // FieldError reports an invalid field of a submitted job.
