--- a/dispatch/observation.go
+++ b/dispatch/observation.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// An Observation says of which boot of a worker, and since when, the result of a call may
-// hold. It is made when the call is sent, because the result may be as old as that.
+// An Observation tells what the result of a call is about: the boot of a worker that was known
+// when the call was sent, and that time, because the result may be as old as that. Every call
+// whose result can end runs, or shows that a worker is alive, is sent with one.
 //
-// Whatever ends runs, or speaks for a worker, comes with one. It says nothing of a later boot
-// than the one that was known when the call was sent. An observation that ends runs must also
-// be newer than the worker's last answer: a run that has ended is found again, but one that was
-// given up by mistake runs twice.
+// The result says nothing of a later boot. If it ends runs, it must also be newer than the
+// worker's last answer: a run that has ended is found by the next call, but a run that is given up
+// by mistake runs twice. docs/design/observations.md lists the results.
 type Observation struct {
 	worker string
 	// boot and address are the worker's, as known when the call was sent; both are zero
